--- /dev/null
+++ b/cmd/papayatide-standin/main.go
@@ -0,0 +1,15 @@
+// Command papayatide-standin runs papayatide's stand-ins for the platform's
+// peers: the append-only log service and target servers.
+package main
+
+import (
+	"os"
+
+	"github.com/papayatide/papayatide/internal/standin/cli"
+)
+
+func main() {
+	if err := cli.Command().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/papayatide/papayatide/rpc/adminpb"
+)
+
+func statusCommand() *cobra.Command {
+	var admins []string
+	var verbose bool
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show the manifest and placement in force on entry hosts",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 2, 4, 2, ' ', 0)
+			defer w.Flush()
+			fmt.Fprintln(w, "HOST\tDC\tDEPLOYMENT\tMANIFEST\tEPOCH\tVIEW AGE\tMEMBERS")
+			var failed []string
+			for _, a := range admins {
+				c := adminpb.NewAdminProtobufClient(a, &http.Client{Timeout: 3 * time.Second})
+				st, err := c.Status(cmd.Context(), &adminpb.StatusRequest{})
+				if err != nil {
+					fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\tunreachable: %v\n", a, err)
+					failed = append(failed, a)
+					continue
+				}
+				members, total := 0, 0
+				for _, s := range st.Services {
+					for _, u := range s.Upstreams {
+						total++
+						if u.Member {
+							members++
+						}
+					}
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%dms\t%d/%d\n", st.Host, st.DataCentre, st.Deployment,
+					st.ManifestOffset, st.PlacementEpoch, st.ViewAgeMs, members, total)
+				if verbose {
+					printServices(w, st)
+				}
+			}
+			if len(failed) > 0 {
+				return fmt.Errorf("unreachable: %s", strings.Join(failed, ", "))
+			}
+			return nil
+		}}
+	cmd.Flags().StringSliceVar(&admins, "admin", []string{"http://127.0.0.1:9081"}, "admin URLs of entry hosts")
+	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "list every upstream")
+	return cmd
+}
+
+func printServices(w *tabwriter.Writer, st *adminpb.StatusResponse) {
+	for _, s := range st.Services {
+		for _, u := range s.Upstreams {
+			state := "out"
+			if u.Member {
+				state = "member"
+			}
+			fmt.Fprintf(w, "  %s\t%s\t%s\t\t%d\t\t%s, %d shards\n", s.Name, u.DataCentre, u.Name, s.Epoch, state, u.Shards)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,503 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/logservice"
+	"github.com/papayatide/papayatide/internal/manifest"
+	"github.com/papayatide/papayatide/internal/placement"
+	"github.com/papayatide/papayatide/internal/routing"
+	"github.com/papayatide/papayatide/internal/target"
+)
+
+// Options shape the control loop.
+type Options struct {
+	// Host and DataCentre name this entry host.
+	Host       string
+	DataCentre string
+	// PollInterval is how often the log is read.
+	PollInterval time.Duration
+	// ProbeInterval is how often local upstreams are probed.
+	ProbeInterval time.Duration
+	// ProbeFailures is how many failed probes in a row mark an upstream down.
+	ProbeFailures int
+	// GrantLease is how long a grant holds at the target unless renewed.
+	GrantLease time.Duration
+	// SnapshotEvery is how many placement records may follow the last
+	// snapshot before this host writes a new one.
+	SnapshotEvery int
+}
+
+type health struct {
+	fails  int
+	probed bool
+	down   bool
+}
+
+// dcState is the placement in force for one (service, data centre).
+type dcState struct {
+	state    placement.State
+	assign   *placement.Assignment
+	since    map[string]int64
+	handover map[int]time.Time
+}
+
+// Loop is the control loop. Create it with New and run it with Run.
+type Loop struct {
+	opts    Options
+	logc    *logservice.Client
+	targets *target.Client
+	zl      *zap.Logger
+	table   atomic.Pointer[routing.Table]
+	wake    chan struct{}
+
+	// Everything below is owned by the Run goroutine.
+	man         *manifest.Manifest
+	manOffset   int64
+	manNext     int64
+	placeNext   int64
+	sinceSnap   int
+	states      map[string]*dcState
+	homes       map[string][]uint8
+	health      map[string]*health
+	viewAt      time.Time
+	logDown     bool
+	lastProbe   time.Time
+	lastGrant   time.Time
+	lastPropose map[string]time.Time
+}
+
+// New returns a control loop.
+func New(opts Options, logc *logservice.Client, targets *target.Client, zl *zap.Logger) *Loop {
+	return &Loop{opts: opts, logc: logc, targets: targets, zl: zl, wake: make(chan struct{}, 1),
+		manOffset: -1, states: map[string]*dcState{}, homes: map[string][]uint8{},
+		health: map[string]*health{}, lastPropose: map[string]time.Time{}}
+}
+
+// Table returns the routing table in force, or nil before the first
+// manifest is read. Safe from any goroutine.
+func (l *Loop) Table() *routing.Table { return l.table.Load() }
+
+// Wake asks the loop to read the log now, e.g. after a target refused a
+// stale fencing token. It never blocks.
+func (l *Loop) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run runs the loop until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	t := time.NewTicker(l.opts.PollInterval)
+	defer t.Stop()
+	for {
+		l.tick(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-l.wake:
+		}
+	}
+}
+
+func (l *Loop) tick(ctx context.Context, now time.Time) {
+	changed, err := l.readLog(ctx)
+	if err != nil {
+		if !l.logDown {
+			l.zl.Warn("log service unreachable", zap.Int("event", events.LogUnreachable), zap.Error(err))
+		}
+		l.logDown = true
+	} else {
+		if l.logDown {
+			l.zl.Info("log service reachable again", zap.Int("event", events.LogRecovered))
+		}
+		l.logDown = false
+		l.viewAt = now
+	}
+	if now.Sub(l.lastProbe) >= l.opts.ProbeInterval {
+		l.lastProbe = now
+		l.probe(ctx)
+	}
+	// Grants go out before the table that routes by them, so a target
+	// holds the new epoch's grant before this host sends it that token.
+	if !l.logDown && (changed || now.Sub(l.lastGrant) >= l.opts.GrantLease/3) {
+		l.lastGrant = now
+		l.grant(ctx)
+	}
+	if changed || l.table.Load() == nil || err == nil {
+		l.publish()
+	}
+	if err == nil && l.man != nil {
+		l.propose(ctx, now)
+		l.snapshot(ctx)
+	}
+}
+
+func (l *Loop) readLog(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.opts.PollInterval*5)
+	defer cancel()
+	m, err := l.readManifests(ctx)
+	if err != nil {
+		return m, err
+	}
+	p, err := l.readPlacement(ctx)
+	return m || p, err
+}
+
+func (l *Loop) readManifests(ctx context.Context) (bool, error) {
+	changed := false
+	for {
+		b, err := l.logc.Read(ctx, logservice.StreamManifests, l.manNext, 0)
+		if err != nil {
+			return changed, err
+		}
+		if b.First > l.manNext && l.manNext > 0 {
+			l.zl.Warn("manifest records passed retention unread", zap.Int("event", events.ManifestGap),
+				zap.Int64("from", l.manNext), zap.Int64("first", b.First))
+		}
+		for _, rec := range b.Records {
+			l.manNext = rec.Offset + 1
+			m, err := manifest.Parse(rec.Data)
+			if err != nil {
+				l.zl.Warn("manifest refused", zap.Int("event", events.ManifestRejected), zap.Int64("offset", rec.Offset), zap.Error(err))
+				continue
+			}
+			l.adoptManifest(m, rec.Offset)
+			changed = true
+		}
+		if len(b.Records) == 0 || l.manNext >= b.Next {
+			return changed, nil
+		}
+	}
+}
+
+func (l *Loop) adoptManifest(m *manifest.Manifest, offset int64) {
+	l.man, l.manOffset = m, offset
+	l.homes = map[string][]uint8{}
+	for i := range m.Services {
+		l.homes[m.Services[i].Name] = placement.Homes(&m.Services[i], m.DataCentres)
+	}
+	for _, st := range l.states {
+		l.reassign(st, st.state)
+	}
+	l.zl.Info("manifest adopted", zap.Int("event", events.ManifestAdopted), zap.Int64("offset", offset), zap.Stringer("manifest", m))
+}
+
+func (l *Loop) readPlacement(ctx context.Context) (bool, error) {
+	changed := false
+	for {
+		b, err := l.logc.Read(ctx, logservice.StreamPlacement, l.placeNext, 0)
+		if err != nil {
+			return changed, err
+		}
+		for _, rec := range b.Records {
+			l.placeNext = rec.Offset + 1
+			r, err := placement.DecodeRecord(rec.Data)
+			if err != nil {
+				l.zl.Warn("placement record refused", zap.Int("event", events.PlacementConflict), zap.Int64("offset", rec.Offset), zap.Error(err))
+				continue
+			}
+			l.applyRecord(r, rec.Offset)
+			changed = true
+		}
+		if len(b.Records) == 0 || l.placeNext >= b.Next {
+			return changed, nil
+		}
+	}
+}
+
+func (l *Loop) applyRecord(r *placement.Record, offset int64) {
+	switch r.Kind {
+	case placement.KindMembers:
+		l.sinceSnap++
+		s := *r.State
+		s.Epoch = offset
+		l.setState(s)
+	case placement.KindSnapshot:
+		l.sinceSnap = 0
+		for _, s := range r.States {
+			if cur := l.states[s.Key()]; cur == nil || cur.state.Epoch < s.Epoch {
+				l.setState(s)
+			}
+		}
+	}
+}
+
+func (l *Loop) setState(s placement.State) {
+	st := l.states[s.Key()]
+	if st == nil {
+		st = &dcState{since: map[string]int64{}, handover: map[int]time.Time{}}
+		l.states[s.Key()] = st
+	}
+	l.reassign(st, s)
+	l.zl.Info("placement adopted", zap.Int("event", events.PlacementAdopted), zap.String("service", s.Service),
+		zap.String("data_centre", s.DataCentre), zap.Int64("epoch", s.Epoch), zap.Strings("members", s.Members))
+}
+
+// reassign recomputes st's assignment for state s under the manifest in
+// force. Shards that change owner enter handover for one grant lease: the
+// old owner may hold a live grant for them until it lapses.
+func (l *Loop) reassign(st *dcState, s placement.State) {
+	old := st.assign
+	st.state = s
+	if l.man == nil {
+		return
+	}
+	svc := l.man.Service(s.Service)
+	dc := slices.Index(l.man.DataCentres, s.DataCentre)
+	if svc == nil || dc < 0 {
+		st.assign = nil
+		return
+	}
+	st.assign = placement.AssignHomed(svc, s.Members, s.Epoch, l.homes[svc.Name], uint8(dc))
+	now := time.Now()
+	for shard, until := range st.handover {
+		if now.After(until) {
+			delete(st.handover, shard)
+		}
+	}
+	if old == nil || old.Shards() != st.assign.Shards() {
+		for _, m := range st.assign.Members {
+			st.since[m.Name] = s.Epoch
+		}
+		return
+	}
+	until := now.Add(l.opts.GrantLease)
+	changed := map[string]bool{}
+	for _, shard := range placement.Moved(old, st.assign) {
+		if o := old.Owner(shard); o != nil {
+			changed[o.Name] = true
+			st.handover[shard] = until
+		}
+		if n := st.assign.Owner(shard); n != nil {
+			changed[n.Name] = true
+		}
+	}
+	for _, m := range st.assign.Members {
+		if _, ok := st.since[m.Name]; !ok || changed[m.Name] {
+			st.since[m.Name] = s.Epoch
+		}
+	}
+}
+
+// publish builds and stores a new routing table from the state in force.
+func (l *Loop) publish() {
+	if l.man == nil {
+		return
+	}
+	t := &routing.Table{Manifest: l.man, ManifestOffset: l.manOffset, Services: map[string]*routing.Service{}, ViewAt: l.viewAt}
+	for i := range l.man.Services {
+		svc := &l.man.Services[i]
+		rs := &routing.Service{Spec: svc, Homes: l.homes[svc.Name], ByDC: make([]*placement.Assignment, len(l.man.DataCentres)),
+			HandoverUntil: map[int]time.Time{}}
+		for d, dc := range l.man.DataCentres {
+			st := l.states[svc.Name+"/"+dc]
+			if st == nil || st.assign == nil {
+				continue
+			}
+			rs.ByDC[d] = st.assign
+			for shard, until := range st.handover {
+				rs.HandoverUntil[shard] = until
+			}
+		}
+		t.Services[svc.Name] = rs
+	}
+	l.table.Store(t)
+}
+
+// localUpstreams returns the upstreams of svc in this data centre.
+func (l *Loop) localUpstreams(svc *manifest.Service) []manifest.Upstream {
+	var out []manifest.Upstream
+	for _, u := range svc.Upstreams {
+		if u.DataCentre == l.opts.DataCentre {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// probe checks every local upstream's health concurrently and applies the
+// results on the loop goroutine.
+func (l *Loop) probe(ctx context.Context) {
+	if l.man == nil {
+		return
+	}
+	type result struct {
+		name string
+		err  error
+	}
+	var ups []manifest.Upstream
+	for i := range l.man.Services {
+		ups = append(ups, l.localUpstreams(&l.man.Services[i])...)
+	}
+	results := make([]result, len(ups))
+	ctx, cancel := context.WithTimeout(ctx, l.opts.ProbeInterval)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range ups {
+		wg.Go(func() { results[i] = result{ups[i].Name, l.targets.Probe(ctx, &ups[i])} })
+	}
+	wg.Wait()
+	for _, r := range results {
+		l.applyProbe(r.name, r.err)
+	}
+}
+
+func (l *Loop) applyProbe(name string, err error) {
+	h := l.health[name]
+	if h == nil {
+		h = &health{}
+		l.health[name] = h
+	}
+	h.probed = true
+	if err == nil {
+		if h.down {
+			l.zl.Info("upstream up", zap.Int("event", events.UpstreamUp), zap.String("peer", name))
+		}
+		h.fails, h.down = 0, false
+		return
+	}
+	h.fails++
+	if !h.down && h.fails >= l.opts.ProbeFailures {
+		h.down = true
+		l.zl.Warn("upstream down", zap.Int("event", events.UpstreamDown), zap.String("peer", name), zap.Error(err))
+	}
+}
+
+// propose appends a members record for each local (service, data centre)
+// whose wanted members differ from those in force. At most one proposal per
+// key per poll interval, so a host that keeps losing races backs off.
+func (l *Loop) propose(ctx context.Context, now time.Time) {
+	for i := range l.man.Services {
+		svc := &l.man.Services[i]
+		local := l.localUpstreams(svc)
+		if len(local) == 0 {
+			continue
+		}
+		key := svc.Name + "/" + l.opts.DataCentre
+		cur := l.states[key]
+		want, ready := l.wanted(local, cur)
+		if !ready || (cur != nil && slices.Equal(want, cur.state.Members)) {
+			continue
+		}
+		if now.Sub(l.lastPropose[key]) < l.opts.PollInterval {
+			continue
+		}
+		l.lastPropose[key] = now
+		s := placement.State{Service: svc.Name, DataCentre: l.opts.DataCentre, Members: want}
+		if cur != nil {
+			s.Drained = cur.state.Drained
+		}
+		l.append(ctx, &placement.Record{Kind: placement.KindMembers, State: &s})
+	}
+}
+
+// wanted returns the sorted members a (service, data centre) should have:
+// every local upstream that is healthy and not drained. It is not ready
+// until each local upstream has been probed at least once.
+func (l *Loop) wanted(local []manifest.Upstream, cur *dcState) ([]string, bool) {
+	var drained []string
+	if cur != nil {
+		drained = cur.state.Drained
+	}
+	var want []string
+	for _, u := range local {
+		h := l.health[u.Name]
+		if h == nil || !h.probed {
+			return nil, false
+		}
+		if !h.down && !slices.Contains(drained, u.Name) {
+			want = append(want, u.Name)
+		}
+	}
+	slices.Sort(want)
+	return want, true
+}
+
+// append writes rec at the stream's next offset. Losing the race is normal
+// and left to the next read; a lost answer is also left to the next read,
+// which finds the record (by nonce) if it landed.
+func (l *Loop) append(ctx context.Context, rec *placement.Record) {
+	rec.By, rec.Nonce = l.opts.Host, rand.Uint64()
+	data, err := rec.Encode()
+	if err != nil {
+		return
+	}
+	off, err := l.logc.AppendAt(ctx, logservice.StreamPlacement, data, l.placeNext)
+	switch {
+	case err == nil:
+		l.zl.Info("placement proposed", zap.Int("event", events.PlacementProposed), zap.String("kind", rec.Kind), zap.Int64("offset", off))
+	case isConflict(err):
+		l.zl.Info("placement proposal lost a race", zap.Int("event", events.PlacementConflict), zap.Error(err))
+	default:
+		l.zl.Warn("placement proposal outcome unknown", zap.Int("event", events.PlacementUnknown), zap.Error(err))
+	}
+}
+
+// snapshot restates the whole placement once SnapshotEvery records have
+// followed the last snapshot, so retention never drops the only record of
+// a (service, data centre).
+func (l *Loop) snapshot(ctx context.Context) {
+	if l.sinceSnap < l.opts.SnapshotEvery || len(l.states) == 0 {
+		return
+	}
+	rec := &placement.Record{Kind: placement.KindSnapshot}
+	for _, st := range l.states {
+		rec.States = append(rec.States, st.state)
+	}
+	slices.SortFunc(rec.States, func(a, b placement.State) int { return compareKeys(a.Key(), b.Key()) })
+	l.append(ctx, rec)
+	l.sinceSnap = 0
+}
+
+func compareKeys(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// grant renews the fenced grant of every member upstream in this data
+// centre. Grants are sent only while the log is reachable: a host that
+// cannot confirm the placement in force lets its grants lapse rather than
+// keep a possibly replaced owner alive.
+func (l *Loop) grant(ctx context.Context) {
+	type job struct {
+		u manifest.Upstream
+		g target.Grant
+	}
+	var jobs []job
+	for _, st := range l.states {
+		if st.state.DataCentre != l.opts.DataCentre || st.assign == nil {
+			continue
+		}
+		for _, m := range st.assign.Members {
+			jobs = append(jobs, job{m, target.Grant{Service: st.state.Service, Epoch: st.state.Epoch,
+				Since: st.since[m.Name], Shards: st.assign.ShardsOf(m.Name), LeaseMs: l.opts.GrantLease.Milliseconds()}})
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.opts.GrantLease/3)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range jobs {
+		wg.Go(func() {
+			if err := l.targets.SendGrant(ctx, &jobs[i].u, &jobs[i].g); err != nil {
+				l.zl.Debug("grant failed", zap.Int("event", events.GrantFailed), zap.String("peer", jobs[i].u.Name), zap.Error(err))
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/papayatide/papayatide/internal/admin"
+	"github.com/papayatide/papayatide/internal/control"
+	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/logservice"
+	"github.com/papayatide/papayatide/internal/router"
+	"github.com/papayatide/papayatide/internal/settings"
+	"github.com/papayatide/papayatide/internal/target"
+	"github.com/papayatide/papayatide/rpc/adminpb"
+)
+
+// NewLogger returns a JSON zap logger at level ("debug", "info", ...).
+func NewLogger(level string) (*zap.Logger, error) {
+	lvl, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(err, "log level %q", level)
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(lvl)
+	cfg.Sampling = nil
+	l, err := cfg.Build()
+	return l, eris.Wrap(err, "build logger")
+}
+
+// Run runs the daemon until SIGINT/SIGTERM or a part fails. A signal is a
+// planned stop: the host reports not ready, stops accepting callers, and
+// waits up to ShutdownGrace for requests in flight.
+func Run(cfg *settings.Daemon, zl *zap.Logger) error {
+	logc := logservice.New(cfg.LogAddr, &http.Client{Timeout: 5 * time.Second})
+	targets := target.NewClient()
+	loop := control.New(control.Options{Host: cfg.Host, DataCentre: cfg.DataCentre, PollInterval: cfg.PollInterval,
+		ProbeInterval: cfg.ProbeInterval, ProbeFailures: cfg.ProbeFailures, GrantLease: cfg.GrantLease,
+		SnapshotEvery: cfg.SnapshotEvery}, logc, targets, zl)
+	rt := router.New(router.Options{Host: cfg.Host, Timeout: cfg.RequestTimeout, ViewLease: cfg.ViewLease,
+		RetryAfter: cfg.RetryAfter}, loop.Table, targets, zl)
+	rt.Refused = func(string) { loop.Wake() }
+
+	front := http.NewServeMux()
+	front.Handle("/{service}/{key...}", rt)
+	var stopping atomic.Bool
+	adminMux := http.NewServeMux()
+	as := adminpb.NewAdminServer(&admin.Server{Host: cfg.Host, DataCentre: cfg.DataCentre, Table: loop.Table})
+	adminMux.Handle(as.PathPrefix(), as)
+	adminMux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	adminMux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if stopping.Load() || loop.Table() == nil {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok\n"))
+	})
+
+	var g run.Group
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop.Run(ctx) }, func(error) { cancel() })
+	if err := addServer(&g, cfg.Listen, front, cfg.ShutdownGrace, &stopping); err != nil {
+		return err
+	}
+	if err := addServer(&g, cfg.AdminListen, adminMux, time.Second, nil); err != nil {
+		return err
+	}
+	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
+	zl.Info("started", zap.Int("event", events.Started), zap.String("host", cfg.Host),
+		zap.String("data_centre", cfg.DataCentre), zap.String("listen", cfg.Listen))
+	err := g.Run()
+	zl.Info("stopped", zap.Int("event", events.Stopped), zap.Error(err))
+	var se run.SignalError
+	if errors.As(err, &se) {
+		return nil
+	}
+	return err
+}
+
+// addServer adds an HTTP server to g; on interrupt it marks stopping and
+// shuts down gracefully within grace.
+func addServer(g *run.Group, addr string, h http.Handler, grace time.Duration, stopping *atomic.Bool) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "listen %s", addr)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	g.Add(func() error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrapf(err, "serve %s", addr)
+		}
+		return nil
+	}, func(error) {
+		if stopping != nil {
+			stopping.Store(true)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		_ = srv.Shutdown(ctx)
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/logservice/client.go
@@ -0,0 +1,134 @@
+package logservice
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
+
+	"github.com/papayatide/papayatide/rpc/logsvcpb"
+)
+
+// Stream names used by papayatide.
+const (
+	// StreamManifests carries published manifests, one JSON manifest a record.
+	StreamManifests = "manifests"
+	// StreamPlacement carries placement records; a record's offset is the
+	// epoch of the placement it states.
+	StreamPlacement = "placement"
+	// StreamEntryHosts carries entry hosts' heartbeats.
+	StreamEntryHosts = "entryhosts"
+)
+
+// ErrConflict is returned by AppendAt when the stream's next offset was not
+// the expected one: someone else appended first and nothing was written.
+var ErrConflict = errors.New("log: stream moved on")
+
+// ErrUnknownOutcome is returned when the log did not answer an append: the
+// record may or may not have been written.
+var ErrUnknownOutcome = errors.New("log: append outcome unknown")
+
+// Client talks to one log service.
+type Client struct {
+	addr string
+	rpc  logsvcpb.Log
+}
+
+// New returns a client for the log service at base URL addr.
+func New(addr string, hc *http.Client) *Client {
+	return &Client{addr: addr, rpc: logsvcpb.NewLogProtobufClient(addr, hc)}
+}
+
+// Addr returns the log service's base URL.
+func (c *Client) Addr() string { return c.addr }
+
+// Append adds data to stream and returns its offset.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	resp, err := c.rpc.Append(ctx, &logsvcpb.AppendRequest{Stream: stream, Data: data})
+	if err != nil {
+		return 0, c.appendErr(err, stream)
+	}
+	return resp.Offset, nil
+}
+
+// AppendAt adds data to stream only if it gets offset next. It returns
+// ErrConflict (with the stream's real next offset) when another record got
+// there first, and ErrUnknownOutcome when the log's answer was lost.
+func (c *Client) AppendAt(ctx context.Context, stream string, data []byte, next int64) (int64, error) {
+	resp, err := c.rpc.Append(ctx, &logsvcpb.AppendRequest{Stream: stream, Data: data, ExpectedNext: next, Conditional: true})
+	if err != nil {
+		return 0, c.appendErr(err, stream)
+	}
+	return resp.Offset, nil
+}
+
+// ConflictNext returns the stream's next offset carried by an ErrConflict.
+func ConflictNext(err error) (int64, bool) {
+	var te twirp.Error
+	if !errors.As(err, &te) || te.Code() != twirp.FailedPrecondition {
+		return 0, false
+	}
+	n, perr := strconv.ParseInt(te.Meta("next"), 10, 64)
+	return n, perr == nil
+}
+
+func (c *Client) appendErr(err error, stream string) error {
+	var te twirp.Error
+	if errors.As(err, &te) && te.Code() == twirp.FailedPrecondition {
+		return eris.Wrapf(&conflict{cause: err}, "log %s: append %s", c.addr, stream)
+	}
+	return eris.Wrapf(&unknown{cause: err}, "log %s: append %s", c.addr, stream)
+}
+
+// Batch is one read's result.
+type Batch struct {
+	// Records are in offset order.
+	Records []*logsvcpb.Record
+	// Next is the offset the stream's next record will get.
+	Next int64
+	// First is the oldest retained offset; records before it are gone.
+	First int64
+}
+
+// Read returns up to max records of stream from offset from.
+func (c *Client) Read(ctx context.Context, stream string, from int64, max int) (*Batch, error) {
+	resp, err := c.rpc.Read(ctx, &logsvcpb.ReadRequest{Stream: stream, From: from, Max: int32(max)})
+	if err != nil {
+		return nil, eris.Wrapf(err, "log %s: read %s from %d", c.addr, stream, from)
+	}
+	return &Batch{Records: resp.Records, Next: resp.Next, First: resp.First}, nil
+}
+
+// Last returns the newest record of stream, or nil if it has none.
+func (c *Client) Last(ctx context.Context, stream string) (*logsvcpb.Record, int64, error) {
+	head, err := c.Read(ctx, stream, 1<<62, 1)
+	if err != nil {
+		return nil, 0, err
+	}
+	if head.Next == 0 {
+		return nil, 0, nil
+	}
+	b, err := c.Read(ctx, stream, head.Next-1, 1)
+	if err != nil {
+		return nil, 0, err
+	}
+	if len(b.Records) == 0 {
+		return nil, b.Next, nil
+	}
+	return b.Records[0], b.Next, nil
+}
+
+type conflict struct{ cause error }
+
+func (e *conflict) Error() string        { return ErrConflict.Error() + ": " + e.cause.Error() }
+func (e *conflict) Is(target error) bool { return target == ErrConflict }
+func (e *conflict) Unwrap() error        { return e.cause }
+
+type unknown struct{ cause error }
+
+func (e *unknown) Error() string        { return ErrUnknownOutcome.Error() + ": " + e.cause.Error() }
+func (e *unknown) Is(target error) bool { return target == ErrUnknownOutcome }
+func (e *unknown) Unwrap() error        { return e.cause }
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,187 @@
+package placement
+
+import (
+	"encoding/binary"
+	"math"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/papayatide/papayatide/internal/manifest"
+)
+
+// ShardOf returns the shard, in [0, shards), that a service's key hashes to.
+func ShardOf(service, key string, shards int) int {
+	d := xxhash.New()
+	_, _ = d.WriteString(service)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return int(d.Sum64() % uint64(shards))
+}
+
+// Assignment is the owner of every shard of one service at one epoch.
+type Assignment struct {
+	// Service is the service's name.
+	Service string
+	// Epoch is the log offset of the placement record this was built from;
+	// it is the fencing token sent with grants and requests.
+	Epoch int64
+	// Members are the upstreams that own shards, sorted by name.
+	Members []manifest.Upstream
+	// owner maps a shard to an index into Members.
+	owner []uint16
+}
+
+// Assign computes the owner of each shard among the named members of svc.
+// Names not in the service are ignored; with no members every shard is
+// unowned and Owner returns nil. Use AssignHomed for one data centre.
+func Assign(svc *manifest.Service, members []string, epoch int64) *Assignment {
+	return AssignHomed(svc, members, epoch, nil, 0)
+}
+
+// AssignHomed is Assign restricted to the shards whose entry in homes is
+// home; other shards are unowned. A nil homes means every shard.
+func AssignHomed(svc *manifest.Service, members []string, epoch int64, homes []uint8, home uint8) *Assignment {
+	a := &Assignment{Service: svc.Name, Epoch: epoch}
+	wanted := map[string]bool{}
+	for _, n := range members {
+		wanted[n] = true
+	}
+	for _, u := range svc.Upstreams {
+		if wanted[u.Name] {
+			a.Members = append(a.Members, u)
+		}
+	}
+	sort.Slice(a.Members, func(i, j int) bool { return a.Members[i].Name < a.Members[j].Name })
+	a.owner = make([]uint16, svc.ShardCount())
+	if len(a.Members) == 0 {
+		return a
+	}
+	if len(a.Members) >= unowned {
+		panic("placement: too many members")
+	}
+	seeds := make([]uint64, len(a.Members))
+	weights := make([]float64, len(a.Members))
+	for i, u := range a.Members {
+		seeds[i] = xxhash.Sum64String(u.Name)
+		weights[i] = float64(u.Slots)
+	}
+	for shard := range a.owner {
+		if homes != nil && homes[shard] != home {
+			a.owner[shard] = unowned
+			continue
+		}
+		a.owner[shard] = uint16(highestWeight(uint64(shard), seeds, weights))
+	}
+	return a
+}
+
+// unowned marks a shard that this assignment does not place.
+const unowned = 1<<16 - 1
+
+// highestWeight returns the index of the member with the highest weighted
+// rendezvous score for the shard: weight / -ln(u), u uniform in (0,1).
+func highestWeight(shard uint64, seeds []uint64, weights []float64) int {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[8:], shard)
+	best, bestScore := 0, math.Inf(-1)
+	for i, seed := range seeds {
+		binary.LittleEndian.PutUint64(buf[:8], seed)
+		h := xxhash.Sum64(buf[:])
+		u := (float64(h>>11) + 0.5) / (1 << 53)
+		score := weights[i] / -math.Log(u)
+		if score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// Shards returns the shard count.
+func (a *Assignment) Shards() int { return len(a.owner) }
+
+// Owner returns the upstream owning shard, or nil if the service has no
+// members.
+func (a *Assignment) Owner(shard int) *manifest.Upstream {
+	if len(a.Members) == 0 || a.owner[shard] == unowned {
+		return nil
+	}
+	return &a.Members[a.owner[shard]]
+}
+
+// ShardsOf returns the shards the named upstream owns, ascending.
+func (a *Assignment) ShardsOf(name string) []int {
+	var out []int
+	for shard := range a.owner {
+		if o := a.Owner(shard); o != nil && o.Name == name {
+			out = append(out, shard)
+		}
+	}
+	return out
+}
+
+// Moved returns the shards whose owner differs between old and next; with
+// a nil old, no shard counts as moved. Both must have the same shard count.
+func Moved(old, next *Assignment) []int {
+	if old == nil {
+		return nil
+	}
+	var out []int
+	for shard := range next.owner {
+		o, n := old.Owner(shard), next.Owner(shard)
+		if (o == nil) != (n == nil) || (o != nil && o.Name != n.Name) {
+			out = append(out, shard)
+		}
+	}
+	return out
+}
+
+// Imbalance returns the most-loaded member's shard share divided by its
+// fair share by weight; 1.0 is perfect balance. It returns 0 with no
+// members.
+func (a *Assignment) Imbalance() float64 {
+	if len(a.Members) == 0 {
+		return 0
+	}
+	counts := make([]int, len(a.Members))
+	placed := 0
+	for _, i := range a.owner {
+		if i != unowned {
+			counts[i]++
+			placed++
+		}
+	}
+	total := 0.0
+	for _, u := range a.Members {
+		total += float64(u.Slots)
+	}
+	worst := 0.0
+	for i, u := range a.Members {
+		fair := float64(placed) * float64(u.Slots) / total
+		worst = math.Max(worst, float64(counts[i])/fair)
+	}
+	return worst
+}
+
+// Homes returns, for each shard of svc, the index into dcs of the data
+// centre that owns it. Shards are homed by weighted rendezvous hashing over
+// the data centres, weighted by the slots the service has in each, so only
+// that data centre's entry hosts ever move the shard between upstreams.
+// A data centre with no upstreams of svc homes no shards.
+func Homes(svc *manifest.Service, dcs []string) []uint8 {
+	weights := make([]float64, len(dcs))
+	seeds := make([]uint64, len(dcs))
+	for i, dc := range dcs {
+		seeds[i] = xxhash.Sum64String(svc.Name + "/" + dc)
+		for _, u := range svc.Upstreams {
+			if u.DataCentre == dc {
+				weights[i] += float64(u.Slots)
+			}
+		}
+	}
+	homes := make([]uint8, svc.ShardCount())
+	for shard := range homes {
+		homes[shard] = uint8(highestWeight(uint64(shard), seeds, weights))
+	}
+	return homes
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,187 @@
+package settings
+
+import (
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+)
+
+// Daemon holds the entry-host daemon's settings.
+type Daemon struct {
+	// [host]
+	Host        string // name: this entry host's name
+	DataCentre  string // data_centre: the data centre it runs in
+	Listen      string // listen: host:port for callers
+	AdminListen string // admin_listen: host:port for admin, metrics, health
+	LogLevel    string // log_level: debug, info, warn or error
+
+	// [log]
+	LogAddr      string        // addr: base URL of the log service
+	PollInterval time.Duration // poll_interval
+
+	// [routing]
+	RequestTimeout time.Duration // request_timeout: largest deadline per request
+	ViewLease      time.Duration // view_lease: oldest view for non-idempotent work
+	RetryAfter     time.Duration // retry_after: told to callers refused for a passing cause
+	GrantLease     time.Duration // grant_lease: lease of a grant at a target
+	ProbeInterval  time.Duration // probe_interval
+	ProbeFailures  int           // probe_failures: failed probes in a row that mark an upstream down
+	SnapshotEvery  int           // snapshot_every: placement records between snapshots
+	ShutdownGrace  time.Duration // shutdown_grace: how long a planned stop waits for requests in flight
+}
+
+// schema lists every allowed section and key with its default ("" means
+// required).
+var schema = map[string]map[string]string{
+	"host": {"name": "", "data_centre": "", "listen": "", "admin_listen": "", "log_level": "info"},
+	"log":  {"addr": "", "poll_interval": "100ms"},
+	"routing": {"request_timeout": "2s", "view_lease": "2s", "retry_after": "1s", "grant_lease": "1s",
+		"probe_interval": "200ms", "probe_failures": "3", "snapshot_every": "64", "shutdown_grace": "10s"},
+}
+
+// Load reads and checks the settings file at path.
+func Load(path string) (*Daemon, error) {
+	f, err := ini.Load(path)
+	if err != nil {
+		return nil, eris.Wrapf(err, "settings %s", path)
+	}
+	d, err := fromFile(f)
+	return d, eris.Wrapf(err, "settings %s", path)
+}
+
+// Parse reads and checks settings from INI text.
+func Parse(data []byte) (*Daemon, error) {
+	f, err := ini.Load(data)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings")
+	}
+	return fromFile(f)
+}
+
+type reader struct {
+	f   *ini.File
+	err error
+}
+
+func (r *reader) str(section, key string) string {
+	if r.err != nil {
+		return ""
+	}
+	v := r.f.Section(section).Key(key).String()
+	if v == "" {
+		v = schema[section][key]
+	}
+	if v == "" {
+		r.err = eris.Errorf("[%s] %s is required", section, key)
+	}
+	return v
+}
+
+func (r *reader) duration(section, key string) time.Duration {
+	v := r.str(section, key)
+	if r.err != nil {
+		return 0
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d <= 0 {
+		r.err = eris.Errorf("[%s] %s = %q: want a positive duration such as 500ms or 2s", section, key, v)
+	}
+	return d
+}
+
+func (r *reader) count(section, key string) int {
+	v := r.str(section, key)
+	if r.err != nil {
+		return 0
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 1 {
+		r.err = eris.Errorf("[%s] %s = %q: want a whole number of 1 or more", section, key, v)
+	}
+	return n
+}
+
+func (r *reader) hostPort(section, key string) string {
+	v := r.str(section, key)
+	if r.err != nil {
+		return ""
+	}
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		r.err = eris.Errorf("[%s] %s = %q: want host:port", section, key, v)
+	}
+	return v
+}
+
+func (r *reader) baseURL(section, key string) string {
+	v := r.str(section, key)
+	if r.err != nil {
+		return ""
+	}
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		r.err = eris.Errorf("[%s] %s = %q: want a URL such as http://127.0.0.1:7000", section, key, v)
+	}
+	return v
+}
+
+// checkKnown refuses sections and keys the schema does not list.
+func checkKnown(f *ini.File) error {
+	for _, sec := range f.Sections() {
+		if sec.Name() == ini.DefaultSection {
+			if len(sec.Keys()) > 0 {
+				return eris.Errorf("key %q is outside any section", sec.Keys()[0].Name())
+			}
+			continue
+		}
+		keys, ok := schema[sec.Name()]
+		if !ok {
+			return eris.Errorf("unknown section [%s]", sec.Name())
+		}
+		for _, k := range sec.Keys() {
+			if _, ok := keys[k.Name()]; !ok {
+				return eris.Errorf("[%s] unknown key %q", sec.Name(), k.Name())
+			}
+		}
+	}
+	return nil
+}
+
+var logLevels = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
+
+func fromFile(f *ini.File) (*Daemon, error) {
+	if err := checkKnown(f); err != nil {
+		return nil, err
+	}
+	r := &reader{f: f}
+	d := &Daemon{
+		Host:           r.str("host", "name"),
+		DataCentre:     r.str("host", "data_centre"),
+		Listen:         r.hostPort("host", "listen"),
+		AdminListen:    r.hostPort("host", "admin_listen"),
+		LogLevel:       r.str("host", "log_level"),
+		LogAddr:        r.baseURL("log", "addr"),
+		PollInterval:   r.duration("log", "poll_interval"),
+		RequestTimeout: r.duration("routing", "request_timeout"),
+		ViewLease:      r.duration("routing", "view_lease"),
+		RetryAfter:     r.duration("routing", "retry_after"),
+		GrantLease:     r.duration("routing", "grant_lease"),
+		ProbeInterval:  r.duration("routing", "probe_interval"),
+		ProbeFailures:  r.count("routing", "probe_failures"),
+		SnapshotEvery:  r.count("routing", "snapshot_every"),
+		ShutdownGrace:  r.duration("routing", "shutdown_grace"),
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	if !logLevels[d.LogLevel] {
+		return nil, eris.Errorf("[host] log_level = %q: want debug, info, warn or error", d.LogLevel)
+	}
+	if d.ViewLease < d.GrantLease {
+		return nil, eris.Errorf("[routing] view_lease %s is shorter than grant_lease %s", d.ViewLease, d.GrantLease)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/standin/target/server.go
@@ -0,0 +1,226 @@
+package target
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	tp "github.com/papayatide/papayatide/internal/target"
+)
+
+// Options shape the stand-in's behaviour.
+type Options struct {
+	// Name is the upstream's name, echoed in answers.
+	Name string
+	// Slots is how many requests run at once; more are shed.
+	Slots int
+	// CheckFencing makes the target refuse requests without a current grant.
+	CheckFencing bool
+	// WorkTime is how long one request takes.
+	WorkTime time.Duration
+	// ColdStart is how long after start requests take ColdWorkTime instead.
+	ColdStart    time.Duration
+	ColdWorkTime time.Duration
+	// HealthLag delays the health endpoint's view of draining.
+	HealthLag time.Duration
+}
+
+// Answer is the JSON body a target returns for work.
+type Answer struct {
+	Upstream  string `json:"upstream"`
+	Service   string `json:"service"`
+	Key       string `json:"key"`
+	RequestID string `json:"request_id"`
+	// Ops is how many non-idempotent operations have run on the key.
+	Ops int64 `json:"ops"`
+	// Replayed says the answer was stored under the idempotency key and
+	// the operation did not run again.
+	Replayed bool `json:"replayed"`
+}
+
+type grantState struct {
+	grant   tp.Grant
+	shards  map[int]bool
+	expires time.Time
+}
+
+// Server is one stand-in target.
+type Server struct {
+	opts     Options
+	started  time.Time
+	inflight atomic.Int64
+	draining atomic.Bool
+	drainAt  atomic.Int64
+
+	mu     sync.Mutex
+	grants map[string]*grantState
+	ops    map[string]int64
+	idem   map[string]Answer
+	// Executed counts operations actually run, by service/key; tests read it.
+	executed map[string]int64
+}
+
+// NewServer returns a stand-in target.
+func NewServer(opts Options) *Server {
+	if opts.Slots < 1 {
+		opts.Slots = 1
+	}
+	return &Server{opts: opts, started: time.Now(), grants: map[string]*grantState{},
+		ops: map[string]int64{}, idem: map[string]Answer{}, executed: map[string]int64{}}
+}
+
+// Handler serves grants, work and health.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+tp.PathGrant, s.handleGrant)
+	mux.HandleFunc("GET "+tp.PathHealth, s.handleHealth)
+	mux.HandleFunc(tp.PathWork+"{service}/{key...}", s.handleWork)
+	return mux
+}
+
+// Drain marks the target as leaving: new work is refused as not run.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.drainAt.Store(time.Now().UnixNano())
+}
+
+// Executed returns how many times a non-idempotent operation ran on key.
+func (s *Server) Executed(service, key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executed[service+"/"+key]
+}
+
+func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
+	var g tp.Grant
+	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cur := s.grants[g.Service]
+	if cur != nil && g.Epoch < cur.grant.Epoch {
+		http.Error(w, "grant older than the one held", http.StatusConflict)
+		return
+	}
+	st := &grantState{grant: g, shards: map[int]bool{}, expires: time.Now().Add(time.Duration(g.LeaseMs) * time.Millisecond)}
+	for _, sh := range g.Shards {
+		st.shards[sh] = true
+	}
+	s.grants[g.Service] = st
+}
+
+func (s *Server) handleHealth(w http.ResponseWriter, r *http.Request) {
+	at := s.drainAt.Load()
+	if s.draining.Load() && time.Since(time.Unix(0, at)) >= s.opts.HealthLag {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func refuse(w http.ResponseWriter, code int, why string) {
+	w.Header().Set(tp.HeaderNotRun, "1")
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, why, code)
+}
+
+// fenced reports why a request must be refused under the grants held, or "".
+func (s *Server) fenced(service string, r *http.Request) string {
+	if !s.opts.CheckFencing {
+		return ""
+	}
+	token, err1 := strconv.ParseInt(r.Header.Get(tp.HeaderFencingToken), 10, 64)
+	shard, err2 := strconv.Atoi(r.Header.Get(tp.HeaderShard))
+	if err1 != nil || err2 != nil {
+		return "missing fencing token or shard"
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.grants[service]
+	switch {
+	case g == nil:
+		return "no grant"
+	case time.Now().After(g.expires):
+		return "grant lease lapsed"
+	case token < g.grant.Since || token > g.grant.Epoch:
+		return "fencing token not current"
+	case !g.shards[shard]:
+		return "shard not granted"
+	}
+	return ""
+}
+
+func (s *Server) handleWork(w http.ResponseWriter, r *http.Request) {
+	service, key := r.PathValue("service"), r.PathValue("key")
+	if s.draining.Load() {
+		refuse(w, http.StatusServiceUnavailable, "draining")
+		return
+	}
+	if why := s.fenced(service, r); why != "" {
+		refuse(w, http.StatusConflict, why)
+		return
+	}
+	if s.inflight.Add(1) > int64(s.opts.Slots) {
+		s.inflight.Add(-1)
+		refuse(w, http.StatusServiceUnavailable, "shed")
+		return
+	}
+	defer s.inflight.Add(-1)
+	if !s.work(r) {
+		return // cancelled: the caller is gone, nothing ran
+	}
+	ans := s.apply(r, service, key)
+	w.Header().Set(tp.HeaderRequestID, ans.RequestID)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(ans)
+}
+
+// work waits out the request's processing time; false if it was cancelled.
+func (s *Server) work(r *http.Request) bool {
+	d := s.opts.WorkTime
+	if time.Since(s.started) < s.opts.ColdStart {
+		d = s.opts.ColdWorkTime
+	}
+	if d <= 0 {
+		return r.Context().Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// apply runs the request on the key's state. Idempotent reads (GET) only
+// look; anything else is an operation, run once per idempotency key.
+func (s *Server) apply(r *http.Request, service, key string) Answer {
+	id := r.Header.Get(tp.HeaderRequestID)
+	sk := service + "/" + key
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ans := Answer{Upstream: s.opts.Name, Service: service, Key: key, RequestID: id}
+	if r.Method == http.MethodGet {
+		ans.Ops = s.ops[sk]
+		return ans
+	}
+	ik := r.Header.Get(tp.HeaderIdempotencyKey)
+	if prev, ok := s.idem[sk+"\x00"+ik]; ok && ik != "" {
+		prev.Replayed, prev.RequestID = true, id
+		return prev
+	}
+	s.ops[sk]++
+	s.executed[sk]++
+	ans.Ops = s.ops[sk]
+	if ik != "" {
+		s.idem[sk+"\x00"+ik] = ans
+	}
+	return ans
+}
--- /dev/null
+++ b/internal/target/client.go
@@ -0,0 +1,160 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/papayatide/papayatide/internal/manifest"
+)
+
+// MaxAnswerBytes bounds an answer body read from a target.
+const MaxAnswerBytes = 4 << 20
+
+// ErrNotSent means the request never left papayatide: the target cannot
+// have run it, so it may be retried or refused as not run.
+var ErrNotSent = errors.New("target: request not sent")
+
+// ErrNoAnswer means the request was sent but no whole answer came back: the
+// target may have run it, so a non-idempotent one must not be retried.
+var ErrNoAnswer = errors.New("target: sent, no answer")
+
+// Request is one caller request bound for a target.
+type Request struct {
+	Method         string
+	Service        string
+	Key            string
+	Body           []byte
+	Shard          int
+	FencingToken   int64
+	IdempotencyKey string
+	RequestID      string
+	Deadline       time.Time
+}
+
+// Response is a target's whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Client forwards to targets over pooled connections, one pool per upstream
+// sized by the upstream's connection limit.
+type Client struct {
+	mu    sync.Mutex
+	pools map[string]*http.Client
+}
+
+// NewClient returns a target client.
+func NewClient() *Client {
+	return &Client{pools: map[string]*http.Client{}}
+}
+
+func (c *Client) pool(u *manifest.Upstream) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hc := c.pools[u.Addr]
+	if hc == nil {
+		hc = &http.Client{Transport: &http.Transport{
+			MaxConnsPerHost:     u.Connections,
+			MaxIdleConnsPerHost: u.Connections,
+			// A connection that went silent is found when it idles out
+			// rather than kept forever; new requests then dial afresh.
+			IdleConnTimeout: 30 * time.Second,
+		}}
+		c.pools[u.Addr] = hc
+	}
+	return hc
+}
+
+// Forward sends req to upstream u and returns the whole answer. Its errors
+// wrap ErrNotSent or ErrNoAnswer and name the upstream.
+func (c *Client) Forward(ctx context.Context, u *manifest.Upstream, req *Request) (*Response, error) {
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { wrote.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	if !req.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
+	url := "http://" + u.Addr + PathWork + req.Service + "/" + req.Key
+	hr, err := http.NewRequestWithContext(ctx, req.Method, url, bytes.NewReader(req.Body))
+	if err != nil {
+		return nil, eris.Wrapf(ErrNotSent, "forward to %s: build request: %v", u.Name, err)
+	}
+	hr.Header.Set(HeaderShard, strconv.Itoa(req.Shard))
+	hr.Header.Set(HeaderFencingToken, strconv.FormatInt(req.FencingToken, 10))
+	hr.Header.Set(HeaderRequestID, req.RequestID)
+	hr.Header.Set(HeaderKey, req.Key)
+	if req.IdempotencyKey != "" {
+		hr.Header.Set(HeaderIdempotencyKey, req.IdempotencyKey)
+	}
+	if !req.Deadline.IsZero() {
+		hr.Header.Set(HeaderDeadline, strconv.FormatInt(req.Deadline.UnixMilli(), 10))
+	}
+	resp, err := c.pool(u).Do(hr)
+	if err != nil {
+		if !wrote.Load() {
+			return nil, eris.Wrapf(ErrNotSent, "forward to %s: %v", u.Name, err)
+		}
+		return nil, eris.Wrapf(ErrNoAnswer, "forward to %s: %v", u.Name, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
+	if err != nil {
+		return nil, eris.Wrapf(ErrNoAnswer, "forward to %s: read answer: %v", u.Name, err)
+	}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// SendGrant posts a grant to upstream u.
+func (c *Client) SendGrant(ctx context.Context, u *manifest.Upstream, g *Grant) error {
+	body, err := json.Marshal(g)
+	if err != nil {
+		return eris.Wrapf(err, "grant to %s: encode", u.Name)
+	}
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Addr+PathGrant, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrapf(err, "grant to %s", u.Name)
+	}
+	resp, err := c.pool(u).Do(hr)
+	if err != nil {
+		return eris.Wrapf(err, "grant to %s", u.Name)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("grant to %s: status %d", u.Name, resp.StatusCode)
+	}
+	return nil
+}
+
+// Probe asks upstream u's health endpoint; nil means healthy.
+func (c *Client) Probe(ctx context.Context, u *manifest.Upstream) error {
+	hr, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Addr+PathHealth, nil)
+	if err != nil {
+		return eris.Wrapf(err, "probe %s", u.Name)
+	}
+	resp, err := c.pool(u).Do(hr)
+	if err != nil {
+		return eris.Wrapf(err, "probe %s", u.Name)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("probe %s: status %d", u.Name, resp.StatusCode)
+	}
+	return nil
+}
