Failure tests over a loopback fleet; grants renewed through log outages

The control loop stopped renewing grants while the log was unreachable, so fencing-checking targets refused everything after one lease and a data centre cut off from the log served nothing.

Change: grants are renewed at the epoch in force through a log outage; a target still refuses a grant older than the one it holds, so a stale host cannot roll a target back. Non-idempotent work still needs a view younger than view_lease. internal/standin/loopback starts a whole path in one process for tests; targets can Pause/Resume like a frozen process. A gopter stateful test checks placement against a plain member set (one owner per shard, only the leaver's shards move on a leave, only shards to the joiner on a join). Benchmarks for Assign, ShardOf and churn.

Left open (docs will say): a host cut off from the log while its peers in the same data centre are not, and an upstream reachable only from it.

--- a/cmd/papayatided/main.go
+++ b/cmd/papayatided/main.go
@@ -4,9 +4,12 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"go.uber.org/zap"
 
@@ -28,7 +31,9 @@
 		os.Exit(2)
 	}
 	defer func() { _ = zl.Sync() }()
-	if err := daemon.Run(cfg, zl); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := daemon.Run(ctx, cfg, zl); err != nil {
 		zl.Error("daemon failed", zap.Error(err))
 		os.Exit(1)
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -130,7 +130,10 @@
 	}
 	// Grants go out before the table that routes by them, so a target
 	// holds the new epoch's grant before this host sends it that token.
-	if !l.logDown && (changed || now.Sub(l.lastGrant) >= l.opts.GrantLease/3) {
+	// They are renewed through a log outage too: no one can change the
+	// placement while the log is down, and a data centre cut off from it
+	// must keep serving (docs/DESIGN.md, "Grants during a log outage").
+	if changed || now.Sub(l.lastGrant) >= l.opts.GrantLease/3 {
 		l.lastGrant = now
 		l.grant(ctx)
 	}
@@ -471,9 +474,8 @@
 }
 
 // grant renews the fenced grant of every member upstream in this data
-// centre. Grants are sent only while the log is reachable: a host that
-// cannot confirm the placement in force lets its grants lapse rather than
-// keep a possibly replaced owner alive.
+// centre at the epoch in force. A target refuses a grant older than the
+// one it holds, so a host with a stale view cannot roll a target back.
 func (l *Loop) grant(ctx context.Context) {
 	type job struct {
 		u manifest.Upstream
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,9 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,10 +37,10 @@
 	return l, eris.Wrap(err, "build logger")
 }
 
-// Run runs the daemon until SIGINT/SIGTERM or a part fails. A signal is a
+// Run runs the daemon until ctx ends or a part fails. The end of ctx is a
 // planned stop: the host reports not ready, stops accepting callers, and
 // waits up to ShutdownGrace for requests in flight.
-func Run(cfg *settings.Daemon, zl *zap.Logger) error {
+func Run(ctx context.Context, cfg *settings.Daemon, zl *zap.Logger) error {
 	logc := logservice.New(cfg.LogAddr, &http.Client{Timeout: 5 * time.Second})
 	targets := target.NewClient()
 	loop := control.New(control.Options{Host: cfg.Host, DataCentre: cfg.DataCentre, PollInterval: cfg.PollInterval,
@@ -68,21 +66,21 @@
 	})
 
 	var g run.Group
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return loop.Run(ctx) }, func(error) { cancel() })
+	loopCtx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop.Run(loopCtx) }, func(error) { cancel() })
+	stopCtx, stop := context.WithCancel(ctx)
+	g.Add(func() error { <-stopCtx.Done(); return ctx.Err() }, func(error) { stop() })
 	if err := addServer(&g, cfg.Listen, front, cfg.ShutdownGrace, &stopping); err != nil {
 		return err
 	}
 	if err := addServer(&g, cfg.AdminListen, adminMux, time.Second, nil); err != nil {
 		return err
 	}
-	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
 	zl.Info("started", zap.Int("event", events.Started), zap.String("host", cfg.Host),
 		zap.String("data_centre", cfg.DataCentre), zap.String("listen", cfg.Listen))
 	err := g.Run()
 	zl.Info("stopped", zap.Int("event", events.Stopped), zap.Error(err))
-	var se run.SignalError
-	if errors.As(err, &se) {
+	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/internal/placement/placement_bench_test.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/papayatide/papayatide/internal/manifest"
+)
+
+func benchService(upstreams, shards int) *manifest.Service {
+	m := manifest.Generate("b", []string{"a"}, []manifest.ServiceSize{{Name: "svc", Upstreams: upstreams}}, 3, 10, 1)
+	m.Services[0].Shards = shards
+	return &m.Services[0]
+}
+
+// BenchmarkAssign measures recomputing a service's placement, the work an
+// entry host does per membership change, as upstreams and shards grow.
+func BenchmarkAssign(b *testing.B) {
+	for _, ups := range []int{20, 80, 320} {
+		for _, shards := range []int{4096, 16384, 65536} {
+			svc := benchService(ups, shards)
+			members := svc.UpstreamNames()
+			b.Run(fmt.Sprintf("upstreams=%d/shards=%d", ups, shards), func(b *testing.B) {
+				for b.Loop() {
+					Assign(svc, members, 1)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkShardOf measures hashing one key to its shard (per request).
+func BenchmarkShardOf(b *testing.B) {
+	for b.Loop() {
+		ShardOf("routeboard", "job-sheet-000123456", manifest.DefaultShards)
+	}
+}
+
+// BenchmarkChurn reports the share of shards that move when one upstream
+// joins or leaves, and the imbalance after, for growing fleets.
+func BenchmarkChurn(b *testing.B) {
+	for _, ups := range []int{20, 80, 320} {
+		svc := benchService(ups+1, 65536)
+		all := svc.UpstreamNames()
+		b.Run(fmt.Sprintf("upstreams=%d", ups), func(b *testing.B) {
+			var moved, imb float64
+			for b.Loop() {
+				before := Assign(svc, all[:ups], 1)
+				after := Assign(svc, all, 2)
+				moved = float64(len(Moved(before, after))) / float64(after.Shards())
+				imb = after.Imbalance()
+			}
+			b.ReportMetric(moved*100, "%moved/join")
+			b.ReportMetric(100/float64(ups+1), "%ideal")
+			b.ReportMetric(imb, "imbalance")
+		})
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,167 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+	"github.com/leanovate/gopter/gen"
+
+	"github.com/papayatide/papayatide/internal/manifest"
+)
+
+const testUpstreams = 12
+
+func testService() *manifest.Service {
+	m := manifest.Generate("t", []string{"a"}, []manifest.ServiceSize{{Name: "svc", Upstreams: testUpstreams}}, 3, 10, 1)
+	m.Services[0].Shards = 512
+	// Uneven weights, so weighting is exercised.
+	for i := range m.Services[0].Upstreams {
+		m.Services[0].Upstreams[i].Slots = 1 + i%3
+	}
+	return &m.Services[0]
+}
+
+// placementSystem is the system under test: the assignment in force,
+// replaced on every membership change the way the control loop replaces it.
+type placementSystem struct {
+	svc    *manifest.Service
+	assign *Assignment
+	epoch  int64
+}
+
+// oracleState is the simple oracle: just the set of members.
+type oracleState struct{ members map[string]bool }
+
+func (o oracleState) sorted() []string {
+	var out []string
+	for n := range o.members {
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out
+}
+
+type change struct {
+	name string
+	join bool
+}
+
+func (c change) Run(sut commands.SystemUnderTest) commands.Result {
+	s := sut.(*placementSystem)
+	var members []string
+	for _, m := range s.assign.Members {
+		if m.Name != c.name {
+			members = append(members, m.Name)
+		}
+	}
+	if c.join {
+		members = append(members, c.name)
+	}
+	old := s.assign
+	s.epoch++
+	s.assign = Assign(s.svc, members, s.epoch)
+	return [2]*Assignment{old, s.assign}
+}
+
+func (c change) NextState(state commands.State) commands.State {
+	o := state.(oracleState)
+	next := map[string]bool{}
+	for n := range o.members {
+		next[n] = true
+	}
+	if c.join {
+		next[c.name] = true
+	} else {
+		delete(next, c.name)
+	}
+	return oracleState{next}
+}
+
+func (c change) PreCondition(commands.State) bool { return true }
+
+// PostCondition checks what must hold after every change: each shard has
+// exactly one owner and it is a member; only shards of a leaving member
+// move on a leave, and only shards to the joining member on a join.
+func (c change) PostCondition(state commands.State, result commands.Result) *gopter.PropResult {
+	o := state.(oracleState)
+	pair := result.([2]*Assignment)
+	old, next := pair[0], pair[1]
+	if got := names(next.Members); !slices.Equal(got, o.sorted()) {
+		return &gopter.PropResult{Status: gopter.PropFalse, Error: fmt.Errorf("members %v, oracle %v", got, o.sorted())}
+	}
+	for shard := 0; shard < next.Shards(); shard++ {
+		owner := next.Owner(shard)
+		if (owner == nil) != (len(o.members) == 0) || (owner != nil && !o.members[owner.Name]) {
+			return &gopter.PropResult{Status: gopter.PropFalse, Error: fmt.Errorf("shard %d owner %v not a member", shard, owner)}
+		}
+		was := old.Owner(shard)
+		if was == nil || owner == nil || was.Name == owner.Name {
+			continue
+		}
+		if c.join && owner.Name != c.name {
+			return &gopter.PropResult{Status: gopter.PropFalse, Error: fmt.Errorf("join of %s moved shard %d %s->%s", c.name, shard, was.Name, owner.Name)}
+		}
+		if !c.join && was.Name != c.name {
+			return &gopter.PropResult{Status: gopter.PropFalse, Error: fmt.Errorf("leave of %s moved shard %d %s->%s", c.name, shard, was.Name, owner.Name)}
+		}
+	}
+	return &gopter.PropResult{Status: gopter.PropTrue}
+}
+
+func (c change) String() string { return fmt.Sprintf("change(%s, join=%v)", c.name, c.join) }
+
+func names(us []manifest.Upstream) []string {
+	out := make([]string, len(us))
+	for i, u := range us {
+		out[i] = u.Name
+	}
+	return out
+}
+
+// TestPlacementAgainstOracle drives random joins and leaves through the
+// assignment and checks it against a plain member set after each one.
+func TestPlacementAgainstOracle(t *testing.T) {
+	svc := testService()
+	all := svc.UpstreamNames()
+	cmds := &commands.ProtoCommands{
+		NewSystemUnderTestFunc: func(initial commands.State) commands.SystemUnderTest {
+			return &placementSystem{svc: svc, assign: Assign(svc, initial.(oracleState).sorted(), 0)}
+		},
+		InitialStateGen: gen.SliceOfN(testUpstreams, gen.Bool()).Map(func(in []bool) oracleState {
+			o := oracleState{map[string]bool{}}
+			for i, b := range in {
+				if b {
+					o.members[all[i]] = true
+				}
+			}
+			return o
+		}),
+		GenCommandFunc: func(commands.State) gopter.Gen {
+			return gopter.CombineGens(gen.IntRange(0, testUpstreams-1), gen.Bool()).Map(func(v []any) commands.Command {
+				return change{name: all[v[0].(int)], join: v[1].(bool)}
+			})
+		},
+	}
+	params := gopter.DefaultTestParameters()
+	params.MinSuccessfulTests = 200
+	props := gopter.NewProperties(params)
+	props.Property("placement matches the oracle", commands.Prop(cmds))
+	props.TestingRun(t)
+}
+
+// TestHomesStayInDataCentre checks that homing sends every shard to a data
+// centre that has upstreams of the service, in proportion to its slots.
+func TestHomesStayInDataCentre(t *testing.T) {
+	m := manifest.Generate("t", []string{"a", "b", "c"}, []manifest.ServiceSize{{Name: "svc", Upstreams: 2}}, 3, 10, 1)
+	homes := Homes(&m.Services[0], m.DataCentres)
+	counts := map[uint8]int{}
+	for _, h := range homes {
+		counts[h]++
+	}
+	if counts[2] != 0 || counts[0] == 0 || counts[1] == 0 {
+		t.Fatalf("homes per data centre %v: want shards only in a and b", counts)
+	}
+}
--- /dev/null
+++ b/internal/standin/loopback/fleet.go
@@ -0,0 +1,227 @@
+package loopback
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/daemon"
+	"github.com/papayatide/papayatide/internal/logservice"
+	"github.com/papayatide/papayatide/internal/manifest"
+	"github.com/papayatide/papayatide/internal/settings"
+	"github.com/papayatide/papayatide/internal/standin/logsvc"
+	"github.com/papayatide/papayatide/internal/standin/target"
+)
+
+// Spec describes a fleet to start.
+type Spec struct {
+	DataCentres []string
+	Services    []manifest.ServiceSize
+	Slots       int
+	HostsPerDC  int
+	// Settings is the template for every entry host; host name, data
+	// centre, addresses and log address are filled in.
+	Settings settings.Daemon
+	// Target is the template for every target; name, slots and fencing
+	// are filled in from the manifest.
+	Target target.Options
+	Logger *zap.Logger
+}
+
+// DefaultSettings are entry-host settings fast enough for tests.
+func DefaultSettings() settings.Daemon {
+	return settings.Daemon{LogLevel: "info", PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second,
+		ViewLease: time.Second, RetryAfter: time.Second, GrantLease: 300 * time.Millisecond,
+		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, ShutdownGrace: 2 * time.Second}
+}
+
+// Target is one running target stand-in.
+type Target struct {
+	Upstream manifest.Upstream
+	Server   *target.Server
+	opts     target.Options
+	srv      *http.Server
+}
+
+// Host is one running entry host.
+type Host struct {
+	Name, DataCentre string
+	// URL and AdminURL are the caller and admin base URLs.
+	URL, AdminURL string
+	cancel        context.CancelFunc
+	done          chan error
+	stopOnce      sync.Once
+	stopErr       error
+}
+
+// Fleet is a running whole path.
+type Fleet struct {
+	Log      *logsvc.Server
+	LogURL   string
+	Manifest *manifest.Manifest
+	Targets  map[string]*Target
+	Hosts    []*Host
+	spec     Spec
+	logSrv   *http.Server
+}
+
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func serve(addr string, h http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen %s", addr)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	return srv, nil
+}
+
+// Start starts the log, the targets and the entry hosts, but publishes no
+// manifest; call Publish.
+func Start(spec Spec) (*Fleet, error) {
+	if spec.Logger == nil {
+		spec.Logger = zap.NewNop()
+	}
+	f := &Fleet{Log: logsvc.NewServer(0), Targets: map[string]*Target{}, spec: spec}
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	if f.logSrv, err = serve(addr, f.Log.Handler()); err != nil {
+		return nil, err
+	}
+	f.LogURL = "http://" + addr
+	m := manifest.Generate("loopback", spec.DataCentres, spec.Services, spec.Slots, 64, 0)
+	for si := range m.Services {
+		for ui := range m.Services[si].Upstreams {
+			u := &m.Services[si].Upstreams[ui]
+			if u.Addr, err = freeAddr(); err != nil {
+				return nil, err
+			}
+			t := &Target{Upstream: *u, opts: spec.Target}
+			t.opts.Name, t.opts.Slots, t.opts.CheckFencing = u.Name, u.Slots, m.Services[si].FencingChecked
+			if err := t.Start(); err != nil {
+				f.Close()
+				return nil, err
+			}
+			f.Targets[u.Name] = t
+		}
+	}
+	f.Manifest = m
+	for _, dc := range spec.DataCentres {
+		for i := 0; i < spec.HostsPerDC; i++ {
+			if err := f.startHost(fmt.Sprintf("%s-e%d", dc, i+1), dc); err != nil {
+				f.Close()
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+// Start (re)starts the target on its address with fresh state.
+func (t *Target) Start() error {
+	t.Server = target.NewServer(t.opts)
+	srv, err := serve(t.Upstream.Addr, t.Server.Handler())
+	t.srv = srv
+	return err
+}
+
+// Kill stops the target at once, cutting requests in flight.
+func (t *Target) Kill() { _ = t.srv.Close() }
+
+func (f *Fleet) startHost(name, dc string) error {
+	cfg := f.spec.Settings
+	cfg.Host, cfg.DataCentre, cfg.LogAddr = name, dc, f.LogURL
+	var err error
+	if cfg.Listen, err = freeAddr(); err != nil {
+		return err
+	}
+	if cfg.AdminListen, err = freeAddr(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{Name: name, DataCentre: dc, URL: "http://" + cfg.Listen, AdminURL: "http://" + cfg.AdminListen,
+		cancel: cancel, done: make(chan error, 1)}
+	go func() { h.done <- daemon.Run(ctx, &cfg, f.spec.Logger.With(zap.String("host", name))) }()
+	f.Hosts = append(f.Hosts, h)
+	return nil
+}
+
+// Stop is a planned stop of the entry host; it returns the daemon's error.
+func (h *Host) Stop() error {
+	h.stopOnce.Do(func() {
+		h.cancel()
+		h.stopErr = <-h.done
+	})
+	return h.stopErr
+}
+
+// Publish publishes the fleet's manifest.
+func (f *Fleet) Publish(ctx context.Context) error {
+	data, err := f.Manifest.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = logservice.New(f.LogURL, http.DefaultClient).Append(ctx, logservice.StreamManifests, data)
+	return err
+}
+
+// WaitReady waits until every entry host answers ready and serves a
+// request for every service.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, h := range f.Hosts {
+		for _, s := range f.Manifest.Services {
+			if err := waitServed(ctx, h.URL+"/"+s.Name+"/ready-probe"); err != nil {
+				return eris.Wrapf(err, "host %s service %s", h.Name, s.Name)
+			}
+		}
+	}
+	return nil
+}
+
+func waitServed(ctx context.Context, url string) error {
+	for {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Close stops everything.
+func (f *Fleet) Close() {
+	for _, h := range f.Hosts {
+		_ = h.Stop()
+	}
+	for _, t := range f.Targets {
+		t.Kill()
+	}
+	if f.logSrv != nil {
+		_ = f.logSrv.Close()
+	}
+}
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -55,6 +55,10 @@
 	draining atomic.Bool
 	drainAt  atomic.Int64
 
+	// gate is held for writing while the target is paused, so every
+	// handler stalls at entry the way a frozen process would.
+	gate sync.RWMutex
+
 	mu     sync.Mutex
 	grants map[string]*grantState
 	ops    map[string]int64
@@ -78,9 +82,20 @@
 	mux.HandleFunc("POST "+tp.PathGrant, s.handleGrant)
 	mux.HandleFunc("GET "+tp.PathHealth, s.handleHealth)
 	mux.HandleFunc(tp.PathWork+"{service}/{key...}", s.handleWork)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.gate.RLock()
+		s.gate.RUnlock()
+		mux.ServeHTTP(w, r)
+	})
 }
 
+// Pause freezes the target: requests stall until Resume, and its grants
+// age meanwhile, as they would for a process stopped by the kernel.
+func (s *Server) Pause() { s.gate.Lock() }
+
+// Resume ends a Pause; the target still believes in the grants it held.
+func (s *Server) Resume() { s.gate.Unlock() }
+
 // Drain marks the target as leaving: new work is refused as not run.
 func (s *Server) Drain() {
 	s.draining.Store(true)
