Placement: incremental update on membership change

Cause: BenchmarkAssign showed the control loop recomputing every shard against every member on each placement record: 436 ms for 320 upstreams x 65536 shards, growing with upstreams x shards.

Ruled out: fewer shards (raises imbalance and the smallest unit of churn); caching scores per (shard, member) (65536 x 320 floats = 168 MB, over the per-node memory budget's share).

Change: placement.Update uses the rendezvous property: a shard whose owner stays can only go to a joiner (one score each), and only a leaver's shards are scored against all members. Weight changes or a new shard count fall back to the full computation. The gopter stateful test now drives Update and checks that its result equals a fresh Assign for every shard, so hosts with different histories still agree.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -262,7 +262,7 @@
 		st.assign = nil
 		return
 	}
-	st.assign = placement.AssignHomed(svc, s.Members, s.Epoch, l.homes[svc.Name], uint8(dc))
+	st.assign = placement.Update(old, svc, s.Members, s.Epoch, l.homes[svc.Name], uint8(dc))
 	now := time.Now()
 	for shard, until := range st.handover {
 		if now.After(until) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,17 +42,7 @@
 // AssignHomed is Assign restricted to the shards whose entry in homes is
 // home; other shards are unowned. A nil homes means every shard.
 func AssignHomed(svc *manifest.Service, members []string, epoch int64, homes []uint8, home uint8) *Assignment {
-	a := &Assignment{Service: svc.Name, Epoch: epoch}
-	wanted := map[string]bool{}
-	for _, n := range members {
-		wanted[n] = true
-	}
-	for _, u := range svc.Upstreams {
-		if wanted[u.Name] {
-			a.Members = append(a.Members, u)
-		}
-	}
-	sort.Slice(a.Members, func(i, j int) bool { return a.Members[i].Name < a.Members[j].Name })
+	a := &Assignment{Service: svc.Name, Epoch: epoch, Members: selectMembers(svc, members)}
 	a.owner = make([]uint16, svc.ShardCount())
 	if len(a.Members) == 0 {
 		return a
@@ -60,12 +50,7 @@
 	if len(a.Members) >= unowned {
 		panic("placement: too many members")
 	}
-	seeds := make([]uint64, len(a.Members))
-	weights := make([]float64, len(a.Members))
-	for i, u := range a.Members {
-		seeds[i] = xxhash.Sum64String(u.Name)
-		weights[i] = float64(u.Slots)
-	}
+	seeds, weights := scoring(a.Members)
 	for shard := range a.owner {
 		if homes != nil && homes[shard] != home {
 			a.owner[shard] = unowned
@@ -79,19 +64,52 @@
 // unowned marks a shard that this assignment does not place.
 const unowned = 1<<16 - 1
 
-// highestWeight returns the index of the member with the highest weighted
-// rendezvous score for the shard: weight / -ln(u), u uniform in (0,1).
-func highestWeight(shard uint64, seeds []uint64, weights []float64) int {
+// selectMembers returns the upstreams of svc named in members, sorted by
+// name.
+func selectMembers(svc *manifest.Service, members []string) []manifest.Upstream {
+	wanted := map[string]bool{}
+	for _, n := range members {
+		wanted[n] = true
+	}
+	var out []manifest.Upstream
+	for _, u := range svc.Upstreams {
+		if wanted[u.Name] {
+			out = append(out, u)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// scoring returns each member's hash seed and weight.
+func scoring(members []manifest.Upstream) ([]uint64, []float64) {
+	seeds := make([]uint64, len(members))
+	weights := make([]float64, len(members))
+	for i, u := range members {
+		seeds[i] = xxhash.Sum64String(u.Name)
+		weights[i] = float64(u.Slots)
+	}
+	return seeds, weights
+}
+
+// score is the weighted rendezvous score of a member for a shard:
+// weight / -ln(u), with u uniform in (0,1) from the hash of both.
+func score(shard, seed uint64, weight float64) float64 {
 	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], seed)
 	binary.LittleEndian.PutUint64(buf[8:], shard)
+	h := xxhash.Sum64(buf[:])
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return weight / -math.Log(u)
+}
+
+// highestWeight returns the index of the member with the highest score for
+// the shard; ties go to the lower index.
+func highestWeight(shard uint64, seeds []uint64, weights []float64) int {
 	best, bestScore := 0, math.Inf(-1)
 	for i, seed := range seeds {
-		binary.LittleEndian.PutUint64(buf[:8], seed)
-		h := xxhash.Sum64(buf[:])
-		u := (float64(h>>11) + 0.5) / (1 << 53)
-		score := weights[i] / -math.Log(u)
-		if score > bestScore {
-			best, bestScore = i, score
+		if sc := score(shard, seed, weights[i]); sc > bestScore {
+			best, bestScore = i, sc
 		}
 	}
 	return best
@@ -185,3 +203,78 @@
 	}
 	return homes
 }
+
+// Update returns the assignment for members at epoch, given the one in
+// force before it; the result equals AssignHomed's, so hosts with different
+// histories agree. It is what the control loop calls on every placement
+// record. Rendezvous hashing lets it skip most work: a shard whose owner
+// stays can only move to a joining member, and only shards of leaving
+// members need scoring against all members. Any change of weights, or a
+// different shard count, falls back to the full computation.
+func Update(old *Assignment, svc *manifest.Service, members []string, epoch int64, homes []uint8, home uint8) *Assignment {
+	next := &Assignment{Service: svc.Name, Epoch: epoch, Members: selectMembers(svc, members)}
+	remap, joiners, ok := diff(old, next.Members, svc.ShardCount())
+	if !ok || len(next.Members) == 0 {
+		return AssignHomed(svc, members, epoch, homes, home)
+	}
+	seeds, weights := scoring(next.Members)
+	next.owner = make([]uint16, len(old.owner))
+	for shard, o := range old.owner {
+		switch {
+		case homes != nil && homes[shard] != home:
+			next.owner[shard] = unowned
+		case o == unowned || remap[o] < 0:
+			next.owner[shard] = uint16(highestWeight(uint64(shard), seeds, weights))
+		default:
+			next.owner[shard] = uint16(keepOrJoin(uint64(shard), remap[o], joiners, seeds, weights))
+		}
+	}
+	return next
+}
+
+// diff maps old member indexes to indexes in next (-1 for a member that
+// left) and lists the indexes in next of members that joined. ok is false
+// when an incremental update is not possible.
+func diff(old *Assignment, next []manifest.Upstream, shards int) (remap []int, joiners []int, ok bool) {
+	if old == nil || len(old.owner) != shards || len(old.Members) == 0 {
+		return nil, nil, false
+	}
+	idx := map[string]int{}
+	for i, u := range next {
+		idx[u.Name] = i
+	}
+	remap = make([]int, len(old.Members))
+	stayed := map[int]bool{}
+	for i, u := range old.Members {
+		j, found := idx[u.Name]
+		if !found {
+			remap[i] = -1
+			continue
+		}
+		if next[j].Slots != u.Slots {
+			return nil, nil, false
+		}
+		remap[i] = j
+		stayed[j] = true
+	}
+	for j := range next {
+		if !stayed[j] {
+			joiners = append(joiners, j)
+		}
+	}
+	return remap, joiners, true
+}
+
+// keepOrJoin returns owner unless a joiner outscores it for the shard.
+func keepOrJoin(shard uint64, owner int, joiners []int, seeds []uint64, weights []float64) int {
+	if len(joiners) == 0 {
+		return owner
+	}
+	best, bestScore := owner, score(shard, seeds[owner], weights[owner])
+	for _, j := range joiners {
+		if sc := score(shard, seeds[j], weights[j]); sc > bestScore || (sc == bestScore && j < best) {
+			best, bestScore = j, sc
+		}
+	}
+	return best
+}
--- a/internal/placement/placement_bench_test.go
+++ b/internal/placement/placement_bench_test.go
@@ -56,3 +56,19 @@
 		})
 	}
 }
+
+// BenchmarkMembershipChange measures the control loop's cost of one
+// placement record that removes one upstream and one that adds it back.
+func BenchmarkMembershipChange(b *testing.B) {
+	for _, ups := range []int{20, 80, 320} {
+		svc := benchService(ups, 65536)
+		all := svc.UpstreamNames()
+		full := Assign(svc, all, 1)
+		b.Run(fmt.Sprintf("upstreams=%d", ups), func(b *testing.B) {
+			for b.Loop() {
+				less := Update(full, svc, all[1:], 2, nil, 0)
+				Update(less, svc, all, 3, nil, 0)
+			}
+		})
+	}
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -62,8 +62,8 @@
 	}
 	old := s.assign
 	s.epoch++
-	s.assign = Assign(s.svc, members, s.epoch)
-	return [2]*Assignment{old, s.assign}
+	s.assign = Update(old, s.svc, members, s.epoch, nil, 0)
+	return [3]*Assignment{old, s.assign, Assign(s.svc, members, s.epoch)}
 }
 
 func (c change) NextState(state commands.State) commands.State {
@@ -83,12 +83,14 @@
 func (c change) PreCondition(commands.State) bool { return true }
 
 // PostCondition checks what must hold after every change: each shard has
-// exactly one owner and it is a member; only shards of a leaving member
-// move on a leave, and only shards to the joining member on a join.
+// exactly one owner and it is a member; the incrementally updated owner is
+// the one a fresh computation gives (hosts with different histories agree);
+// only shards of a leaving member move on a leave, and only shards to the
+// joining member on a join.
 func (c change) PostCondition(state commands.State, result commands.Result) *gopter.PropResult {
 	o := state.(oracleState)
-	pair := result.([2]*Assignment)
-	old, next := pair[0], pair[1]
+	r := result.([3]*Assignment)
+	old, next, fresh := r[0], r[1], r[2]
 	if got := names(next.Members); !slices.Equal(got, o.sorted()) {
 		return &gopter.PropResult{Status: gopter.PropFalse, Error: fmt.Errorf("members %v, oracle %v", got, o.sorted())}
 	}
@@ -97,6 +99,9 @@
 		if (owner == nil) != (len(o.members) == 0) || (owner != nil && !o.members[owner.Name]) {
 			return &gopter.PropResult{Status: gopter.PropFalse, Error: fmt.Errorf("shard %d owner %v not a member", shard, owner)}
 		}
+		if f := fresh.Owner(shard); (f == nil) != (owner == nil) || (f != nil && f.Name != owner.Name) {
+			return &gopter.PropResult{Status: gopter.PropFalse, Error: fmt.Errorf("shard %d: updated owner %v, fresh %v", shard, owner, f)}
+		}
 		was := old.Owner(shard)
 		if was == nil || owner == nil || was.Name == owner.Name {
 			continue
