Service-level burn report: per-service windows on each host, summed by papayatide burn

Ruled out: scraping /metrics text (would need a Prometheus text parser in the CLI; the admin twirp API already carries typed messages).

Change: internal/burn counts each service's requests (total, refused for a cause other than the caller's, slower than [objectives] latency) in 10 s buckets over an hour; admin.Burn serves the 5 min and 1 h windows; papayatide burn sums all hosts and prints burn rates against the availability and latency objectives.

Conclusion: an operator can now see an owner loss as burn, per service.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/papayatide/papayatide/internal/burn"
 	"github.com/papayatide/papayatide/internal/routing"
 	"github.com/papayatide/papayatide/rpc/adminpb"
 )
@@ -15,6 +16,7 @@
 	Host       string
 	DataCentre string
 	Table      func() *routing.Table
+	Burns      *burn.Recorder
 }
 
 // Status implements adminpb.Admin.
@@ -49,3 +51,13 @@
 	}
 	return resp, nil
 }
+
+// Burn implements adminpb.Admin.
+func (s *Server) Burn(ctx context.Context, _ *adminpb.BurnRequest) (*adminpb.BurnResponse, error) {
+	resp := &adminpb.BurnResponse{Host: s.Host}
+	for _, c := range s.Burns.Snapshot(time.Now()) {
+		resp.Windows = append(resp.Windows, &adminpb.WindowCounts{Service: c.Service, WindowS: int64(c.Window.Seconds()),
+			Total: c.Total, Bad: c.Bad, Slow: c.Slow})
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/internal/burn/recorder.go
@@ -0,0 +1,107 @@
+package burn
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// BucketWidth is the time one bucket covers.
+const BucketWidth = 10 * time.Second
+
+// Buckets covers one hour, the longest window reported.
+const Buckets = 360
+
+// Windows are the windows reported, short first: a fast burn shows in the
+// first, a slow leak in the last.
+var Windows = []time.Duration{5 * time.Minute, time.Hour}
+
+type bucket struct {
+	start            int64 // bucket number (unix time / width)
+	total, bad, slow int64
+}
+
+// Counts are one service's requests over one window.
+type Counts struct {
+	Service          string
+	Window           time.Duration
+	Total, Bad, Slow int64
+}
+
+// Recorder counts requests. It is safe for concurrent use; the lock is
+// held for a few additions per request.
+type Recorder struct {
+	// LatencyObjective is the latency past which a request counts as slow.
+	LatencyObjective time.Duration
+	mu               sync.Mutex
+	services         map[string]*[Buckets]bucket
+}
+
+// NewRecorder returns a recorder with the given latency objective.
+func NewRecorder(latency time.Duration) *Recorder {
+	return &Recorder{LatencyObjective: latency, services: map[string]*[Buckets]bucket{}}
+}
+
+// Record counts one request of service answered at now after took; bad
+// says it was refused for a cause other than the caller's own.
+func (r *Recorder) Record(service string, bad bool, took time.Duration, now time.Time) {
+	n := now.UnixNano() / int64(BucketWidth)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ring := r.services[service]
+	if ring == nil {
+		ring = new([Buckets]bucket)
+		r.services[service] = ring
+	}
+	b := &ring[n%Buckets]
+	if b.start != n {
+		*b = bucket{start: n}
+	}
+	b.total++
+	if bad {
+		b.bad++
+	}
+	if took > r.LatencyObjective {
+		b.slow++
+	}
+}
+
+// Snapshot returns every service's counts over each of Windows at now,
+// sorted by service then window.
+func (r *Recorder) Snapshot(now time.Time) []Counts {
+	n := now.UnixNano() / int64(BucketWidth)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Counts
+	for svc, ring := range r.services {
+		for _, w := range Windows {
+			c := Counts{Service: svc, Window: w}
+			oldest := n - int64(w/BucketWidth) + 1
+			for _, b := range ring {
+				if b.start >= oldest && b.start <= n {
+					c.Total += b.total
+					c.Bad += b.bad
+					c.Slow += b.slow
+				}
+			}
+			out = append(out, c)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Service != out[j].Service {
+			return out[i].Service < out[j].Service
+		}
+		return out[i].Window < out[j].Window
+	})
+	return out
+}
+
+// Rate returns how many times faster than allowed the error budget of an
+// objective (e.g. 0.999) is being spent: 1 spends it exactly over the
+// objective's period, 14.4 over an hour spends a 30-day budget in ~2 days.
+func Rate(bad, total int64, objective float64) float64 {
+	if total == 0 || objective >= 1 {
+		return 0
+	}
+	return (float64(bad) / float64(total)) / (1 - objective)
+}
--- a/internal/cli/burn.go
+++ b/internal/cli/burn.go
@@ -1,11 +1,78 @@
 package cli
 
 import (
-	"github.com/rotisserie/eris"
+	"fmt"
+	"net/http"
+	"sort"
+	"text/tabwriter"
+	"time"
+
 	"github.com/spf13/cobra"
+
+	"github.com/papayatide/papayatide/internal/burn"
+	"github.com/papayatide/papayatide/rpc/adminpb"
 )
 
 func burnCommand() *cobra.Command {
-	return &cobra.Command{Use: "burn", Short: "Report service-level burn across entry hosts",
-		RunE: func(*cobra.Command, []string) error { return eris.New("not built yet") }}
+	var admins []string
+	var availability, latency float64
+	cmd := &cobra.Command{
+		Use:   "burn",
+		Short: "Report service-level burn across entry hosts",
+		Long: `Burn sums every entry host's request counts per service over the last 5
+minutes and hour and prints how fast each objective's error budget is being
+spent: a burn of 1 spends the budget exactly over the objective's period; 14
+or more over both windows is a page, 1 to 6 is a ticket.`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			sums := map[[2]int64]*adminpb.WindowCounts{}
+			names := map[string]int64{}
+			for _, a := range admins {
+				c := adminpb.NewAdminProtobufClient(a, &http.Client{Timeout: 3 * time.Second})
+				resp, err := c.Burn(cmd.Context(), &adminpb.BurnRequest{})
+				if err != nil {
+					fmt.Fprintf(cmd.ErrOrStderr(), "%s unreachable, not counted: %v\n", a, err)
+					continue
+				}
+				for _, w := range resp.Windows {
+					id, ok := names[w.Service]
+					if !ok {
+						id = int64(len(names))
+						names[w.Service] = id
+					}
+					k := [2]int64{id, w.WindowS}
+					if sums[k] == nil {
+						sums[k] = &adminpb.WindowCounts{Service: w.Service, WindowS: w.WindowS}
+					}
+					sums[k].Total += w.Total
+					sums[k].Bad += w.Bad
+					sums[k].Slow += w.Slow
+				}
+			}
+			printBurn(cmd, sums, availability, latency)
+			return nil
+		}}
+	cmd.Flags().StringSliceVar(&admins, "admin", []string{"http://127.0.0.1:9081"}, "admin URLs of entry hosts")
+	cmd.Flags().Float64Var(&availability, "availability", 0.999, "availability objective: share of requests not refused")
+	cmd.Flags().Float64Var(&latency, "latency", 0.99, "latency objective: share answered within [objectives] latency")
+	return cmd
+}
+
+func printBurn(cmd *cobra.Command, sums map[[2]int64]*adminpb.WindowCounts, availability, latency float64) {
+	rows := make([]*adminpb.WindowCounts, 0, len(sums))
+	for _, w := range sums {
+		rows = append(rows, w)
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		if rows[i].Service != rows[j].Service {
+			return rows[i].Service < rows[j].Service
+		}
+		return rows[i].WindowS < rows[j].WindowS
+	})
+	w := tabwriter.NewWriter(cmd.OutOrStdout(), 2, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "SERVICE\tWINDOW\tREQUESTS\tREFUSED\tAVAIL BURN\tSLOW\tLATENCY BURN")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.2f\t%d\t%.2f\n", r.Service, time.Duration(r.WindowS)*time.Second,
+			r.Total, r.Bad, burn.Rate(r.Bad, r.Total, availability), r.Slow, burn.Rate(r.Slow, r.Total, latency))
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,14 +47,14 @@
 		ProbeInterval: cfg.ProbeInterval, ProbeFailures: cfg.ProbeFailures, GrantLease: cfg.GrantLease,
 		SnapshotEvery: cfg.SnapshotEvery}, logc, targets, zl)
 	rt := router.New(router.Options{Host: cfg.Host, Timeout: cfg.RequestTimeout, ViewLease: cfg.ViewLease,
-		RetryAfter: cfg.RetryAfter}, loop.Table, targets, zl)
+		RetryAfter: cfg.RetryAfter, LatencyObjective: cfg.LatencyObjective}, loop.Table, targets, zl)
 	rt.Refused = func(string) { loop.Wake() }
 
 	front := http.NewServeMux()
 	front.Handle("/{service}/{key...}", rt)
 	var stopping atomic.Bool
 	adminMux := http.NewServeMux()
-	as := adminpb.NewAdminServer(&admin.Server{Host: cfg.Host, DataCentre: cfg.DataCentre, Table: loop.Table})
+	as := adminpb.NewAdminServer(&admin.Server{Host: cfg.Host, DataCentre: cfg.DataCentre, Table: loop.Table, Burns: rt.Burns})
 	adminMux.Handle(as.PathPrefix(), as)
 	adminMux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	adminMux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/papayatide/papayatide/internal/burn"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/refusal"
 	"github.com/papayatide/papayatide/internal/routing"
@@ -44,6 +45,9 @@
 	ViewLease time.Duration
 	// RetryAfter is told to callers refused for a passing cause.
 	RetryAfter time.Duration
+	// LatencyObjective is the latency past which a request counts as
+	// slow in the burn report.
+	LatencyObjective time.Duration
 }
 
 // Router serves callers.
@@ -55,11 +59,14 @@
 	// Refused is told about each fencing refusal so the control loop can
 	// catch up; it must not block.
 	Refused func(upstream string)
+	// Burns counts requests for the service-level burn report.
+	Burns *burn.Recorder
 }
 
 // New returns a router reading tables from table.
 func New(opts Options, table func() *routing.Table, targets *target.Client, log *zap.Logger) *Router {
-	return &Router{opts: opts, table: table, targets: targets, log: log, Refused: func(string) {}}
+	return &Router{opts: opts, table: table, targets: targets, log: log, Refused: func(string) {},
+		Burns: burn.NewRecorder(opts.LatencyObjective)}
 }
 
 // ServeHTTP implements http.Handler for paths /{service}/{key...}.
@@ -74,6 +81,7 @@
 	} else {
 		writeAnswer(w, resp)
 	}
+	rt.Burns.Record(service, ref != nil && ref.Code != refusal.BadRequest && ref.Code != refusal.UnknownService, time.Since(start), time.Now())
 	metrics.GetOrCreateCounter(fmt.Sprintf(`papayatide_requests_total{service=%q,code=%q}`, service, code)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`papayatide_request_duration_seconds{service=%q}`, service)).UpdateDuration(start)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,9 @@
 	ProbeFailures  int           // probe_failures: failed probes in a row that mark an upstream down
 	SnapshotEvery  int           // snapshot_every: placement records between snapshots
 	ShutdownGrace  time.Duration // shutdown_grace: how long a planned stop waits for requests in flight
+
+	// [objectives]
+	LatencyObjective time.Duration // latency: a request answered later counts as slow
 }
 
 // schema lists every allowed section and key with its default ("" means
@@ -41,6 +44,7 @@
 	"log":  {"addr": "", "poll_interval": "100ms"},
 	"routing": {"request_timeout": "2s", "view_lease": "2s", "retry_after": "1s", "grant_lease": "1s",
 		"probe_interval": "200ms", "probe_failures": "3", "snapshot_every": "64", "shutdown_grace": "10s"},
+	"objectives": {"latency": "16ms"},
 }
 
 // Load reads and checks the settings file at path.
@@ -173,6 +177,8 @@
 		ProbeFailures:  r.count("routing", "probe_failures"),
 		SnapshotEvery:  r.count("routing", "snapshot_every"),
 		ShutdownGrace:  r.duration("routing", "shutdown_grace"),
+
+		LatencyObjective: r.duration("objectives", "latency"),
 	}
 	if r.err != nil {
 		return nil, r.err
--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -39,7 +39,8 @@
 func DefaultSettings() settings.Daemon {
 	return settings.Daemon{LogLevel: "info", PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second,
 		ViewLease: time.Second, RetryAfter: time.Second, GrantLease: 300 * time.Millisecond,
-		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, ShutdownGrace: 2 * time.Second}
+		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, ShutdownGrace: 2 * time.Second,
+		LatencyObjective: 16 * time.Millisecond}
 }
 
 // Target is one running target stand-in.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -77,3 +77,5 @@
 echo "--- a publish from a stale base is refused"
 "$bin/papayatide" publish --example "$example" --base -1 || true
 "$bin/papayatide" status --admin "$admin_csv"
+echo "--- service-level burn"
+"$bin/papayatide" burn --admin "$admin_csv"
