Grant answers are the health probe; renewals carry no shard list

Ruled out: longer probe intervals (slower failure detection pushes 'served again' past 2 s); the log reads (20/s whatever N).

The full shard list goes once per epoch (or after a refusal or a manifest change); later rounds send a renewal of (epoch, since) that a target holding anything else refuses with 409. Non-members still get plain probes. Counters papayatide_control_messages_total{kind} and papayatide_control_grant_bytes_total expose the traffic.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/events"
@@ -50,6 +51,15 @@
 	handover map[int]time.Time
 }
 
+// Control-traffic counters, read by scripts/capacity.sh for docs/CAPACITY.md.
+var (
+	logReads   = metrics.NewCounter(`papayatide_control_messages_total{kind="log_read"}`)
+	logAppends = metrics.NewCounter(`papayatide_control_messages_total{kind="log_append"}`)
+	probes     = metrics.NewCounter(`papayatide_control_messages_total{kind="probe"}`)
+	grants     = metrics.NewCounter(`papayatide_control_messages_total{kind="grant"}`)
+	grantBytes = metrics.NewCounter(`papayatide_control_grant_bytes_total`)
+)
+
 // Loop is the control loop. Create it with New and run it with Run.
 type Loop struct {
 	opts    Options
@@ -71,15 +81,17 @@
 	viewAt      time.Time
 	logDown     bool
 	lastProbe   time.Time
-	lastGrant   time.Time
 	lastPropose map[string]time.Time
+	// granted maps an upstream to the epoch of the last full grant it
+	// accepted; later rounds at that epoch send only a renewal.
+	granted map[string]int64
 }
 
 // New returns a control loop.
 func New(opts Options, logc *logservice.Client, targets *target.Client, zl *zap.Logger) *Loop {
 	return &Loop{opts: opts, logc: logc, targets: targets, zl: zl, wake: make(chan struct{}, 1),
 		manOffset: -1, states: map[string]*dcState{}, homes: map[string][]uint8{},
-		health: map[string]*health{}, lastPropose: map[string]time.Time{}}
+		health: map[string]*health{}, lastPropose: map[string]time.Time{}, granted: map[string]int64{}}
 }
 
 // Table returns the routing table in force, or nil before the first
@@ -124,17 +136,15 @@
 		l.logDown = false
 		l.viewAt = now
 	}
-	if now.Sub(l.lastProbe) >= l.opts.ProbeInterval {
-		l.lastProbe = now
-		l.probe(ctx)
-	}
 	// Grants go out before the table that routes by them, so a target
 	// holds the new epoch's grant before this host sends it that token.
 	// They are renewed through a log outage too: no one can change the
 	// placement while the log is down, and a data centre cut off from it
 	// must keep serving (docs/DESIGN.md, "Grants during a log outage").
-	if changed || now.Sub(l.lastGrant) >= l.opts.GrantLease/3 {
-		l.lastGrant = now
+	// A member's answer to its grant is its health probe; upstreams that
+	// are not members get a plain probe at the same pace.
+	if changed || now.Sub(l.lastProbe) >= l.opts.ProbeInterval {
+		l.lastProbe = now
 		l.grant(ctx)
 	}
 	if changed || l.table.Load() == nil || err == nil {
@@ -160,6 +170,7 @@
 func (l *Loop) readManifests(ctx context.Context) (bool, error) {
 	changed := false
 	for {
+		logReads.Inc()
 		b, err := l.logc.Read(ctx, logservice.StreamManifests, l.manNext, 0)
 		if err != nil {
 			return changed, err
@@ -186,6 +197,9 @@
 
 func (l *Loop) adoptManifest(m *manifest.Manifest, offset int64) {
 	l.man, l.manOffset = m, offset
+	// A manifest can change shard lists without a new epoch (new weights),
+	// so every upstream gets a full grant again.
+	clear(l.granted)
 	l.homes = map[string][]uint8{}
 	for i := range m.Services {
 		l.homes[m.Services[i].Name] = placement.Homes(&m.Services[i], m.DataCentres)
@@ -199,6 +213,7 @@
 func (l *Loop) readPlacement(ctx context.Context) (bool, error) {
 	changed := false
 	for {
+		logReads.Inc()
 		b, err := l.logc.Read(ctx, logservice.StreamPlacement, l.placeNext, 0)
 		if err != nil {
 			return changed, err
@@ -329,33 +344,6 @@
 	return out
 }
 
-// probe checks every local upstream's health concurrently and applies the
-// results on the loop goroutine.
-func (l *Loop) probe(ctx context.Context) {
-	if l.man == nil {
-		return
-	}
-	type result struct {
-		name string
-		err  error
-	}
-	var ups []manifest.Upstream
-	for i := range l.man.Services {
-		ups = append(ups, l.localUpstreams(&l.man.Services[i])...)
-	}
-	results := make([]result, len(ups))
-	ctx, cancel := context.WithTimeout(ctx, l.opts.ProbeInterval)
-	defer cancel()
-	var wg sync.WaitGroup
-	for i := range ups {
-		wg.Go(func() { results[i] = result{ups[i].Name, l.targets.Probe(ctx, &ups[i])} })
-	}
-	wg.Wait()
-	for _, r := range results {
-		l.applyProbe(r.name, r.err)
-	}
-}
-
 func (l *Loop) applyProbe(name string, err error) {
 	h := l.health[name]
 	if h == nil {
@@ -436,6 +424,7 @@
 	if err != nil {
 		return
 	}
+	logAppends.Inc()
 	off, err := l.logc.AppendAt(ctx, logservice.StreamPlacement, data, l.placeNext)
 	switch {
 	case err == nil:
@@ -473,33 +462,75 @@
 	return 0
 }
 
-// grant renews the fenced grant of every member upstream in this data
-// centre at the epoch in force. A target refuses a grant older than the
-// one it holds, so a host with a stale view cannot roll a target back.
+// contact is one message of a grant round: a grant (or renewal) to a
+// member, or a plain probe of a local upstream that is not a member.
+type contact struct {
+	u     manifest.Upstream
+	grant *target.Grant
+	err   error
+}
+
+// grant sends every member upstream in this data centre its fenced grant
+// at the epoch in force (the full shard list once per epoch, a renewal
+// after) and probes local non-members, concurrently; the answers are
+// applied as health on the loop goroutine. A target refuses a grant older
+// than the one it holds, so a host with a stale view cannot roll it back.
 func (l *Loop) grant(ctx context.Context) {
-	type job struct {
-		u manifest.Upstream
-		g target.Grant
-	}
-	var jobs []job
-	for _, st := range l.states {
-		if st.state.DataCentre != l.opts.DataCentre || st.assign == nil {
-			continue
-		}
-		for _, m := range st.assign.Members {
-			jobs = append(jobs, job{m, target.Grant{Service: st.state.Service, Epoch: st.state.Epoch,
-				Since: st.since[m.Name], Shards: st.assign.ShardsOf(m.Name), LeaseMs: l.opts.GrantLease.Milliseconds()}})
-		}
+	if l.man == nil {
+		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.opts.GrantLease/3)
+	jobs := l.contacts()
+	ctx, cancel := context.WithTimeout(ctx, l.opts.ProbeInterval)
 	defer cancel()
 	var wg sync.WaitGroup
 	for i := range jobs {
 		wg.Go(func() {
-			if err := l.targets.SendGrant(ctx, &jobs[i].u, &jobs[i].g); err != nil {
-				l.zl.Debug("grant failed", zap.Int("event", events.GrantFailed), zap.String("peer", jobs[i].u.Name), zap.Error(err))
+			j := &jobs[i]
+			if j.grant == nil {
+				probes.Inc()
+				j.err = l.targets.Probe(ctx, &j.u)
+				return
 			}
+			grants.Inc()
+			n, err := l.targets.SendGrant(ctx, &j.u, j.grant)
+			grantBytes.Add(n)
+			j.err = err
 		})
 	}
 	wg.Wait()
+	for _, j := range jobs {
+		l.applyProbe(j.u.Name, j.err)
+		switch {
+		case j.grant == nil:
+		case j.err != nil:
+			delete(l.granted, j.u.Name)
+			l.zl.Debug("grant failed", zap.Int("event", events.GrantFailed), zap.String("peer", j.u.Name), zap.Error(j.err))
+		case !j.grant.Renew:
+			l.granted[j.u.Name] = j.grant.Epoch
+		}
+	}
+}
+
+// contacts lists this round's messages, one per local upstream.
+func (l *Loop) contacts() []contact {
+	var jobs []contact
+	for i := range l.man.Services {
+		svc := &l.man.Services[i]
+		st := l.states[svc.Name+"/"+l.opts.DataCentre]
+		for _, u := range l.localUpstreams(svc) {
+			if st == nil || st.assign == nil || !slices.ContainsFunc(st.assign.Members, func(m manifest.Upstream) bool { return m.Name == u.Name }) {
+				jobs = append(jobs, contact{u: u})
+				continue
+			}
+			g := &target.Grant{Service: svc.Name, Epoch: st.state.Epoch, Since: st.since[u.Name],
+				LeaseMs: l.opts.GrantLease.Milliseconds()}
+			if l.granted[u.Name] == g.Epoch {
+				g.Renew = true
+			} else {
+				g.Shards = st.assign.ShardsOf(u.Name)
+			}
+			jobs = append(jobs, contact{u: u, grant: g})
+		}
+	}
+	return jobs
 }
--- a/internal/standin/cli/cli.go
+++ b/internal/standin/cli/cli.go
@@ -38,12 +38,15 @@
 }
 
 func targetCommand() *cobra.Command {
-	var example, upstream string
+	var example, file, upstream string
 	var opts target.Options
 	var drainWait time.Duration
 	cmd := &cobra.Command{Use: "target", Short: "Run one target server stand-in for an upstream of a shipped manifest",
 		RunE: func(*cobra.Command, []string) error {
 			data, err := manifest.Example(example)
+			if file != "" {
+				data, err = os.ReadFile(file)
+			}
 			if err != nil {
 				return err
 			}
@@ -64,6 +67,7 @@
 		}}
 	f := cmd.Flags()
 	f.StringVar(&example, "example", "siam-sludge", "shipped manifest naming the upstream")
+	f.StringVar(&file, "manifest", "", "manifest file naming the upstream (instead of --example)")
 	f.StringVar(&upstream, "upstream", "", "upstream to serve, e.g. routeboard-01")
 	f.DurationVar(&opts.WorkTime, "work-time", time.Millisecond, "time one request takes")
 	f.DurationVar(&opts.ColdStart, "cold-start", 0, "how long after start requests are slow")
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -122,7 +122,16 @@
 		http.Error(w, "grant older than the one held", http.StatusConflict)
 		return
 	}
-	st := &grantState{grant: g, shards: map[int]bool{}, expires: time.Now().Add(time.Duration(g.LeaseMs) * time.Millisecond)}
+	lease := time.Duration(g.LeaseMs) * time.Millisecond
+	if g.Renew {
+		if cur == nil || cur.grant.Epoch != g.Epoch || cur.grant.Since != g.Since {
+			http.Error(w, "renewal of a grant not held", http.StatusConflict)
+			return
+		}
+		cur.expires = time.Now().Add(lease)
+		return
+	}
+	st := &grantState{grant: g, shards: map[int]bool{}, expires: time.Now().Add(lease)}
 	for _, sh := range g.Shards {
 		st.shards[sh] = true
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -119,26 +119,27 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
-// SendGrant posts a grant to upstream u.
-func (c *Client) SendGrant(ctx context.Context, u *manifest.Upstream, g *Grant) error {
+// SendGrant posts a grant to upstream u and returns the body's size in
+// bytes.
+func (c *Client) SendGrant(ctx context.Context, u *manifest.Upstream, g *Grant) (int, error) {
 	body, err := json.Marshal(g)
 	if err != nil {
-		return eris.Wrapf(err, "grant to %s: encode", u.Name)
+		return 0, eris.Wrapf(err, "grant to %s: encode", u.Name)
 	}
 	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Addr+PathGrant, bytes.NewReader(body))
 	if err != nil {
-		return eris.Wrapf(err, "grant to %s", u.Name)
+		return 0, eris.Wrapf(err, "grant to %s", u.Name)
 	}
 	resp, err := c.pool(u).Do(hr)
 	if err != nil {
-		return eris.Wrapf(err, "grant to %s", u.Name)
+		return len(body), eris.Wrapf(err, "grant to %s", u.Name)
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, resp.Body)
 	if resp.StatusCode != http.StatusOK {
-		return eris.Errorf("grant to %s: status %d", u.Name, resp.StatusCode)
+		return len(body), eris.Errorf("grant to %s: status %d", u.Name, resp.StatusCode)
 	}
-	return nil
+	return len(body), nil
 }
 
 // Probe asks upstream u's health endpoint; nil means healthy.
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -34,6 +34,10 @@
 	Shards []int `json:"shards"`
 	// LeaseMs is how long, from receipt, the grant holds unless renewed.
 	LeaseMs int64 `json:"lease_ms"`
+	// Renew asks only to extend the lease of the grant held at the same
+	// Epoch and Since; Shards is then empty. A target holding anything
+	// else answers 409 and gets the full grant next time.
+	Renew bool `json:"renew,omitempty"`
 }
 
 // Paths on a target.
