--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -222,7 +222,7 @@
 			l.placeNext = rec.Offset + 1
 			r, err := placement.DecodeRecord(rec.Data)
 			if err != nil {
-				l.zl.Warn("placement record refused", zap.Int("event", events.PlacementConflict), zap.Int64("offset", rec.Offset), zap.Error(err))
+				l.zl.Warn("placement record refused", zap.Int("event", events.PlacementRejected), zap.Int64("offset", rec.Offset), zap.Error(err))
 				continue
 			}
 			l.applyRecord(r, rec.Offset)
--- /dev/null
+++ b/internal/daemon/stop_test.go
@@ -0,0 +1,76 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/cli"
+	"github.com/papayatide/papayatide/internal/manifest"
+	"github.com/papayatide/papayatide/internal/standin/loopback"
+	stand "github.com/papayatide/papayatide/internal/standin/target"
+)
+
+// An operator drains the key's owner. Callers keep getting whole answers
+// (after at most one handover refusal with Retry-After); from one grant
+// lease after the drain on, the drained upstream gets no new work.
+func TestDrainedUpstreamGetsNoNewWork(t *testing.T) {
+	f := startFleet(t, []string{"bangna"}, true, 1)
+	h := f.Hosts[0]
+	owner, _ := servedBy(t, h, testKey, "")
+	cmd := cli.Command()
+	cmd.SetArgs([]string{"--log", f.LogURL, "drain", "--upstream", owner})
+	cmd.SetOut(&bytes.Buffer{})
+	drained := time.Now()
+	if err := cmd.Execute(); err != nil {
+		t.Fatal(err)
+	}
+	var last time.Time
+	for time.Since(drained) < 2*time.Second {
+		r := call(t, http.MethodGet, h.URL+"/routeboard/"+testKey, "")
+		if r.status == http.StatusOK && r.answer.Upstream == owner {
+			last = time.Now()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("drained upstream's last answer %v after the drain", last.Sub(drained))
+	if !last.IsZero() && last.Sub(drained) > time.Second {
+		t.Fatalf("drained upstream still served %v after the drain", last.Sub(drained))
+	}
+	if _, took := servedBy(t, h, testKey, owner); took > time.Second {
+		t.Fatalf("key not served by a new owner %v after the drain", took)
+	}
+}
+
+// A request is in flight at a slow target when its entry host gets a
+// planned stop. The caller still gets the whole answer: the host stops
+// taking new callers but waits for requests in flight.
+func TestPlannedStopCutsNothingInFlight(t *testing.T) {
+	f, err := loopback.Start(loopback.Spec{DataCentres: []string{"bangna"}, Slots: 3, HostsPerDC: 1,
+		Services: []manifest.ServiceSize{{Name: "routeboard", Upstreams: 2, Checked: true}},
+		Settings: loopback.DefaultSettings(), Target: stand.Options{WorkTime: 300 * time.Millisecond}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := f.Publish(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	h := f.Hosts[0]
+	got := make(chan reply, 1)
+	go func() { got <- call(t, http.MethodGet, h.URL+"/routeboard/"+testKey, "") }()
+	time.Sleep(100 * time.Millisecond)
+	if err := h.Stop(); err != nil {
+		t.Fatalf("planned stop: %v", err)
+	}
+	if r := <-got; r.status != http.StatusOK || r.answer.Key != testKey {
+		t.Fatalf("request in flight during planned stop got %d %+v", r.status, r.ref)
+	}
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -3,9 +3,8 @@
 // Event numbers. Numbers are never reused; retired ones stay in docs/EVENTS.md.
 const (
 	// 1xx: process lifecycle.
-	Started  = 100
-	Stopping = 101
-	Stopped  = 102
+	Started = 100
+	Stopped = 102
 
 	// 2xx: manifests.
 	ManifestAdopted  = 200
@@ -20,6 +19,7 @@
 	GrantFailed       = 304
 	UpstreamDown      = 305
 	UpstreamUp        = 306
+	PlacementRejected = 307
 
 	// 4xx: traffic.
 	ForwardFailed = 400
