Entry-host membership by heartbeats in the log; each upstream renewed by 2 live hosts

Cause: docs/CAPACITY.md worked out 22% of a core and ~167 KB/s per host at 550 upstreams per data centre, because every entry host granted and probed every upstream of its data centre (0.033% of a core per upstream).

Ruled out: renewing less often (slower failure detection, and 'served again within 2 s' needs probes of 200 ms); one renewer per upstream (a single host loss would lapse the upstream's grant until the host lease expires).

Change: each host appends a heartbeat to the entryhosts stream every heartbeat_interval; liveness is judged by the log's record timestamps against the newest seen (no host clocks). An upstream is granted and probed by the 'renewers' (default 2) live hosts of its data centre with the highest rendezvous score (placement.Pick); other hosts leave its membership as it is. New [membership] settings.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -14,6 +14,7 @@
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/logservice"
 	"github.com/papayatide/papayatide/internal/manifest"
+	"github.com/papayatide/papayatide/internal/membership"
 	"github.com/papayatide/papayatide/internal/placement"
 	"github.com/papayatide/papayatide/internal/routing"
 	"github.com/papayatide/papayatide/internal/target"
@@ -35,6 +36,13 @@
 	// SnapshotEvery is how many placement records may follow the last
 	// snapshot before this host writes a new one.
 	SnapshotEvery int
+	// HeartbeatInterval is how often this host appends a heartbeat.
+	HeartbeatInterval time.Duration
+	// HostLease is how long a host counts as alive after its last heartbeat.
+	HostLease time.Duration
+	// Renewers is how many of a data centre's live entry hosts grant and
+	// probe each upstream; 0 means all of them.
+	Renewers int
 }
 
 type health struct {
@@ -85,13 +93,18 @@
 	// granted maps an upstream to the epoch of the last full grant it
 	// accepted; later rounds at that epoch send only a renewal.
 	granted map[string]int64
+	// hosts is the view of live entry hosts, from heartbeats.
+	hosts         *membership.View
+	hostsNext     int64
+	lastHeartbeat time.Time
 }
 
 // New returns a control loop.
 func New(opts Options, logc *logservice.Client, targets *target.Client, zl *zap.Logger) *Loop {
 	return &Loop{opts: opts, logc: logc, targets: targets, zl: zl, wake: make(chan struct{}, 1),
 		manOffset: -1, states: map[string]*dcState{}, homes: map[string][]uint8{},
-		health: map[string]*health{}, lastPropose: map[string]time.Time{}, granted: map[string]int64{}}
+		health: map[string]*health{}, lastPropose: map[string]time.Time{}, granted: map[string]int64{},
+		hosts: membership.NewView(opts.HostLease.Milliseconds())}
 }
 
 // Table returns the routing table in force, or nil before the first
@@ -154,6 +167,51 @@
 		l.propose(ctx, now)
 		l.snapshot(ctx)
 	}
+	if err == nil && now.Sub(l.lastHeartbeat) >= l.opts.HeartbeatInterval {
+		l.lastHeartbeat = now
+		l.heartbeat(ctx)
+	}
+}
+
+func (l *Loop) heartbeat(ctx context.Context) {
+	data, err := (&membership.Heartbeat{Host: l.opts.Host, DataCentre: l.opts.DataCentre}).Encode()
+	if err != nil {
+		return
+	}
+	logAppends.Inc()
+	if _, err := l.logc.Append(ctx, logservice.StreamEntryHosts, data); err != nil {
+		l.zl.Debug("heartbeat not written", zap.Int("event", events.HeartbeatFailed), zap.Error(err))
+	}
+}
+
+func (l *Loop) readHeartbeats(ctx context.Context) error {
+	for {
+		logReads.Inc()
+		b, err := l.logc.Read(ctx, logservice.StreamEntryHosts, l.hostsNext, 0)
+		if err != nil {
+			return err
+		}
+		for _, rec := range b.Records {
+			l.hostsNext = rec.Offset + 1
+			_ = l.hosts.Observe(rec.Data, rec.UnixMs)
+		}
+		if len(b.Records) == 0 || l.hostsNext >= b.Next {
+			return nil
+		}
+	}
+}
+
+// renews says whether this host grants and probes the named upstream: the
+// Renewers live hosts of its data centre with the highest rendezvous score
+// for it do. Sharing the work keeps each host's control cost from growing
+// with all of its data centre's upstreams; with fewer live hosts known
+// (at start, before any heartbeat is read) this host does all of it.
+func (l *Loop) renews(upstream string) bool {
+	if l.opts.Renewers <= 0 {
+		return true
+	}
+	alive := l.hosts.Alive(l.opts.DataCentre, l.opts.Host)
+	return slices.Contains(placement.Pick(upstream, alive, l.opts.Renewers), l.opts.Host)
 }
 
 func (l *Loop) readLog(ctx context.Context) (bool, error) {
@@ -164,7 +222,10 @@
 		return m, err
 	}
 	p, err := l.readPlacement(ctx)
-	return m || p, err
+	if err != nil {
+		return m || p, err
+	}
+	return m || p, l.readHeartbeats(ctx)
 }
 
 func (l *Loop) readManifests(ctx context.Context) (bool, error) {
@@ -394,15 +455,23 @@
 }
 
 // wanted returns the sorted members a (service, data centre) should have:
-// every local upstream that is healthy and not drained. It is not ready
-// until each local upstream has been probed at least once.
+// every local upstream that is healthy and not drained. Upstreams this host
+// does not renew keep the membership they have (their renewers judge
+// them; with no placement yet they count as members). It is not ready
+// until each upstream it renews has been probed at least once.
 func (l *Loop) wanted(local []manifest.Upstream, cur *dcState) ([]string, bool) {
-	var drained []string
+	var drained, members []string
 	if cur != nil {
-		drained = cur.state.Drained
+		drained, members = cur.state.Drained, cur.state.Members
 	}
 	var want []string
 	for _, u := range local {
+		if !l.renews(u.Name) {
+			if (cur == nil || slices.Contains(members, u.Name)) && !slices.Contains(drained, u.Name) {
+				want = append(want, u.Name)
+			}
+			continue
+		}
 		h := l.health[u.Name]
 		if h == nil || !h.probed {
 			return nil, false
@@ -518,6 +587,9 @@
 		svc := &l.man.Services[i]
 		st := l.states[svc.Name+"/"+l.opts.DataCentre]
 		for _, u := range l.localUpstreams(svc) {
+			if !l.renews(u.Name) {
+				continue
+			}
 			if st == nil || st.assign == nil || !slices.ContainsFunc(st.assign.Members, func(m manifest.Upstream) bool { return m.Name == u.Name }) {
 				jobs = append(jobs, contact{u: u})
 				continue
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -20,6 +20,7 @@
 	UpstreamDown      = 305
 	UpstreamUp        = 306
 	PlacementRejected = 307
+	HeartbeatFailed   = 308
 
 	// 4xx: traffic.
 	ForwardFailed = 400
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -278,3 +278,30 @@
 	}
 	return best
 }
+
+// Pick returns the n candidates with the highest rendezvous score for key
+// (all of them if there are n or fewer), best first. Entry hosts use it to
+// share out work, such as renewing an upstream's grant, among themselves
+// so that all agree on who does what from the same candidate list.
+func Pick(key string, candidates []string, n int) []string {
+	type scored struct {
+		name  string
+		score float64
+	}
+	k := xxhash.Sum64String(key)
+	all := make([]scored, len(candidates))
+	for i, c := range candidates {
+		all[i] = scored{c, score(k, xxhash.Sum64String(c), 1)}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score != all[j].score {
+			return all[i].score > all[j].score
+		}
+		return all[i].name < all[j].name
+	})
+	out := make([]string, 0, min(n, len(all)))
+	for i := 0; i < n && i < len(all); i++ {
+		out = append(out, all[i].name)
+	}
+	return out
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,11 @@
 	SnapshotEvery  int           // snapshot_every: placement records between snapshots
 	ShutdownGrace  time.Duration // shutdown_grace: how long a planned stop waits for requests in flight
 
+	// [membership]
+	HeartbeatInterval time.Duration // heartbeat_interval: how often this host appends a heartbeat
+	HostLease         time.Duration // host_lease: how long a silent host still counts as alive
+	Renewers          int           // renewers: live hosts that grant and probe each upstream
+
 	// [objectives]
 	LatencyObjective time.Duration // latency: a request answered later counts as slow
 }
@@ -44,6 +49,7 @@
 	"log":  {"addr": "", "poll_interval": "100ms"},
 	"routing": {"request_timeout": "2s", "view_lease": "2s", "retry_after": "1s", "grant_lease": "1s",
 		"probe_interval": "200ms", "probe_failures": "3", "snapshot_every": "64", "shutdown_grace": "10s"},
+	"membership": {"heartbeat_interval": "1s", "host_lease": "5s", "renewers": "2"},
 	"objectives": {"latency": "16ms"},
 }
 
@@ -178,6 +184,10 @@
 		SnapshotEvery:  r.count("routing", "snapshot_every"),
 		ShutdownGrace:  r.duration("routing", "shutdown_grace"),
 
+		HeartbeatInterval: r.duration("membership", "heartbeat_interval"),
+		HostLease:         r.duration("membership", "host_lease"),
+		Renewers:          r.count("membership", "renewers"),
+
 		LatencyObjective: r.duration("objectives", "latency"),
 	}
 	if r.err != nil {
--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -40,6 +40,7 @@
 	return settings.Daemon{LogLevel: "info", PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second,
 		ViewLease: time.Second, RetryAfter: time.Second, GrantLease: 300 * time.Millisecond,
 		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, ShutdownGrace: 2 * time.Second,
+		HeartbeatInterval: 200 * time.Millisecond, HostLease: time.Second, Renewers: 2,
 		LatencyObjective: 16 * time.Millisecond}
 }
 
