--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -36,6 +36,10 @@
 	// SnapshotEvery is how many placement records may follow the last
 	// snapshot before this host writes a new one.
 	SnapshotEvery int
+	// SnapshotInterval is the longest time without a snapshot in the
+	// stream; it must be well under the log's retention, so that a quiet
+	// placement is restated before its records age out.
+	SnapshotInterval time.Duration
 	// HeartbeatInterval is how often this host appends a heartbeat.
 	HeartbeatInterval time.Duration
 	// HostLease is how long a host counts as alive after its last heartbeat.
@@ -83,6 +87,7 @@
 	manNext     int64
 	placeNext   int64
 	sinceSnap   int
+	lastSnap    time.Time
 	states      map[string]*dcState
 	homes       map[string][]uint8
 	health      map[string]*health
@@ -165,7 +170,7 @@
 	}
 	if err == nil && l.man != nil {
 		l.propose(ctx, now)
-		l.snapshot(ctx)
+		l.snapshot(ctx, now)
 	}
 	if err == nil && now.Sub(l.lastHeartbeat) >= l.opts.HeartbeatInterval {
 		l.lastHeartbeat = now
@@ -303,7 +308,7 @@
 		s.Epoch = offset
 		l.setState(s)
 	case placement.KindSnapshot:
-		l.sinceSnap = 0
+		l.sinceSnap, l.lastSnap = 0, time.Now()
 		for _, s := range r.States {
 			if cur := l.states[s.Key()]; cur == nil || cur.state.Epoch < s.Epoch {
 				l.setState(s)
@@ -506,10 +511,17 @@
 }
 
 // snapshot restates the whole placement once SnapshotEvery records have
-// followed the last snapshot, so retention never drops the only record of
-// a (service, data centre).
-func (l *Loop) snapshot(ctx context.Context) {
-	if l.sinceSnap < l.opts.SnapshotEvery || len(l.states) == 0 {
+// followed the last snapshot, or none was seen for SnapshotInterval, so
+// retention never drops the only record of a (service, data centre). Hosts
+// racing to write one lose to the compare-and-append; the winner's counts.
+func (l *Loop) snapshot(ctx context.Context, now time.Time) {
+	if len(l.states) == 0 {
+		return
+	}
+	if l.lastSnap.IsZero() {
+		l.lastSnap = now
+	}
+	if l.sinceSnap < l.opts.SnapshotEvery && now.Sub(l.lastSnap) < l.opts.SnapshotInterval {
 		return
 	}
 	rec := &placement.Record{Kind: placement.KindSnapshot}
@@ -518,7 +530,7 @@
 	}
 	slices.SortFunc(rec.States, func(a, b placement.State) int { return compareKeys(a.Key(), b.Key()) })
 	l.append(ctx, rec)
-	l.sinceSnap = 0
+	l.sinceSnap, l.lastSnap = 0, now
 }
 
 func compareKeys(a, b string) int {
--- /dev/null
+++ b/internal/daemon/answers_test.go
@@ -0,0 +1,98 @@
+package daemon_test
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/manifest"
+	"github.com/papayatide/papayatide/internal/refusal"
+	"github.com/papayatide/papayatide/internal/standin/loopback"
+	stand "github.com/papayatide/papayatide/internal/standin/target"
+	"github.com/papayatide/papayatide/rpc/adminpb"
+)
+
+func startSpec(t *testing.T, spec loopback.Spec) *loopback.Fleet {
+	t.Helper()
+	f, err := loopback.Start(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := f.Publish(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// Every target hands each caller the answer meant for the request before.
+// Callers never see another's answer: each gets 502 CROSSED_ANSWER with
+// outcome unknown (the work may have run), because the answer's request id
+// is not the one the router sent.
+func TestCrossedAnswersNeverReachTheWrongCaller(t *testing.T) {
+	f := startSpec(t, loopback.Spec{DataCentres: []string{"bangna"}, Slots: 3, HostsPerDC: 1,
+		Services: []manifest.ServiceSize{{Name: "routeboard", Upstreams: 2, Checked: true}},
+		Settings: loopback.DefaultSettings(), Target: stand.Options{CrossAnswers: true}})
+	h := f.Hosts[0]
+	for _, key := range []string{"a", "b", "c", "d"} {
+		r := call(t, http.MethodGet, h.URL+"/routeboard/"+key, "")
+		if r.status == http.StatusOK && r.answer.Key != key {
+			t.Fatalf("caller for %s got the answer for %s", key, r.answer.Key)
+		}
+		if r.status != http.StatusOK && (r.ref.Code != refusal.CrossedAnswer || r.ref.Outcome != refusal.Unknown) {
+			t.Fatalf("key %s: %d %+v; want CROSSED_ANSWER, unknown", key, r.status, r.ref)
+		}
+	}
+}
+
+// The log keeps records for 300 ms only (snapshots every 150 ms), so the
+// placement records of bangna's services are gone when a new latphrao
+// entry host starts; only
+// bangna's hosts may write bangna's placement, so the newcomer cannot
+// re-propose it. It must still route to bangna's owners, learnt from a
+// snapshot: its status shows the same bangna members as a bangna host's.
+func TestNewHostAfterRetentionLearnsFromSnapshot(t *testing.T) {
+	settings := loopback.DefaultSettings()
+	settings.SnapshotInterval = 150 * time.Millisecond
+	f := startSpec(t, loopback.Spec{DataCentres: []string{"bangna", "latphrao"}, Slots: 3, HostsPerDC: 1,
+		Services: []manifest.ServiceSize{{Name: "routeboard", Upstreams: 4, Checked: true}, {Name: "plantdesk", Upstreams: 4, Checked: true}},
+		Settings: settings, Retention: 300 * time.Millisecond})
+	time.Sleep(500 * time.Millisecond)
+	late, err := f.AddHost("latphrao-late", "latphrao")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := f.WaitReady(ctx); err != nil {
+		t.Fatalf("late host: %v", err)
+	}
+	want, got := bangnaMembers(t, f.Hosts[0]), bangnaMembers(t, late)
+	if len(want) == 0 || !maps.Equal(want, got) {
+		t.Fatalf("late host's bangna members %v, bangna host's %v", got, want)
+	}
+}
+
+func bangnaMembers(t *testing.T, h *loopback.Host) map[string]int32 {
+	t.Helper()
+	st, err := adminpb.NewAdminProtobufClient(h.AdminURL, http.DefaultClient).Status(context.Background(), &adminpb.StatusRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]int32{}
+	for _, s := range st.Services {
+		for _, u := range s.Upstreams {
+			if u.DataCentre == "bangna" && u.Member {
+				out[u.Name] = u.Shards
+			}
+		}
+	}
+	return out
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,7 @@
 	targets := target.NewClient()
 	loop := control.New(control.Options{Host: cfg.Host, DataCentre: cfg.DataCentre, PollInterval: cfg.PollInterval,
 		ProbeInterval: cfg.ProbeInterval, ProbeFailures: cfg.ProbeFailures, GrantLease: cfg.GrantLease,
-		SnapshotEvery: cfg.SnapshotEvery, HeartbeatInterval: cfg.HeartbeatInterval, HostLease: cfg.HostLease,
+		SnapshotEvery: cfg.SnapshotEvery, SnapshotInterval: cfg.SnapshotInterval, HeartbeatInterval: cfg.HeartbeatInterval, HostLease: cfg.HostLease,
 		Renewers: cfg.Renewers}, logc, targets, zl)
 	rt := router.New(router.Options{Host: cfg.Host, Timeout: cfg.RequestTimeout, ViewLease: cfg.ViewLease,
 		RetryAfter: cfg.RetryAfter, LatencyObjective: cfg.LatencyObjective}, loop.Table, targets, zl)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,7 +31,10 @@
 	ProbeInterval  time.Duration // probe_interval
 	ProbeFailures  int           // probe_failures: failed probes in a row that mark an upstream down
 	SnapshotEvery  int           // snapshot_every: placement records between snapshots
-	ShutdownGrace  time.Duration // shutdown_grace: how long a planned stop waits for requests in flight
+	// snapshot_interval: longest time between snapshots; keep it well under
+	// the log service's retention.
+	SnapshotInterval time.Duration
+	ShutdownGrace    time.Duration // shutdown_grace: how long a planned stop waits for requests in flight
 
 	// [membership]
 	HeartbeatInterval time.Duration // heartbeat_interval: how often this host appends a heartbeat
@@ -48,7 +51,7 @@
 	"host": {"name": "", "data_centre": "", "listen": "", "admin_listen": "", "log_level": "info"},
 	"log":  {"addr": "", "poll_interval": "100ms"},
 	"routing": {"request_timeout": "2s", "view_lease": "2s", "retry_after": "1s", "grant_lease": "1s",
-		"probe_interval": "200ms", "probe_failures": "3", "snapshot_every": "64", "shutdown_grace": "10s"},
+		"probe_interval": "200ms", "probe_failures": "3", "snapshot_every": "64", "snapshot_interval": "1m", "shutdown_grace": "10s"},
 	"membership": {"heartbeat_interval": "1s", "host_lease": "5s", "renewers": "2"},
 	"objectives": {"latency": "16ms"},
 }
@@ -168,21 +171,22 @@
 	}
 	r := &reader{f: f}
 	d := &Daemon{
-		Host:           r.str("host", "name"),
-		DataCentre:     r.str("host", "data_centre"),
-		Listen:         r.hostPort("host", "listen"),
-		AdminListen:    r.hostPort("host", "admin_listen"),
-		LogLevel:       r.str("host", "log_level"),
-		LogAddr:        r.baseURL("log", "addr"),
-		PollInterval:   r.duration("log", "poll_interval"),
-		RequestTimeout: r.duration("routing", "request_timeout"),
-		ViewLease:      r.duration("routing", "view_lease"),
-		RetryAfter:     r.duration("routing", "retry_after"),
-		GrantLease:     r.duration("routing", "grant_lease"),
-		ProbeInterval:  r.duration("routing", "probe_interval"),
-		ProbeFailures:  r.count("routing", "probe_failures"),
-		SnapshotEvery:  r.count("routing", "snapshot_every"),
-		ShutdownGrace:  r.duration("routing", "shutdown_grace"),
+		Host:             r.str("host", "name"),
+		DataCentre:       r.str("host", "data_centre"),
+		Listen:           r.hostPort("host", "listen"),
+		AdminListen:      r.hostPort("host", "admin_listen"),
+		LogLevel:         r.str("host", "log_level"),
+		LogAddr:          r.baseURL("log", "addr"),
+		PollInterval:     r.duration("log", "poll_interval"),
+		RequestTimeout:   r.duration("routing", "request_timeout"),
+		ViewLease:        r.duration("routing", "view_lease"),
+		RetryAfter:       r.duration("routing", "retry_after"),
+		GrantLease:       r.duration("routing", "grant_lease"),
+		ProbeInterval:    r.duration("routing", "probe_interval"),
+		ProbeFailures:    r.count("routing", "probe_failures"),
+		SnapshotEvery:    r.count("routing", "snapshot_every"),
+		SnapshotInterval: r.duration("routing", "snapshot_interval"),
+		ShutdownGrace:    r.duration("routing", "shutdown_grace"),
 
 		HeartbeatInterval: r.duration("membership", "heartbeat_interval"),
 		HostLease:         r.duration("membership", "host_lease"),
--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -33,13 +33,15 @@
 	// are filled in from the manifest.
 	Target target.Options
 	Logger *zap.Logger
+	// Retention is the log stand-in's retention (0 keeps everything).
+	Retention time.Duration
 }
 
 // DefaultSettings are entry-host settings fast enough for tests.
 func DefaultSettings() settings.Daemon {
 	return settings.Daemon{LogLevel: "info", PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second,
 		ViewLease: time.Second, RetryAfter: time.Second, GrantLease: 300 * time.Millisecond,
-		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, ShutdownGrace: 2 * time.Second,
+		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, SnapshotInterval: time.Minute, ShutdownGrace: 2 * time.Second,
 		HeartbeatInterval: 200 * time.Millisecond, HostLease: time.Second, Renewers: 2,
 		LatencyObjective: 16 * time.Millisecond}
 }
@@ -99,7 +101,7 @@
 	if spec.Logger == nil {
 		spec.Logger = zap.NewNop()
 	}
-	f := &Fleet{Log: logsvc.NewServer(0), Targets: map[string]*Target{}, spec: spec}
+	f := &Fleet{Log: logsvc.NewServer(spec.Retention), Targets: map[string]*Target{}, spec: spec}
 	addr, err := freeAddr()
 	if err != nil {
 		return nil, err
@@ -127,7 +129,7 @@
 	f.Manifest = m
 	for _, dc := range spec.DataCentres {
 		for i := 0; i < spec.HostsPerDC; i++ {
-			if err := f.startHost(fmt.Sprintf("%s-e%d", dc, i+1), dc); err != nil {
+			if _, err := f.AddHost(fmt.Sprintf("%s-e%d", dc, i+1), dc); err != nil {
 				f.Close()
 				return nil, err
 			}
@@ -147,22 +149,23 @@
 // Kill stops the target at once, cutting requests in flight.
 func (t *Target) Kill() { _ = t.srv.Close() }
 
-func (f *Fleet) startHost(name, dc string) error {
+// AddHost starts one more entry host in data centre dc.
+func (f *Fleet) AddHost(name, dc string) (*Host, error) {
 	cfg := f.spec.Settings
 	cfg.Host, cfg.DataCentre, cfg.LogAddr = name, dc, f.LogURL
 	var err error
 	if cfg.Listen, err = freeAddr(); err != nil {
-		return err
+		return nil, err
 	}
 	if cfg.AdminListen, err = freeAddr(); err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{Name: name, DataCentre: dc, URL: "http://" + cfg.Listen, AdminURL: "http://" + cfg.AdminListen,
 		cancel: cancel, done: make(chan error, 1)}
 	go func() { h.done <- daemon.Run(ctx, &cfg, f.spec.Logger.With(zap.String("host", name))) }()
 	f.Hosts = append(f.Hosts, h)
-	return nil
+	return h, nil
 }
 
 // Stop is a planned stop of the entry host; it returns the daemon's error.
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -26,6 +26,9 @@
 	ColdWorkTime time.Duration
 	// HealthLag delays the health endpoint's view of draining.
 	HealthLag time.Duration
+	// CrossAnswers makes the target answer each request with the answer
+	// it gave the request before, as a confused middlebox would.
+	CrossAnswers bool
 }
 
 // Answer is the JSON body a target returns for work.
@@ -65,6 +68,8 @@
 	idem   map[string]Answer
 	// Executed counts operations actually run, by service/key; tests read it.
 	executed map[string]int64
+	// previous is the last answer given, for CrossAnswers.
+	previous *Answer
 }
 
 // NewServer returns a stand-in target.
@@ -199,11 +204,27 @@
 		return // cancelled: the caller is gone, nothing ran
 	}
 	ans := s.apply(r, service, key)
+	if s.opts.CrossAnswers {
+		ans = s.cross(ans)
+	}
 	w.Header().Set(tp.HeaderRequestID, ans.RequestID)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(ans)
 }
 
+// cross returns the previous answer in place of ans (ans itself the first
+// time) and keeps ans for the next request.
+func (s *Server) cross(ans Answer) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	prev := s.previous
+	s.previous = &ans
+	if prev == nil {
+		return ans
+	}
+	return *prev
+}
+
 // work waits out the request's processing time; false if it was cancelled.
 func (s *Server) work(r *http.Request) bool {
 	d := s.opts.WorkTime
