Stateful fuzzing of a live fleet against an oracle of promised outcomes

Change: TestFleetAgainstOracle runs gopter command sequences of writes (fresh idempotency key, random entry host) and toggles (kill a running target, restart a killed one with fresh state, tracked in the system under test, not in preconditions). The oracle checks, over every incarnation of every target: no write ran twice, each 200 ran once, each 'not run' ran nowhere. loopback.Target keeps past incarnations' counts; Start and Kill are idempotent.

--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -46,12 +46,16 @@
 		LatencyObjective: 16 * time.Millisecond}
 }
 
-// Target is one running target stand-in.
+// Target is one target stand-in that can be killed and restarted.
 type Target struct {
 	Upstream manifest.Upstream
-	Server   *target.Server
-	opts     target.Options
-	srv      *http.Server
+	// Server is the current incarnation.
+	Server *target.Server
+	opts   target.Options
+	srv    *http.Server
+	// past are earlier incarnations, kept so that counts of work run
+	// survive a restart.
+	past []*target.Server
 }
 
 // Host is one running entry host.
@@ -138,16 +142,39 @@
 	return f, nil
 }
 
-// Start (re)starts the target on its address with fresh state.
+// Start (re)starts the target on its address with fresh state, as a new
+// process would; it does nothing if the target is running.
 func (t *Target) Start() error {
+	if t.srv != nil {
+		return nil
+	}
+	if t.Server != nil {
+		t.past = append(t.past, t.Server)
+	}
 	t.Server = target.NewServer(t.opts)
 	srv, err := serve(t.Upstream.Addr, t.Server.Handler())
 	t.srv = srv
 	return err
 }
 
-// Kill stops the target at once, cutting requests in flight.
-func (t *Target) Kill() { _ = t.srv.Close() }
+// Kill stops the target at once, cutting requests in flight; it does
+// nothing if the target is not running.
+func (t *Target) Kill() {
+	if t.srv != nil {
+		_ = t.srv.Close()
+		t.srv = nil
+	}
+}
+
+// Runs returns how many times the operation with idempotency key ik ran
+// on service/key in every incarnation of the target.
+func (t *Target) Runs(service, key, ik string) int64 {
+	n := t.Server.Runs(service, key, ik)
+	for _, s := range t.past {
+		n += s.Runs(service, key, ik)
+	}
+	return n
+}
 
 // AddHost starts one more entry host in data centre dc.
 func (f *Fleet) AddHost(name, dc string) (*Host, error) {
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -68,6 +68,8 @@
 	idem   map[string]Answer
 	// Executed counts operations actually run, by service/key; tests read it.
 	executed map[string]int64
+	// byIdem counts runs per service/key/idempotency key; tests read it.
+	byIdem map[string]int64
 	// previous is the last answer given, for CrossAnswers.
 	previous *Answer
 }
@@ -78,7 +80,7 @@
 		opts.Slots = 1
 	}
 	return &Server{opts: opts, started: time.Now(), grants: map[string]*grantState{},
-		ops: map[string]int64{}, idem: map[string]Answer{}, executed: map[string]int64{}}
+		ops: map[string]int64{}, idem: map[string]Answer{}, executed: map[string]int64{}, byIdem: map[string]int64{}}
 }
 
 // Handler serves grants, work and health.
@@ -114,6 +116,14 @@
 	return s.executed[service+"/"+key]
 }
 
+// Runs returns how many times the operation with idempotency key ik ran
+// on service/key here.
+func (s *Server) Runs(service, key, ik string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byIdem[service+"/"+key+"\x00"+ik]
+}
+
 func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
 	var g tp.Grant
 	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
@@ -263,6 +273,7 @@
 	}
 	s.ops[sk]++
 	s.executed[sk]++
+	s.byIdem[sk+"\x00"+ik]++
 	ans.Ops = s.ops[sk]
 	if ik != "" {
 		s.idem[sk+"\x00"+ik] = ans
