Idempotent requests retried once on a new connection after attempt_timeout

New test TestSilentConnectionsDoNotHoldReads (the target stand-in can now silence every connection open at a moment) failed: the read waited the caller's whole deadline and got 503 OWNER_UNREACHABLE, outcome unknown, after 2.001 s, although a new connection would have been answered.

Ruled out: TCP keepalive (the kernel's probes take many seconds); closing idle connections sooner (the silent connection was not idle).

Change: target.Client sends GET/HEAD with a first-attempt timeout (attempt_timeout, default 250 ms); if that passes with no answer and the deadline has not, the request goes once more over a transport that dials a new connection. Non-idempotent work is never sent twice.

Figures: the same test, attempt timeout 200 ms: answered 200 by the owner after 202 ms (was: refused after 2.001 s).

Conclusion: silent connections cost an idempotent caller one attempt timeout, not its deadline.

--- a/internal/daemon/answers_test.go
+++ b/internal/daemon/answers_test.go
@@ -96,3 +96,24 @@
 	}
 	return out
 }
+
+// Every connection open to the key's owner goes silent for good, while new
+// connections work. A caller's read is first tried on a pooled (silent)
+// connection; after the attempt timeout it is retried on a new connection
+// and answered, long before the caller's 2 s deadline.
+func TestSilentConnectionsDoNotHoldReads(t *testing.T) {
+	f := startFleet(t, []string{"bangna"}, true, 1)
+	h := f.Hosts[0]
+	owner, _ := servedBy(t, h, testKey, "")
+	f.Targets[owner].Server.Silence()
+	start := time.Now()
+	r := call(t, http.MethodGet, h.URL+"/routeboard/"+testKey, "")
+	took := time.Since(start)
+	if r.status != http.StatusOK || r.answer.Upstream != owner {
+		t.Fatalf("read over silent connections: %d %+v after %v", r.status, r.ref, took)
+	}
+	if took > time.Second {
+		t.Fatalf("read answered after %v; want well under the 2 s deadline", took)
+	}
+	t.Logf("answered after %v", took)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,7 @@
 func Run(ctx context.Context, cfg *settings.Daemon, zl *zap.Logger) error {
 	logc := logservice.New(cfg.LogAddr, &http.Client{Timeout: 5 * time.Second})
 	targets := target.NewClient()
+	targets.AttemptTimeout = cfg.AttemptTimeout
 	loop := control.New(control.Options{Host: cfg.Host, DataCentre: cfg.DataCentre, PollInterval: cfg.PollInterval,
 		ProbeInterval: cfg.ProbeInterval, ProbeFailures: cfg.ProbeFailures, GrantLease: cfg.GrantLease,
 		SnapshotEvery: cfg.SnapshotEvery, SnapshotInterval: cfg.SnapshotInterval, HeartbeatInterval: cfg.HeartbeatInterval, HostLease: cfg.HostLease,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 
 	// [routing]
 	RequestTimeout time.Duration // request_timeout: largest deadline per request
+	AttemptTimeout time.Duration // attempt_timeout: first attempt of an idempotent request before a retry on a new connection
 	ViewLease      time.Duration // view_lease: oldest view for non-idempotent work
 	RetryAfter     time.Duration // retry_after: told to callers refused for a passing cause
 	GrantLease     time.Duration // grant_lease: lease of a grant at a target
@@ -50,7 +51,7 @@
 var schema = map[string]map[string]string{
 	"host": {"name": "", "data_centre": "", "listen": "", "admin_listen": "", "log_level": "info"},
 	"log":  {"addr": "", "poll_interval": "100ms"},
-	"routing": {"request_timeout": "2s", "view_lease": "2s", "retry_after": "1s", "grant_lease": "1s",
+	"routing": {"request_timeout": "2s", "attempt_timeout": "250ms", "view_lease": "2s", "retry_after": "1s", "grant_lease": "1s",
 		"probe_interval": "200ms", "probe_failures": "3", "snapshot_every": "64", "snapshot_interval": "1m", "shutdown_grace": "10s"},
 	"membership": {"heartbeat_interval": "1s", "host_lease": "5s", "renewers": "2"},
 	"objectives": {"latency": "16ms"},
--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -39,7 +39,7 @@
 
 // DefaultSettings are entry-host settings fast enough for tests.
 func DefaultSettings() settings.Daemon {
-	return settings.Daemon{LogLevel: "info", PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second,
+	return settings.Daemon{LogLevel: "info", PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second, AttemptTimeout: 200 * time.Millisecond,
 		ViewLease: time.Second, RetryAfter: time.Second, GrantLease: 300 * time.Millisecond,
 		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, SnapshotInterval: time.Minute, ShutdownGrace: 2 * time.Second,
 		HeartbeatInterval: 200 * time.Millisecond, HostLease: time.Second, Renewers: 2,
@@ -89,12 +89,12 @@
 	return ln.Addr().String(), nil
 }
 
-func serve(addr string, h http.Handler) (*http.Server, error) {
+func serve(addr string, h http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen %s", addr)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ConnContext: connContext}
 	go func() { _ = srv.Serve(ln) }()
 	return srv, nil
 }
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if f.logSrv, err = serve(addr, f.Log.Handler()); err != nil {
+	if f.logSrv, err = serve(addr, f.Log.Handler(), nil); err != nil {
 		return nil, err
 	}
 	f.LogURL = "http://" + addr
@@ -152,7 +152,7 @@
 		t.past = append(t.past, t.Server)
 	}
 	t.Server = target.NewServer(t.opts)
-	srv, err := serve(t.Upstream.Addr, t.Server.Handler())
+	srv, err := serve(t.Upstream.Addr, t.Server.Handler(), t.Server.ConnContext)
 	t.srv = srv
 	return err
 }
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -1,7 +1,9 @@
 package target
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -70,6 +72,9 @@
 	executed map[string]int64
 	// byIdem counts runs per service/key/idempotency key; tests read it.
 	byIdem map[string]int64
+	// silentBefore, when set, is a UnixNano time: connections accepted
+	// before it get no answers, as if a middlebox lost track of them.
+	silentBefore atomic.Int64
 	// previous is the last answer given, for CrossAnswers.
 	previous *Answer
 }
@@ -92,10 +97,32 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.gate.RLock()
 		s.gate.RUnlock()
+		if s.silent(r) {
+			<-r.Context().Done()
+			return
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
 
+type connAcceptedKey struct{}
+
+// ConnContext stamps each connection with its accept time; pass it as
+// http.Server.ConnContext so that Silence can tell old connections apart.
+func (s *Server) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connAcceptedKey{}, time.Now().UnixNano())
+}
+
+// Silence makes every connection open now go silent for good: requests on
+// them get no answer and nothing runs, while new connections work.
+func (s *Server) Silence() { s.silentBefore.Store(time.Now().UnixNano()) }
+
+// silent reports whether r came on a connection that was silenced.
+func (s *Server) silent(r *http.Request) bool {
+	at, ok := r.Context().Value(connAcceptedKey{}).(int64)
+	return ok && at < s.silentBefore.Load()
+}
+
 // Pause freezes the target: requests stall until Resume, and its grants
 // age meanwhile, as they would for a process stopped by the kernel.
 func (s *Server) Pause() { s.gate.Lock() }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -52,13 +52,20 @@
 // Client forwards to targets over pooled connections, one pool per upstream
 // sized by the upstream's connection limit.
 type Client struct {
-	mu    sync.Mutex
-	pools map[string]*http.Client
+	// AttemptTimeout bounds the first attempt of an idempotent request;
+	// past it the request is tried once more on a new connection. Zero
+	// disables the second attempt.
+	AttemptTimeout time.Duration
+	mu             sync.Mutex
+	pools          map[string]*http.Client
+	// fresh dials a new connection for every request.
+	fresh *http.Client
 }
 
 // NewClient returns a target client.
 func NewClient() *Client {
-	return &Client{pools: map[string]*http.Client{}}
+	return &Client{pools: map[string]*http.Client{},
+		fresh: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 func (c *Client) pool(u *manifest.Upstream) *http.Client {
@@ -80,13 +87,37 @@
 
 // Forward sends req to upstream u and returns the whole answer. Its errors
 // wrap ErrNotSent or ErrNoAnswer and name the upstream.
+//
+// An idempotent request whose first attempt gets no answer within
+// AttemptTimeout is sent once more on a new connection. This is the remedy
+// for pooled connections that went silent for good (something between the
+// two ends lost track of them): without it such a request waits out the
+// caller's whole deadline although new connections work. Non-idempotent
+// work is never sent twice.
 func (c *Client) Forward(ctx context.Context, u *manifest.Upstream, req *Request) (*Response, error) {
+	if c.AttemptTimeout <= 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
+		return c.attempt(ctx, c.pool(u), u, req, req.Deadline)
+	}
+	first := time.Now().Add(c.AttemptTimeout)
+	if !req.Deadline.IsZero() && req.Deadline.Before(first) {
+		first = req.Deadline
+	}
+	resp, err := c.attempt(ctx, c.pool(u), u, req, first)
+	now := time.Now()
+	timedOut := err != nil && ctx.Err() == nil && !now.Before(first)
+	if !timedOut || (!req.Deadline.IsZero() && !now.Before(req.Deadline)) {
+		return resp, err
+	}
+	return c.attempt(ctx, c.fresh, u, req, req.Deadline)
+}
+
+func (c *Client) attempt(ctx context.Context, hc *http.Client, u *manifest.Upstream, req *Request, deadline time.Time) (*Response, error) {
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { wrote.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	if !req.Deadline.IsZero() {
+	if !deadline.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		ctx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
 	}
 	url := "http://" + u.Addr + PathWork + req.Service + "/" + req.Key
@@ -104,7 +135,7 @@
 	if !req.Deadline.IsZero() {
 		hr.Header.Set(HeaderDeadline, strconv.FormatInt(req.Deadline.UnixMilli(), 10))
 	}
-	resp, err := c.pool(u).Do(hr)
+	resp, err := hc.Do(hr)
 	if err != nil {
 		if !wrote.Load() {
 			return nil, eris.Wrapf(ErrNotSent, "forward to %s: %v", u.Name, err)
