Read the platform's list of live and leaving hosts; leaving targets leave placement

New test TestLeavingHostGetsNoNewWork marks the key's owner leaving in a host-list stand-in 500 ms behind; before this change the owner would have kept answering for the test's whole 3 s.

Ruled out: treating the list as liveness (it lags and misleads; a target listed live may be dead) — it only ever takes a target out.

Change: internal/hostlist (client), internal/standin/hostlist (lagging list, papayatide-standin hosts), [hosts] addr/poll_interval settings ('off' by default); the control loop reads it with a probe-interval timeout and leaves leaving targets out of the members it wants.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/hostlist"
 	"github.com/papayatide/papayatide/internal/logservice"
 	"github.com/papayatide/papayatide/internal/manifest"
 	"github.com/papayatide/papayatide/internal/membership"
@@ -47,6 +48,10 @@
 	// Renewers is how many of a data centre's live entry hosts grant and
 	// probe each upstream; 0 means all of them.
 	Renewers int
+	// HostList, when set, is read every HostListInterval; an upstream it
+	// lists as leaving is taken out of placement like a failed one.
+	HostList         *hostlist.Client
+	HostListInterval time.Duration
 }
 
 type health struct {
@@ -98,6 +103,10 @@
 	// granted maps an upstream to the epoch of the last full grant it
 	// accepted; later rounds at that epoch send only a renewal.
 	granted map[string]int64
+	// leaving are target addresses the platform's host list says are
+	// leaving.
+	leaving      map[string]bool
+	lastHostList time.Time
 	// hosts is the view of live entry hosts, from heartbeats.
 	hosts         *membership.View
 	hostsNext     int64
@@ -168,6 +177,10 @@
 	if changed || l.table.Load() == nil || err == nil {
 		l.publish()
 	}
+	if l.opts.HostList != nil && now.Sub(l.lastHostList) >= l.opts.HostListInterval {
+		l.lastHostList = now
+		l.readHostList(ctx)
+	}
 	if err == nil && l.man != nil {
 		l.propose(ctx, now)
 		l.snapshot(ctx, now)
@@ -178,6 +191,19 @@
 	}
 }
 
+// readHostList refreshes the leaving set. The list lags and may be down:
+// on error the last set stays, since it only ever speeds up a drain.
+func (l *Loop) readHostList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.opts.ProbeInterval)
+	defer cancel()
+	leaving, err := l.opts.HostList.Leaving(ctx)
+	if err != nil {
+		l.zl.Debug("host list unreadable", zap.Int("event", events.HostListFailed), zap.Error(err))
+		return
+	}
+	l.leaving = leaving
+}
+
 func (l *Loop) heartbeat(ctx context.Context) {
 	data, err := (&membership.Heartbeat{Host: l.opts.Host, DataCentre: l.opts.DataCentre}).Encode()
 	if err != nil {
@@ -460,7 +486,7 @@
 }
 
 // wanted returns the sorted members a (service, data centre) should have:
-// every local upstream that is healthy and not drained. Upstreams this host
+// every local upstream that is healthy, not drained and not leaving. Upstreams this host
 // does not renew keep the membership they have (their renewers judge
 // them; with no placement yet they count as members). It is not ready
 // until each upstream it renews has been probed at least once.
@@ -471,6 +497,9 @@
 	}
 	var want []string
 	for _, u := range local {
+		if l.leaving[u.Addr] {
+			continue
+		}
 		if !l.renews(u.Name) {
 			if (cur == nil || slices.Contains(members, u.Name)) && !slices.Contains(drained, u.Name) {
 				want = append(want, u.Name)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/papayatide/papayatide/internal/admin"
 	"github.com/papayatide/papayatide/internal/control"
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/hostlist"
 	"github.com/papayatide/papayatide/internal/logservice"
 	"github.com/papayatide/papayatide/internal/router"
 	"github.com/papayatide/papayatide/internal/settings"
@@ -44,7 +45,11 @@
 	logc := logservice.New(cfg.LogAddr, &http.Client{Timeout: 5 * time.Second})
 	targets := target.NewClient()
 	targets.AttemptTimeout = cfg.AttemptTimeout
-	loop := control.New(control.Options{Host: cfg.Host, DataCentre: cfg.DataCentre, PollInterval: cfg.PollInterval,
+	var hosts *hostlist.Client
+	if cfg.HostListAddr != settings.HostListOff {
+		hosts = hostlist.New(cfg.HostListAddr, &http.Client{Timeout: 5 * time.Second})
+	}
+	loop := control.New(control.Options{HostList: hosts, HostListInterval: cfg.HostListInterval, Host: cfg.Host, DataCentre: cfg.DataCentre, PollInterval: cfg.PollInterval,
 		ProbeInterval: cfg.ProbeInterval, ProbeFailures: cfg.ProbeFailures, GrantLease: cfg.GrantLease,
 		SnapshotEvery: cfg.SnapshotEvery, SnapshotInterval: cfg.SnapshotInterval, HeartbeatInterval: cfg.HeartbeatInterval, HostLease: cfg.HostLease,
 		Renewers: cfg.Renewers}, logc, targets, zl)
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/cli"
+	"github.com/papayatide/papayatide/internal/hostlist"
 	"github.com/papayatide/papayatide/internal/manifest"
 	"github.com/papayatide/papayatide/internal/standin/loopback"
 	stand "github.com/papayatide/papayatide/internal/standin/target"
@@ -74,3 +75,29 @@
 		t.Fatalf("request in flight during planned stop got %d %+v", r.status, r.ref)
 	}
 }
+
+// The platform's host list (500 ms behind) marks the key's owner as
+// leaving. Callers keep getting whole answers, after at most a handover
+// refusal with Retry-After; once the list shows it, the leaving target gets
+// no new work after one grant lease.
+func TestLeavingHostGetsNoNewWork(t *testing.T) {
+	f := startSpec(t, loopback.Spec{DataCentres: []string{"bangna"}, Slots: 3, HostsPerDC: 1,
+		Services: []manifest.ServiceSize{{Name: "routeboard", Upstreams: 4, Checked: true}},
+		Settings: loopback.DefaultSettings(), HostListLag: 500 * time.Millisecond})
+	h := f.Hosts[0]
+	owner, _ := servedBy(t, h, testKey, "")
+	marked := time.Now()
+	f.HostList.Set(f.Targets[owner].Upstream.Addr, hostlist.Leaving)
+	var last time.Time
+	for time.Since(marked) < 3*time.Second {
+		r := call(t, http.MethodGet, h.URL+"/routeboard/"+testKey, "")
+		if r.status == http.StatusOK && r.answer.Upstream == owner {
+			last = time.Now()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("leaving target's last answer %v after it was marked", last.Sub(marked))
+	if last.Sub(marked) > 2*time.Second {
+		t.Fatalf("leaving target still served %v after it was marked", last.Sub(marked))
+	}
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -21,6 +21,7 @@
 	UpstreamUp        = 306
 	PlacementRejected = 307
 	HeartbeatFailed   = 308
+	HostListFailed    = 309
 
 	// 4xx: traffic.
 	ForwardFailed = 400
--- /dev/null
+++ b/internal/hostlist/client.go
@@ -0,0 +1,69 @@
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// State is a host's state in the list.
+type State string
+
+// States the platform reports.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Host is one entry of the list, keyed by the address targets listen on.
+type Host struct {
+	Addr  string `json:"addr"`
+	State State  `json:"state"`
+}
+
+// List is the platform's answer to GET /hosts.
+type List struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// MaxListBytes bounds the list read.
+const MaxListBytes = 8 << 20
+
+// Client reads the host list from one base URL.
+type Client struct {
+	addr string
+	hc   *http.Client
+}
+
+// New returns a client for the host list at base URL addr.
+func New(addr string, hc *http.Client) *Client { return &Client{addr: addr, hc: hc} }
+
+// Leaving returns the set of addresses the list says are leaving.
+func (c *Client) Leaving(ctx context.Context) (map[string]bool, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.addr+"/hosts", nil)
+	if err != nil {
+		return nil, eris.Wrapf(err, "host list %s", c.addr)
+	}
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return nil, eris.Wrapf(err, "host list %s: read", c.addr)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("host list %s: status %d", c.addr, resp.StatusCode)
+	}
+	var l List
+	if err := json.NewDecoder(io.LimitReader(resp.Body, MaxListBytes)).Decode(&l); err != nil {
+		return nil, eris.Wrapf(err, "host list %s: decode", c.addr)
+	}
+	out := map[string]bool{}
+	for _, h := range l.Hosts {
+		if h.State == Leaving {
+			out[h.Addr] = true
+		}
+	}
+	return out, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,10 @@
 	SnapshotInterval time.Duration
 	ShutdownGrace    time.Duration // shutdown_grace: how long a planned stop waits for requests in flight
 
+	// [hosts]
+	HostListAddr     string        // addr: base URL of the platform's host list, or "off"
+	HostListInterval time.Duration // poll_interval
+
 	// [membership]
 	HeartbeatInterval time.Duration // heartbeat_interval: how often this host appends a heartbeat
 	HostLease         time.Duration // host_lease: how long a silent host still counts as alive
@@ -53,6 +57,7 @@
 	"log":  {"addr": "", "poll_interval": "100ms"},
 	"routing": {"request_timeout": "2s", "attempt_timeout": "250ms", "view_lease": "2s", "retry_after": "1s", "grant_lease": "1s",
 		"probe_interval": "200ms", "probe_failures": "3", "snapshot_every": "64", "snapshot_interval": "1m", "shutdown_grace": "10s"},
+	"hosts":      {"addr": HostListOff, "poll_interval": "1s"},
 	"membership": {"heartbeat_interval": "1s", "host_lease": "5s", "renewers": "2"},
 	"objectives": {"latency": "16ms"},
 }
@@ -142,6 +147,16 @@
 	return v
 }
 
+// HostListOff as [hosts] addr means no host list is read.
+const HostListOff = "off"
+
+func (r *reader) optionalURL(section, key string) string {
+	if r.str(section, key) == HostListOff {
+		return HostListOff
+	}
+	return r.baseURL(section, key)
+}
+
 // checkKnown refuses sections and keys the schema does not list.
 func checkKnown(f *ini.File) error {
 	for _, sec := range f.Sections() {
@@ -189,6 +204,8 @@
 		SnapshotInterval: r.duration("routing", "snapshot_interval"),
 		ShutdownGrace:    r.duration("routing", "shutdown_grace"),
 
+		HostListAddr:      r.optionalURL("hosts", "addr"),
+		HostListInterval:  r.duration("hosts", "poll_interval"),
 		HeartbeatInterval: r.duration("membership", "heartbeat_interval"),
 		HostLease:         r.duration("membership", "host_lease"),
 		Renewers:          r.count("membership", "renewers"),
--- a/internal/standin/cli/cli.go
+++ b/internal/standin/cli/cli.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/papayatide/papayatide/internal/manifest"
+	"github.com/papayatide/papayatide/internal/standin/hostlist"
 	"github.com/papayatide/papayatide/internal/standin/logsvc"
 	"github.com/papayatide/papayatide/internal/standin/target"
 )
@@ -21,7 +22,7 @@
 // Command returns the root command.
 func Command() *cobra.Command {
 	root := &cobra.Command{Use: "papayatide-standin", Short: "Stand-ins for the platform's peers", SilenceUsage: true}
-	root.AddCommand(logCommand(), targetCommand())
+	root.AddCommand(logCommand(), targetCommand(), hostsCommand())
 	return root
 }
 
@@ -37,6 +38,18 @@
 	return cmd
 }
 
+func hostsCommand() *cobra.Command {
+	var listen string
+	var lag time.Duration
+	cmd := &cobra.Command{Use: "hosts", Short: "Run the stand-in for the platform's list of live and leaving hosts",
+		RunE: func(*cobra.Command, []string) error {
+			return serve(listen, hostlist.NewServer(lag).Handler(), nil)
+		}}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7100", "host:port to listen on")
+	cmd.Flags().DurationVar(&lag, "lag", 2*time.Second, "how late a change shows in the list")
+	return cmd
+}
+
 func targetCommand() *cobra.Command {
 	var example, file, upstream string
 	var opts target.Options
--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/papayatide/papayatide/internal/logservice"
 	"github.com/papayatide/papayatide/internal/manifest"
 	"github.com/papayatide/papayatide/internal/settings"
+	"github.com/papayatide/papayatide/internal/standin/hostlist"
 	"github.com/papayatide/papayatide/internal/standin/logsvc"
 	"github.com/papayatide/papayatide/internal/standin/target"
 )
@@ -35,6 +36,8 @@
 	Logger *zap.Logger
 	// Retention is the log stand-in's retention (0 keeps everything).
 	Retention time.Duration
+	// HostListLag, when set, starts a host-list stand-in with that lag.
+	HostListLag time.Duration
 }
 
 // DefaultSettings are entry-host settings fast enough for tests.
@@ -42,7 +45,7 @@
 	return settings.Daemon{LogLevel: "info", PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second, AttemptTimeout: 200 * time.Millisecond,
 		ViewLease: time.Second, RetryAfter: time.Second, GrantLease: 300 * time.Millisecond,
 		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, SnapshotInterval: time.Minute, ShutdownGrace: 2 * time.Second,
-		HeartbeatInterval: 200 * time.Millisecond, HostLease: time.Second, Renewers: 2,
+		HostListInterval: 100 * time.Millisecond, HeartbeatInterval: 200 * time.Millisecond, HostLease: time.Second, Renewers: 2,
 		LatencyObjective: 16 * time.Millisecond}
 }
 
@@ -71,6 +74,8 @@
 
 // Fleet is a running whole path.
 type Fleet struct {
+	// HostList is nil unless Spec.HostListLag was set.
+	HostList *hostlist.Server
 	Log      *logsvc.Server
 	LogURL   string
 	Manifest *manifest.Manifest
@@ -78,6 +83,7 @@
 	Hosts    []*Host
 	spec     Spec
 	logSrv   *http.Server
+	hostSrv  *http.Server
 }
 
 func freeAddr() (string, error) {
@@ -114,6 +120,18 @@
 		return nil, err
 	}
 	f.LogURL = "http://" + addr
+	hostListAddr := settings.HostListOff
+	if spec.HostListLag > 0 {
+		f.HostList = hostlist.NewServer(spec.HostListLag)
+		if addr, err = freeAddr(); err != nil {
+			return nil, err
+		}
+		if f.hostSrv, err = serve(addr, f.HostList.Handler(), nil); err != nil {
+			return nil, err
+		}
+		hostListAddr = "http://" + addr
+	}
+	f.spec.Settings.HostListAddr = hostListAddr
 	m := manifest.Generate("loopback", spec.DataCentres, spec.Services, spec.Slots, 64, 0)
 	for si := range m.Services {
 		for ui := range m.Services[si].Upstreams {
@@ -256,4 +274,7 @@
 	if f.logSrv != nil {
 		_ = f.logSrv.Close()
 	}
+	if f.hostSrv != nil {
+		_ = f.hostSrv.Close()
+	}
 }
