--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -19,6 +19,7 @@
 	"github.com/papayatide/papayatide/internal/placement"
 	"github.com/papayatide/papayatide/internal/routing"
 	"github.com/papayatide/papayatide/internal/target"
+	"github.com/papayatide/papayatide/rpc/logsvcpb"
 )
 
 // Options shape the control loop.
@@ -216,20 +217,11 @@
 }
 
 func (l *Loop) readHeartbeats(ctx context.Context) error {
-	for {
-		logReads.Inc()
-		b, err := l.logc.Read(ctx, logservice.StreamEntryHosts, l.hostsNext, 0)
-		if err != nil {
-			return err
-		}
-		for _, rec := range b.Records {
-			l.hostsNext = rec.Offset + 1
-			_ = l.hosts.Observe(rec.Data, rec.UnixMs)
-		}
-		if len(b.Records) == 0 || l.hostsNext >= b.Next {
-			return nil
-		}
-	}
+	_, err := l.tail(ctx, logservice.StreamEntryHosts, &l.hostsNext, func(rec *logsvcpb.Record) bool {
+		_ = l.hosts.Observe(rec.Data, rec.UnixMs)
+		return false
+	})
+	return err
 }
 
 // renews says whether this host grants and probes the named upstream: the
@@ -259,34 +251,44 @@
 	return m || p, l.readHeartbeats(ctx)
 }
 
-func (l *Loop) readManifests(ctx context.Context) (bool, error) {
+// tail reads stream from *next to its end, a page at a time, passes each
+// record to apply and advances *next past it. It reports whether apply
+// returned true for any record. Records lost to retention before they were
+// read are logged, since a host that far behind may have missed state.
+func (l *Loop) tail(ctx context.Context, stream string, next *int64, apply func(*logsvcpb.Record) bool) (bool, error) {
 	changed := false
 	for {
 		logReads.Inc()
-		b, err := l.logc.Read(ctx, logservice.StreamManifests, l.manNext, 0)
+		b, err := l.logc.Read(ctx, stream, *next, 0)
 		if err != nil {
 			return changed, err
 		}
-		if b.First > l.manNext && l.manNext > 0 {
-			l.zl.Warn("manifest records passed retention unread", zap.Int("event", events.ManifestGap),
-				zap.Int64("from", l.manNext), zap.Int64("first", b.First))
+		if b.First > *next && *next > 0 {
+			l.zl.Warn("records passed retention unread", zap.Int("event", events.RecordsGap),
+				zap.String("stream", stream), zap.Int64("from", *next), zap.Int64("first", b.First))
 		}
 		for _, rec := range b.Records {
-			l.manNext = rec.Offset + 1
-			m, err := manifest.Parse(rec.Data)
-			if err != nil {
-				l.zl.Warn("manifest refused", zap.Int("event", events.ManifestRejected), zap.Int64("offset", rec.Offset), zap.Error(err))
-				continue
-			}
-			l.adoptManifest(m, rec.Offset)
-			changed = true
+			*next = rec.Offset + 1
+			changed = apply(rec) || changed
 		}
-		if len(b.Records) == 0 || l.manNext >= b.Next {
+		if len(b.Records) == 0 || *next >= b.Next {
 			return changed, nil
 		}
 	}
 }
 
+func (l *Loop) readManifests(ctx context.Context) (bool, error) {
+	return l.tail(ctx, logservice.StreamManifests, &l.manNext, func(rec *logsvcpb.Record) bool {
+		m, err := manifest.Parse(rec.Data)
+		if err != nil {
+			l.zl.Warn("manifest refused", zap.Int("event", events.ManifestRejected), zap.Int64("offset", rec.Offset), zap.Error(err))
+			return false
+		}
+		l.adoptManifest(m, rec.Offset)
+		return true
+	})
+}
+
 func (l *Loop) adoptManifest(m *manifest.Manifest, offset int64) {
 	l.man, l.manOffset = m, offset
 	// A manifest can change shard lists without a new epoch (new weights),
@@ -303,27 +305,15 @@
 }
 
 func (l *Loop) readPlacement(ctx context.Context) (bool, error) {
-	changed := false
-	for {
-		logReads.Inc()
-		b, err := l.logc.Read(ctx, logservice.StreamPlacement, l.placeNext, 0)
+	return l.tail(ctx, logservice.StreamPlacement, &l.placeNext, func(rec *logsvcpb.Record) bool {
+		r, err := placement.DecodeRecord(rec.Data)
 		if err != nil {
-			return changed, err
+			l.zl.Warn("placement record refused", zap.Int("event", events.PlacementRejected), zap.Int64("offset", rec.Offset), zap.Error(err))
+			return false
 		}
-		for _, rec := range b.Records {
-			l.placeNext = rec.Offset + 1
-			r, err := placement.DecodeRecord(rec.Data)
-			if err != nil {
-				l.zl.Warn("placement record refused", zap.Int("event", events.PlacementRejected), zap.Int64("offset", rec.Offset), zap.Error(err))
-				continue
-			}
-			l.applyRecord(r, rec.Offset)
-			changed = true
-		}
-		if len(b.Records) == 0 || l.placeNext >= b.Next {
-			return changed, nil
-		}
-	}
+		l.applyRecord(r, rec.Offset)
+		return true
+	})
 }
 
 func (l *Loop) applyRecord(r *placement.Record, offset int64) {
--- a/internal/daemon/answers_test.go
+++ b/internal/daemon/answers_test.go
@@ -14,24 +14,6 @@
 	"github.com/papayatide/papayatide/rpc/adminpb"
 )
 
-func startSpec(t *testing.T, spec loopback.Spec) *loopback.Fleet {
-	t.Helper()
-	f, err := loopback.Start(spec)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	if err := f.Publish(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if err := f.WaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
-	return f
-}
-
 // Every target hands each caller the answer meant for the request before.
 // Callers never see another's answer: each gets 502 CROSSED_ANSWER with
 // outcome unknown (the work may have run), because the answer's request id
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -22,20 +22,27 @@
 
 func startFleet(t *testing.T, dcs []string, checked bool, hostsPerDC int) *loopback.Fleet {
 	t.Helper()
-	f, err := loopback.Start(loopback.Spec{DataCentres: dcs, Slots: 3, HostsPerDC: hostsPerDC,
+	return startSpec(t, loopback.Spec{DataCentres: dcs, Slots: 3, HostsPerDC: hostsPerDC,
 		Services: []manifest.ServiceSize{{Name: "routeboard", Upstreams: 4 * len(dcs), Checked: checked}},
 		Settings: loopback.DefaultSettings(), Target: stand.Options{WorkTime: time.Millisecond}})
+}
+
+// startSpec starts a fleet, publishes its manifest and waits until every
+// entry host serves every service; the fleet is closed when tb ends.
+func startSpec(tb testing.TB, spec loopback.Spec) *loopback.Fleet {
+	tb.Helper()
+	f, err := loopback.Start(spec)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	t.Cleanup(f.Close)
+	tb.Cleanup(f.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	if err := f.Publish(ctx); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	if err := f.WaitReady(ctx); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return f
 }
@@ -84,6 +91,21 @@
 	return "", 0
 }
 
+// lastAnswerFrom reads key through host for the duration d and returns how
+// long after start the named upstream last answered (0 if never).
+func lastAnswerFrom(t *testing.T, host *loopback.Host, key, upstream string, start time.Time, d time.Duration) time.Duration {
+	t.Helper()
+	var last time.Duration
+	for time.Since(start) < d {
+		r := call(t, http.MethodGet, host.URL+"/routeboard/"+key, "")
+		if r.status == http.StatusOK && r.answer.Upstream == upstream {
+			last = time.Since(start)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return last
+}
+
 // The caller's key is served by its owner; the owner is killed; for a few
 // hundred milliseconds the caller gets OWNER_UNREACHABLE or HANDOVER, each
 // at once with Retry-After; then a new owner serves the key. The entry host
--- a/internal/daemon/path_bench_test.go
+++ b/internal/daemon/path_bench_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,21 +18,9 @@
 // stand-ins (work time 0) on loopback, in parallel, and reports the
 // latency quantiles the caller sees.
 func BenchmarkPath(b *testing.B) {
-	f, err := loopback.Start(loopback.Spec{DataCentres: []string{"bangna"}, Slots: 64, HostsPerDC: 1,
+	f := startSpec(b, loopback.Spec{DataCentres: []string{"bangna"}, Slots: 64, HostsPerDC: 1,
 		Services: []manifest.ServiceSize{{Name: "routeboard", Upstreams: 20, Checked: true}},
 		Settings: loopback.DefaultSettings(), Target: stand.Options{}})
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer f.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	if err := f.Publish(ctx); err != nil {
-		b.Fatal(err)
-	}
-	if err := f.WaitReady(ctx); err != nil {
-		b.Fatal(err)
-	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	done := make(chan []float64, 64)
 	b.ResetTimer()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -28,17 +27,10 @@
 	if err := cmd.Execute(); err != nil {
 		t.Fatal(err)
 	}
-	var last time.Time
-	for time.Since(drained) < 2*time.Second {
-		r := call(t, http.MethodGet, h.URL+"/routeboard/"+testKey, "")
-		if r.status == http.StatusOK && r.answer.Upstream == owner {
-			last = time.Now()
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	t.Logf("drained upstream's last answer %v after the drain", last.Sub(drained))
-	if !last.IsZero() && last.Sub(drained) > time.Second {
-		t.Fatalf("drained upstream still served %v after the drain", last.Sub(drained))
+	last := lastAnswerFrom(t, h, testKey, owner, drained, 2*time.Second)
+	t.Logf("drained upstream's last answer %v after the drain", last)
+	if last > time.Second {
+		t.Fatalf("drained upstream still served %v after the drain", last)
 	}
 	if _, took := servedBy(t, h, testKey, owner); took > time.Second {
 		t.Fatalf("key not served by a new owner %v after the drain", took)
@@ -49,21 +41,9 @@
 // planned stop. The caller still gets the whole answer: the host stops
 // taking new callers but waits for requests in flight.
 func TestPlannedStopCutsNothingInFlight(t *testing.T) {
-	f, err := loopback.Start(loopback.Spec{DataCentres: []string{"bangna"}, Slots: 3, HostsPerDC: 1,
+	f := startSpec(t, loopback.Spec{DataCentres: []string{"bangna"}, Slots: 3, HostsPerDC: 1,
 		Services: []manifest.ServiceSize{{Name: "routeboard", Upstreams: 2, Checked: true}},
 		Settings: loopback.DefaultSettings(), Target: stand.Options{WorkTime: 300 * time.Millisecond}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	if err := f.Publish(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if err := f.WaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
 	h := f.Hosts[0]
 	got := make(chan reply, 1)
 	go func() { got <- call(t, http.MethodGet, h.URL+"/routeboard/"+testKey, "") }()
@@ -88,16 +68,9 @@
 	owner, _ := servedBy(t, h, testKey, "")
 	marked := time.Now()
 	f.HostList.Set(f.Targets[owner].Upstream.Addr, hostlist.Leaving)
-	var last time.Time
-	for time.Since(marked) < 3*time.Second {
-		r := call(t, http.MethodGet, h.URL+"/routeboard/"+testKey, "")
-		if r.status == http.StatusOK && r.answer.Upstream == owner {
-			last = time.Now()
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	t.Logf("leaving target's last answer %v after it was marked", last.Sub(marked))
-	if last.Sub(marked) > 2*time.Second {
-		t.Fatalf("leaving target still served %v after it was marked", last.Sub(marked))
+	last := lastAnswerFrom(t, h, testKey, owner, marked, 3*time.Second)
+	t.Logf("leaving target's last answer %v after it was marked", last)
+	if last > 2*time.Second {
+		t.Fatalf("leaving target still served %v after it was marked", last)
 	}
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -9,7 +9,7 @@
 	// 2xx: manifests.
 	ManifestAdopted  = 200
 	ManifestRejected = 201
-	ManifestGap      = 202
+	RecordsGap       = 202
 
 	// 3xx: placement and grants.
 	PlacementAdopted  = 300
