Unknown service names no longer become metric labels or burn rings

Cause: reading the router as a newcomer: the service name from the caller's path was used as a metrics label and a burn-recorder key before it was checked, so random names grew both without bound. New test TestUnknownServicesDoNotGrowCounts failed on the old code: 'burn counts kept 51 service names' after 50 unknown names.

Ruled out: rejecting earlier in parse (bad requests for unknown services take the same path).

Change: names not in the table in force are counted under '_unknown'.

Conclusion: callers cannot grow an entry host's memory through paths.

--- a/internal/daemon/answers_test.go
+++ b/internal/daemon/answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -99,3 +100,29 @@
 	}
 	t.Logf("answered after %v", took)
 }
+
+// Callers send requests for 50 service names the manifest does not have.
+// Each gets 404 UNKNOWN_SERVICE at once, and the host's burn counts hold
+// one bucket for all of them, not one per name (which would let callers
+// grow the host's memory without bound).
+func TestUnknownServicesDoNotGrowCounts(t *testing.T) {
+	f := startFleet(t, []string{"bangna"}, true, 1)
+	h := f.Hosts[0]
+	for i := 0; i < 50; i++ {
+		r := call(t, http.MethodGet, h.URL+"/nosuch-"+strconv.Itoa(i)+"/k", "")
+		if r.ref.Code != refusal.UnknownService {
+			t.Fatalf("unknown service %d: %d %+v", i, r.status, r.ref)
+		}
+	}
+	b, err := adminpb.NewAdminProtobufClient(h.AdminURL, http.DefaultClient).Burn(context.Background(), &adminpb.BurnRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]bool{}
+	for _, w := range b.Windows {
+		names[w.Service] = true
+	}
+	if len(names) > 2 {
+		t.Fatalf("burn counts kept %d service names; want routeboard and one for unknown", len(names))
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,6 +68,10 @@
 		Burns: burn.NewRecorder(opts.LatencyObjective)}
 }
 
+// unknownLabel stands for every service name not in the manifest in
+// metrics and burn counts.
+const unknownLabel = "_unknown"
+
 // ServeHTTP implements http.Handler for paths /{service}/{key...}.
 func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
@@ -80,6 +84,12 @@
 	} else {
 		writeAnswer(w, resp)
 	}
+	// Callers choose the path, so a name not in the manifest must not
+	// become a label: random names would grow the metrics and burn rings
+	// without bound until the host ran out of memory.
+	if t := rt.table(); t == nil || t.Services[service] == nil {
+		service = unknownLabel
+	}
 	rt.Burns.Record(service, ref != nil && ref.Code != refusal.BadRequest && ref.Code != refusal.UnknownService, time.Since(start), time.Now())
 	metrics.GetOrCreateCounter(fmt.Sprintf(`papayatide_requests_total{service=%q,code=%q}`, service, code)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`papayatide_request_duration_seconds{service=%q}`, service)).UpdateDuration(start)
