Remove dead code: refusal.Draining and logservice.Client.Addr

Cause: reading the whole change once more: refusal.Draining was never returned (a draining target's 503 is passed on as SHED, not run) and is missing from the operators' refusal table; logservice.Client.Addr had no caller.

Ruled out: wiring DRAINING in (would change what callers see).

Change: both removed.

Conclusion: no behaviour change.

--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -42,9 +42,6 @@
 	return &Client{addr: addr, rpc: logsvcpb.NewLogProtobufClient(addr, hc)}
 }
 
-// Addr returns the log service's base URL.
-func (c *Client) Addr() string { return c.addr }
-
 // Append adds data to stream and returns its offset.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
 	resp, err := c.rpc.Append(ctx, &logsvcpb.AppendRequest{Stream: stream, Data: data})
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -23,7 +23,6 @@
 	Shed             Code = "SHED"
 	Fenced           Code = "FENCED"
 	OutcomeUnknown   Code = "OUTCOME_UNKNOWN"
-	Draining         Code = "DRAINING"
 	CrossedAnswer    Code = "CROSSED_ANSWER"
 	NotReady         Code = "NOT_READY"
 )
