Reset connections of orders that time out, so that no grant is delivered after its keys moved

After a zone cut healed, grants sent into the cut with fence 58 reached their upstreams, whose keys had moved under fence 78 meanwhile: the client had given up and closed in order, which leaves the kernel sending what is queued. Ruled out: a stale planner (one term throughout), a table read back old.

--- a/cmd/papayatided/entry.go
+++ b/cmd/papayatided/entry.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -23,12 +21,10 @@
 	// watchEvery is how often the settings file is looked at; it may change
 	// without a signal.
 	watchEvery = time.Second
-	// Connections to the platform that go silent are given up after about
-	// keepIdle + keepCount·keepInterval.
-	keepIdle     = time.Second
-	keepInterval = 500 * time.Millisecond
-	keepCount    = 3
-	dialTimeout  = 500 * time.Millisecond
+	// storeConns and orderConns are the idle connections kept to the log
+	// service and to each upstream.
+	storeConns = 8
+	orderConns = 2
 )
 
 // runEntry runs an entry host on the users' platform.
@@ -48,16 +44,11 @@
 	defer stop()
 	reload := make(chan *settings.Entry)
 	go watchSettings(ctx, path, reload, zl)
-	plat := entryhost.Platform{Store: platform.NewStore(cfg.LogAddr, &http.Client{Transport: transport(8)}), Decoder: platform.Decoder{},
-		Granter: &platform.Granter{HTTP: &http.Client{Transport: transport(2)}}, Headers: platform.Headers, ReadyPath: platform.PathReady}
+	plat := entryhost.Platform{Store: platform.NewStore(cfg.LogAddr, platform.NewHTTPClient(storeConns)), Decoder: platform.Decoder{},
+		Granter: &platform.Granter{HTTP: platform.NewHTTPClient(orderConns)}, Headers: platform.Headers, ReadyPath: platform.PathReady}
 	return entryhost.Run(ctx, cfg, plat, reload, zl)
 }
 
-func transport(idlePerHost int) *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount}}
-	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: idlePerHost, DisableCompression: true}
-}
-
 func newLogger(level string, out zapcore.WriteSyncer) (*zap.Logger, error) {
 	lvl, err := zapcore.ParseLevel(level)
 	if err != nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -127,11 +127,11 @@
 			return &Result{Outcome: NotSent, NewConn: true, Err: eris.Wrapf(err, "upstream %s: connect", t.ID)}
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stop := context.AfterFunc(ctx, cn.abort)
 	res, reusable := c.exchange(ctx, cn, t, req)
 	res.NewConn = fresh
 	if !stop() || !reusable {
-		_ = cn.Close()
+		cn.abort()
 		return res
 	}
 	p.put(cn)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -123,6 +123,17 @@
 	return err == nil && quiet
 }
 
+// abort resets the connection. An orderly close would let the kernel go on
+// sending a request that is still queued behind a cut link, and it would run
+// long after its caller was told how it ended.
+func (c *conn) abort() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		// If it fails the connection is closed all the same.
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func dial(ctx context.Context, addr string) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: limitUnacked}
 	nc, err := d.DialContext(ctx, "tcp4", addr)
