Hosts follow the planner's copy of the log instead of each reading it

Ruled out: a lost response (the late batch held both records, so the read was answered late, not resent). Change: package relay; twirp Follow, which also carries the load reports.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/planner"
+	"github.com/papayatide/papayatide/internal/relay"
 	"github.com/papayatide/papayatide/internal/view"
 )
 
@@ -71,14 +73,16 @@
 	suspects map[string]time.Time
 	broken   map[metastore.Stream]time.Time
 	backAt   time.Time
-	ready    map[metastore.Stream]bool
+	copy     *relay.Copy
+	// planning tells other goroutines whether this host is the planner.
+	planning atomic.Bool
 }
 
 func newControl(zl *zap.Logger, store metastore.Store, dec Decoder, granter Granter, views *view.Holder, opts planner.Options) *control {
 	c := &control{zl: zl, store: store, decoder: dec, granter: granter, views: views, plan: planner.New(opts),
 		loads: loadmap.New(time.Now()), clock: bootclock.Now, onView: func(*view.View) {}, inbox: make(chan func(), 256),
 		ups: map[string]*catalogue.Upstream{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
-		broken: map[metastore.Stream]time.Time{}, ready: map[metastore.Stream]bool{}}
+		broken: map[metastore.Stream]time.Time{}, copy: relay.NewCopy()}
 	c.plan.Load = func(service string, owners []*catalogue.Upstream) ownership.Load {
 		return c.loads.Load(service, owners, time.Now())
 	}
@@ -96,9 +100,6 @@
 
 // run runs the control loop until ctx ends.
 func (c *control) run(ctx context.Context) {
-	for _, f := range c.followers(ctx) {
-		go f.run(ctx)
-	}
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -135,6 +136,7 @@
 }
 
 func (c *control) tick(ctx context.Context) {
+	c.planning.Store(c.plan.Holding(c.clock()))
 	c.settleMissing(time.Now())
 	for _, a := range c.plan.Tick(c.clock(), c.views.Load()) {
 		c.start(ctx, a)
@@ -175,34 +177,80 @@
 		end, err = c.store.AppendAt(ctx, metastore.StreamOwnership, a.Table.Service, data, a.At)
 	}
 	c.post(ctx, func() {
-		if t := c.plan.AppendDone(a, end, err, c.clock()); t != nil {
-			c.adoptTable(t)
+		t := c.plan.AppendDone(a, end, err, c.clock())
+		if t == nil {
+			return
 		}
+		c.adoptTable(t)
+		c.copy.Apply(relay.Batch{Stream: metastore.StreamOwnership, Next: end,
+			Records: []metastore.Record{{Key: t.Service, Value: data, Offset: end - 1}}})
 	})
 }
 
 func (c *control) member() string { return c.plan.Host() }
 
+// followers returns the readers of the log service's streams.
 func (c *control) followers(ctx context.Context) []*follower {
-	mk := func(s metastore.Stream, pause time.Duration, apply func([]metastore.Record, bool)) *follower {
-		return &follower{store: c.store, stream: s, pause: pause,
-			reset: func(recs []metastore.Record, next int64) {
-				c.post(ctx, func() { c.noteEnd(s, next); apply(recs, true); c.ready[s] = true })
-			},
-			batch:  func(b metastore.Batch) { c.post(ctx, func() { c.noteEnd(s, b.Next); apply(b.Records, false) }) },
-			failed: func(err error) { c.post(ctx, func() { c.noteStream(s, err) }) },
+	mk := func(s metastore.Stream, pause time.Duration, wait func() time.Duration) *follower {
+		return &follower{store: c.store, stream: s, pause: pause, copy: c.copy, wait: wait,
+			apply:  func(b relay.Batch) { c.take(ctx, b) },
+			failed: func(err error) { c.post(ctx, func() { c.noteStream(s, err) }) }}
+	}
+	short := func() time.Duration {
+		if c.planning.Load() {
+			return planningWait
 		}
+		return directWait
+	}
+	long := func() time.Duration {
+		if c.planning.Load() {
+			return ownershipWait
+		}
+		return directWait
 	}
 	return []*follower{
-		mk(metastore.StreamDesired, 0, func(recs []metastore.Record, _ bool) { c.applyDesired(recs) }),
-		mk(metastore.StreamUpstreams, gather, c.applyUpstreams),
-		mk(metastore.StreamOwnership, 0, func(recs []metastore.Record, _ bool) { c.applyOwnership(recs) }),
+		mk(metastore.StreamDesired, 0, short),
+		mk(metastore.StreamUpstreams, gather, short),
+		mk(metastore.StreamOwnership, 0, long),
+	}
+}
+
+// take hands a batch that was read to the control goroutine and returns once
+// it was taken in, so that the next read goes on behind it.
+func (c *control) take(ctx context.Context, b relay.Batch) {
+	done := make(chan struct{})
+	c.post(ctx, func() {
+		c.apply(b)
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// apply takes in the part of a batch that is new.
+func (c *control) apply(b relay.Batch) {
+	fresh := c.copy.Apply(b)
+	if fresh == nil {
+		return
+	}
+	switch b.Stream {
+	case metastore.StreamDesired:
+		c.applyDesired(fresh.Records)
+	case metastore.StreamUpstreams:
+		c.applyUpstreams(fresh.Records, fresh.Reset)
+	case metastore.StreamOwnership:
+		c.plan.StreamEnd(fresh.Next)
+		c.applyOwnership(fresh.Records)
 	}
 }
 
-func (c *control) noteEnd(s metastore.Stream, end int64) {
-	if s == metastore.StreamOwnership {
-		c.plan.StreamEnd(end)
+// followedPlanner notes that the planner's copy is relied on, so that what
+// this host knows of the log service itself no longer counts.
+func (c *control) followedPlanner() {
+	for s := range c.broken {
+		c.noteStream(s, nil)
 	}
 }
 
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -7,14 +7,22 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/relay"
 )
 
 const (
-	// readWait is how long a read waits for a record. Calls are priced, so
-	// it is long; a connection that goes silent is found by TCP keep-alive.
-	readWait = 25 * time.Second
-	// retryRead bounds the pause after a read that failed. The first retry
-	// is quick, for a connection that broke; later ones spare the service.
+	// Waits of a read for a record. The planner's copy is followed by all
+	// hosts, and each read that returns proves it current, so its reads are
+	// short; at 0.7 s two streams cost 2.9 calls a second for the whole
+	// fleet. The ownership stream has no other writer than the planner.
+	planningWait  = 700 * time.Millisecond
+	ownershipWait = 20 * time.Second
+	// directWait is the wait of hosts that cannot follow the planner. It
+	// bounds how long a record stays unseen if the service misses waking
+	// the reader, as was seen right after a cut healed.
+	directWait = 1500 * time.Millisecond
+	// Pauses after a read that failed. The first retry is quick, for a
+	// connection that broke; later ones spare the service.
 	retryReadFirst = 100 * time.Millisecond
 	retryReadMost  = 800 * time.Millisecond
 	// gather is the pause after a read of the upstreams' stream, so that
@@ -22,62 +30,72 @@
 	gather = 150 * time.Millisecond
 )
 
-// follower reads one stream from its newest records on.
+// follower reads one stream from the log service itself.
 type follower struct {
 	store  metastore.Store
 	stream metastore.Stream
 	pause  time.Duration
-	// reset is handed the newest record of each key, batch what follows,
-	// failed each error and nil after a success.
-	reset  func(recs []metastore.Record, next int64)
-	batch  func(metastore.Batch)
+	copy   *relay.Copy
+	// wait says how long the next read may wait.
+	wait func() time.Duration
+	// apply is handed what was read, failed each error and nil after a
+	// success.
+	apply  func(relay.Batch)
 	failed func(error)
 }
 
 // run follows the stream until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	backoff := retryReadFirst
-	sleep := func(d time.Duration) {
-		select {
-		case <-time.After(d):
-		case <-ctx.Done():
-		}
-	}
-	retry := func(err error) {
+	next := f.copy.Next(f.stream)
+	for ctx.Err() == nil {
+		at, err := f.read(ctx, max(next, f.copy.Next(f.stream)))
 		if ctx.Err() != nil {
 			return
 		}
 		f.failed(err)
-		sleep(backoff/2 + rand.N(backoff))
-		backoff = min(backoff*2, retryReadMost)
-	}
-	next := int64(-1)
-	for ctx.Err() == nil {
-		if next < 0 {
-			recs, end, err := f.store.Newest(ctx, f.stream)
-			if err != nil {
-				retry(err)
-				continue
-			}
-			next = end
-			f.failed(nil)
-			f.reset(recs, next)
-		}
-		b, err := f.store.Read(ctx, f.stream, next, readWait)
-		switch {
-		case errors.Is(err, metastore.ErrTrimmed):
-			next = -1
-			continue
-		case err != nil:
-			retry(err)
+		if err != nil {
+			pause(ctx, backoff/2+rand.N(backoff))
+			backoff = min(backoff*2, retryReadMost)
 			continue
 		}
 		backoff = retryReadFirst
-		f.failed(nil)
-		next = b.Next
-		if len(b.Records) > 0 {
-			f.batch(b)
-			sleep(f.pause)
+		if at > next {
+			pause(ctx, f.pause)
+		}
+		next = at
+	}
+}
+
+// read makes one read from offset next, or of the newest records if next is
+// negative or no longer kept, and returns the offset to go on from.
+func (f *follower) read(ctx context.Context, next int64) (int64, error) {
+	if next >= 0 {
+		b, err := f.store.Read(ctx, f.stream, next, f.wait())
+		if err == nil {
+			f.copy.Current(f.stream, time.Now())
+			if len(b.Records) > 0 {
+				f.apply(relay.Batch{Stream: f.stream, Records: b.Records, Next: b.Next})
+			}
+			return b.Next, nil
+		}
+		if !errors.Is(err, metastore.ErrTrimmed) {
+			return next, err
 		}
 	}
+	recs, end, err := f.store.Newest(ctx, f.stream)
+	if err != nil {
+		return next, err
+	}
+	f.apply(relay.Batch{Stream: f.stream, Reset: true, Records: recs, Next: end})
+	return end, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -89,7 +89,7 @@
 	var g run.Group
 	work, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { h.control.run(work); return nil }, func(error) { cancel() })
-	g.Add(func() error { h.report(work); return nil }, func(error) { cancel() })
+	g.Add(func() error { h.newFeed(work).run(work); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.housekeep(work, reload); return nil }, func(error) { cancel() })
 	if err := h.listen(work, &g); err != nil {
 		cancel()
@@ -135,7 +135,8 @@
 		return err
 	}
 	peers := http.NewServeMux()
-	ps := peerpb.NewPeerServer(&peer.Server{Loads: func(l []peer.ServiceLoad) { h.takeLoads(context.Background(), l) }})
+	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Planning: h.control.planning.Load,
+		Loads: func(l []peer.ServiceLoad) { h.takeLoads(work, l) }})
 	peers.Handle(ps.PathPrefix(), ps)
 	if err := addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -5,22 +5,14 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/papayatide/papayatide/internal/dispatch"
-	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/loadmap"
 	"github.com/papayatide/papayatide/internal/peer"
+	"github.com/papayatide/papayatide/internal/relay"
 )
 
-const (
-	// reportEvery is how often load is reported. A burst on a few keys is
-	// to be answered within a second.
-	reportEvery   = 300 * time.Millisecond
-	reportTimeout = 300 * time.Millisecond
-	// reportSamples bounds one report; more requests are sampled.
-	reportSamples = 512
-)
+// reportSamples bounds one report; more requests are sampled.
+const reportSamples = 512
 
 // reporter gathers what callers ask of keyed services.
 type reporter struct {
@@ -69,46 +61,32 @@
 	return out
 }
 
-// report sends what has gathered to the planner until ctx ends.
-func (h *host) report(ctx context.Context) {
-	t := time.NewTicker(reportEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		if loads := h.reporter.take(); len(loads) > 0 {
-			h.deliver(ctx, loads)
+// plannerAddr returns the planner's peer address; empty if none is known or
+// it is this host.
+func (h *host) plannerAddr() string {
+	for _, t := range h.views.Load().Tables {
+		if t.PlannerAddr != h.cfg.PeerListen {
+			return t.PlannerAddr
 		}
 	}
+	return ""
 }
 
-// deliver hands loads to the planner, which may be this host.
-func (h *host) deliver(ctx context.Context, loads []peer.ServiceLoad) {
-	addr := ""
-	for _, t := range h.views.Load().Tables {
-		addr = t.PlannerAddr
-	}
-	if addr == "" {
-		return
-	}
-	if addr == h.cfg.PeerListen {
-		h.takeLoads(ctx, loads)
+func (h *host) takeLoads(ctx context.Context, loads []peer.ServiceLoad) {
+	if len(loads) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	if err := h.peers.ReportLoad(ctx, addr, loads); err != nil {
-		h.zl.Debug("load report failed", zap.Int("event", events.LoadReportFailed), zap.Error(err))
-	}
-}
-
-func (h *host) takeLoads(ctx context.Context, loads []peer.ServiceLoad) {
 	h.control.post(ctx, func() {
 		for _, l := range loads {
 			h.control.loads.Add(l.Service, l.Samples, l.Weight, time.Now())
 		}
 	})
 }
+
+// newFeed returns the feed of the host's copy of the log.
+func (h *host) newFeed(ctx context.Context) *feed {
+	return &feed{peers: h.peers, copy: h.control.copy, followers: h.control.followers(ctx), planner: h.plannerAddr,
+		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
+		apply:    func(b relay.Batch) { h.control.take(ctx, b) },
+		followed: func() { h.control.post(ctx, h.control.followedPlanner) }}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,8 +7,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
 
 	"github.com/papayatide/papayatide/internal/loadmap"
+	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/relay"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
 
@@ -20,26 +23,38 @@
 	Samples []loadmap.Sample
 }
 
-// Client reports to other entry hosts.
+// Client calls other entry hosts.
 type Client struct {
 	host string
 	http *http.Client
 }
 
-// NewClient returns a client that reports as host.
+// NewClient returns a client that calls as host.
 func NewClient(host string, hc *http.Client) *Client { return &Client{host: host, http: hc} }
 
-// ReportLoad sends a load report to the planner at addr (host:port).
-func (c *Client) ReportLoad(ctx context.Context, addr string, loads []ServiceLoad) error {
-	msg := &peerpb.LoadReport{Host: c.host}
+// Follow hands loads to the planner at addr (host:port) and returns what this
+// host lacks of the log, and how old the planner's copy of it is. It waits up
+// to wait for something new.
+func (c *Client) Follow(ctx context.Context, addr string, positions map[metastore.Stream]int64, loads []ServiceLoad, wait time.Duration) ([]relay.Batch, time.Duration, error) {
+	msg := &peerpb.FollowRequest{Host: c.host, WaitMs: uint32(wait.Milliseconds())}
+	for _, s := range relay.Streams {
+		msg.Positions = append(msg.Positions, &peerpb.Position{Stream: string(s), Next: positions[s]})
+	}
 	for _, l := range loads {
-		msg.Services = append(msg.Services, encode(l))
+		msg.Loads = append(msg.Loads, encodeLoad(l))
+	}
+	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Follow(ctx, msg)
+	if err != nil {
+		return nil, 0, eris.Wrapf(err, "peer %s: follow", addr)
+	}
+	var out []relay.Batch
+	for _, b := range reply.Batches {
+		out = append(out, decodeBatch(b))
 	}
-	_, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).ReportLoad(ctx, msg)
-	return eris.Wrapf(err, "peer %s: report load", addr)
+	return out, time.Duration(reply.AgeMs) * time.Millisecond, nil
 }
 
-func encode(l ServiceLoad) *peerpb.ServiceLoad {
+func encodeLoad(l ServiceLoad) *peerpb.ServiceLoad {
 	out := &peerpb.ServiceLoad{Service: l.Service, Weight: l.Weight}
 	index := map[string]uint32{"": 0}
 	for _, s := range l.Samples {
@@ -56,7 +71,7 @@
 	return out
 }
 
-func decode(m *peerpb.ServiceLoad) (ServiceLoad, error) {
+func decodeLoad(m *peerpb.ServiceLoad) (ServiceLoad, error) {
 	out := ServiceLoad{Service: m.Service, Weight: m.Weight}
 	if len(m.Upstream) != len(m.Keys) || len(m.LatencyMs) != len(m.Keys) {
 		return out, eris.Errorf("load report for %s: lists of %d, %d and %d entries", m.Service, len(m.Keys), len(m.Upstream), len(m.LatencyMs))
@@ -71,22 +86,64 @@
 	return out, nil
 }
 
-// Server takes other hosts' reports.
+func encodeBatch(b relay.Batch) *peerpb.Batch {
+	out := &peerpb.Batch{Stream: string(b.Stream), Reset_: b.Reset, Next: b.Next}
+	for _, r := range b.Records {
+		out.Records = append(out.Records, &peerpb.Record{Key: r.Key, Value: r.Value, Deleted: r.Value == nil, Offset: r.Offset})
+	}
+	return out
+}
+
+func decodeBatch(m *peerpb.Batch) relay.Batch {
+	out := relay.Batch{Stream: metastore.Stream(m.Stream), Reset: m.Reset_, Next: m.Next}
+	for _, r := range m.Records {
+		rec := metastore.Record{Key: r.Key, Value: r.Value, Offset: r.Offset}
+		if r.Deleted {
+			rec.Value = nil
+		}
+		out.Records = append(out.Records, rec)
+	}
+	return out
+}
+
+// Server answers other hosts.
 type Server struct {
-	// Loads is handed each report; it must not block.
+	// Copy is this host's copy of the log.
+	Copy *relay.Copy
+	// Planning reports whether this host is the planner; only then is its
+	// copy kept current.
+	Planning func() bool
+	// Loads is handed each report.
 	Loads func([]ServiceLoad)
 }
 
-// ReportLoad implements peerpb.Peer.
-func (s *Server) ReportLoad(_ context.Context, m *peerpb.LoadReport) (*peerpb.LoadReportAnswer, error) {
+// maxWait bounds how long a call is kept waiting.
+const maxWait = 2 * time.Second
+
+// Follow implements peerpb.Peer.
+func (s *Server) Follow(ctx context.Context, m *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
+	if !s.Planning() {
+		return nil, twirp.NewError(twirp.Unavailable, "this host is not the planner")
+	}
 	var loads []ServiceLoad
-	for _, sm := range m.Services {
-		l, err := decode(sm)
+	for _, sm := range m.Loads {
+		l, err := decodeLoad(sm)
 		if err != nil {
-			return nil, err
+			return nil, twirp.InvalidArgumentError("loads", err.Error())
 		}
 		loads = append(loads, l)
 	}
-	s.Loads(loads)
-	return &peerpb.LoadReportAnswer{}, nil
+	if len(loads) > 0 {
+		s.Loads(loads)
+	}
+	positions := map[metastore.Stream]int64{}
+	for _, p := range m.Positions {
+		positions[metastore.Stream(p.Stream)] = p.Next
+	}
+	reply := &peerpb.FollowReply{}
+	for _, b := range s.Copy.Since(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxWait)) {
+		reply.Batches = append(reply.Batches, encodeBatch(b))
+	}
+	reply.AgeMs = uint32(s.Copy.Age(time.Now()).Milliseconds())
+	return reply, nil
 }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,194 @@
+// Package relay keeps a copy of the log's streams for other hosts to read.
+//
+// The log service's calls are priced and limited, and every host reads the
+// same records. The planner therefore reads them for all: the others follow
+// its copy, which costs the service as many calls for a hundred hosts as for
+// one. A copy says how old it is; a host for which it is too old reads the
+// log service itself.
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/metastore"
+)
+
+// Batch is what a host needs to bring its copy of a stream up to date.
+type Batch struct {
+	Stream metastore.Stream
+	// Reset means that Records are the newest of each key and replace what
+	// was read before.
+	Reset   bool
+	Records []metastore.Record
+	Next    int64
+}
+
+// kept is how many records of a stream are kept for hosts that are behind;
+// those further behind get the newest of each key.
+const kept = 512
+
+// Streams are the streams that are relayed.
+var Streams = []metastore.Stream{metastore.StreamDesired, metastore.StreamUpstreams, metastore.StreamOwnership}
+
+type stream struct {
+	known  bool
+	next   int64
+	newest map[string]metastore.Record
+	recent []metastore.Record
+	// currentAt is when the log service last said that next is its end.
+	currentAt time.Time
+}
+
+// Copy is a copy of the streams. It is safe for concurrent use.
+type Copy struct {
+	mu      sync.Mutex
+	by      map[metastore.Stream]*stream
+	changed chan struct{}
+}
+
+// NewCopy returns an empty copy.
+func NewCopy() *Copy {
+	c := &Copy{by: map[metastore.Stream]*stream{}, changed: make(chan struct{})}
+	for _, s := range Streams {
+		c.by[s] = &stream{next: -1, newest: map[string]metastore.Record{}}
+	}
+	return c
+}
+
+// Next returns the offset of the record of s to be read next; -1 if nothing
+// was read yet.
+func (c *Copy) Next(s metastore.Stream) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.by[s].next
+}
+
+// Apply takes a batch in and returns the part of it that is new, or nil. A
+// batch that does not join on to what was read is dropped: it will be read
+// again from the right place.
+func (c *Copy) Apply(b Batch) *Batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := c.by[b.Stream]
+	if b.Reset {
+		if st.known && b.Next < st.next {
+			return nil
+		}
+		st.reset(b)
+		c.wake()
+		return &b
+	}
+	fresh := b.Records
+	for len(fresh) > 0 && fresh[0].Offset < st.next {
+		fresh = fresh[1:]
+	}
+	if !st.known || len(fresh) == 0 || fresh[0].Offset != st.next {
+		return nil
+	}
+	st.add(fresh)
+	c.wake()
+	return &Batch{Stream: b.Stream, Records: fresh, Next: st.next}
+}
+
+func (st *stream) reset(b Batch) {
+	st.known = true
+	st.next = b.Next
+	st.recent = nil
+	clear(st.newest)
+	for _, r := range b.Records {
+		st.newest[r.Key] = r
+	}
+}
+
+func (st *stream) add(recs []metastore.Record) {
+	for _, r := range recs {
+		if r.Value == nil {
+			delete(st.newest, r.Key)
+		} else {
+			st.newest[r.Key] = r
+		}
+		st.next = r.Offset + 1
+	}
+	st.recent = append(st.recent, recs...)
+	if n := len(st.recent) - kept; n > 0 {
+		st.recent = append([]metastore.Record(nil), st.recent[n:]...)
+	}
+}
+
+func (c *Copy) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Current notes that the copy of s was the log's at the time.
+func (c *Copy) Current(s metastore.Stream, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if st := c.by[s]; at.After(st.currentAt) {
+		st.currentAt = at
+	}
+}
+
+// Age returns how long ago the copy was last known to be the log's, of the
+// older of the streams that others write. The ownership stream is written by
+// the planner itself.
+func (c *Copy) Age(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, s := range []metastore.Stream{metastore.StreamDesired, metastore.StreamUpstreams} {
+		oldest = max(oldest, now.Sub(c.by[s].currentAt))
+	}
+	return oldest
+}
+
+// Since returns what a host at the given positions lacks. It waits up to
+// wait for something.
+func (c *Copy) Since(ctx context.Context, positions map[metastore.Stream]int64, wait time.Duration) []Batch {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		out, changed := c.lacking(positions)
+		if len(out) > 0 {
+			return out
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (c *Copy) lacking(positions map[metastore.Stream]int64) ([]Batch, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Batch
+	for _, s := range Streams {
+		st := c.by[s]
+		at, asked := positions[s]
+		if asked && st.known && at < st.next {
+			out = append(out, st.from(s, at))
+		}
+	}
+	return out, c.changed
+}
+
+// from returns the records from offset at on, or the newest of each key if
+// those are no longer all kept.
+func (st *stream) from(s metastore.Stream, at int64) Batch {
+	b := Batch{Stream: s, Next: st.next}
+	if first := st.next - int64(len(st.recent)); at >= first && at >= 0 {
+		b.Records = append(b.Records, st.recent[at-first:]...)
+		return b
+	}
+	b.Reset = true
+	for _, r := range st.newest {
+		b.Records = append(b.Records, r)
+	}
+	return b
+}
--- a/rpc/peerpb/peer.twirp.go
+++ b/rpc/peerpb/peer.twirp.go
@@ -34,9 +34,10 @@
 // ==============
 
 type Peer interface {
-	// ReportLoad tells the planner what a host's callers asked for since its
-	// last report.
-	ReportLoad(context.Context, *LoadReport) (*LoadReportAnswer, error)
+	// Follow tells the planner what a host's callers asked for since its last
+	// call, and returns the records that the host has not read yet. It waits
+	// for one up to wait_ms.
+	Follow(context.Context, *FollowRequest) (*FollowReply, error)
 }
 
 // ====================
@@ -74,7 +75,7 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "papayatide.peer.v1", "Peer")
 	urls := [1]string{
-		serviceURL + "ReportLoad",
+		serviceURL + "Follow",
 	}
 
 	return &peerProtobufClient{
@@ -85,26 +86,26 @@
 	}
 }
 
-func (c *peerProtobufClient) ReportLoad(ctx context.Context, in *LoadReport) (*LoadReportAnswer, error) {
+func (c *peerProtobufClient) Follow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "papayatide.peer.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
-	ctx = ctxsetters.WithMethodName(ctx, "ReportLoad")
-	caller := c.callReportLoad
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
+	caller := c.callFollow
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *LoadReport) (*LoadReportAnswer, error) {
+		caller = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LoadReport)
+					typedReq, ok := req.(*FollowRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LoadReport) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
 					}
-					return c.callReportLoad(ctx, typedReq)
+					return c.callFollow(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LoadReportAnswer)
+				typedResp, ok := resp.(*FollowReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LoadReportAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -114,8 +115,8 @@
 	return caller(ctx, in)
 }
 
-func (c *peerProtobufClient) callReportLoad(ctx context.Context, in *LoadReport) (*LoadReportAnswer, error) {
-	out := new(LoadReportAnswer)
+func (c *peerProtobufClient) callFollow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
+	out := new(FollowReply)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -166,7 +167,7 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "papayatide.peer.v1", "Peer")
 	urls := [1]string{
-		serviceURL + "ReportLoad",
+		serviceURL + "Follow",
 	}
 
 	return &peerJSONClient{
@@ -177,26 +178,26 @@
 	}
 }
 
-func (c *peerJSONClient) ReportLoad(ctx context.Context, in *LoadReport) (*LoadReportAnswer, error) {
+func (c *peerJSONClient) Follow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "papayatide.peer.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
-	ctx = ctxsetters.WithMethodName(ctx, "ReportLoad")
-	caller := c.callReportLoad
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
+	caller := c.callFollow
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *LoadReport) (*LoadReportAnswer, error) {
+		caller = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LoadReport)
+					typedReq, ok := req.(*FollowRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LoadReport) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
 					}
-					return c.callReportLoad(ctx, typedReq)
+					return c.callFollow(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LoadReportAnswer)
+				typedResp, ok := resp.(*FollowReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LoadReportAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -206,8 +207,8 @@
 	return caller(ctx, in)
 }
 
-func (c *peerJSONClient) callReportLoad(ctx context.Context, in *LoadReport) (*LoadReportAnswer, error) {
-	out := new(LoadReportAnswer)
+func (c *peerJSONClient) callFollow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
+	out := new(FollowReply)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -320,8 +321,8 @@
 	}
 
 	switch method {
-	case "ReportLoad":
-		s.serveReportLoad(ctx, resp, req)
+	case "Follow":
+		s.serveFollow(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -330,7 +331,7 @@
 	}
 }
 
-func (s *peerServer) serveReportLoad(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFollow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -338,9 +339,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveReportLoadJSON(ctx, resp, req)
+		s.serveFollowJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveReportLoadProtobuf(ctx, resp, req)
+		s.serveFollowProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -348,9 +349,9 @@
 	}
 }
 
-func (s *peerServer) serveReportLoadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFollowJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "ReportLoad")
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -363,29 +364,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(LoadReport)
+	reqContent := new(FollowRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.ReportLoad
+	handler := s.Peer.Follow
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LoadReport) (*LoadReportAnswer, error) {
+		handler = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LoadReport)
+					typedReq, ok := req.(*FollowRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LoadReport) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
 					}
-					return s.Peer.ReportLoad(ctx, typedReq)
+					return s.Peer.Follow(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LoadReportAnswer)
+				typedResp, ok := resp.(*FollowReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LoadReportAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -394,7 +395,7 @@
 	}
 
 	// Call service method
-	var respContent *LoadReportAnswer
+	var respContent *FollowReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -405,7 +406,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LoadReportAnswer and nil error while calling ReportLoad. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FollowReply and nil error while calling Follow. nil responses are not supported"))
 		return
 	}
 
@@ -431,9 +432,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveReportLoadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFollowProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "ReportLoad")
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -445,28 +446,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(LoadReport)
+	reqContent := new(FollowRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.ReportLoad
+	handler := s.Peer.Follow
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LoadReport) (*LoadReportAnswer, error) {
+		handler = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LoadReport)
+					typedReq, ok := req.(*FollowRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LoadReport) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
 					}
-					return s.Peer.ReportLoad(ctx, typedReq)
+					return s.Peer.Follow(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LoadReportAnswer)
+				typedResp, ok := resp.(*FollowReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LoadReportAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -475,7 +476,7 @@
 	}
 
 	// Call service method
-	var respContent *LoadReportAnswer
+	var respContent *FollowReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -486,7 +487,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LoadReportAnswer and nil error while calling ReportLoad. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FollowReply and nil error while calling Follow. nil responses are not supported"))
 		return
 	}
 
@@ -1091,24 +1092,35 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 289 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x91, 0xdf, 0x4b, 0xc3, 0x30,
-	0x10, 0xc7, 0xe9, 0x3a, 0xe7, 0x7a, 0x43, 0x90, 0x7b, 0x90, 0x30, 0xfc, 0x51, 0x8a, 0x0f, 0x05,
-	0xb1, 0x65, 0xf3, 0xd1, 0x27, 0x7d, 0x56, 0x90, 0xf8, 0x36, 0x10, 0x49, 0xbb, 0x63, 0x2d, 0xda,
-	0x25, 0x24, 0x59, 0x47, 0xff, 0x27, 0xff, 0x48, 0x31, 0xed, 0xd6, 0x81, 0xe2, 0x53, 0xee, 0x3e,
-	0xdf, 0xbb, 0x6f, 0x92, 0x3b, 0x60, 0x4a, 0x4b, 0x2b, 0x53, 0x45, 0xa4, 0xd3, 0x7a, 0xe6, 0xce,
-	0xc4, 0x21, 0x44, 0x25, 0x94, 0x68, 0x84, 0x2d, 0x97, 0x94, 0x38, 0x5c, 0xcf, 0xa2, 0x37, 0x80,
-	0x27, 0x29, 0x96, 0x9c, 0x94, 0xd4, 0x16, 0x11, 0x86, 0x85, 0x34, 0x96, 0x79, 0xa1, 0x17, 0x07,
-	0xdc, 0xc5, 0x78, 0x0f, 0x63, 0x43, 0xba, 0x2e, 0x73, 0x32, 0x6c, 0x10, 0xfa, 0xf1, 0x64, 0x7e,
-	0x95, 0xfc, 0x36, 0x4a, 0x5e, 0xdb, 0x1a, 0x67, 0xb6, 0x6f, 0x88, 0xbe, 0x3c, 0x98, 0x1c, 0x28,
-	0xc8, 0xe0, 0xb8, 0xd3, 0xba, 0x3b, 0x76, 0x29, 0x9e, 0xc1, 0x68, 0x4b, 0xe5, 0xaa, 0xb0, 0x6c,
-	0x10, 0x7a, 0xb1, 0xc7, 0xbb, 0x0c, 0xcf, 0x21, 0xd8, 0x28, 0x63, 0x35, 0x89, 0xca, 0x30, 0x3f,
-	0xf4, 0xe3, 0x80, 0xf7, 0xe0, 0xe7, 0xc1, 0x1f, 0xd4, 0x18, 0x36, 0x0c, 0xfd, 0xf8, 0x84, 0xbb,
-	0x18, 0xa7, 0x30, 0xde, 0x15, 0xb0, 0x23, 0xc7, 0xf7, 0x39, 0x5e, 0x00, 0x7c, 0x0a, 0x4b, 0xeb,
-	0xbc, 0x79, 0xaf, 0x0c, 0x1b, 0x39, 0x35, 0xe8, 0xc8, 0xb3, 0x89, 0x10, 0x4e, 0xfb, 0x69, 0x3c,
-	0xac, 0xcd, 0x96, 0xf4, 0x7c, 0x01, 0xc3, 0x17, 0x22, 0x8d, 0x1c, 0xa0, 0xe5, 0xee, 0x23, 0x97,
-	0x7f, 0xcd, 0xa0, 0xef, 0x9d, 0x5e, 0xff, 0xaf, 0xb7, 0xde, 0x8f, 0xb7, 0x8b, 0x9b, 0x55, 0x69,
-	0x8b, 0x4d, 0x96, 0xe4, 0xb2, 0x4a, 0xfb, 0x8e, 0xc3, 0x50, 0xab, 0xdc, 0x2d, 0x51, 0x65, 0xd9,
-	0xc8, 0xed, 0xf1, 0xee, 0x3b, 0x00, 0x00, 0xff, 0xff, 0xf2, 0xe5, 0xe0, 0x95, 0xe3, 0x01, 0x00,
-	0x00,
+	// 475 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x53, 0x4d, 0x6f, 0xd3, 0x40,
+	0x10, 0x95, 0xeb, 0xc4, 0x89, 0x27, 0x44, 0x42, 0x23, 0x3e, 0x4c, 0x54, 0xd4, 0xe0, 0x93, 0x25,
+	0x84, 0xa3, 0xb6, 0xc0, 0x81, 0x63, 0x0f, 0x9c, 0x1a, 0xa9, 0x5a, 0xb8, 0xc0, 0x05, 0xad, 0xed,
+	0x69, 0x62, 0xd5, 0xc9, 0x2e, 0xde, 0x4d, 0x82, 0x4f, 0xfc, 0x21, 0x24, 0xfe, 0x22, 0xda, 0x5d,
+	0x3b, 0x29, 0x22, 0xf4, 0x94, 0x79, 0x2f, 0xcf, 0xf3, 0x66, 0xde, 0xd8, 0x10, 0xc9, 0x5a, 0x68,
+	0x31, 0x93, 0x44, 0xf5, 0x6c, 0x7b, 0x6e, 0x7f, 0x53, 0x4b, 0x21, 0x4a, 0x2e, 0x79, 0xc3, 0x75,
+	0x59, 0x50, 0x6a, 0xe9, 0xed, 0x79, 0xfc, 0xdb, 0x83, 0xf1, 0x47, 0x51, 0x55, 0x62, 0xc7, 0xe8,
+	0xfb, 0x86, 0x94, 0x46, 0x84, 0xde, 0x52, 0x28, 0x1d, 0x79, 0x53, 0x2f, 0x09, 0x99, 0xad, 0xf1,
+	0x03, 0x84, 0x52, 0xa8, 0x52, 0x97, 0x62, 0xad, 0xa2, 0x93, 0xa9, 0x9f, 0x8c, 0x2e, 0x4e, 0xd3,
+	0x7f, 0xbb, 0xa5, 0x37, 0xad, 0x88, 0x1d, 0xe4, 0xf8, 0x1c, 0x06, 0x3b, 0x5e, 0xea, 0x6f, 0x2b,
+	0x15, 0xf9, 0x53, 0x2f, 0x19, 0xb3, 0xc0, 0xc0, 0xb9, 0xc2, 0x77, 0xd0, 0xaf, 0x04, 0x2f, 0x54,
+	0xd4, 0xb3, 0x0d, 0xcf, 0x8e, 0x35, 0xfc, 0x44, 0xf5, 0xb6, 0xcc, 0xe9, 0x5a, 0xf0, 0x82, 0x39,
+	0x75, 0xfc, 0x1e, 0x86, 0x9d, 0x0d, 0x3e, 0x83, 0x40, 0xe9, 0x9a, 0xf8, 0xaa, 0x9d, 0xb6, 0x45,
+	0x66, 0x87, 0x35, 0xfd, 0xd0, 0xd1, 0xc9, 0xd4, 0x4b, 0x7c, 0x66, 0xeb, 0xf8, 0x97, 0x07, 0xa3,
+	0x7b, 0xed, 0x30, 0x82, 0x81, 0x72, 0xb0, 0x7d, 0xb8, 0x83, 0xa6, 0xeb, 0x8e, 0xca, 0xc5, 0xd2,
+	0x3d, 0xef, 0xb1, 0x16, 0xe1, 0x29, 0x84, 0x1b, 0xe9, 0x1c, 0xcc, 0x2e, 0x7e, 0x12, 0xb2, 0x03,
+	0x61, 0x3c, 0xef, 0xa8, 0x71, 0xdb, 0x8c, 0x99, 0xad, 0x71, 0x02, 0xc3, 0x4e, 0x10, 0xf5, 0x2d,
+	0xbf, 0xc7, 0xf8, 0x12, 0xa0, 0xe2, 0x9a, 0xd6, 0x79, 0x63, 0xa2, 0x09, 0xec, 0xbf, 0x61, 0xcb,
+	0xcc, 0x55, 0xfc, 0x05, 0x46, 0xdd, 0x5d, 0x64, 0xd5, 0xe0, 0x53, 0x08, 0xf8, 0x82, 0x8c, 0xd2,
+	0xb3, 0x21, 0xf6, 0xf9, 0x82, 0xe6, 0x0a, 0x2f, 0x61, 0x90, 0x71, 0x9d, 0x2f, 0xa9, 0x3b, 0xcb,
+	0x8b, 0x63, 0x29, 0x5e, 0x19, 0x09, 0xeb, 0x94, 0xf1, 0x4f, 0xe8, 0x5b, 0xe6, 0xbf, 0xf1, 0x3d,
+	0x81, 0x7e, 0x4d, 0x8a, 0xdc, 0xfe, 0x43, 0xe6, 0xc0, 0x3e, 0x54, 0xff, 0x10, 0x2a, 0xbe, 0x85,
+	0x41, 0x4d, 0xb9, 0xa8, 0xf7, 0x57, 0x9c, 0x1c, 0xf3, 0x67, 0x56, 0xc2, 0x3a, 0x69, 0x9c, 0x41,
+	0xe0, 0x28, 0x7c, 0x0c, 0xfe, 0x1d, 0x35, 0xad, 0xbd, 0x29, 0x8d, 0xf7, 0x96, 0x57, 0x1b, 0xb2,
+	0xde, 0x8f, 0x98, 0x03, 0xe6, 0x58, 0x05, 0x55, 0xa4, 0xa9, 0xb0, 0xf6, 0x43, 0xd6, 0x41, 0xb3,
+	0x83, 0xb8, 0xbd, 0x35, 0xc3, 0xf6, 0xec, 0x5c, 0x2d, 0xba, 0xf8, 0x0c, 0xbd, 0x1b, 0xa2, 0x1a,
+	0xaf, 0x21, 0x70, 0x39, 0xe2, 0xab, 0x63, 0xa3, 0xfd, 0xf5, 0xee, 0x4f, 0xce, 0x1e, 0x92, 0xc8,
+	0xaa, 0xb9, 0x7a, 0xf3, 0xf5, 0xf5, 0xa2, 0xd4, 0xcb, 0x4d, 0x96, 0xe6, 0x62, 0x35, 0x3b, 0x88,
+	0xef, 0x97, 0xb5, 0xcc, 0xed, 0x57, 0x27, 0xb3, 0x2c, 0xb0, 0x1f, 0xde, 0xe5, 0x9f, 0x00, 0x00,
+	0x00, 0xff, 0xff, 0x54, 0x2a, 0x8d, 0xe9, 0x94, 0x03, 0x00, 0x00,
 }
