Balance by usual and recent load per key, in stripes from the start; a planner's tick made cheap

Speeds told from low quantiles went to both bounds under queueing. Ruled out: the log service, garbage collection (20 cycles a second, 3%). Change: stripes of 410 keys dealt out in turn before any load is known; usual and recent rate per key; work time by Little's law; 24 moves at once; the busiest key to the strongest owner; moves sorted, ticks at most 100 a second; a planner whose grant is refused as fenced sends nothing until it has proved its seat again; errors logged in one line; tables compressed.

--- a/cmd/papayatided/entry.go
+++ b/cmd/papayatided/entry.go
@@ -21,8 +21,8 @@
 	// watchEvery is how often the settings file is looked at; it may change
 	// without a signal.
 	watchEvery = time.Second
-	// storeConns and orderConns are the idle connections kept to the log
-	// service and to each upstream.
+	// storeConns and orderConns are the connections used to the log service
+	// and, for orders, to each upstream.
 	storeConns = 8
 	orderConns = 2
 )
@@ -81,7 +81,7 @@
 		last = data
 		cfg, err := settings.LoadEntry(path)
 		if err != nil {
-			zl.Error("changed settings refused; the old ones stay", zap.Int("event", events.SettingsRefused), zap.Error(err))
+			zl.Error("changed settings refused; the old ones stay", zap.Int("event", events.SettingsRefused), entryhost.ErrorField(err))
 			continue
 		}
 		select {
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -38,6 +38,8 @@
 	// of the planner and of the other hosts.
 	tickHolder = 40 * time.Millisecond
 	tickOther  = 200 * time.Millisecond
+	// tickLeast is the least pause between two looks.
+	tickLeast = 10 * time.Millisecond
 	// grantTimeout bounds a grant; an undisturbed answer takes 3 ms.
 	grantTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds a release, which is answered when the work under
@@ -80,10 +82,10 @@
 
 func newControl(zl *zap.Logger, store metastore.Store, dec Decoder, granter Granter, views *view.Holder, opts planner.Options) *control {
 	c := &control{zl: zl, store: store, decoder: dec, granter: granter, views: views, plan: planner.New(opts),
-		loads: loadmap.New(time.Now()), clock: bootclock.Now, onView: func(*view.View) {}, inbox: make(chan func(), 256),
+		loads: loadmap.New(), clock: bootclock.Now, onView: func(*view.View) {}, inbox: make(chan func(), 256),
 		ups: map[string]*catalogue.Upstream{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
 		broken: map[metastore.Stream]time.Time{}, copy: relay.NewCopy()}
-	c.plan.Load = func(service string, owners []*catalogue.Upstream) ownership.Load {
+	c.plan.Load = func(service string, owners []*catalogue.Upstream) (ownership.Load, float64) {
 		return c.loads.Load(service, owners, time.Now())
 	}
 	c.plan.Note = c.notePlanner
@@ -102,6 +104,7 @@
 func (c *control) run(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -109,10 +112,15 @@
 		case f := <-c.inbox:
 			f()
 			c.drainInbox()
+			// What arrived is looked at soon, but a stream of events does
+			// not make for a tick each: a planner with dozens of moves
+			// under way spent its whole processor share on them.
+			t.Reset(max(tickLeast-time.Since(last), 0))
 		case <-t.C:
+			last = time.Now()
+			c.tick(ctx)
+			t.Reset(c.pause())
 		}
-		c.tick(ctx)
-		t.Reset(c.pause())
 	}
 }
 
@@ -260,7 +268,7 @@
 	switch {
 	case err != nil && !was:
 		c.broken[s] = time.Now()
-		c.zl.Warn("log service's stream lost", zap.Int("event", events.StreamLost), zap.String("stream", string(s)), zap.Error(err))
+		c.zl.Warn("log service's stream lost", zap.Int("event", events.StreamLost), zap.String("stream", string(s)), ErrorField(err))
 	case err == nil && was:
 		delete(c.broken, s)
 		c.backAt = time.Now()
@@ -281,7 +289,7 @@
 		}
 		st, err := c.decoder.Desired(rec.Key, rec.Value)
 		if err != nil {
-			c.zl.Error("desired state refused", zap.Int("event", events.DesiredRefused), zap.Int64("offset", rec.Offset), zap.Error(err))
+			c.zl.Error("desired state refused", zap.Int("event", events.DesiredRefused), zap.Int64("offset", rec.Offset), ErrorField(err))
 			continue
 		}
 		cur := c.views.Load().Desired
@@ -300,7 +308,7 @@
 		}
 		t, err := ownership.Decode(rec.Value)
 		if err != nil {
-			c.zl.Error("ownership record refused", zap.Int("event", events.OwnershipRefused), zap.Int64("offset", rec.Offset), zap.Error(err))
+			c.zl.Error("ownership record refused", zap.Int("event", events.OwnershipRefused), zap.Int64("offset", rec.Offset), ErrorField(err))
 			continue
 		}
 		c.adoptTable(t)
@@ -336,7 +344,7 @@
 		}
 		u, err := c.decoder.Upstream(rec.Key, rec.Value, now)
 		if err != nil {
-			c.zl.Error("upstream's record refused", zap.Int("event", events.UpstreamRefused), zap.String("peer", rec.Key), zap.Error(err))
+			c.zl.Error("upstream's record refused", zap.Int("event", events.UpstreamRefused), zap.String("peer", rec.Key), ErrorField(err))
 			continue
 		}
 		listed[u.ID] = true
@@ -429,7 +437,7 @@
 		c.plan.Resign()
 		go func() {
 			if err := c.store.Leave(ctx, c.member()); err != nil {
-				c.zl.Info("planner's seat not given up; it lapses", zap.Int("event", events.PlannerSeatLost), zap.Error(err))
+				c.zl.Info("planner's seat not given up; it lapses", zap.Int("event", events.PlannerSeatLost), ErrorField(err))
 			}
 		}()
 	})
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -98,7 +98,7 @@
 	g.Add(func() error { return h.awaitStop(ctx, work) }, func(error) { cancel() })
 	zl.Info("started", zap.Int("event", events.EntryStarted), zap.String("host", cfg.Host), zap.String("data_centre", cfg.DataCentre))
 	err := g.Run()
-	zl.Info("stopped", zap.Int("event", events.EntryStopped), zap.Error(err))
+	zl.Info("stopped", zap.Int("event", events.EntryStopped), ErrorField(err))
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -197,7 +197,7 @@
 	sctx, cancel := context.WithDeadline(work, began.Add(h.cfg.Grace-stopMargin))
 	defer cancel()
 	if err := h.front.Shutdown(sctx); err != nil {
-		h.zl.Warn("stopped with requests under way", zap.Int("event", events.EntryStopping), zap.Int64("in_flight", h.inFlight.Load()), zap.Error(err))
+		h.zl.Warn("stopped with requests under way", zap.Int("event", events.EntryStopping), zap.Int64("in_flight", h.inFlight.Load()), ErrorField(err))
 	}
 	return ctx.Err()
 }
--- a/internal/entryhost/plannerlog.go
+++ b/internal/entryhost/plannerlog.go
@@ -43,7 +43,7 @@
 		fields = append(fields, zap.Duration("age", e.Age))
 	}
 	if e.Err != nil {
-		fields = append(fields, zap.Error(e.Err))
+		fields = append(fields, ErrorField(e.Err))
 	}
 	c.zl.Info(line.text, fields...)
 }
--- a/internal/entryhost/requestlog.go
+++ b/internal/entryhost/requestlog.go
@@ -59,7 +59,16 @@
 		f = append(f, zap.String("cause", string(e.Refusal.Cause)), zap.Duration("retry_after", e.Refusal.RetryAfter))
 	}
 	if e.Err != nil {
-		f = append(f, zap.String("error", e.Err.Error()))
+		f = append(f, ErrorField(e.Err))
 	}
 	return f
 }
+
+// ErrorField is an error's text as a log field. zap.Error would add the stack
+// traces that eris keeps, a hundred times the size of the line.
+func ErrorField(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/internal/loadmap/loadmap.go
+++ b/internal/loadmap/loadmap.go
@@ -21,132 +21,202 @@
 }
 
 const (
-	// memory is the time constant of the load estimate. With some 150
-	// requests a second it rests on about 450 samples, a few dozen for
-	// each of twenty owners; a burst on a few keys shows within a second.
-	memory = 3 * time.Second
-	// rescaleAt keeps the growing sample weights within a float's range.
-	rescaleAt = 1e9
+	// steady is the time constant of the usual load of a key. At 100
+	// requests a second it rests on about a thousand samples, some fifty
+	// for each of twenty owners, so that chance alone makes an owner look
+	// 1.3 times as busy as it is only now and then.
+	steady = 10 * time.Second
+	// sudden is the time constant against which a key's load is checked for
+	// a change; it shows a key that became hot within half a second.
+	sudden = 1500 * time.Millisecond
+	// signs is how many standard deviations, and least how many requests, a
+	// key's recent load must lie off its usual one to replace it.
+	signs, least = 3.0, 4.0
+	// speedMemory is the time constant of an upstream's speed.
+	speedMemory = 8 * time.Second
+	// prior is how many samples the typical speed counts for beside an
+	// upstream's own.
+	prior = 4.0
+	// slowest and fastest bound the speeds told, relative to the typical.
+	slowest, fastest = 0.15, 2.0
 	// negligible is the weight below which a key is forgotten.
-	negligible = 0.02
-	// quantile of an upstream's latencies that stands for its speed: a low
-	// one, as queueing only shows in the higher ones.
-	quantile = 0.3
-	// kept is how many latencies are kept for each upstream.
-	kept = 32
-	// fewest samples from which a speed is told; under it an upstream
-	// counts as average.
-	fewest = 6
-	// slowest and fastest bound the speeds told, relative to the median.
-	slowest, fastest = 0.35, 2.5
+	negligible = 0.01
+	// forgetEvery is how often that is done.
+	forgetEvery = 10 * time.Second
 )
 
+// decayed is a sum whose parts fade with a time constant.
+type decayed struct {
+	sum float64
+	at  time.Time
+}
+
+func (d *decayed) add(x float64, tau time.Duration, now time.Time) {
+	d.sum = d.value(tau, now) + x
+	d.at = now
+}
+
+func (d *decayed) value(tau time.Duration, now time.Time) float64 {
+	if d.sum == 0 {
+		return 0
+	}
+	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/tau.Seconds())
+}
+
+type key struct{ usual, recent decayed }
+
+type speed struct{ count, latency decayed }
+
 type service struct {
-	byKey     map[int]float64
-	latencies map[string][]time.Duration
-	next      map[string]int
+	keys      map[int]*key
+	upstreams map[string]*speed
+	started   time.Time
+	forgotAt  time.Time
 }
 
 // Map is not safe for concurrent use.
 type Map struct {
-	start  time.Time
-	weight float64
-	by     map[string]*service
+	by map[string]*service
 }
 
 // New returns an empty map.
-func New(now time.Time) *Map { return &Map{start: now, by: map[string]*service{}} }
-
-// scale returns the weight of a sample taken now: instead of letting old
-// samples fade, new ones count for more.
-func (m *Map) scale(now time.Time) float64 {
-	w := math.Exp(now.Sub(m.start).Seconds() / memory.Seconds())
-	if w < rescaleAt {
-		return w
-	}
-	for _, s := range m.by {
-		for k, v := range s.byKey {
-			if v /= w; v < negligible {
-				delete(s.byKey, k)
-			} else {
-				s.byKey[k] = v
-			}
-		}
-	}
-	m.start = now
-	return 1
-}
+func New() *Map { return &Map{by: map[string]*service{}} }
 
 // Add takes in samples of a service, each of which stands for weight
 // requests.
 func (m *Map) Add(name string, samples []Sample, weight float64, now time.Time) {
 	s := m.by[name]
 	if s == nil {
-		s = &service{byKey: map[int]float64{}, latencies: map[string][]time.Duration{}, next: map[string]int{}}
+		s = &service{keys: map[int]*key{}, upstreams: map[string]*speed{}, started: now, forgotAt: now}
 		m.by[name] = s
 	}
-	w := m.scale(now) * weight
 	for _, x := range samples {
-		s.byKey[x.Key] += w
+		k := s.keys[x.Key]
+		if k == nil {
+			k = &key{}
+			s.keys[x.Key] = k
+		}
+		k.usual.add(weight, steady, now)
+		k.recent.add(weight, sudden, now)
 		if x.Upstream != "" && x.Latency > 0 {
-			s.addLatency(x.Upstream, x.Latency)
+			s.addLatency(x.Upstream, x.Latency, weight, now)
 		}
 	}
+	s.forget(now)
 }
 
-func (s *service) addLatency(id string, l time.Duration) {
-	ring := s.latencies[id]
-	if len(ring) < kept {
-		s.latencies[id] = append(ring, l)
+func (s *service) addLatency(id string, l time.Duration, weight float64, now time.Time) {
+	u := s.upstreams[id]
+	if u == nil {
+		u = &speed{}
+		s.upstreams[id] = u
+	}
+	u.count.add(weight, speedMemory, now)
+	u.latency.add(weight*l.Seconds(), speedMemory, now)
+}
+
+// forget drops keys that nobody asks for any more.
+func (s *service) forget(now time.Time) {
+	if now.Sub(s.forgotAt) < forgetEvery {
 		return
 	}
-	ring[s.next[id]] = l
-	s.next[id] = (s.next[id] + 1) % kept
+	s.forgotAt = now
+	for k, v := range s.keys {
+		if v.usual.value(steady, now) < negligible {
+			delete(s.keys, k)
+		}
+	}
+}
+
+// span is the time over which a sum with time constant tau has gathered.
+func (s *service) span(tau time.Duration, now time.Time) float64 {
+	age := now.Sub(s.started).Seconds()
+	return tau.Seconds() * (1 - math.Exp(-age/tau.Seconds()))
 }
 
-// Load returns the load of a service and the capacity of its owners.
-func (m *Map) Load(name string, owners []*catalogue.Upstream, now time.Time) ownership.Load {
+// rate returns the requests a second for a key: its usual rate, unless the
+// recent one lies further off than chance explains.
+func (s *service) rate(k *key, now time.Time) float64 {
+	longSpan, shortSpan := s.span(steady, now), s.span(sudden, now)
+	if longSpan == 0 {
+		return 0
+	}
+	usual := k.usual.value(steady, now) / longSpan
+	recent := k.recent.value(sudden, now)
+	expected := usual * shortSpan
+	if math.Abs(recent-expected) > max(signs*math.Sqrt(expected), least) {
+		return recent / shortSpan
+	}
+	return usual
+}
+
+// Load returns the requests a second for each key and how many a second each
+// owner can answer. It also returns how many samples it rests on.
+func (m *Map) Load(name string, owners []*catalogue.Upstream, now time.Time) (ownership.Load, float64) {
 	out := ownership.Load{Capacity: map[string]float64{}}
 	s := m.by[name]
 	if s == nil {
-		s = &service{}
-	}
-	w := m.scale(now)
-	if len(s.byKey) > 0 {
-		out.ByKey = make([]float64, ownership.Keys)
-		for k, v := range s.byKey {
-			out.ByKey[k] = v / w
+		for _, u := range owners {
+			out.Capacity[u.ID] = float64(u.Slots)
 		}
+		return out, 0
+	}
+	out.ByKey = make([]float64, ownership.Keys)
+	samples := 0.0
+	for k, v := range s.keys {
+		out.ByKey[k] = s.rate(v, now)
+		samples += v.usual.value(steady, now)
 	}
-	speeds := s.speeds(owners)
+	typical := s.typical(owners, now)
 	for _, u := range owners {
-		out.Capacity[u.ID] = float64(u.Slots) * speeds[u.ID]
+		out.Capacity[u.ID] = float64(u.Slots) / s.workTime(u, typical, now)
 	}
-	return out
+	return out, samples
 }
 
-// speeds returns each upstream's speed relative to the median.
-func (s *service) speeds(owners []*catalogue.Upstream) map[string]float64 {
-	typical := map[string]time.Duration{}
-	var all []time.Duration
-	for _, u := range owners {
-		ls := s.latencies[u.ID]
-		if len(ls) < fewest {
-			continue
-		}
-		sorted := append([]time.Duration(nil), ls...)
-		sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
-		l := sorted[int(quantile*float64(len(sorted)))]
-		typical[u.ID] = l
-		all = append(all, l)
+// workTime returns the seconds that an upstream works on a request.
+//
+// What callers see is longer where requests queue. With L the mean latency
+// and N the mean number of requests at the upstream, which by Little's law
+// is the latency summed over a second, the work takes L if N is within its
+// slots, and L·slots/N otherwise.
+func (s *service) workTime(u *catalogue.Upstream, typical float64, now time.Time) float64 {
+	own, n := s.ownWorkTime(u, now)
+	t := (own*n + typical*prior) / (n + prior)
+	return min(max(t, typical/fastest), typical/slowest)
+}
+
+// ownWorkTime returns an upstream's work time by its own samples, and how
+// many there are.
+func (s *service) ownWorkTime(u *catalogue.Upstream, now time.Time) (float64, float64) {
+	sp := s.upstreams[u.ID]
+	if sp == nil {
+		return 0, 0
+	}
+	n := sp.count.value(speedMemory, now)
+	total := sp.latency.value(speedMemory, now)
+	if n < 1 {
+		return 0, 0
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
-	out := map[string]float64{}
+	atOnce := total / s.span(speedMemory, now)
+	return total / n * min(1, float64(u.Slots)/atOnce), n
+}
+
+// fallbackWork is assumed of a service before any answer was seen; only the
+// proportions matter then.
+const fallbackWork = 0.2
+
+// typical returns the median work time of the owners.
+func (s *service) typical(owners []*catalogue.Upstream, now time.Time) float64 {
+	var all []float64
 	for _, u := range owners {
-		out[u.ID] = 1
-		if l := typical[u.ID]; l > 0 {
-			out[u.ID] = min(max(float64(all[len(all)/2])/float64(l), slowest), fastest)
+		if t, n := s.ownWorkTime(u, now); n >= prior {
+			all = append(all, t)
 		}
 	}
-	return out
+	if len(all) == 0 {
+		return fallbackWork
+	}
+	sort.Float64s(all)
+	return all[len(all)/2]
 }
--- a/internal/ownership/rebalance.go
+++ b/internal/ownership/rebalance.go
@@ -4,10 +4,12 @@
 
 // Load is what the callers ask of a service, by key.
 type Load struct {
-	// ByKey is the work asked for on each key, in any unit.
+	// ByKey is the work asked for on each key, in any unit; nil if nothing
+	// is known yet.
 	ByKey []float64
-	// Capacity is how much of it each candidate owner can do, in any unit.
-	// Upstreams that are not listed get nothing and lose what they own.
+	// Capacity is how much of it each candidate owner can do, in the same
+	// unit. Upstreams that are not listed get nothing and lose what they
+	// own.
 	Capacity map[string]float64
 }
 
@@ -19,19 +21,51 @@
 	// Settle is the load, relative to the fair share, down to which an
 	// overloaded owner is relieved.
 	Settle float64
-	// MaxMoves bounds the moves of one rebalance.
+	// MaxMoves bounds the moves made to relieve owners.
 	MaxMoves int
 }
 
+const (
+	// idleLoad is the load assumed on all keys together beside what was
+	// measured, as a share of the whole, so that keys nobody has asked for
+	// yet are divided too.
+	idleLoad = 0.05
+	// stripe is the widest run of keys placed at once while nothing is
+	// known of the load. Busy keys lie close together; runs this narrow,
+	// dealt out in turn, spread a busy region of 4,000 keys over ten
+	// owners before the first request. At 160 runs the table stays a few
+	// kilobytes.
+	stripe = 410
+	// sliver is the share of the whole load below which a rest is not left
+	// behind as a range of its own.
+	sliver = 0.0005
+	// overshoot is how much more than wanted a cut may move, as a factor; a
+	// single busy key can make the exact amount impossible.
+	overshoot = 1.3
+	// worthMoving is the least part of the wanted relief for which a move
+	// is made: less would not be felt, while each move stops its keys for
+	// the time of the work under way on them.
+	worthMoving = 0.15
+	// hotKey is the part of its owner's capacity from which on a single key
+	// is placed by itself: no division of ranges can relieve it, only an
+	// owner with more capacity.
+	hotKey = 0.5
+	// stronger is how much more capacity such an owner must have.
+	stronger = 1.25
+)
+
 // Rebalance returns the moves that relieve overloaded owners and find an
 // owner for keys that have none or whose owner is not a candidate. It moves
-// as few keys as bring an owner down to its share, hot ones first.
+// as few keys as bring an owner down to its share.
 func Rebalance(t *Table, load Load, lim Limits) []Move {
 	if len(load.Capacity) == 0 {
 		return nil
 	}
 	b := newBalance(t, load)
-	b.placeOrphans()
+	b.placeOrphans(load.ByKey == nil)
+	if lim.MaxMoves > 0 {
+		b.placeHottest(load.ByKey)
+	}
 	for n := 0; n < lim.MaxMoves; n++ {
 		if !b.relieveOne(lim) {
 			break
@@ -40,18 +74,6 @@
 	return b.changes()
 }
 
-// changes returns the pieces that end with another owner than the table
-// gives them. A piece lies within one range of the table.
-func (b *balance) changes() []Move {
-	var out []Move
-	for _, p := range b.pieces {
-		if p.owner != b.original.Find(p.from).Owner {
-			out = append(out, Move{From: p.from, To: p.to, NewOwner: p.owner})
-		}
-	}
-	return out
-}
-
 // piece is a run of keys in the plan being made.
 type piece struct {
 	from, to int
@@ -60,6 +82,7 @@
 
 type balance struct {
 	prefix   []float64 // prefix[k] is the load of the keys below k
+	capacity map[string]float64
 	fair     map[string]float64
 	owners   []string // candidates, sorted for repeatable plans
 	load     map[string]float64
@@ -67,29 +90,9 @@
 	original *Table
 }
 
-// idleLoad is the load assumed on every key beside what was measured, as a
-// share of the whole, so that a service nobody has called yet is divided
-// evenly by keys.
-const idleLoad = 0.02
-
 func newBalance(t *Table, load Load) *balance {
-	b := &balance{fair: map[string]float64{}, load: map[string]float64{}, original: t}
-	b.prefix = make([]float64, Keys+1)
-	total := 0.0
-	for _, l := range load.ByKey {
-		total += l
-	}
-	base := total * idleLoad / Keys
-	if total == 0 {
-		base = 1
-	}
-	for k := range Keys {
-		l := base
-		if k < len(load.ByKey) {
-			l += load.ByKey[k]
-		}
-		b.prefix[k+1] = b.prefix[k] + l
-	}
+	b := &balance{capacity: load.Capacity, fair: map[string]float64{}, load: map[string]float64{}, original: t}
+	b.prefix = prefixSums(load.ByKey)
 	capacity := 0.0
 	for id, c := range load.Capacity {
 		b.owners = append(b.owners, id)
@@ -110,12 +113,31 @@
 	return b
 }
 
+func prefixSums(byKey []float64) []float64 {
+	total := 0.0
+	for _, l := range byKey {
+		total += l
+	}
+	base := total * idleLoad / Keys
+	if total == 0 {
+		base = 1
+	}
+	out := make([]float64, Keys+1)
+	for k := range Keys {
+		out[k+1] = out[k] + base
+		if k < len(byKey) {
+			out[k+1] += byKey[k]
+		}
+	}
+	return out
+}
+
 func (b *balance) sum(from, to int) float64 { return b.prefix[to+1] - b.prefix[from] }
 
 // use is an owner's load relative to its fair share.
 func (b *balance) use(id string) float64 { return b.load[id] / b.fair[id] }
 
-// least returns the candidate with most room, weighing in extra load.
+// least returns the candidate with most room for its size.
 func (b *balance) least() string {
 	best := b.owners[0]
 	for _, id := range b.owners[1:] {
@@ -137,21 +159,51 @@
 	return best
 }
 
-// placeOrphans cuts every run of keys without an owner into parts that fit
-// the candidates' room.
-func (b *balance) placeOrphans() {
+// placeOrphans deals out every run of keys without an owner, in parts that
+// fit the candidates' room, or in stripes if no load is known yet.
+func (b *balance) placeOrphans(blind bool) {
 	for i := 0; i < len(b.pieces); i++ {
 		if b.pieces[i].owner != "" {
 			continue
 		}
 		p := b.pieces[i]
 		to := b.least()
-		room := b.fair[to] - b.load[to]
-		cut := b.cutFront(p, max(room, 0))
+		cut := b.cutFront(p, max(b.fair[to]-b.load[to], 0))
+		if blind {
+			cut = min(cut, p.from+stripe-1)
+		}
 		b.give(i, piece{from: p.from, to: cut, owner: to})
 	}
 }
 
+// placeHottest moves the busiest key, if it takes most of its owner, to the
+// owner with most capacity.
+func (b *balance) placeHottest(byKey []float64) {
+	hot := 0
+	for k, l := range byKey {
+		if l > byKey[hot] {
+			hot = k
+		}
+	}
+	if len(byKey) == 0 {
+		return
+	}
+	i := sort.Search(len(b.pieces), func(i int) bool { return b.pieces[i].to >= hot })
+	owner := b.pieces[i].owner
+	if byKey[hot] < hotKey*b.capacity[owner] {
+		return
+	}
+	best := owner
+	for _, id := range b.owners {
+		if b.capacity[id] > b.capacity[best] {
+			best = id
+		}
+	}
+	if b.capacity[best] >= stronger*b.capacity[owner] {
+		b.give(i, piece{from: hot, to: hot, owner: best})
+	}
+}
+
 // cutFront returns the last key of the longest prefix of p whose load is at
 // most want, but at least p's first key. What would be left as a sliver is
 // taken along.
@@ -170,10 +222,6 @@
 	return min(p.to-n+1, p.to)
 }
 
-// sliver is the share of the whole load below which a rest is not left
-// behind as a range of its own.
-const sliver = 0.0005
-
 // give replaces the part of piece i that got covers.
 func (b *balance) give(i int, got piece) {
 	old := b.pieces[i]
@@ -211,10 +259,6 @@
 	return true
 }
 
-// overshoot is how much more than wanted a cut may move, as a factor; a
-// single hot key can make the exact amount impossible.
-const overshoot = 1.3
-
 // bestCut looks at both ends of every range of owner and returns the cut
 // whose load comes closest to want; among equals the one with fewest keys.
 func (b *balance) bestCut(owner string, want float64) (int, piece) {
@@ -243,7 +287,14 @@
 	return best, bestCut
 }
 
-// worthMoving is the least part of the wanted relief for which a move is
-// made: less would not be felt, while each move stops its keys for the time
-// of the work under way on them.
-const worthMoving = 0.15
+// changes returns the pieces that end with another owner than the table
+// gives them. A piece lies within one range of the table.
+func (b *balance) changes() []Move {
+	var out []Move
+	for _, p := range b.pieces {
+		if p.owner != b.original.Find(p.from).Owner {
+			out = append(out, Move{From: p.from, To: p.to, NewOwner: p.owner})
+		}
+	}
+	return out
+}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -1,7 +1,10 @@
 package ownership
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"sort"
 
 	"github.com/rotisserie/eris"
@@ -46,7 +49,11 @@
 // Decode reads a table and checks that its ranges cover all keys once.
 func Decode(data []byte) (*Table, error) {
 	var t Table
-	if err := json.Unmarshal(data, &t); err != nil {
+	zr, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, eris.Wrap(err, "ownership table: decode")
+	}
+	if err := json.NewDecoder(io.LimitReader(zr, maxTableBytes)).Decode(&t); err != nil {
 		return nil, eris.Wrap(err, "ownership table: decode")
 	}
 	next := 0
@@ -65,10 +72,22 @@
 	return &t, nil
 }
 
-// Encode returns the record to store.
+// maxTableBytes bounds a decoded record; a table of 16,000 ranges is a
+// megabyte.
+const maxTableBytes = 8 << 20
+
+// Encode returns the record to store: JSON, compressed, as IDs recur. A table
+// of 160 ranges takes about 2 KB instead of 11.
 func (t *Table) Encode() ([]byte, error) {
-	data, err := json.Marshal(t)
-	return data, eris.Wrap(err, "ownership table: encode")
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(zw).Encode(t); err != nil {
+		return nil, eris.Wrap(err, "ownership table: encode")
+	}
+	if err := zw.Close(); err != nil {
+		return nil, eris.Wrap(err, "ownership table: encode")
+	}
+	return buf.Bytes(), nil
 }
 
 // Find returns the range that holds key.
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -1,6 +1,9 @@
 package planner
 
 import (
+	"errors"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/bootclock"
@@ -11,7 +14,8 @@
 type move struct {
 	span
 	old ownership.Range
-	to  string
+	// dest is the upstream that gets the keys.
+	dest string
 	// Release.
 	releasing   bool
 	released    bool
@@ -23,6 +27,10 @@
 // pause between looks for load that is out of balance.
 const fitEvery = 250 * time.Millisecond
 
+// fewestSamples is how many requests must be known before keys move for
+// load: a planner that has just taken over knows nothing of it yet.
+const fewestSamples = 40
+
 // plan starts the moves that the present owners and load call for.
 func (t *term) plan(now bootclock.Time) {
 	urgent := t.needsOwner(now)
@@ -35,12 +43,14 @@
 	if len(owners) == 0 {
 		return
 	}
+	load, samples := t.p.Load(t.name, owners)
 	lim := t.p.Limits
-	if len(t.moves) > 0 {
+	lim.MaxMoves = max(lim.MaxMoves-len(t.moves), 0)
+	if samples < fewestSamples {
 		lim.MaxMoves = 0
 	}
 	planned := t.table.Apply(t.pendingMoves())
-	for _, m := range ownership.Rebalance(planned, t.p.Load(t.name, owners), lim) {
+	for _, m := range ownership.Rebalance(planned, load, lim) {
 		t.startMove(m, now)
 	}
 	t.syncLeases(now)
@@ -63,8 +73,8 @@
 
 func (t *term) pendingMoves() []ownership.Move {
 	var out []ownership.Move
-	for _, s := range sortedKeys(t.moves) {
-		out = append(out, ownership.Move{From: s.from, To: s.to, NewOwner: t.moves[s].to})
+	for _, m := range t.moves {
+		out = append(out, ownership.Move{From: m.from, To: m.to, NewOwner: m.dest})
 	}
 	return out
 }
@@ -76,17 +86,35 @@
 	for _, part := range t.withoutMoves(s) {
 		old := t.table.Find(part.from)
 		old.From, old.To = part.from, part.to
-		mv := &move{span: part, old: old, to: m.NewOwner, nextRelease: now, cause: t.moveCause(old.Owner, now)}
+		mv := &move{span: part, old: old, dest: m.NewOwner, nextRelease: now, cause: t.moveCause(old.Owner, now)}
 		mv.released = old.Owner == ""
-		t.moves[part] = mv
+		t.insertMove(mv)
+	}
+	if t.appending != nil {
+		return // what is being recorded can no longer be changed
 	}
-	for have, mv := range t.moves {
-		if have.from >= s.from && have.to <= s.to && t.appending == nil {
-			mv.to = m.NewOwner
+	for _, mv := range t.moves {
+		if mv.from >= s.from && mv.to <= s.to {
+			mv.dest = m.NewOwner
 		}
 	}
 }
 
+// insertMove keeps the moves in the order of their keys.
+func (t *term) insertMove(m *move) {
+	i := sort.Search(len(t.moves), func(i int) bool { return t.moves[i].from > m.from })
+	t.moves = slices.Insert(t.moves, i, m)
+}
+
+// findMove returns the move of exactly s, or nil.
+func (t *term) findMove(s span) *move {
+	i := sort.Search(len(t.moves), func(i int) bool { return t.moves[i].from >= s.from })
+	if i < len(t.moves) && t.moves[i].span == s {
+		return t.moves[i]
+	}
+	return nil
+}
+
 func (t *term) moveCause(owner string, now bootclock.Time) string {
 	u := t.ups[owner]
 	switch {
@@ -107,8 +135,7 @@
 // back.
 func (t *term) releases(now bootclock.Time) []Action {
 	var out []Action
-	for _, s := range sortedKeys(t.moves) {
-		m := t.moves[s]
+	for _, m := range t.moves {
 		u := t.ups[m.old.Owner]
 		if m.released || m.releasing || u == nil || now.Before(m.nextRelease) || t.holder(m.old.Owner).inFlight > 0 {
 			continue
@@ -120,11 +147,17 @@
 }
 
 func (t *term) releaseDone(r *Release, handover string, err error, now bootclock.Time) {
-	m := t.moves[span{r.Range.From, r.Range.To}]
+	m := t.findMove(span{r.Range.From, r.Range.To})
 	if m == nil || m.old.Fence != r.Range.Fence {
 		return
 	}
 	m.releasing = false
+	if errors.Is(err, ownership.ErrRefused) {
+		// An upstream refuses no release, so something else answers at its
+		// address: the old owner has ended and its grants with it.
+		m.released = true
+		return
+	}
 	if err != nil {
 		m.nextRelease = now.Add(retryRelease)
 		t.p.Note(Event{Kind: ReleaseFailed, Service: t.name, Upstream: r.Range.Owner, Err: err})
@@ -166,15 +199,14 @@
 	}
 	var ready []ownership.Move
 	cause := ""
-	for _, s := range sortedKeys(t.moves) {
-		m := t.moves[s]
+	for _, m := range t.moves {
 		if !t.free(m, now) {
 			continue
 		}
-		if u := t.ups[m.to]; u == nil || u.Leaving || t.shunned(m.to, now) {
+		if u := t.ups[m.dest]; u == nil || u.Leaving || t.shunned(m.dest, now) {
 			t.redirect(m, now)
 		}
-		ready = append(ready, ownership.Move{From: s.from, To: s.to, NewOwner: m.to, Handover: m.handover})
+		ready = append(ready, ownership.Move{From: m.from, To: m.to, NewOwner: m.dest, Handover: m.handover})
 		cause = m.cause
 	}
 	if len(ready) == 0 {
@@ -191,21 +223,17 @@
 	for _, r := range t.table.Ranges {
 		keys[r.Owner] += r.To - r.From + 1
 	}
-	m.to = ""
+	m.dest = ""
 	for _, u := range t.candidates(now) {
-		if m.to == "" || keys[u.ID] < keys[m.to] || (keys[u.ID] == keys[m.to] && u.ID < m.to) {
-			m.to = u.ID
+		if m.dest == "" || keys[u.ID] < keys[m.dest] || (keys[u.ID] == keys[m.dest] && u.ID < m.dest) {
+			m.dest = u.ID
 		}
 	}
 }
 
 // dropFinishedMoves forgets the moves that the table in force contains.
 func (t *term) dropFinishedMoves() {
-	for s, m := range t.moves {
-		if t.table.Find(s.from).Fence > m.old.Fence {
-			delete(t.moves, s)
-		}
-	}
+	t.moves = slices.DeleteFunc(t.moves, func(m *move) bool { return t.table.Find(m.from).Fence > m.old.Fence })
 }
 
 // settleLosses lets lost upstreams that own nothing any more come back after
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -24,14 +24,14 @@
 	arrival = 100 * time.Millisecond
 	// renewals is how often a grant is renewed within its time, so that
 	// some may be lost.
-	renewals = 5
+	renewals = 3
 	// retryGrant is the pause after a grant that failed.
 	retryGrant = 100 * time.Millisecond
 	// lostAfter is the part of a grant's time after which an upstream that
 	// has answered none is taken for lost.
 	lostAfter = 0.5
 	// retryRelease is the pause before a release that failed is sent again.
-	retryRelease = 400 * time.Millisecond
+	retryRelease = 800 * time.Millisecond
 	// shunFirst is how long an upstream that was lost gets no keys, if it
 	// is still or again listed; it doubles with each loss up to shunMost.
 	shunFirst = 4 * time.Second
@@ -42,6 +42,11 @@
 	// settle is how long after the first upstream was seen the first
 	// division of a service's keys waits for the others to register.
 	settle = 1200 * time.Millisecond
+	// trigger, settleAt and maxMoves are the usual limits of rebalancing; an
+	// owner's load estimate rests on some fifty requests, which chance makes
+	// a third too high now and then.
+	trigger, settleAt = 1.35, 1.05
+	maxMoves          = 24
 	// joinHolder and joinOther are the pauses between proofs of the seat,
 	// relative to its time to live, of its holder and of the others.
 	joinHolder = 0.35
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -16,8 +16,8 @@
 type Planner struct {
 	opts Options
 	// Load returns what callers ask of a service, with the capacity of the
-	// upstreams named.
-	Load func(service string, owners []*catalogue.Upstream) ownership.Load
+	// upstreams named, and how many requests it rests on.
+	Load func(service string, owners []*catalogue.Upstream) (ownership.Load, float64)
 	// Limits shape rebalancing.
 	Limits ownership.Limits
 	// Note is told of each change of the planner's belief.
@@ -70,9 +70,9 @@
 // New returns a planner that holds no seat.
 func New(opts Options) *Planner {
 	return &Planner{opts: opts, services: map[string]*term{}, firstSeen: map[string]bootclock.Time{},
-		Limits: ownership.Limits{Trigger: 1.4, Settle: 1.1, MaxMoves: 8},
-		Load: func(_ string, owners []*catalogue.Upstream) ownership.Load {
-			return ownership.Load{Capacity: slotsOf(owners)}
+		Limits: ownership.Limits{Trigger: trigger, Settle: settleAt, MaxMoves: maxMoves},
+		Load: func(_ string, owners []*catalogue.Upstream) (ownership.Load, float64) {
+			return ownership.Load{Capacity: slotsOf(owners)}, 0
 		},
 		Note: func(Event) {}}
 }
@@ -177,6 +177,9 @@
 	if !t.started {
 		return t.takeOver(now, v)
 	}
+	if t.standingDown() {
+		return nil
+	}
 	t.observe(v)
 	t.plan(now)
 	var out []Action
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sort"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/bootclock"
@@ -30,10 +31,17 @@
 	resend     bool
 	nextAppend bootclock.Time
 
+	// supersededAt is when an upstream showed that it has seen a later
+	// planner's token. Until the seat is proved anew this host sends no
+	// orders: each would only be refused.
+	superseded   bool
+	supersededAt bootclock.Time
+
 	ups     map[string]*catalogue.Upstream
 	holders map[string]*holder
 	leases  map[span]*lease
-	moves   map[span]*move
+	// moves are under way, in the order of their keys.
+	moves   []*move
 	nextFit bootclock.Time
 }
 
@@ -65,7 +73,7 @@
 
 func newTerm(p *Planner, name string, now bootclock.Time) *term {
 	return &term{p: p, name: name, startedAt: now, ups: map[string]*catalogue.Upstream{},
-		holders: map[string]*holder{}, leases: map[span]*lease{}, moves: map[span]*move{}}
+		holders: map[string]*holder{}, leases: map[span]*lease{}}
 }
 
 func (t *term) holder(id string) *holder {
@@ -127,7 +135,8 @@
 	t.number = next.Term
 	if t.table == nil {
 		t.observe(v)
-		next = next.Apply(ownership.Rebalance(next, t.p.Load(t.name, t.candidates(now)), t.p.Limits))
+		load, _ := t.p.Load(t.name, t.candidates(now))
+		next = next.Apply(ownership.Rebalance(next, load, t.p.Limits))
 	}
 	t.appending = &Append{Table: next, At: t.p.end, Cause: "new planner"}
 	return []Action{t.appending}
@@ -197,11 +206,12 @@
 
 // withoutMoves cuts the spans that are being moved out of s.
 func (t *term) withoutMoves(s span) []span {
-	out := []span{}
+	var out []span
 	from := s.from
-	for _, m := range sortedKeys(t.moves) {
-		if m.to < from || m.from > s.to {
-			continue
+	first := sort.Search(len(t.moves), func(i int) bool { return t.moves[i].to >= s.from })
+	for _, m := range t.moves[first:] {
+		if m.from > s.to {
+			break
 		}
 		if m.from > from {
 			out = append(out, span{from, m.from - 1})
@@ -260,7 +270,9 @@
 	case errors.Is(err, ownership.ErrNoAnswer):
 		h.unanswered = true
 		h.unansweredAt = now
-	case errors.Is(err, ownership.ErrFenced), errors.Is(err, ownership.ErrRefused):
+	case errors.Is(err, ownership.ErrFenced):
+		t.fenced(g.Range, now, err)
+	case errors.Is(err, ownership.ErrRefused):
 		t.p.Note(Event{Kind: GrantRefused, Service: t.name, Upstream: g.Range.Owner, Err: err})
 	}
 	if l != nil {
@@ -272,6 +284,28 @@
 	}
 }
 
+// fenced takes note that an upstream has seen a higher token than that of a
+// grant in force: another planner is at work, whose record has not reached
+// this host.
+func (t *term) fenced(r ownership.Range, now bootclock.Time, err error) {
+	if t.table.Find(r.From).Fence != r.Fence {
+		return // a grant from before a move of this host's own
+	}
+	if !t.superseded {
+		t.p.Note(Event{Kind: GrantRefused, Service: t.name, Upstream: r.Owner, Err: err})
+	}
+	t.superseded, t.supersededAt = true, now
+}
+
+// standingDown reports whether the term is superseded and the seat has not
+// been proved since.
+func (t *term) standingDown() bool {
+	if t.superseded && t.supersededAt.Before(t.p.seat.provenAt) {
+		t.superseded = false
+	}
+	return t.superseded
+}
+
 // maxConfirmed bounds the spans remembered per upstream; more than an
 // upstream has ranges is never needed.
 const maxConfirmed = 256
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -42,7 +42,7 @@
 		"log_level": "info", "memory_mb": "284"},
 	"log":       {"addr": "", "seat_min": "1s"},
 	"bounds":    {"hold_max": "10s", "grace": "6s", "repeat_ratio": "0.2", "repeat_slack": "0", "repeat_window": "10s"},
-	"ownership": {"hold": "2500ms", "view_age": "4s"},
+	"ownership": {"hold": "3s", "view_age": "6s"},
 }
 
 // LoadEntry reads and checks an entry host's settings file.
