Admission by adaptive limits; keys of upstreams that answer again are given back

Keys of an upstream whose grants' answers were lost stayed without an owner for 9 s though it answered everything else. Change: package admission; an upstream taken for lost that answers a release gets its keys back; no key moves for load while the seat was not proved lately; a grant that an upstream said it does not hold is not tried for 120 ms; unreachable owners fail fast; half the budget and less in the first window of a process's life.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -35,7 +35,7 @@
 	ejectAfter = 2
 	// ejectFirst and ejectMost bound how long it stays out.
 	ejectFirst = 500 * time.Millisecond
-	ejectMost  = 4 * time.Second
+	ejectMost  = 2 * time.Second
 	// coldFactor is how much slower an upstream is while it warms up.
 	coldFactor = 2
 )
@@ -95,6 +95,14 @@
 	}
 }
 
+// Out reports whether the upstream fails so often that it is left alone for
+// now.
+func (b *Board) Out(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.of(id).outUntil)
+}
+
 // Prune forgets upstreams that keep does not know.
 func (b *Board) Prune(keep func(id string) bool) {
 	b.mu.Lock()
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -28,6 +28,12 @@
 // which may be bunched.
 const caution = 0.8
 
+// restart is the part that is spent in the first window of a process's life.
+// The process before it may have spent all of its own just before it ended,
+// and both fall into one window: twelve hosts killed together were seen to
+// make 1.02 times the repeats allowed.
+const restart = 0.35
+
 type counts struct {
 	step     int64
 	requests int
@@ -39,10 +45,13 @@
 	mu     sync.Mutex
 	limits Limits
 	by     map[string]*[steps]counts
+	start  time.Time
 }
 
-// New returns a budget.
-func New(l Limits) *Budget { return &Budget{limits: l, by: map[string]*[steps]counts{}} }
+// New returns the budget of a process that starts now.
+func New(l Limits, now time.Time) *Budget {
+	return &Budget{limits: l, by: map[string]*[steps]counts{}, start: now}
+}
 
 // SetLimits replaces the limits.
 func (b *Budget) SetLimits(l Limits) {
@@ -71,7 +80,7 @@
 			repeats += c.repeats
 		}
 	}
-	allowed := (float64(requests)*b.limits.Ratio + b.limits.Slack) * caution
+	allowed := (float64(requests)*b.limits.Ratio + b.limits.Slack) * b.share(now)
 	if float64(repeats+1) > allowed {
 		return false
 	}
@@ -79,6 +88,13 @@
 	return true
 }
 
+func (b *Budget) share(now time.Time) float64 {
+	if now.Sub(b.start) < b.limits.Window {
+		return caution * restart
+	}
+	return caution
+}
+
 func (b *Budget) slot(service string, now time.Time) *counts {
 	ring := b.by[service]
 	if ring == nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/budget"
 	"github.com/papayatide/papayatide/internal/catalogue"
@@ -47,8 +48,10 @@
 	views   *view.Holder
 	client  *upstream.Client
 	board   *balance.Board
+	limits  *admission.Limiters
 	budget  *budget.Budget
 	splits  *splitter
+	unheld  *unheld
 	// Ended is told of every request's end.
 	Ended func(*End)
 }
@@ -79,7 +82,7 @@
 // New returns a dispatcher for callers in the data centre home.
 func New(h protocol.Headers, home string, views *view.Holder, client *upstream.Client, board *balance.Board, bud *budget.Budget) *Dispatcher {
 	return &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud,
-		splits: newSplitter(), Ended: func(*End) {}}
+		limits: admission.NewLimiters(), splits: newSplitter(), unheld: newUnheld(), Ended: func(*End) {}}
 }
 
 // ServeHTTP implements http.Handler.
@@ -130,7 +133,6 @@
 
 // forward sends the request until it is answered or must end.
 func (d *Dispatcher) forward(ctx context.Context, q *request, end *End) (*upstream.Result, *Refusal) {
-	unsent := 0
 	for {
 		if ctx.Err() != nil {
 			return nil, d.outOfTime(ctx, q)
@@ -139,42 +141,91 @@
 		if ref != nil {
 			return nil, ref
 		}
+		ticket := d.limits.Of(u.ID).Acquire(ctx, q.patience())
+		if ticket == nil {
+			return nil, d.crowdedOut(ctx, q)
+		}
 		if q.sends > 0 && !d.budget.Repeat(q.service.Name, time.Now()) {
+			ticket.Done(admission.NoSign, 0)
 			return nil, q.giveUp()
 		}
-		res, took := d.send(ctx, q, u)
+		res, took := d.send(ctx, q, u, ticket)
 		end.AtUpstream = took
-		switch res.Outcome {
-		case upstream.Answered:
-			if q.mayRepeat() && res.Status >= http.StatusInternalServerError && d.another(q) {
-				continue
-			}
-			return res, nil
-		case upstream.NotSent:
-			unsent++
-			if unsent >= maxUnsent {
-				return nil, q.giveUp()
-			}
-		case upstream.NotRun:
-			if !q.mayRepeat() {
-				return nil, q.refused(res)
-			}
-			if res.Misdirected() && q.key >= 0 {
-				if ref := d.waitForMove(ctx, q); ref != nil {
-					return nil, ref
-				}
-			}
-		case upstream.Unknown:
-			if ctx.Err() != nil {
-				return nil, d.outOfTime(ctx, q)
-			}
-			if !q.route.Idempotent || !q.mayRepeat() || !d.another(q) {
-				return nil, failed(CauseBroken, http.StatusBadGateway)
-			}
+		again, ref := d.after(ctx, q, res)
+		if !again {
+			return res, ref
 		}
 	}
 }
 
+// after decides what follows a send: another one, the answer (neither), or
+// a refusal.
+func (d *Dispatcher) after(ctx context.Context, q *request, res *upstream.Result) (again bool, ref *Refusal) {
+	switch res.Outcome {
+	case upstream.Answered:
+		return res.Status >= http.StatusInternalServerError && q.mayRepeat() && d.another(q), nil
+	case upstream.NotSent:
+		q.unsent++
+		if q.unsent >= maxUnsent || q.key >= 0 {
+			return false, q.giveUp()
+		}
+		return true, nil
+	case upstream.NotRun:
+		return d.afterNotRun(ctx, q, res)
+	}
+	if ctx.Err() != nil {
+		return false, d.outOfTime(ctx, q)
+	}
+	if !q.mayRepeat() || !d.another(q) {
+		return false, failed(CauseBroken, http.StatusBadGateway)
+	}
+	return true, nil
+}
+
+// afterNotRun decides what follows an upstream's refusal.
+func (d *Dispatcher) afterNotRun(ctx context.Context, q *request, res *upstream.Result) (again bool, ref *Refusal) {
+	if q.key < 0 {
+		return q.mayRepeat(), q.refusedUnless(q.mayRepeat(), res)
+	}
+	if !res.Misdirected() {
+		// The key has no other owner, and one that is full now is full in a
+		// few milliseconds too.
+		return false, q.refused(res)
+	}
+	d.unheld.note(q.service.Name, q.lastSeen, q.lastUp, time.Now())
+	if !q.mayRepeat() {
+		return false, q.refused(res)
+	}
+	ref = d.waitForMove(ctx, q)
+	return ref == nil, ref
+}
+
+func (q *request) refusedUnless(again bool, res *upstream.Result) *Refusal {
+	if again {
+		return nil
+	}
+	return q.refused(res)
+}
+
+// patience is how long the request may wait for its turn: what is left of
+// its latency objective less the time the upstream needs.
+func (q *request) patience() time.Duration {
+	budget := time.Duration(waitShare*float64(q.route.Objective)) - time.Since(q.arrived)
+	return min(max(budget, 0), time.Until(q.deadline))
+}
+
+// waitShare is the part of the latency objective that a request may spend
+// waiting for its turn; the rest is for the work itself.
+const waitShare = 0.5
+
+// crowdedOut ends a request that would have waited too long.
+func (d *Dispatcher) crowdedOut(ctx context.Context, q *request) *Refusal {
+	if ctx.Err() != nil {
+		return d.outOfTime(ctx, q)
+	}
+	return q.endUnsent(CauseFull, retryFull)
+}
+
 // mayRepeat reports whether the route allows one more send.
 func (q *request) mayRepeat() bool {
 	return q.up.Stream == nil && q.sends < q.route.MaxAttempts
@@ -247,8 +298,12 @@
 func (d *Dispatcher) owner(ctx context.Context, q *request) (*catalogue.Upstream, *Refusal) {
 	for {
 		v := d.views.Load()
+		now := time.Now()
 		u, fence := v.Owner(q.service.Name, q.key)
-		if u != nil && !u.Leaving {
+		if u != nil && !u.Leaving && !d.unheld.recent(q.service.Name, fence, u.ID, now) {
+			if d.board.Out(u.ID, now) {
+				return nil, q.endUnsent(CauseUnreachable, retryNoOwner)
+			}
 			q.lastSeen = fence
 			return u, nil
 		}
@@ -294,12 +349,14 @@
 }
 
 // send makes one send and accounts for it.
-func (d *Dispatcher) send(ctx context.Context, q *request, u *catalogue.Upstream) (*upstream.Result, time.Duration) {
+func (d *Dispatcher) send(ctx context.Context, q *request, u *catalogue.Upstream, ticket *admission.Ticket) (*upstream.Result, time.Duration) {
 	start := time.Now()
 	d.board.Start(u.ID)
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, q.up)
 	took := time.Since(start)
-	d.board.Done(u.ID, judge(ctx, res), took, time.Now())
+	judged := judge(ctx, res)
+	d.board.Done(u.ID, judged, took, time.Now())
+	ticket.Done(verdict(judged, took, q.route.Objective), took)
 	q.lastUp, q.lastErr = u.ID, res.Err
 	q.tried = append(q.tried, u.ID)
 	if res.Outcome != upstream.NotSent {
@@ -318,8 +375,34 @@
 		return balance.Abandoned
 	case res.Outcome == upstream.Answered && res.Status < http.StatusInternalServerError:
 		return balance.Served
+	case res.Outcome == upstream.NotRun && res.Misdirected():
+		return balance.Abandoned
 	case res.Outcome == upstream.NotRun:
 		return balance.Full
 	}
 	return balance.Failed
 }
+
+// lateShare is the part of the latency objective above which an answer's
+// time at the upstream counts as late; the rest is for the ways.
+const lateShare = 0.8
+
+// verdict says what a send's end shows of its upstream's load.
+func verdict(o balance.Outcome, took, objective time.Duration) admission.Verdict {
+	late := took > time.Duration(lateShare*float64(objective))
+	switch {
+	case o == balance.Served && late:
+		return admission.Late
+	case o == balance.Served:
+		return admission.InTime
+	case o == balance.Full:
+		return admission.Full
+	}
+	return admission.NoSign
+}
+
+// Prune forgets upstreams that keep does not know.
+func (d *Dispatcher) Prune(keep func(id string) bool) {
+	d.limits.Prune(keep)
+	d.unheld.prune(time.Now())
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -28,7 +28,7 @@
 	arrived  time.Time
 	deadline time.Time
 	// Progress.
-	sends int
+	sends, unsent int
 	// mayHaveRun is set once a send ended without word that it did not run.
 	mayHaveRun bool
 	tried      []string
--- /dev/null
+++ b/internal/dispatch/unheld.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+)
+
+// unheldFor is how long after an upstream refused a key it does not hold no
+// other request under the same grant is sent to it: each would be refused
+// too, and would draw on the repeat budget.
+const unheldFor = 120 * time.Millisecond
+
+// grantKey names what an upstream was refused under: the grant of one token.
+type grantKey struct {
+	service, upstream string
+	fence             int64
+}
+
+// unheld remembers which grants upstreams lately said they do not hold.
+type unheld struct {
+	mu sync.Mutex
+	at map[grantKey]time.Time
+}
+
+func newUnheld() *unheld { return &unheld{at: map[grantKey]time.Time{}} }
+
+func (h *unheld) note(service string, fence int64, upstream string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.at[grantKey{service, upstream, fence}] = now
+}
+
+func (h *unheld) recent(service string, fence int64, upstream string, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := h.at[grantKey{service, upstream, fence}]
+	return ok && now.Sub(at) < unheldFor
+}
+
+func (h *unheld) prune(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for k, at := range h.at {
+		if now.Sub(at) > unheldFor {
+			delete(h.at, k)
+		}
+	}
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -107,7 +107,7 @@
 
 func newHost(cfg *settings.Entry, plat Platform, zl *zap.Logger) *host {
 	h := &host{cfg: cfg, zl: zl, views: view.NewHolder(), client: upstream.NewClient(plat.Headers), board: balance.NewBoard(),
-		budget: budget.New(shareOfBudget(cfg)), reporter: newReporter(), plat: plat,
+		budget: budget.New(shareOfBudget(cfg), time.Now()), reporter: newReporter(), plat: plat,
 		peers: peer.NewClient(cfg.Host, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}})}
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget)
 	h.dispatch.Ended = h.ended
@@ -217,6 +217,7 @@
 			keep := known(h.views.Load().Upstreams)
 			h.client.Prune(now, keep)
 			h.board.Prune(keep)
+			h.dispatch.Prune(keep)
 		}
 	}
 }
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -31,6 +31,10 @@
 // load: a planner that has just taken over knows nothing of it yet.
 const fewestSamples = 40
 
+// freshSeat is how lately the seat must have been proved for keys to move for
+// load.
+const freshSeat = 900 * time.Millisecond
+
 // plan starts the moves that the present owners and load call for.
 func (t *term) plan(now bootclock.Time) {
 	urgent := t.needsOwner(now)
@@ -46,7 +50,9 @@
 	load, samples := t.p.Load(t.name, owners)
 	lim := t.p.Limits
 	lim.MaxMoves = max(lim.MaxMoves-len(t.moves), 0)
-	if samples < fewestSamples {
+	if samples < fewestSamples || now.Sub(t.p.seat.provenAt) > freshSeat {
+		// Keys taken back while the log cannot be written to would stay
+		// without an owner until it can.
 		lim.MaxMoves = 0
 	}
 	planned := t.table.Apply(t.pendingMoves())
@@ -163,9 +169,28 @@
 		t.p.Note(Event{Kind: ReleaseFailed, Service: t.name, Upstream: r.Range.Owner, Err: err})
 		return
 	}
+	if t.comeBack(r.Range.Owner, now) {
+		return
+	}
 	m.released, m.handover = true, handover
 }
 
+// comeBack gives an upstream that was taken for lost, but answers again, its
+// keys back instead of moving them: nobody else has been granted them, and
+// it may be that only the answers to its grants were lost. It reports
+// whether it did.
+func (t *term) comeBack(id string, now bootclock.Time) bool {
+	h, u := t.holder(id), t.ups[id]
+	if !h.lost || u == nil || u.Leaving || t.appending != nil {
+		return false
+	}
+	h.lost = false
+	h.answeredAt = now
+	t.moves = slices.DeleteFunc(t.moves, func(m *move) bool { return m.old.Owner == id })
+	t.syncLeases(now)
+	return true
+}
+
 // free reports whether the move's old owner can no longer hold its keys; see
 // the package comment for why.
 func (t *term) free(m *move, now bootclock.Time) bool {
