--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -20,8 +20,13 @@
 	Window time.Duration
 }
 
-// steps is how many parts the window is counted in.
-const steps = 10
+// steps is how many parts the window is counted in; slots is one more, since
+// the present part has only begun: without it a burst would leave the count
+// up to one part before it leaves the window, and could come again.
+const (
+	steps = 10
+	slots = steps + 1
+)
 
 // caution is the part of the budget that is spent: the windows of two hosts
 // do not begin at the same moment, and an upstream counts what arrives,
@@ -44,13 +49,13 @@
 type Budget struct {
 	mu     sync.Mutex
 	limits Limits
-	by     map[string]*[steps]counts
+	by     map[string]*[slots]counts
 	start  time.Time
 }
 
 // New returns the budget of a process that starts now.
 func New(l Limits, now time.Time) *Budget {
-	return &Budget{limits: l, by: map[string]*[steps]counts{}, start: now}
+	return &Budget{limits: l, by: map[string]*[slots]counts{}, start: now}
 }
 
 // SetLimits replaces the limits.
@@ -75,7 +80,7 @@
 	cur := b.slot(service, now)
 	requests, repeats := 0, 0
 	for _, c := range b.by[service] {
-		if cur.step-c.step < steps {
+		if cur.step-c.step < slots {
 			requests += c.requests
 			repeats += c.repeats
 		}
@@ -98,11 +103,11 @@
 func (b *Budget) slot(service string, now time.Time) *counts {
 	ring := b.by[service]
 	if ring == nil {
-		ring = &[steps]counts{}
+		ring = &[slots]counts{}
 		b.by[service] = ring
 	}
 	step := now.UnixNano() / int64(b.limits.Window/steps)
-	c := &ring[step%steps]
+	c := &ring[step%slots]
 	if c.step != step {
 		*c = counts{step: step}
 	}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,79 @@
+package budget
+
+import (
+	"testing"
+	"time"
+)
+
+var limits = Limits{Ratio: 0.2, Slack: 4, Window: 10 * time.Second}
+
+// spend asks for as many repeats as it can get, with perSecond requests a
+// second from start to end, and returns when each was granted.
+func spend(b *Budget, start, end time.Time, perSecond int) []time.Time {
+	var out []time.Time
+	for at := start; at.Before(end); at = at.Add(time.Second / time.Duration(perSecond)) {
+		b.Request("s", at)
+		for b.Repeat("s", at) {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
+// most returns the largest number of times within any window.
+func most(times []time.Time, window time.Duration) int {
+	best := 0
+	for i := range times {
+		n := 0
+		for _, t := range times[i:] {
+			if t.Sub(times[i]) < window {
+				n++
+			}
+		}
+		best = max(best, n)
+	}
+	return best
+}
+
+// Callers that would have everything repeated get what the ratio allows in
+// every window, and no more.
+func TestRepeatsStayWithinEveryWindow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	b := New(limits, start.Add(-time.Minute))
+	got := spend(b, start, start.Add(40*time.Second), 30)
+	allowed := int(30*10*limits.Ratio + limits.Slack)
+	if n := most(got, limits.Window); n > allowed {
+		t.Errorf("%d repeats in a window, %d are allowed", n, allowed)
+	}
+	if len(got) < 150 {
+		t.Errorf("only %d repeats in 40 s", len(got))
+	}
+}
+
+// All hosts are killed after they have spent their budget, and start again
+// at once. What both lives spend falls into one window and must stay within
+// what that window's requests allow.
+func TestRestartDoesNotDoubleTheBudget(t *testing.T) {
+	start := time.Unix(1000, 0)
+	killed := start.Add(20 * time.Second)
+	first := New(limits, start.Add(-time.Minute))
+	got := spend(first, start, killed, 30)
+	back := killed.Add(1500 * time.Millisecond)
+	second := New(limits, back)
+	got = append(got, spend(second, back, back.Add(20*time.Second), 30)...)
+	// While the hosts are down callers' requests are counted all the same.
+	allowed := int(30*10*limits.Ratio + limits.Slack)
+	if n := most(got, limits.Window); n > allowed {
+		t.Errorf("%d repeats in a window, %d are allowed", n, allowed)
+	}
+}
+
+// Services have budgets of their own.
+func TestServicesDoNotShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(limits, now.Add(-time.Minute))
+	spend(b, now, now.Add(time.Second), 30)
+	if !b.Repeat("other", now.Add(time.Second)) {
+		t.Error("another service's budget is spent")
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -284,7 +284,14 @@
 		return d.owner(ctx, q)
 	}
 	v := d.views.Load()
-	u := d.board.Pick(v.Upstreams.Of(q.service.Name), balance.Choice{Home: d.home, FarPenalty: q.route.Objective / 4, Not: q.tried}, time.Now())
+	c := balance.Choice{Home: d.home, FarPenalty: q.route.Objective / 4, Not: q.tried}
+	u := d.board.Pick(v.Upstreams.Of(q.service.Name), c, time.Now())
+	if u == nil && q.mayHaveRun {
+		// A broken answer says little of the next one; a refusal for want of
+		// room would only be repeated.
+		c.Not = nil
+		u = d.board.Pick(v.Upstreams.Of(q.service.Name), c, time.Now())
+	}
 	if u == nil && len(q.tried) > 0 {
 		return nil, q.giveUp()
 	}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,444 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/budget"
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/protocol"
+	"github.com/papayatide/papayatide/internal/upstream"
+	"github.com/papayatide/papayatide/internal/view"
+)
+
+var names = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
+	AnsweringID: "X-Upstream", NotRun: "X-Not-Run", Key: "X-Key"}
+
+// fakeUpstream speaks HTTP by hand, so that it can misbehave. answer gets
+// each request and writes what it likes; false ends the connection.
+type fakeUpstream struct {
+	ln   net.Listener
+	runs atomic.Int64
+	seen chan *http.Request
+}
+
+func startUpstream(t *testing.T, answer func(w io.Writer, c net.Conn, r *http.Request, n int64) bool) *fakeUpstream {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeUpstream{ln: ln, seen: make(chan *http.Request, 100)}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(c, answer)
+		}
+	}()
+	return f
+}
+
+func (f *fakeUpstream) serve(c net.Conn, answer func(io.Writer, net.Conn, *http.Request, int64) bool) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		n := f.runs.Add(1)
+		f.seen <- r
+		if !answer(c, c, r, n) {
+			return
+		}
+	}
+}
+
+func (f *fakeUpstream) addr() string { return f.ln.Addr().String() }
+
+// whole writes a complete answer to r.
+func whole(w io.Writer, r *http.Request, status int, body string, extra ...string) bool {
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Signature: sig\r\nContent-Length: %d\r\n", status, r.Header.Get("X-Id"), len(body))
+	for _, e := range extra {
+		head += e + "\r\n"
+	}
+	_, err := io.WriteString(w, head+"\r\n"+body)
+	return err == nil
+}
+
+func echo(w io.Writer, _ net.Conn, r *http.Request, _ int64) bool {
+	return whole(w, r, 200, "answer to "+r.Header.Get("X-Id"))
+}
+
+// rig is a dispatcher with its front server.
+type rig struct {
+	d     *Dispatcher
+	views *view.Holder
+	front *httptest.Server
+	mu    sync.Mutex
+	ends  []*End
+}
+
+const (
+	testTimeout   = 800 * time.Millisecond
+	testObjective = 400 * time.Millisecond
+)
+
+func newRig(t *testing.T, ups ...*catalogue.Upstream) *rig {
+	t.Helper()
+	g := &rig{views: view.NewHolder()}
+	bud := budget.New(budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute))
+	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard(), bud)
+	g.d.Ended = func(e *End) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.ends = append(g.ends, e)
+	}
+	route := func(host string, idempotent bool, service string) *desired.Route {
+		return &desired.Route{Name: host, Host: host, Prefix: "/", Idempotent: idempotent, Timeout: testTimeout, Objective: testObjective,
+			MaxAttempts: 2, Shares: []desired.Share{{Service: service, Weight: 1}}}
+	}
+	routes := []*desired.Route{route("read.example", true, "plain"), route("charge.example", false, "plain"), route("keyed.example", true, "keyed")}
+	services := map[string]*desired.Service{"plain": {Name: "plain"}, "keyed": {Name: "keyed", Keyed: true}}
+	g.views.Publish(func(v *view.View) { v.Desired = desired.New(7, routes, services, desired.Limits{}) })
+	g.list(ups...)
+	g.front = httptest.NewServer(g.d)
+	t.Cleanup(g.front.Close)
+	return g
+}
+
+func (g *rig) list(ups ...*catalogue.Upstream) {
+	all := map[string]*catalogue.Upstream{}
+	for _, u := range ups {
+		all[u.ID] = u
+	}
+	g.views.Publish(func(v *view.View) { v.Upstreams = catalogue.NewSnapshot(all) })
+}
+
+// own gives all keys to the upstream.
+func (g *rig) own(id string, fence int64) {
+	t := &ownership.Table{Service: "keyed", Fence: fence, Ranges: []ownership.Range{{From: 0, To: ownership.Keys - 1, Owner: id, Fence: fence}}}
+	g.views.Publish(func(v *view.View) { v.Tables = map[string]*ownership.Table{"keyed": t} })
+}
+
+func up(id, service string, f *fakeUpstream) *catalogue.Upstream {
+	return &catalogue.Upstream{ID: id, Service: service, Addr: f.addr(), DataCentre: "dc1", Slots: 3}
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (g *rig) call(ctx context.Context, method, host, id, body string) answer {
+	req, err := http.NewRequestWithContext(ctx, method, g.front.URL+"/a//b?q=%2f", strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = host
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Key", "77")
+	req.Header.Set("X-Timeout-Ms", "5000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(data), resp.Header, err}
+}
+
+func (g *rig) get(host, id string) answer { return g.call(context.Background(), "GET", host, id, "") }
+
+func (g *rig) post(host, id string) answer {
+	return g.call(context.Background(), "POST", host, id, "body of "+id)
+}
+
+func (a answer) want(t *testing.T, status int, body string) {
+	t.Helper()
+	if a.err != nil || a.status != status || (body != "" && a.body != body) {
+		t.Fatalf("got %d %q, error %v; want %d %q", a.status, a.body, a.err, status, body)
+	}
+}
+
+// A request reaches the upstream unchanged, marked with the upstream it is
+// meant for and the time that is left, and its answer comes back unchanged.
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	f := startUpstream(t, echo)
+	g := newRig(t, up("u1", "plain", f))
+	a := g.post("charge.example", "r1")
+	a.want(t, 200, "answer to r1")
+	if a.header.Get("X-Signature") != "sig" {
+		t.Error("the upstream's signature is lost")
+	}
+	r := <-f.seen
+	if r.RequestURI != "/a//b?q=%2f" || r.Method != "POST" || r.Host != "charge.example" {
+		t.Errorf("upstream saw %s %s of %s", r.Method, r.RequestURI, r.Host)
+	}
+	if body, _ := io.ReadAll(r.Body); string(body) != "body of r1" {
+		t.Errorf("upstream saw body %q", body)
+	}
+	if r.Header.Get("X-Expect") != "u1" {
+		t.Error("the request does not say which upstream it is meant for")
+	}
+	if ms := r.Header.Get("X-Timeout-Ms"); len(ms) != 3 {
+		t.Errorf("upstream is told %s ms, want what is left of the route's 800", ms)
+	}
+}
+
+// The upstream breaks off in the middle of its answer. The caller of a read
+// gets a whole answer from a second try; the caller of a charge, which may
+// have run, gets 502 and no second try, and neither sees half an answer.
+func TestBrokenAnswers(t *testing.T) {
+	broken := func(w io.Writer, c net.Conn, r *http.Request, n int64) bool {
+		if n == 1 {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Length: 100\r\n\r\nhalf")
+			return false
+		}
+		return echo(w, c, r, n)
+	}
+	f := startUpstream(t, broken)
+	newRig(t, up("u1", "plain", f)).get("read.example", "r1").want(t, 200, "answer to r1")
+	f = startUpstream(t, broken)
+	newRig(t, up("u1", "plain", f)).post("charge.example", "r1").want(t, 502, "")
+	if n := f.runs.Load(); n != 1 {
+		t.Errorf("the charge was sent %d times", n)
+	}
+}
+
+// The upstream runs the charge and the answer is lost with a reset. The
+// caller must not be told that it did not run: 502, never 429 or 503.
+func TestLostAnswerIsNeverCalledNotRun(t *testing.T) {
+	f := startUpstream(t, func(_ io.Writer, c net.Conn, _ *http.Request, _ int64) bool {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	g := newRig(t, up("u1", "plain", f), up("u2", "plain", f))
+	g.post("charge.example", "r1").want(t, 502, "")
+	if n := f.runs.Load(); n != 1 {
+		t.Errorf("the charge was sent %d times", n)
+	}
+}
+
+// The upstream answers twice; the second answer arrives on the kept
+// connection where the next caller's is due. The next caller gets its own.
+func TestExtraAnswerNeverReachesTheNextCaller(t *testing.T) {
+	f := startUpstream(t, func(w io.Writer, _ net.Conn, r *http.Request, n int64) bool {
+		ok := whole(w, r, 200, "answer to "+r.Header.Get("X-Id"))
+		if n == 1 {
+			go func() {
+				time.Sleep(30 * time.Millisecond)
+				whole(w, r, 200, "late answer to "+r.Header.Get("X-Id"))
+			}()
+			return ok
+		}
+		return ok
+	})
+	g := newRig(t, up("u1", "plain", f))
+	g.post("charge.example", "r1").want(t, 200, "answer to r1")
+	g.post("charge.example", "r2").want(t, 200, "answer to r2")
+	time.Sleep(60 * time.Millisecond)
+	g.post("charge.example", "r3").want(t, 200, "answer to r3")
+}
+
+// A late answer that comes after the next request went out, before that
+// one's own answer, is told apart by its ID.
+func TestLateAnswerBeforeOnesOwnIsPassedOver(t *testing.T) {
+	f := startUpstream(t, func(w io.Writer, _ net.Conn, r *http.Request, n int64) bool {
+		if n == 2 {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: sig\r\nContent-Length: 4\r\n\r\nlate")
+		}
+		return whole(w, r, 200, "answer to "+r.Header.Get("X-Id"))
+	})
+	g := newRig(t, up("u1", "plain", f))
+	g.post("charge.example", "r1").want(t, 200, "answer to r1")
+	g.post("charge.example", "r2").want(t, 200, "answer to r2")
+}
+
+// A full upstream says that it did not run the charge; the charge runs once,
+// at the other one. If both are full the caller is told so at once, with a
+// time to come back.
+func TestFullUpstreams(t *testing.T) {
+	full := startUpstream(t, func(w io.Writer, _ net.Conn, r *http.Request, _ int64) bool {
+		return whole(w, r, 503, "", "X-Not-Run: 1")
+	})
+	free := startUpstream(t, echo)
+	g := newRig(t, up("u1", "plain", full), up("u2", "plain", free))
+	g.post("charge.example", "r1").want(t, 200, "answer to r1")
+	g = newRig(t, up("u1", "plain", full), up("u2", "plain", full))
+	start := time.Now()
+	a := g.post("charge.example", "r2")
+	a.want(t, 503, "")
+	if a.header.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+	if took := time.Since(start); took > testObjective/2 {
+		t.Errorf("refused only after %v", took)
+	}
+}
+
+// Nobody listens at the upstream's address: the charge was never sent, which
+// the caller may be told.
+func TestUnreachableUpstreamMeansNotRun(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	_ = ln.Close()
+	g := newRig(t, &catalogue.Upstream{ID: "u1", Service: "plain", Addr: addr, Slots: 3})
+	g.post("charge.example", "r1").want(t, 503, "")
+}
+
+// The upstream never answers: the caller gets its final answer at the
+// route's timeout, and the upstream sees the connection end, so that it stops.
+func TestSilentUpstreamEndsAtTheTimeout(t *testing.T) {
+	ended := make(chan time.Time, 1)
+	f := startUpstream(t, func(_ io.Writer, c net.Conn, _ *http.Request, _ int64) bool {
+		_, _ = io.Copy(io.Discard, c)
+		ended <- time.Now()
+		return false
+	})
+	g := newRig(t, up("u1", "plain", f))
+	start := time.Now()
+	g.post("charge.example", "r1").want(t, 504, "")
+	if took := time.Since(start); took < testTimeout || took > testTimeout+200*time.Millisecond {
+		t.Errorf("answered after %v, the timeout is %v", took, testTimeout)
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the upstream's connection stays open")
+	}
+}
+
+// A caller that leaves ends the work on its request at once.
+func TestCallerThatLeavesCancelsTheWork(t *testing.T) {
+	ended := make(chan time.Time, 1)
+	f := startUpstream(t, func(_ io.Writer, c net.Conn, _ *http.Request, _ int64) bool {
+		_, _ = io.Copy(io.Discard, c)
+		ended <- time.Now()
+		return false
+	})
+	g := newRig(t, up("u1", "plain", f))
+	ctx, leave := context.WithCancel(context.Background())
+	go g.call(ctx, "GET", "read.example", "r1", "")
+	<-f.seen
+	left := time.Now()
+	leave()
+	select {
+	case at := <-ended:
+		if d := at.Sub(left); d > 300*time.Millisecond {
+			t.Errorf("the upstream learned it after %v", d)
+		}
+	case <-time.After(testTimeout):
+		t.Error("the upstream was left working")
+	}
+}
+
+// The owner of a key refuses it because it has just been moved. The request
+// waits for the ownership to be published and runs at the new owner, once.
+func TestKeyThatMovesIsServedByItsNewOwner(t *testing.T) {
+	old := startUpstream(t, func(w io.Writer, _ net.Conn, r *http.Request, _ int64) bool {
+		return whole(w, r, 421, "", "X-Not-Run: 1")
+	})
+	fresh := startUpstream(t, echo)
+	g := newRig(t, up("u1", "keyed", old), up("u2", "keyed", fresh))
+	g.own("u1", 1)
+	go func() {
+		<-old.seen
+		time.Sleep(50 * time.Millisecond)
+		g.own("u2", 2)
+	}()
+	g.get("keyed.example", "r1").want(t, 200, "answer to r1")
+	if n := old.runs.Load(); n != 1 {
+		t.Errorf("the old owner was asked %d times", n)
+	}
+}
+
+// While a key has no owner its callers are refused soon, told when to come
+// back, and nothing is sent anywhere.
+func TestKeyWithoutOwnerIsRefusedSoon(t *testing.T) {
+	f := startUpstream(t, echo)
+	g := newRig(t, up("u1", "keyed", f))
+	g.own("", 1)
+	start := time.Now()
+	a := g.get("keyed.example", "r1")
+	a.want(t, 503, "")
+	if took := time.Since(start); took > testObjective {
+		t.Errorf("refused only after %v", took)
+	}
+	if a.header.Get("Retry-After") == "" || f.runs.Load() != 0 {
+		t.Error("no Retry-After, or the request was sent")
+	}
+}
+
+// Before any desired state is known nothing is known to be missing: 503, not
+// 404. Afterwards an unknown host is 404.
+func TestUnknownRoutes(t *testing.T) {
+	g := newRig(t)
+	g.get("nowhere.example", "r1").want(t, 404, "")
+	g.views.Publish(func(v *view.View) { v.Desired = nil })
+	g.get("read.example", "r2").want(t, 503, "")
+}
+
+// The upstream answers before it has read a long body and keeps the
+// connection. Another request on that connection would be read as the rest
+// of the body; it must go out on a new one.
+func TestConnectionWithAnUnsentBodyIsNotUsedAgain(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	conns := make(chan int, 10)
+	go func() {
+		for n := 1; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns <- n
+			go func() {
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				whole(c, r, 413, "too long")
+				time.Sleep(200 * time.Millisecond)
+				_, _ = io.Copy(io.Discard, c)
+			}()
+		}
+	}()
+	g := newRig(t, &catalogue.Upstream{ID: "u1", Service: "plain", Addr: ln.Addr().String(), Slots: 3})
+	long := strings.Repeat("x", 8<<20)
+	g.call(context.Background(), "POST", "charge.example", "r1", long).want(t, 413, "too long")
+	g.post("charge.example", "r2").want(t, 413, "too long")
+	if len(conns) != 2 {
+		t.Errorf("%d connections for two requests", len(conns))
+	}
+}
--- /dev/null
+++ b/internal/entryhost/fleet_test.go
@@ -0,0 +1,385 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/protocol"
+	"github.com/papayatide/papayatide/internal/settings"
+	"github.com/papayatide/papayatide/internal/standin/memstore"
+	"github.com/papayatide/papayatide/internal/standin/ranged"
+)
+
+var names = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
+	AnsweringID: "X-Upstream", NotRun: "X-Not-Run", Key: "X-Key"}
+
+// fleet is a few entry hosts, a log and upstreams on loopback.
+type fleet struct {
+	t     *testing.T
+	log   *memstore.Log
+	hosts []*testHost
+	mu    sync.Mutex
+	ups   map[string]*ranged.Upstream
+}
+
+type testHost struct {
+	cfg  *settings.Entry
+	stop context.CancelFunc
+	done chan error
+}
+
+// decoder reads the test's records: JSON of the product's own types.
+type decoder struct{}
+
+func (decoder) Desired(_ string, data []byte) (*desired.State, error) {
+	version, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	route := func(host string, idempotent bool) *desired.Route {
+		return &desired.Route{Name: host, Host: host, Prefix: "/", Idempotent: idempotent, Timeout: time.Second,
+			Objective: 600 * time.Millisecond, MaxAttempts: 2, Shares: []desired.Share{{Service: "sheets", Weight: 1}}}
+	}
+	return desired.New(version, []*desired.Route{route("read.example", true), route("charge.example", false)},
+		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true}}, desired.Limits{}), nil
+}
+
+func (decoder) Upstream(_ string, data []byte, _ time.Time) (*catalogue.Upstream, error) {
+	var u catalogue.Upstream
+	return &u, json.Unmarshal(data, &u)
+}
+
+// granter reaches the stand-ins without a network.
+type granter struct{ f *fleet }
+
+func (g granter) at(addr string) *ranged.Upstream {
+	g.f.mu.Lock()
+	defer g.f.mu.Unlock()
+	return g.f.ups[addr]
+}
+
+func (g granter) Grant(_ context.Context, addr string, r ownership.Range, d time.Duration) error {
+	if u := g.at(addr); u != nil {
+		return u.Grant(r, d)
+	}
+	return ownership.ErrNotSent
+}
+
+func (g granter) Release(_ context.Context, addr string, r ownership.Range) (string, error) {
+	if u := g.at(addr); u != nil {
+		return u.Release(r), nil
+	}
+	return "", ownership.ErrNotSent
+}
+
+// nextPort hands out ports below the range from which the kernel picks ports
+// for outgoing connections, which would take them at any moment.
+var nextPort atomic.Int32
+
+const firstPort, lastPort = 21000, 30000
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	for range lastPort - firstPort {
+		port := firstPort + (os.Getpid()*64+int(nextPort.Add(1)))%(lastPort-firstPort)
+		addr := fmt.Sprint("127.0.0.1:", port)
+		if ln, err := net.Listen("tcp4", addr); err == nil {
+			_ = ln.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func newFleet(t *testing.T, hosts, upstreams int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, log: memstore.New(), ups: map[string]*ranged.Upstream{}}
+	f.log.Put(metastore.StreamDesired, "state", []byte("1"))
+	for i := range upstreams {
+		f.addUpstream(fmt.Sprint("u", i))
+	}
+	t.Cleanup(f.stopAll)
+	for i := range hosts {
+		f.startHost(fmt.Sprint("host", i))
+	}
+	return f
+}
+
+// stopAll stops every host and waits for them.
+func (f *fleet) stopAll() {
+	for _, h := range f.hosts {
+		h.stop()
+	}
+	for _, h := range f.hosts {
+		select {
+		case err := <-h.done:
+			if err != nil {
+				f.t.Errorf("%s ended with %v", h.cfg.Host, err)
+			}
+		case <-time.After(10 * time.Second):
+			f.t.Errorf("%s does not stop", h.cfg.Host)
+		}
+	}
+}
+
+func (f *fleet) addUpstream(id string) *ranged.Upstream {
+	u, err := ranged.Start(id, names, 20*time.Millisecond)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(u.Kill)
+	f.mu.Lock()
+	f.ups[u.Addr()] = u
+	f.mu.Unlock()
+	f.list(u, false)
+	return u
+}
+
+func (f *fleet) list(u *ranged.Upstream, leaving bool) {
+	data, err := json.Marshal(catalogue.Upstream{ID: u.ID, Service: "sheets", Addr: u.Addr(), DataCentre: "dc", Slots: 3, Leaving: leaving})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.log.Put(metastore.StreamUpstreams, u.ID, data)
+}
+
+// cut makes an upstream unreachable for orders and requests.
+func (f *fleet) cut(u *ranged.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.ups, u.Addr())
+	u.Kill()
+}
+
+func (f *fleet) startHost(name string) *testHost {
+	cfg := &settings.Entry{Host: name, DataCentre: "dc", Listen: freeAddr(f.t), ReadyListen: freeAddr(f.t), PeerListen: freeAddr(f.t),
+		MetricsListen: freeAddr(f.t), LogLevel: "info", MemoryMB: 284, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
+		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second, Hold: time.Second, ViewAge: 2 * time.Second}
+	ctx, stop := context.WithCancel(context.Background())
+	h := &testHost{cfg: cfg, stop: stop, done: make(chan error, 1)}
+	plat := Platform{Store: f.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready"}
+	go func() { h.done <- Run(ctx, cfg, plat, nil, zap.NewNop()) }()
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+func (h *testHost) ready() bool {
+	resp, err := http.Get("http://" + h.cfg.ReadyListen + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// call sends one request and returns the status and the body.
+func (h *testHost) call(method, host, id string, key int) (int, string) {
+	req, err := http.NewRequest(method, "http://"+h.cfg.Listen+"/x", nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = host
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Key", strconv.Itoa(key))
+	req.Header.Set("X-Timeout-Ms", "2000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// served waits until every tenth of the keys is served by the host, and
+// returns how long that took.
+func (f *fleet) served(h *testHost, within time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for k := 0; k < 10; {
+		status, body := h.call("GET", "read.example", fmt.Sprint("probe-", time.Now().UnixNano()), k*6553)
+		if status == http.StatusOK {
+			k++
+			continue
+		}
+		if time.Since(start) > within {
+			f.t.Fatalf("key %d is not served after %v: %d %s", k*6553, time.Since(start), status, body)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+const (
+	hold     = time.Second
+	startup  = 5 * time.Second
+	handover = hold + hold/2 + time.Second
+)
+
+// Every key is served through every host soon after the fleet starts.
+func TestFleetServesEveryKey(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 4)
+	for _, h := range f.hosts {
+		f.served(h, startup)
+	}
+}
+
+// An upstream dies. Its keys are served again by others once its lease has
+// run out, through all hosts.
+func TestKeysOfALostUpstreamAreServedAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 3)
+	f.served(f.hosts[0], startup)
+	var victim *ranged.Upstream
+	for _, u := range f.ups {
+		victim = u
+		break
+	}
+	f.cut(victim)
+	for _, h := range f.hosts {
+		t.Logf("served again after %v", f.served(h, handover))
+	}
+}
+
+// An upstream announces that it leaves. Within two seconds it gets nothing
+// new, and its keys are served by others, warm.
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 3)
+	f.served(f.hosts[0], startup)
+	var leaver *ranged.Upstream
+	for _, u := range f.ups {
+		leaver = u
+		break
+	}
+	f.list(leaver, true)
+	f.served(f.hosts[1], 2*time.Second)
+	before := len(leaver.Runs())
+	for k := range 200 {
+		f.hosts[k%2].call("GET", "read.example", fmt.Sprint("after-", k), k*327)
+	}
+	if after := len(leaver.Runs()); after != before {
+		t.Errorf("%d requests reached it after it left", after-before)
+	}
+}
+
+// The planner's host is stopped as planned: it reports unready at once,
+// answers what is under way, and another host plans on without a key being
+// unserved.
+func TestPlannedStopOfThePlanner(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 3)
+	f.served(f.hosts[0], startup)
+	var planner, other *testHost
+	for _, h := range f.hosts {
+		if h.cfg.Host == f.log.Holder() {
+			planner = h
+		} else {
+			other = h
+		}
+	}
+	if planner == nil {
+		t.Fatal("no host holds the seat")
+	}
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			if status, body := planner.call("POST", "charge.example", fmt.Sprint("stop-", i), i*3000); status != http.StatusOK {
+				t.Errorf("a request under way at the stop got %d %s", status, body)
+			}
+		})
+	}
+	time.Sleep(10 * time.Millisecond)
+	planner.stop()
+	time.Sleep(20 * time.Millisecond)
+	if planner.ready() {
+		t.Error("still ready after the stop signal")
+	}
+	wg.Wait()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		if status, body := other.call("GET", "read.example", fmt.Sprint("on-", time.Now().UnixNano()), 12345); status != http.StatusOK {
+			t.Fatalf("a key is unserved while planners change: %d %s", status, body)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// The log service is down for longer than a grant lasts. Keys go on being
+// served from what was agreed before, and the desired state published
+// meanwhile comes into force soon after.
+func TestLogOutageLeavesKeysServed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 3)
+	f.served(f.hosts[0], startup)
+	f.log.SetDown(true)
+	for end := time.Now().Add(hold + hold/2); time.Now().Before(end); {
+		if status, body := f.hosts[0].call("GET", "read.example", fmt.Sprint("out-", time.Now().UnixNano()), 12345); status != http.StatusOK {
+			t.Fatalf("a key is unserved while the log is down: %d %s", status, body)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.log.SetDown(false)
+	for _, h := range f.hosts {
+		f.served(h, 2*time.Second)
+	}
+}
+
+// The log forgets its history. Hosts go on from the newest records, and what
+// changes afterwards reaches them all.
+func TestForgottenHistory(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2)
+	f.served(f.hosts[0], startup)
+	f.log.Forget()
+	added := f.addUpstream("late")
+	for _, u := range f.ups {
+		if u != added {
+			f.list(u, true)
+		}
+	}
+	for _, h := range f.hosts {
+		f.served(h, handover)
+	}
+}
+
+// All hosts follow the planner's copy: what the log service is asked does
+// not grow with the number of hosts.
+func TestCallsDoNotGrowWithHosts(t *testing.T) {
+	t.Parallel()
+	reads := func(hosts int) int {
+		f := newFleet(t, hosts, 3)
+		for _, h := range f.hosts {
+			f.served(h, startup)
+		}
+		time.Sleep(time.Second)
+		before := f.log.Calls("read")
+		time.Sleep(2 * time.Second)
+		return f.log.Calls("read") - before
+	}
+	few, many := reads(2), reads(6)
+	t.Logf("reads in two seconds: %d with 2 hosts, %d with 6", few, many)
+	if many > few+4 {
+		t.Errorf("%d reads with 6 hosts, %d with 2", many, few)
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,139 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/papayatide/papayatide/internal/metastore"
+)
+
+const ups = metastore.StreamUpstreams
+
+func record(offset int64, key, value string) metastore.Record {
+	r := metastore.Record{Key: key, Offset: offset}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	return r
+}
+
+// content returns what a copy believes, by key.
+func content(c *Copy) map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]string{}
+	for k, r := range c.by[ups].newest {
+		out[k] = string(r.Value)
+	}
+	return out
+}
+
+// A host follows the planner's copy while the log grows, forgets its history
+// and while batches from two sources overlap, repeat and come out of order.
+// Whenever it has caught up it believes what the log says.
+func TestFollowersCopyEndsAsTheLog(t *testing.T) {
+	params := gopter.DefaultTestParameters()
+	params.MinSuccessfulTests = 100
+	p := gopter.NewProperties(params)
+	p.Property("same content after catching up", prop.ForAll(func(seed uint64) (string, error) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		hub, follower := NewCopy(), NewCopy()
+		hub.Apply(Batch{Stream: ups, Reset: true, Next: 0})
+		truth := map[string]string{}
+		var log []metastore.Record
+		for range 200 {
+			switch rng.IntN(6) {
+			case 0, 1, 2:
+				key := fmt.Sprint("u", rng.IntN(8))
+				value := ""
+				if rng.IntN(3) > 0 {
+					value = fmt.Sprint(rng.IntN(1000))
+				}
+				r := record(int64(len(log)), key, value)
+				log = append(log, r)
+				delete(truth, key)
+				if value != "" {
+					truth[key] = value
+				}
+				hub.Apply(Batch{Stream: ups, Records: []metastore.Record{r}, Next: r.Offset + 1})
+			case 3: // a piece of the log comes again, or too early
+				if len(log) > 0 {
+					from := rng.IntN(len(log))
+					follower.Apply(Batch{Stream: ups, Records: log[from:], Next: int64(len(log))})
+				}
+			case 4: // the planner lost the history and read the newest
+				var recs []metastore.Record
+				for k, v := range truth {
+					recs = append(recs, record(0, k, v))
+				}
+				hub.Apply(Batch{Stream: ups, Reset: true, Records: recs, Next: int64(len(log))})
+			default:
+				for _, b := range hub.Since(context.Background(), map[metastore.Stream]int64{ups: follower.Next(ups)}, time.Nanosecond) {
+					follower.Apply(b)
+				}
+			}
+		}
+		for _, b := range hub.Since(context.Background(), map[metastore.Stream]int64{ups: follower.Next(ups)}, time.Nanosecond) {
+			follower.Apply(b)
+		}
+		if got := content(follower); fmt.Sprint(got) != fmt.Sprint(truth) {
+			return fmt.Sprintf("believes %v, the log says %v", got, truth), nil
+		}
+		return "", nil
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
+
+// A host that waits is answered as soon as something is new.
+func TestSinceWakesUp(t *testing.T) {
+	c := NewCopy()
+	c.Apply(Batch{Stream: ups, Reset: true, Next: 5})
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		c.Apply(Batch{Stream: ups, Records: []metastore.Record{record(5, "u1", "x")}, Next: 6})
+	}()
+	start := time.Now()
+	got := c.Since(context.Background(), map[metastore.Stream]int64{ups: 5}, 5*time.Second)
+	if len(got) != 1 || len(got[0].Records) != 1 || time.Since(start) > time.Second {
+		t.Fatalf("got %+v after %v", got, time.Since(start))
+	}
+}
+
+// A host that is further behind than the records kept gets the newest of
+// each key.
+func TestFarBehindGetsTheNewest(t *testing.T) {
+	c := NewCopy()
+	c.Apply(Batch{Stream: ups, Reset: true, Next: 0})
+	for i := range int64(kept + 10) {
+		c.Apply(Batch{Stream: ups, Records: []metastore.Record{record(i, "u1", fmt.Sprint(i))}, Next: i + 1})
+	}
+	got := c.Since(context.Background(), map[metastore.Stream]int64{ups: 3}, time.Nanosecond)
+	if len(got) != 1 || !got[0].Reset || len(got[0].Records) != 1 {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// A copy that was never confirmed is as old as can be, so that nobody relies
+// on it.
+func TestAge(t *testing.T) {
+	c := NewCopy()
+	now := time.Now()
+	if c.Age(now) < time.Hour {
+		t.Error("an unconfirmed copy counts as young")
+	}
+	c.Current(metastore.StreamDesired, now)
+	if c.Age(now) < time.Hour {
+		t.Error("a copy with an unconfirmed stream counts as young")
+	}
+	c.Current(ups, now.Add(-time.Second))
+	if got := c.Age(now); got != time.Second {
+		t.Errorf("age %v, want that of the older stream", got)
+	}
+}
--- /dev/null
+++ b/internal/standin/ranged/ranged.go
@@ -0,0 +1,145 @@
+// Package ranged is a stand-in for an upstream that holds ranges of keys for
+// limited times and refuses requests for keys that it does not hold.
+package ranged
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/protocol"
+)
+
+type hold struct {
+	from, to int
+	fence    int64
+	until    time.Time
+}
+
+// Upstream is the stand-in.
+type Upstream struct {
+	ID      string
+	headers protocol.Headers
+	work    time.Duration
+	ln      net.Listener
+	srv     *http.Server
+
+	mu    sync.Mutex
+	holds []hold
+	seen  []hold
+	runs  map[string]int
+}
+
+// Start starts an upstream on loopback whose requests take work.
+func Start(id string, h protocol.Headers, work time.Duration) (*Upstream, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	u := &Upstream{ID: id, headers: h, work: work, ln: ln, runs: map[string]int{}}
+	u.srv = &http.Server{Handler: u}
+	go func() { _ = u.srv.Serve(ln) }()
+	return u, nil
+}
+
+// Addr returns its host:port.
+func (u *Upstream) Addr() string { return u.ln.Addr().String() }
+
+// Kill ends it at once.
+func (u *Upstream) Kill() { _ = u.srv.Close() }
+
+// Runs returns how often each request ran, by ID.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := map[string]int{}
+	for id, n := range u.runs {
+		out[id] = n
+	}
+	return out
+}
+
+// Grant takes keys for a time.
+func (u *Upstream) Grant(r ownership.Range, d time.Duration) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, h := range u.seen {
+		if h.from <= r.To && r.From <= h.to && h.fence > r.Fence {
+			return ownership.ErrFenced
+		}
+	}
+	u.seen = append(without(u.seen, r), hold{r.From, r.To, r.Fence, time.Time{}})
+	u.holds = append(without(u.holds, r), hold{r.From, r.To, r.Fence, time.Now().Add(d)})
+	return nil
+}
+
+// Release gives keys back.
+func (u *Upstream) Release(r ownership.Range) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.holds = without(u.holds, r)
+	return "token-" + u.ID
+}
+
+// Holds reports whether it holds the key now.
+func (u *Upstream) Holds(key int) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, h := range u.holds {
+		if h.from <= key && key <= h.to && time.Now().Before(h.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// without cuts r out of hs.
+func without(hs []hold, r ownership.Range) []hold {
+	var out []hold
+	for _, h := range hs {
+		if h.to < r.From || h.from > r.To {
+			out = append(out, h)
+			continue
+		}
+		left, right := h, h
+		left.to, right.from = r.From-1, r.To+1
+		if left.from <= left.to {
+			out = append(out, left)
+		}
+		if right.from <= right.to {
+			out = append(out, right)
+		}
+	}
+	return out
+}
+
+// ServeHTTP runs a request if its key is held here.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(u.headers.RequestID)
+	w.Header().Set(u.headers.RequestID, id)
+	if e := r.Header.Get(u.headers.ExpectedUpstream); e != "" && e != u.ID {
+		u.refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	if k := r.Header.Get(u.headers.Key); k != "" {
+		key, err := strconv.Atoi(k)
+		if err != nil || !u.Holds(key) {
+			u.refuse(w, http.StatusMisdirectedRequest)
+			return
+		}
+	}
+	u.mu.Lock()
+	u.runs[id]++
+	u.mu.Unlock()
+	time.Sleep(u.work)
+	w.Header().Set(u.headers.Signature, "signed by "+u.ID)
+	_, _ = w.Write([]byte(u.ID + " ran " + id))
+}
+
+func (u *Upstream) refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(u.headers.NotRun, "1")
+	w.WriteHeader(status)
+}
