A host no longer ends when an upstream it forgot was suspected of leaving

An upstream taken for gone before an outage was missing from the list read after it too, was suspected a second time, and was forgotten 20 s after the first before the suspicion was settled. Change: the belief about upstreams is a type of its own, roster, which does not suspect what it took for gone. Test: that order of events; it panics without the change.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -45,12 +45,6 @@
 	// releaseTimeout bounds a release, which is answered when the work under
 	// way on its keys has ended: at most some two seconds.
 	releaseTimeout = 3 * time.Second
-	// relist is how long after an outage of the log service upstreams whose
-	// entries lapsed meanwhile need to be listed again.
-	relist = 2100 * time.Millisecond
-	// remembered is how long an upstream that is no longer listed is kept
-	// as leaving, so that its keys can be taken back.
-	remembered = 20 * time.Second
 )
 
 // control owns what the host believes. All its methods but post run on its
@@ -67,15 +61,13 @@
 	// onView is told of each new view.
 	onView func(*view.View)
 
-	inbox chan func()
-	ups   map[string]*catalogue.Upstream
-	// unlisted holds when an upstream was found missing, suspects when one
-	// that lapsed during an outage will be taken for gone.
-	unlisted map[string]time.Time
-	suspects map[string]time.Time
-	broken   map[metastore.Stream]time.Time
-	backAt   time.Time
-	copy     *relay.Copy
+	inbox  chan func()
+	roster *roster
+	// broken holds since when each stream of the log service is lost, backAt
+	// when the last one was regained.
+	broken map[metastore.Stream]time.Time
+	backAt time.Time
+	copy   *relay.Copy
 	// planning tells other goroutines whether this host is the planner.
 	planning atomic.Bool
 }
@@ -83,8 +75,7 @@
 func newControl(zl *zap.Logger, store metastore.Store, dec Decoder, granter Granter, views *view.Holder, opts planner.Options) *control {
 	c := &control{zl: zl, store: store, decoder: dec, granter: granter, views: views, plan: planner.New(opts),
 		loads: loadmap.New(), clock: bootclock.Now, onView: func(*view.View) {}, inbox: make(chan func(), 256),
-		ups: map[string]*catalogue.Upstream{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
-		broken: map[metastore.Stream]time.Time{}, copy: relay.NewCopy()}
+		roster: newRoster(zl), broken: map[metastore.Stream]time.Time{}, copy: relay.NewCopy()}
 	c.plan.Load = func(service string, owners []*catalogue.Upstream) (ownership.Load, float64) {
 		return c.loads.Load(service, owners, time.Now())
 	}
@@ -145,7 +136,9 @@
 
 func (c *control) tick(ctx context.Context) {
 	c.planning.Store(c.plan.Holding(c.clock()))
-	c.settleMissing(time.Now())
+	if c.roster.settle(len(c.broken) > 0, time.Now()) {
+		c.publishUpstreams()
+	}
 	for _, a := range c.plan.Tick(c.clock(), c.views.Load()) {
 		c.start(ctx, a)
 	}
@@ -339,7 +332,7 @@
 	listed := map[string]bool{}
 	for _, rec := range recs {
 		if rec.Value == nil {
-			c.missing(rec.Key, now)
+			c.roster.missing(rec.Key, c.outage(now), now)
 			continue
 		}
 		u, err := c.decoder.Upstream(rec.Key, rec.Value, now)
@@ -348,85 +341,21 @@
 			continue
 		}
 		listed[u.ID] = true
-		c.list(u)
+		c.roster.list(u)
 	}
 	if reset {
-		for id := range c.ups {
-			if !listed[id] {
-				c.missing(id, now)
-			}
-		}
+		c.roster.missingBut(listed, c.outage(now), now)
 	}
 	c.publishUpstreams()
 }
 
-func (c *control) list(u *catalogue.Upstream) {
-	old := c.ups[u.ID]
-	delete(c.suspects, u.ID)
-	delete(c.unlisted, u.ID)
-	c.ups[u.ID] = u
-	switch {
-	case u.Leaving && (old == nil || !old.Leaving):
-		c.zl.Info("upstream is leaving", zap.Int("event", events.UpstreamLeaving), zap.String("peer", u.ID), zap.String("service", u.Service))
-	case old == nil:
-		c.zl.Info("upstream listed", zap.Int("event", events.UpstreamListed), zap.String("peer", u.ID), zap.String("service", u.Service),
-			zap.String("addr", u.Addr), zap.String("data_centre", u.DataCentre))
-	}
-}
-
-// missing takes note that an upstream is not listed any more. During an
-// outage of the log service entries lapse though their upstreams live; they
-// are back within about two seconds, and until then it is no sign of leaving.
-func (c *control) missing(id string, now time.Time) {
-	if c.ups[id] == nil {
-		return
-	}
-	if now.Sub(c.backAt) < relist || len(c.broken) > 0 {
-		if _, ok := c.suspects[id]; !ok {
-			c.suspects[id] = now.Add(relist)
-		}
-		return
-	}
-	c.unlist(id, now)
-}
-
-func (c *control) unlist(id string, now time.Time) {
-	if _, ok := c.unlisted[id]; ok {
-		return
-	}
-	u := *c.ups[id]
-	u.Leaving = true
-	c.ups[id] = &u
-	c.unlisted[id] = now
-	c.zl.Info("upstream is no longer listed", zap.Int("event", events.UpstreamUnlisted), zap.String("peer", id), zap.String("service", u.Service))
-}
-
-// settleMissing takes suspects for gone whose time is up, and forgets
-// upstreams that have been gone for long.
-func (c *control) settleMissing(now time.Time) {
-	changed := false
-	for id, at := range c.suspects {
-		if now.Before(at) || len(c.broken) > 0 {
-			continue
-		}
-		delete(c.suspects, id)
-		c.unlist(id, now)
-		changed = true
-	}
-	for id, at := range c.unlisted {
-		if now.Sub(at) > remembered {
-			delete(c.unlisted, id)
-			delete(c.ups, id)
-			changed = true
-		}
-	}
-	if changed {
-		c.publishUpstreams()
-	}
+// outage reports whether the log service is lost or has only just come back.
+func (c *control) outage(now time.Time) bool {
+	return len(c.broken) > 0 || now.Sub(c.backAt) < relist
 }
 
 func (c *control) publishUpstreams() {
-	snap := catalogue.NewSnapshot(c.ups)
+	snap := c.roster.snapshot()
 	c.publish(func(v *view.View) { v.Upstreams = snap })
 }
 
--- /dev/null
+++ b/internal/entryhost/roster_test.go
@@ -0,0 +1,77 @@
+package entryhost
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+)
+
+func listed(r *roster, id string) { r.list(&catalogue.Upstream{ID: id, Service: "s"}) }
+
+// state says what the roster believes of an upstream.
+func (r *roster) state(id string) string {
+	switch u := r.ups[id]; {
+	case u == nil:
+		return "unknown"
+	case u.Leaving:
+		return "leaving"
+	}
+	return "ready"
+}
+
+func wantState(t *testing.T, r *roster, id, want string) {
+	t.Helper()
+	if got := r.state(id); got != want {
+		t.Errorf("%s is %s, want %s", id, got, want)
+	}
+}
+
+// An upstream's entry is removed while the log service is well: it gets
+// nothing new from then on, and is forgotten in the end.
+func TestUnlistedUpstreamIsLeaving(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRoster(zap.NewNop())
+	listed(r, "u1")
+	r.missing("u1", false, now)
+	wantState(t, r, "u1", "leaving")
+	r.settle(false, now.Add(remembered+time.Second))
+	wantState(t, r, "u1", "unknown")
+}
+
+// Entries lapse while the log service is down. An upstream that is listed
+// again within two seconds of its return kept its callers all the while; one
+// that is not is taken for gone then.
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRoster(zap.NewNop())
+	listed(r, "back")
+	listed(r, "gone")
+	r.missing("back", true, now)
+	r.missing("gone", true, now)
+	r.settle(true, now.Add(time.Minute))
+	wantState(t, r, "back", "ready")
+	wantState(t, r, "gone", "ready")
+	listed(r, "back")
+	r.settle(false, now.Add(time.Minute))
+	wantState(t, r, "back", "ready")
+	wantState(t, r, "gone", "leaving")
+}
+
+// An upstream that was taken for gone before an outage is missing from the
+// list read after it as well. It must not be suspected anew: by the time the
+// suspicion was settled it was forgotten, and the host ended.
+func TestGoneUpstreamIsNotSuspectedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRoster(zap.NewNop())
+	listed(r, "u1")
+	r.missing("u1", false, now)
+	now = now.Add(remembered - time.Second)
+	r.missingBut(nil, true, now)
+	now = now.Add(2 * time.Second)
+	r.settle(true, now)
+	r.settle(false, now.Add(relist))
+	wantState(t, r, "u1", "unknown")
+}
--- a/internal/standin/logsvc/server.go
+++ b/internal/standin/logsvc/server.go
@@ -35,11 +35,10 @@
 
 // Server is the in-memory log service. It is safe for concurrent use.
 type Server struct {
-	mu         sync.Mutex
-	streams    map[string]*stream
-	retention  time.Duration
-	faults     Faults
-	appendHook func(stream string, offset int64)
+	mu        sync.Mutex
+	streams   map[string]*stream
+	retention time.Duration
+	faults    Faults
 }
 
 // NewServer returns a log service that drops records older than retention
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -95,8 +95,7 @@
 	mux.HandleFunc("GET "+tp.PathHealth, s.handleHealth)
 	mux.HandleFunc(tp.PathWork+"{service}/{key...}", s.handleWork)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.gate.RLock()
-		s.gate.RUnlock()
+		s.awaitResume()
 		if s.silent(r) {
 			<-r.Context().Done()
 			return
@@ -105,6 +104,12 @@
 	})
 }
 
+// awaitResume stalls while the target is paused.
+func (s *Server) awaitResume() {
+	s.gate.RLock()
+	defer s.gate.RUnlock()
+}
+
 type connAcceptedKey struct{}
 
 // ConnContext stamps each connection with its accept time; pass it as
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -38,7 +38,6 @@
 	// lastID is the ID of the request answered last on this connection; an
 	// extra answer to it may still arrive.
 	lastID string
-	used   bool
 	// idleUntil is when the connection may no longer be used again.
 	idleUntil time.Time
 }
@@ -47,7 +46,6 @@
 type pool struct {
 	mu   sync.Mutex
 	idle []*conn
-	open int
 }
 
 // get returns an idle connection that still looks sound, or nil.
