--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/relay"
@@ -42,8 +45,11 @@
 	apply      func(relay.Batch)
 	// followed is told that a call to the planner was good.
 	followed func()
+	zl       *zap.Logger
 
 	stopDirect context.CancelFunc
+	// following is the planner whose copy is relied on, if any.
+	following string
 }
 
 // run keeps the copy current until ctx ends.
@@ -67,6 +73,7 @@
 	loads := f.takeLoads()
 	if addr == "" {
 		f.localLoads(loads)
+		f.note("", 0, nil)
 		return false
 	}
 	positions := map[metastore.Stream]int64{}
@@ -77,18 +84,35 @@
 	defer cancel()
 	batches, age, err := f.peers.Follow(ctx, addr, positions, loads, followWait)
 	if err != nil {
+		f.note("", 0, err)
 		return false
 	}
 	for _, b := range batches {
 		f.apply(b)
 	}
 	if age > copyAge {
+		f.note("", age, nil)
 		return false
 	}
+	f.note(addr, age, nil)
 	f.followed()
 	return true
 }
 
+// note logs that another planner's copy is relied on, or none any more.
+func (f *feed) note(addr string, age time.Duration, err error) {
+	if addr == f.following {
+		return
+	}
+	if addr != "" {
+		f.zl.Info("planner's copy of the log followed", zap.Int("event", events.PlannerFollowed), zap.String("planner", addr), zap.Duration("age", age))
+	} else {
+		f.zl.Info("planner's copy of the log left", zap.Int("event", events.PlannerUnfollowed), zap.String("planner", f.following),
+			zap.Duration("age", age), ErrorField(err))
+	}
+	f.following = addr
+}
+
 // direct has the log service read, if it is not already.
 func (f *feed) direct(ctx context.Context) {
 	if f.stopDirect != nil {
--- a/internal/entryhost/fleet_test.go
+++ b/internal/entryhost/fleet_test.go
@@ -174,7 +174,7 @@
 		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second, Hold: time.Second, ViewAge: 2 * time.Second}
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{cfg: cfg, stop: stop, done: make(chan error, 1)}
-	plat := Platform{Store: f.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready"}
+	plat := Platform{Store: f.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready", LogDropped: func() int64 { return 0 }}
 	go func() { h.done <- Run(ctx, cfg, plat, nil, zap.NewNop()) }()
 	f.hosts = append(f.hosts, h)
 	return h
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -36,6 +36,8 @@
 	Granter   Granter
 	Headers   protocol.Headers
 	ReadyPath string
+	// LogDropped returns how many log lines were dropped so far.
+	LogDropped func() int64
 }
 
 const (
@@ -76,6 +78,8 @@
 	front    *http.Server
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// dropped is how many dropped log lines were told of.
+	dropped int64
 }
 
 // Run serves until ctx ends or a part fails. The end of ctx is a planned
@@ -214,6 +218,7 @@
 			h.budget.SetLimits(shareOfBudget(cfg))
 			h.zl.Info("settings reloaded", zap.Int("event", events.SettingsReloaded))
 		case now := <-t.C:
+			h.noteDropped()
 			keep := known(h.views.Load().Upstreams)
 			h.client.Prune(now, keep)
 			h.board.Prune(keep)
@@ -222,6 +227,15 @@
 	}
 }
 
+// noteDropped logs that log lines were dropped since it last looked.
+func (h *host) noteDropped() {
+	total := h.plat.LogDropped()
+	if total > h.dropped {
+		h.zl.Warn("log lines dropped", zap.Int("event", events.LinesDropped), zap.Int64("dropped", total-h.dropped))
+	}
+	h.dropped = total
+}
+
 func known(s *catalogue.Snapshot) func(id string) bool {
 	return func(id string) bool { return s.ByID[id] != nil }
 }
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -85,7 +85,7 @@
 
 // newFeed returns the feed of the host's copy of the log.
 func (h *host) newFeed(ctx context.Context) *feed {
-	return &feed{peers: h.peers, copy: h.control.copy, followers: h.control.followers(ctx), planner: h.plannerAddr,
+	return &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, followers: h.control.followers(ctx), planner: h.plannerAddr,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
 		apply:    func(b relay.Batch) { h.control.take(ctx, b) },
 		followed: func() { h.control.post(ctx, h.control.followedPlanner) }}
--- /dev/null
+++ b/internal/events/catalogue_test.go
@@ -0,0 +1,79 @@
+package events
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// numbers returns the numbers of this package's constants by name.
+func numbers(t *testing.T) map[string]string {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), "events.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]string{}
+	ast.Inspect(f, func(n ast.Node) bool {
+		if v, ok := n.(*ast.ValueSpec); ok && len(v.Values) == 1 {
+			out[v.Names[0].Name] = v.Values[0].(*ast.BasicLit).Value
+		}
+		return true
+	})
+	return out
+}
+
+// uses returns the names of this package's constants that other code uses.
+func uses(t *testing.T) map[string]bool {
+	t.Helper()
+	out := map[string]bool{}
+	used := regexp.MustCompile(`\bevents\.([A-Z]\w*)`)
+	err := filepath.WalkDir("../..", func(path string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range used.FindAllStringSubmatch(string(data), -1) {
+			out[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// On-call looks a logged number up in the catalogue: each number that is
+// logged is in it, and each that is in it is logged.
+func TestEveryEventIsCatalogued(t *testing.T) {
+	doc, err := os.ReadFile("../../docs/EVENTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	catalogued := map[string]bool{}
+	for _, m := range regexp.MustCompile(`(?m)^\| (\d+) \|`).FindAllStringSubmatch(string(doc), -1) {
+		catalogued[m[1]] = true
+	}
+	used := uses(t)
+	known := map[string]bool{}
+	for name, number := range numbers(t) {
+		known[number] = true
+		if !used[name] {
+			t.Errorf("%s (%s) is never logged", name, number)
+		}
+		if !catalogued[number] {
+			t.Errorf("%s (%s) is not in docs/EVENTS.md", name, number)
+		}
+	}
+	for number := range catalogued {
+		if !known[number] {
+			t.Errorf("docs/EVENTS.md has %s, which is no event", number)
+		}
+	}
+}
