A host that was cut off takes the planner's word that there was no outage

Ruled out: late reading; the list was read at 13.92, the request sent at 16.0. Change: the planner says for how long it has reached the log service; after 4 s without a break, what is missing has left. Test: that order of events, failing before (nothing settled the suspicion).

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -247,17 +247,34 @@
 	}
 }
 
+// wasCut is for how long the planner must have reached the log service for a
+// break that this host saw to be its own: no outage, in which entries lapse.
+const wasCut = 4 * time.Second
+
 // followedPlanner notes that the planner's copy is relied on, so that what
-// this host knows of the log service itself no longer counts.
-func (c *control) followedPlanner() {
+// this host knows of the log service itself no longer counts. If the log
+// service never failed the planner, the upstreams that are missing have left,
+// also where this host saw no sign of it: after a cut it sent requests to
+// upstreams that had left ten seconds before.
+func (c *control) followedPlanner(steady time.Duration) {
 	for s := range c.broken {
 		c.noteStream(s, nil)
 	}
+	if steady < wasCut {
+		return
+	}
+	c.backAt = time.Time{}
+	if c.roster.noOutage(time.Now()) {
+		c.publishUpstreams()
+	}
 }
 
 // noteStream logs the loss and return of a stream.
 func (c *control) noteStream(s metastore.Stream, err error) {
 	since, was := c.broken[s]
+	if err != nil {
+		c.copy.Broken(time.Now())
+	}
 	switch {
 	case err != nil && !was:
 		c.broken[s] = time.Now()
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -43,8 +43,9 @@
 	takeLoads  func() []peer.ServiceLoad
 	localLoads func([]peer.ServiceLoad)
 	apply      func(relay.Batch)
-	// followed is told that a call to the planner was good.
-	followed func()
+	// followed is told that a call to the planner was good, and for how long
+	// the planner has reached the log service.
+	followed func(steady time.Duration)
 	zl       *zap.Logger
 
 	stopDirect context.CancelFunc
@@ -82,20 +83,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	batches, age, err := f.peers.Follow(ctx, addr, positions, loads, followWait)
+	got, err := f.peers.Follow(ctx, addr, positions, loads, followWait)
 	if err != nil {
 		f.note("", 0, err)
 		return false
 	}
-	for _, b := range batches {
+	for _, b := range got.Batches {
 		f.apply(b)
 	}
-	if age > copyAge {
-		f.note("", age, nil)
+	if got.Age > copyAge {
+		f.note("", got.Age, nil)
 		return false
 	}
-	f.note(addr, age, nil)
-	f.followed()
+	f.note(addr, got.Age, nil)
+	f.followed(got.Steady)
 	return true
 }
 
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -88,5 +88,5 @@
 	return &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, followers: h.control.followers(ctx), planner: h.plannerAddr,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
 		apply:    func(b relay.Batch) { h.control.take(ctx, b) },
-		followed: func() { h.control.post(ctx, h.control.followedPlanner) }}
+		followed: func(steady time.Duration) { h.control.post(ctx, func() { h.control.followedPlanner(steady) }) }}
 }
--- a/internal/entryhost/roster.go
+++ b/internal/entryhost/roster.go
@@ -105,4 +105,15 @@
 	return changed
 }
 
+// noOutage takes all suspects for gone: there was no outage in which their
+// entries could have lapsed. It reports whether anything changed.
+func (r *roster) noOutage(now time.Time) bool {
+	changed := len(r.suspects) > 0
+	for id := range r.suspects {
+		delete(r.suspects, id)
+		r.unlist(id, now)
+	}
+	return changed
+}
+
 func (r *roster) snapshot() *catalogue.Snapshot { return catalogue.NewSnapshot(r.ups) }
--- a/internal/entryhost/roster_test.go
+++ b/internal/entryhost/roster_test.go
@@ -7,6 +7,10 @@
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/planner"
+	"github.com/papayatide/papayatide/internal/standin/memstore"
+	"github.com/papayatide/papayatide/internal/view"
 )
 
 func listed(r *roster, id string) { r.list(&catalogue.Upstream{ID: id, Service: "s"}) }
@@ -75,3 +79,28 @@
 	r.settle(false, now.Add(relist))
 	wantState(t, r, "u1", "unknown")
 }
+
+// A host was cut off; the log service was well all the while. Upstreams that
+// left meanwhile are missing from the list it reads then, and it cannot know
+// by itself whether their entries lapsed in an outage. The planner's word that
+// it had no break settles it: callers go to them no longer.
+func TestHostThatWasCutOffTakesThePlannersWord(t *testing.T) {
+	log := memstore.New()
+	views := view.NewHolder()
+	c := newControl(zap.NewNop(), log, decoder{}, nil, views, planner.Options{Host: "h"})
+	c.roster.list(&catalogue.Upstream{ID: "left", Service: "s"})
+	c.noteStream(metastore.StreamUpstreams, metastore.ErrNoAnswer)
+	c.noteStream(metastore.StreamUpstreams, nil)
+	c.applyUpstreams(nil, true)
+	if u := views.Load().Upstreams.ByID["left"]; u.Leaving {
+		t.Fatal("right after an outage a missing entry is taken for leaving")
+	}
+	c.followedPlanner(time.Second)
+	if u := views.Load().Upstreams.ByID["left"]; u.Leaving {
+		t.Fatal("a planner that had a break too cannot tell")
+	}
+	c.followedPlanner(time.Minute)
+	if u := views.Load().Upstreams.ByID["left"]; !u.Leaving {
+		t.Fatal("still sent to, though the planner saw no outage")
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,10 +32,19 @@
 // NewClient returns a client that calls as host.
 func NewClient(host string, hc *http.Client) *Client { return &Client{host: host, http: hc} }
 
+// Answer is the planner's answer to Follow.
+type Answer struct {
+	// Batches are what this host lacks of the log.
+	Batches []relay.Batch
+	// Age is how long ago the planner last knew that its copy is current.
+	Age time.Duration
+	// Steady is for how long it has reached the log service without a break.
+	Steady time.Duration
+}
+
 // Follow hands loads to the planner at addr (host:port) and returns what this
-// host lacks of the log, and how old the planner's copy of it is. It waits up
-// to wait for something new.
-func (c *Client) Follow(ctx context.Context, addr string, positions map[metastore.Stream]int64, loads []ServiceLoad, wait time.Duration) ([]relay.Batch, time.Duration, error) {
+// host lacks of the log. It waits up to wait for something new.
+func (c *Client) Follow(ctx context.Context, addr string, positions map[metastore.Stream]int64, loads []ServiceLoad, wait time.Duration) (*Answer, error) {
 	msg := &peerpb.FollowRequest{Host: c.host, WaitMs: uint32(wait.Milliseconds())}
 	for _, s := range relay.Streams {
 		msg.Positions = append(msg.Positions, &peerpb.Position{Stream: string(s), Next: positions[s]})
@@ -45,13 +54,13 @@
 	}
 	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Follow(ctx, msg)
 	if err != nil {
-		return nil, 0, eris.Wrapf(err, "peer %s: follow", addr)
+		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
-	var out []relay.Batch
+	out := &Answer{Age: time.Duration(reply.AgeMs) * time.Millisecond, Steady: time.Duration(reply.SteadyMs) * time.Millisecond}
 	for _, b := range reply.Batches {
-		out = append(out, decodeBatch(b))
+		out.Batches = append(out.Batches, decodeBatch(b))
 	}
-	return out, time.Duration(reply.AgeMs) * time.Millisecond, nil
+	return out, nil
 }
 
 func encodeLoad(l ServiceLoad) *peerpb.ServiceLoad {
@@ -144,6 +153,8 @@
 	for _, b := range s.Copy.Since(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
-	reply.AgeMs = uint32(s.Copy.Age(time.Now()).Milliseconds())
+	now := time.Now()
+	reply.AgeMs = uint32(s.Copy.Age(now).Milliseconds())
+	reply.SteadyMs = uint32(s.Copy.Steady(now).Milliseconds())
 	return reply, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,11 +46,13 @@
 	mu      sync.Mutex
 	by      map[metastore.Stream]*stream
 	changed chan struct{}
+	// brokenAt is when the log service last failed this host.
+	brokenAt time.Time
 }
 
-// NewCopy returns an empty copy.
+// NewCopy returns an empty copy. Nothing is known of the log service before.
 func NewCopy() *Copy {
-	c := &Copy{by: map[metastore.Stream]*stream{}, changed: make(chan struct{})}
+	c := &Copy{by: map[metastore.Stream]*stream{}, changed: make(chan struct{}), brokenAt: time.Now()}
 	for _, s := range Streams {
 		c.by[s] = &stream{next: -1, newest: map[string]metastore.Record{}}
 	}
@@ -144,6 +146,20 @@
 	return oldest
 }
 
+// Broken notes that the log service failed this host at the time.
+func (c *Copy) Broken(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.brokenAt = at
+}
+
+// Steady returns for how long the log service has not failed this host.
+func (c *Copy) Steady(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.brokenAt)
+}
+
 // Since returns what a host at the given positions lacks. It waits up to
 // wait for something.
 func (c *Copy) Since(ctx context.Context, positions map[metastore.Stream]int64, wait time.Duration) []Batch {
