--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"slices"
 	"sort"
 
 	"github.com/rotisserie/eris"
@@ -37,10 +38,29 @@
 	PlannerAddr string `json:"planner_addr"`
 	// Fence is the highest fencing token used so far.
 	Fence int64 `json:"fence"`
+	// Lost are owners, sorted, to which this term's planner has stopped
+	// sending grants: they do not answer. None is sent to them before a
+	// record without them is written, so that a successor knows how long
+	// they may hold their keys at most.
+	Lost []string `json:"lost,omitempty"`
 	// Ranges cover all keys in order.
 	Ranges []Range `json:"ranges"`
 }
 
+// WithLost returns the table with other lost owners, under a new token.
+func (t *Table) WithLost(lost []string) *Table {
+	next := t.copyWith(t.Planner, t.PlannerAddr)
+	next.Fence++
+	next.Lost = lost
+	return next
+}
+
+// IsLost reports whether the owner is marked as lost.
+func (t *Table) IsLost(owner string) bool {
+	_, found := slices.BinarySearch(t.Lost, owner)
+	return found
+}
+
 // NewTable returns a table in which nobody owns anything.
 func NewTable(service string) *Table {
 	return &Table{Service: service, Ranges: []Range{{From: 0, To: Keys - 1}}}
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"sort"
@@ -204,7 +205,7 @@
 	if h.inFlight > 0 || m.release != nil {
 		return false
 	}
-	if m.old.Fence <= t.startFence && !h.sawThisTerm(m.span) && now.Sub(t.startedAt) <= t.p.opts.ViewAge+bound {
+	if m.old.Fence <= t.startFence && !h.sawThisTerm(m.span) && now.Sub(t.foreign.lastTo(m.old.Owner)) <= bound {
 		return false
 	}
 	if h.unanswered && now.Sub(h.unansweredAt) <= bound {
@@ -236,13 +237,37 @@
 		ready = append(ready, ownership.Move{From: m.from, To: m.to, NewOwner: m.dest, Handover: m.handover})
 		cause = m.cause
 	}
-	if len(ready) == 0 {
+	next := t.table
+	if len(ready) > 0 {
+		next = next.Apply(ready)
+	}
+	if lost := t.lostOwners(next); !slices.Equal(lost, t.table.Lost) {
+		next = next.WithLost(lost)
+		cause = cmp.Or(cause, "lost owners")
+	}
+	if next == t.table {
 		return nil
 	}
-	t.appending = &Append{Table: t.table.Apply(ready), At: t.p.end, Cause: cause}
+	t.appending = &Append{Table: next, At: t.p.end, Cause: cause}
 	return t.appending
 }
 
+// lostOwners returns the owners in the table that get no grants: those that
+// are not listed or do not answer. An owner with a grant under way is not
+// marked yet, as its mark says that nothing is sent any more.
+func (t *term) lostOwners(table *ownership.Table) []string {
+	var out []string
+	for _, r := range table.Ranges {
+		h := t.holder(r.Owner)
+		silent := t.ups[r.Owner] == nil || h.lost
+		if r.Owner != "" && silent && h.inFlight == 0 {
+			out = append(out, r.Owner)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // redirect gives a move whose new owner is no candidate any more another
 // one: the one with the fewest keys.
 func (t *term) redirect(m *move, now bootclock.Time) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -26,6 +26,9 @@
 	seat     seat
 	resigned bool
 	services map[string]*term
+	// past is each service's last term of this process.
+	past      map[string]*term
+	histories map[string]*history
 	// end is where the ownership stream ends, as far as is known.
 	end int64
 	// firstSeen is when each service's first upstream was seen.
@@ -69,7 +72,7 @@
 
 // New returns a planner that holds no seat.
 func New(opts Options) *Planner {
-	return &Planner{opts: opts, services: map[string]*term{}, firstSeen: map[string]bootclock.Time{},
+	return &Planner{opts: opts, services: map[string]*term{}, past: map[string]*term{}, histories: map[string]*history{}, firstSeen: map[string]bootclock.Time{},
 		Limits: ownership.Limits{Trigger: trigger, Settle: settleAt, MaxMoves: maxMoves},
 		Load: func(_ string, owners []*catalogue.Upstream) (ownership.Load, float64) {
 			return ownership.Load{Capacity: slotsOf(owners)}, 0
@@ -95,6 +98,7 @@
 
 // Tick returns the calls to make now.
 func (p *Planner) Tick(now bootclock.Time, v *view.View) []Action {
+	p.watch(now, v)
 	var out []Action
 	if j := p.join(now, v); j != nil {
 		out = append(out, j)
@@ -112,6 +116,18 @@
 	return out
 }
 
+// watch keeps the histories, whether this host plans or not.
+func (p *Planner) watch(now bootclock.Time, v *view.View) {
+	for name, t := range v.Tables {
+		h := p.histories[name]
+		if h == nil {
+			h = &history{lostAt: map[string]bootclock.Time{}}
+			p.histories[name] = h
+		}
+		h.see(t, now)
+	}
+}
+
 // join returns the next proof of the seat if it is due.
 func (p *Planner) join(now bootclock.Time, v *view.View) Action {
 	if p.resigned || p.seat.joining || now.Before(p.seat.nextJoin) || v.Desired == nil || len(v.Desired.KeyedServices()) == 0 {
@@ -143,7 +159,7 @@
 		p.seat.nextJoin = now.Add(time.Duration(joinHolder * float64(p.opts.SeatTTL)))
 	case !s.Held && p.seat.held:
 		p.Note(Event{Kind: SeatLost, Age: now.Sub(p.seat.provenAt)})
-		p.services = map[string]*term{}
+		p.dropTerms()
 	}
 	p.seat.held = s.Held
 	if s.Held {
@@ -157,9 +173,18 @@
 	for name := range p.services {
 		p.Note(Event{Kind: TermEnded, Service: name, Age: now.Sub(p.seat.provenAt)})
 	}
-	if len(p.services) > 0 {
-		p.services = map[string]*term{}
+	p.dropTerms()
+}
+
+// dropTerms ends the terms of all services. Those that had started are kept
+// as past ones: what this host itself has sent it need not guess.
+func (p *Planner) dropTerms() {
+	for name, t := range p.services {
+		if t.started {
+			p.past[name] = t
+		}
 	}
+	p.services = map[string]*term{}
 }
 
 // tickService returns the calls for one service.
@@ -248,5 +273,5 @@
 func (p *Planner) Resign() {
 	p.resigned = true
 	p.seat.held = false
-	p.services = map[string]*term{}
+	p.dropTerms()
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -44,6 +44,23 @@
 	p.TestingRun(t)
 }
 
+// Planners follow each other quickly while each is cut off from some
+// upstreams and from the log: one that was replaced still reaches upstreams
+// that its successors take for lost, and goes on sending to them for as long
+// as it may.
+func TestNoKeyHasTwoOwnersWhilePlannersAreCutOff(t *testing.T) {
+	cuts := faults{orderLost: 0.02, appendLost: 0.02, orderCut: 0.25, storeCut: 0.2, reseat: 0.5, freeze: 0.02}
+	seeds := uint64(120)
+	if testing.Short() {
+		seeds = 10
+	}
+	for seed := range seeds {
+		if err := newSim(seed, cuts, testOptions).run(40 * time.Second); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
 // Without faults the play must be a real one: keys get owners, grants are
 // kept up, and load moves keys.
 func TestCalmPlayGivesEveryKeyAnOwner(t *testing.T) {
@@ -145,6 +162,83 @@
 
 func allWell(Action) error { return nil }
 
+// owns reports whether the table gives the owner any key.
+func owns(t *ownership.Table, owner string) bool {
+	for _, r := range t.Ranges {
+		if r.Owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
+// untilMoved plays until a owns nothing and returns how long that took.
+func (h *harness) untilMoved(answer func(Action) error) time.Duration {
+	h.t.Helper()
+	start := h.now
+	for owns(h.tab, "a") {
+		if h.now.Sub(start) > 30*time.Second {
+			h.t.Fatal("a's keys never moved")
+		}
+		h.play(simStep, answer)
+	}
+	return h.now.Sub(start)
+}
+
+// deadA answers as a dead upstream a and healthy others would.
+func deadA(a Action) error {
+	switch a := a.(type) {
+	case *Grant:
+		if a.Addr == "a" {
+			return ownership.ErrNotSent
+		}
+	case *Release:
+		return ownership.ErrNotSent
+	}
+	return nil
+}
+
+// The seat goes to another host and back while an upstream is dead. This
+// host's own term before knows when its last grant was sent; the dead
+// upstream's keys must not wait again for what an earlier planner may have
+// sent, ten seconds in which nobody serves them.
+func TestOwnTermBeforeIsNotGuessed(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.play(12*time.Second, allWell)
+	h.play(2*time.Second, deadA)
+	// The seat is lost and won back without another planner in between.
+	h.p.dropTerms()
+	if took := h.untilMoved(deadA); took > testOptions.Hold+testOptions.Hold/2 {
+		t.Errorf("moved only %v after the second term began", took)
+	}
+}
+
+// A planner marks a dead upstream as lost and is killed ten seconds into its
+// term. Its successor saw the mark: nothing was sent to that upstream since,
+// and its keys need not wait for the whole time that a planner may send.
+func TestSuccessorReliesOnTheMarkOfALostOwner(t *testing.T) {
+	first := newHarness(t, "a", "b")
+	second := New(testOptions)
+	second.opts.Host = "other"
+	// The other host follows the log all the while.
+	watch := func(d time.Duration, answer func(Action) error) {
+		for end := first.now.Add(d); first.now.Before(end); {
+			first.play(simStep, answer)
+			second.watch(first.now, first.v.Load())
+		}
+	}
+	watch(12*time.Second, allWell)
+	watch(1900*time.Millisecond, deadA)
+	if !first.tab.IsLost("a") || !owns(first.tab, "a") {
+		t.Fatal("the play is wrong: a should be marked and still own keys")
+	}
+	first.p = second
+	second.StreamEnd(first.end)
+	if took := first.untilMoved(deadA); took > testOptions.Hold+testOptions.Hold/2 {
+		t.Errorf("moved only %v after the successor took over", took)
+	}
+}
+
 // A caller whose key's owner goes silent waits until its lease has surely
 // run out, and no longer: the upstream stops answering, its grants stop being
 // renewed, and the record that gives its keys away comes between one lease
@@ -163,7 +257,7 @@
 		case *Release:
 			return ownership.ErrNotSent
 		case *Append:
-			if moved == 0 {
+			if moved == 0 && !owns(a.Table, "a") {
 				moved = h.now
 			}
 		}
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -26,6 +26,10 @@
 	startedAt  bootclock.Time
 	number     int64
 	startFence int64
+	// base is the table that the term's first record was made from, foreign
+	// bounds what earlier planners may still send.
+	base    *ownership.Table
+	foreign foreign
 
 	appending  *Append
 	resend     bool
@@ -94,6 +98,8 @@
 		// Another planner has written: this host's term is over, though it
 		// may hold the seat again.
 		t.p.Note(Event{Kind: TermEnded, Service: t.name, Table: latest})
+		ended := *t
+		t.p.past[t.name] = &ended
 		*t = *newTerm(t.p, t.name, now)
 	}
 	t.table = latest
@@ -112,6 +118,14 @@
 	t.started = true
 	t.startedAt = now
 	t.startFence = t.table.Fence
+	// Whoever held the seat before has lost it by now.
+	t.foreign.until = now.Add(t.p.opts.ViewAge)
+	if past := t.p.past[t.name]; past != nil && t.base != nil && past.number == t.base.Term {
+		// No other planner was in between: those before are bounded as they
+		// were, and this host's own grants are on the holders' accounts.
+		t.foreign = past.foreign
+		t.holders = past.holders
+	}
 	t.p.Note(Event{Kind: TermStarted, Service: t.name, Table: t.table})
 }
 
@@ -133,6 +147,8 @@
 	}
 	next := base.TakeOver(t.p.opts.Host, t.p.opts.PeerAddr)
 	t.number = next.Term
+	t.base = t.table
+	t.foreign.sooner = t.p.histories[t.name].soonerAfter(t.base, &t.p.opts)
 	if t.table == nil {
 		t.observe(v)
 		load, _ := t.p.Load(t.name, t.candidates(now))
@@ -230,7 +246,7 @@
 	for _, s := range sortedKeys(t.leases) {
 		l := t.leases[s]
 		u := t.ups[l.r.Owner]
-		if l.inFlight || now.Before(l.next) || u == nil || t.holder(l.r.Owner).lost {
+		if l.inFlight || now.Before(l.next) || u == nil || t.holder(l.r.Owner).lost || t.table.IsLost(l.r.Owner) {
 			continue
 		}
 		h := t.holder(u.ID)
