A planner that stops as planned keeps its grants up; stand-ins' ports apart from the kernel's

The planner stopped renewing at the stop signal, up to 0.84 s before its successor. Change 1: it renews on while its last proof allows, moves nothing more. Test without a network: TestResignedPlannerKeepsGrantsUp. Its ports were found free in the kernel's own range and closed again; another test's server had one when the host wanted it. A host whose port another server holds gives the same message (reproduced). Change 2: package ports, below that range; a host that ended is named.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -124,11 +124,18 @@
 	return l.underWay
 }
 
-// HasRoom reports whether a request could be sent now.
-func (l *Limiter) HasRoom(now time.Time) bool {
+// State is what a limiter decides by, for logs.
+type State struct {
+	Limit             float64
+	UnderWay, Waiting int
+	Latency           time.Duration
+}
+
+// State returns the limiter's present state.
+func (l *Limiter) State() State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.waiters) == 0 && l.room(now)
+	return State{Limit: l.limit, UnderWay: l.underWay, Waiting: len(l.waiters), Latency: l.latency}
 }
 
 func (l *Limiter) room(now time.Time) bool {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -77,6 +78,9 @@
 	// AtUpstream is how long the last send took.
 	AtUpstream time.Duration
 	Left       time.Duration
+	// Crowd is the state of the upstream's limiter, if the request was
+	// refused for it.
+	Crowd admission.State
 }
 
 // New returns a dispatcher for callers in the data centre home.
@@ -116,7 +120,8 @@
 
 func (e *End) describe(q *request) {
 	e.Route, e.Service, e.Key = q.route.Name, q.service.Name, q.key
-	e.Upstream, e.Sends, e.Err, e.Fence = q.lastUp, q.sends, q.lastErr, q.lastSeen
+	e.Upstream = cmp.Or(e.Upstream, q.lastUp)
+	e.Sends, e.Err, e.Fence = q.sends, q.lastErr, q.lastSeen
 	e.Left = time.Until(q.deadline)
 }
 
@@ -143,6 +148,7 @@
 		}
 		ticket := d.limits.Of(u.ID).Acquire(ctx, q.patience())
 		if ticket == nil {
+			end.Upstream, end.Crowd = u.ID, d.limits.Of(u.ID).State()
 			return nil, d.crowdedOut(ctx, q)
 		}
 		if q.sends > 0 && !d.budget.Repeat(q.service.Name, time.Now()) {
--- a/internal/entryhost/fleet_test.go
+++ b/internal/entryhost/fleet_test.go
@@ -5,12 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +20,7 @@
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/standin/memstore"
+	"github.com/papayatide/papayatide/internal/standin/ports"
 	"github.com/papayatide/papayatide/internal/standin/ranged"
 )
 
@@ -88,24 +86,13 @@
 	return "", ownership.ErrNotSent
 }
 
-// nextPort hands out ports below the range from which the kernel picks ports
-// for outgoing connections, which would take them at any moment.
-var nextPort atomic.Int32
-
-const firstPort, lastPort = 21000, 30000
-
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + (os.Getpid()*64+int(nextPort.Add(1)))%(lastPort-firstPort)
-		addr := fmt.Sprint("127.0.0.1:", port)
-		if ln, err := net.Listen("tcp4", addr); err == nil {
-			_ = ln.Close()
-			return addr
-		}
+	addr, err := ports.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return addr
 }
 
 func newFleet(t *testing.T, hosts, upstreams int) *fleet {
--- a/internal/entryhost/requestlog.go
+++ b/internal/entryhost/requestlog.go
@@ -55,6 +55,10 @@
 	if e.Upstream != "" {
 		f = append(f, zap.String("peer", e.Upstream), zap.Duration("at_upstream", e.AtUpstream))
 	}
+	if e.Crowd.Limit > 0 {
+		f = append(f, zap.Float64("limit", e.Crowd.Limit), zap.Int("under_way", e.Crowd.UnderWay), zap.Int("waiting", e.Crowd.Waiting),
+			zap.Duration("latency", e.Crowd.Latency))
+	}
 	if e.Refusal != nil {
 		f = append(f, zap.String("cause", string(e.Refusal.Cause)), zap.Duration("retry_after", e.Refusal.RetryAfter))
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -199,16 +199,18 @@
 		p.services[name] = t
 	}
 	t.adopt(v.Tables[name], now)
+	if !t.started && p.resigned || t.standingDown() {
+		return nil
+	}
 	if !t.started {
 		return t.takeOver(now, v)
 	}
-	if t.standingDown() {
-		return nil
-	}
 	t.observe(v)
-	t.plan(now)
 	var out []Action
-	out = append(out, t.releases(now)...)
+	if !p.resigned {
+		t.plan(now)
+		out = t.releases(now)
+	}
 	out = append(out, t.grants(now)...)
 	if a := t.record(now); a != nil {
 		out = append(out, a)
@@ -268,10 +270,8 @@
 // Host returns the name under which this host plans.
 func (p *Planner) Host() string { return p.opts.Host }
 
-// Resign makes the planner seek no seat any more. Grants under way run out
-// or are renewed by the successor.
-func (p *Planner) Resign() {
-	p.resigned = true
-	p.seat.held = false
-	p.dropTerms()
-}
+// Resign makes the planner seek its seat no more, for a planned stop. It goes
+// on renewing what it granted, for as long as its last proof allows or until
+// its successor's token is seen, so that no lease runs out before the
+// successor has renewed it; but it moves no more keys.
+func (p *Planner) Resign() { p.resigned = true }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -213,6 +213,31 @@
 	}
 }
 
+// The planner's host is stopped as planned. Until its successor has renewed
+// them, its grants are kept up, but no keys are taken back that it could not
+// give to anybody.
+func TestResignedPlannerKeepsGrantsUp(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.play(3*time.Second, allWell)
+	h.p.Resign()
+	gone := *h.ups["a"]
+	gone.Leaving = true
+	h.ups["a"] = &gone
+	h.publish()
+	grants := 0
+	for _, a := range h.play(2*testOptions.Hold/renewals, allWell) {
+		switch a.(type) {
+		case *Grant:
+			grants++
+		case *Join, *Release, *Append:
+			t.Fatalf("a resigned planner sends %T", a)
+		}
+	}
+	if grants == 0 {
+		t.Error("the grants are not renewed")
+	}
+}
+
 // A planner marks a dead upstream as lost and is killed ten seconds into its
 // term. Its successor saw the mark: nothing was sent to that upstream since,
 // and its keys need not wait for the whole time that a planner may send.
--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/standin/hostlist"
 	"github.com/papayatide/papayatide/internal/standin/logsvc"
+	"github.com/papayatide/papayatide/internal/standin/ports"
 	"github.com/papayatide/papayatide/internal/standin/target"
 )
 
@@ -86,15 +87,6 @@
 	hostSrv  *http.Server
 }
 
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func serve(addr string, h http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -112,7 +104,7 @@
 		spec.Logger = zap.NewNop()
 	}
 	f := &Fleet{Log: logsvc.NewServer(spec.Retention), Targets: map[string]*Target{}, spec: spec}
-	addr, err := freeAddr()
+	addr, err := ports.Free()
 	if err != nil {
 		return nil, err
 	}
@@ -123,7 +115,7 @@
 	hostListAddr := settings.HostListOff
 	if spec.HostListLag > 0 {
 		f.HostList = hostlist.NewServer(spec.HostListLag)
-		if addr, err = freeAddr(); err != nil {
+		if addr, err = ports.Free(); err != nil {
 			return nil, err
 		}
 		if f.hostSrv, err = serve(addr, f.HostList.Handler(), nil); err != nil {
@@ -136,7 +128,7 @@
 	for si := range m.Services {
 		for ui := range m.Services[si].Upstreams {
 			u := &m.Services[si].Upstreams[ui]
-			if u.Addr, err = freeAddr(); err != nil {
+			if u.Addr, err = ports.Free(); err != nil {
 				return nil, err
 			}
 			t := &Target{Upstream: *u, opts: spec.Target}
@@ -199,10 +191,10 @@
 	cfg := f.spec.Settings
 	cfg.Host, cfg.DataCentre, cfg.LogAddr = name, dc, f.LogURL
 	var err error
-	if cfg.Listen, err = freeAddr(); err != nil {
+	if cfg.Listen, err = ports.Free(); err != nil {
 		return nil, err
 	}
-	if cfg.AdminListen, err = freeAddr(); err != nil {
+	if cfg.AdminListen, err = ports.Free(); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -213,6 +205,17 @@
 	return h, nil
 }
 
+// ended returns why the entry host ended by itself, or nil if it runs.
+func (h *Host) ended() error {
+	select {
+	case err := <-h.done:
+		h.done <- err // for Stop
+		return err
+	default:
+		return nil
+	}
+}
+
 // Stop is a planned stop of the entry host; it returns the daemon's error.
 func (h *Host) Stop() error {
 	h.stopOnce.Do(func() {
@@ -236,6 +239,9 @@
 // request for every service.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, h := range f.Hosts {
+		if err := h.ended(); err != nil {
+			return eris.Wrapf(err, "host %s ended", h.Name)
+		}
 		for _, s := range f.Manifest.Services {
 			if err := waitServed(ctx, h.URL+"/"+s.Name+"/ready-probe"); err != nil {
 				return eris.Wrapf(err, "host %s service %s", h.Name, s.Name)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,11 +1,20 @@
 #!/usr/bin/env bash
-# The project's test command: formatting, vet, then every test with the race
-# detector. Needs only Go (and gcc for -race); modules come from the proxy.
+# The project's test command: formatting, vet, staticcheck, every test with
+# the race detector, and a short run of each fuzz target. Needs only Go (and
+# gcc for -race); modules come from the proxy.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-unformatted=$(gofmt -l cmd internal)
+# staticcheck is pinned so that a new release cannot fail an old commit.
+staticcheck=honnef.co/go/tools/cmd/staticcheck@v0.8.2
+fuzz_time=3s
+
+unformatted=$(gofmt -l cmd internal platform)
 if [ -n "$unformatted" ]; then
   echo "gofmt would change:"; echo "$unformatted"; exit 1
 fi
 go vet ./...
+go run "$staticcheck" ./...
 go test -race -count=1 ./...
+for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream; do
+  go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime "$fuzz_time" "./${target%:*}"
+done
