What a host missed in a cut is known within three seconds of its end

The planner's word did not help where the planner had had a break itself. Ruled out: reading late after the regain (list read 0.1 s later). Change: retries at most 0.45 s apart, by one of the three readers (the others wait for it, so an outage costs fewer calls); the time in which lapsed entries come back runs from the first sign that the service is back. Tests for both.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -64,7 +64,7 @@
 	inbox  chan func()
 	roster *roster
 	// broken holds since when each stream of the log service is lost, backAt
-	// when the last one was regained.
+	// when the first of them was regained.
 	broken map[metastore.Stream]time.Time
 	backAt time.Time
 	copy   *relay.Copy
@@ -136,7 +136,8 @@
 
 func (c *control) tick(ctx context.Context) {
 	c.planning.Store(c.plan.Holding(c.clock()))
-	if c.roster.settle(len(c.broken) > 0, time.Now()) {
+	_, lost := c.broken[metastore.StreamUpstreams]
+	if c.roster.settle(lost, time.Now()) {
 		c.publishUpstreams()
 	}
 	for _, a := range c.plan.Tick(c.clock(), c.views.Load()) {
@@ -192,8 +193,9 @@
 
 // followers returns the readers of the log service's streams.
 func (c *control) followers(ctx context.Context) []*follower {
+	h := &health{}
 	mk := func(s metastore.Stream, pause time.Duration, wait func() time.Duration) *follower {
-		return &follower{store: c.store, stream: s, pause: pause, copy: c.copy, wait: wait,
+		return &follower{store: c.store, stream: s, pause: pause, copy: c.copy, wait: wait, health: h, lead: s == metastore.StreamUpstreams,
 			apply:  func(b relay.Batch) { c.take(ctx, b) },
 			failed: func(err error) { c.post(ctx, func() { c.noteStream(s, err) }) }}
 	}
@@ -281,7 +283,9 @@
 		c.zl.Warn("log service's stream lost", zap.Int("event", events.StreamLost), zap.String("stream", string(s)), ErrorField(err))
 	case err == nil && was:
 		delete(c.broken, s)
-		c.backAt = time.Now()
+		if now := time.Now(); now.Sub(c.backAt) > relist {
+			c.backAt = now
+		}
 		c.zl.Info("log service's stream regained", zap.Int("event", events.StreamRegained), zap.String("stream", string(s)),
 			zap.Duration("lost_for", time.Since(since)))
 	}
@@ -349,7 +353,7 @@
 	listed := map[string]bool{}
 	for _, rec := range recs {
 		if rec.Value == nil {
-			c.roster.missing(rec.Key, c.outage(now), now)
+			c.roster.missing(rec.Key, c.spareUntil(now), now)
 			continue
 		}
 		u, err := c.decoder.Upstream(rec.Key, rec.Value, now)
@@ -361,14 +365,18 @@
 		c.roster.list(u)
 	}
 	if reset {
-		c.roster.missingBut(listed, c.outage(now), now)
+		c.roster.missingBut(listed, c.spareUntil(now), now)
 	}
 	c.publishUpstreams()
 }
 
-// outage reports whether the log service is lost or has only just come back.
-func (c *control) outage(now time.Time) bool {
-	return len(c.broken) > 0 || now.Sub(c.backAt) < relist
+// spareUntil returns until when an upstream that is missing now is not taken
+// for gone; in the past unless the log service has only just come back.
+func (c *control) spareUntil(now time.Time) time.Time {
+	if _, lost := c.broken[metastore.StreamUpstreams]; lost {
+		return now.Add(relist)
+	}
+	return c.backAt.Add(relist)
 }
 
 func (c *control) publishUpstreams() {
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/metastore"
@@ -21,10 +22,13 @@
 	// bounds how long a record stays unseen if the service misses waking
 	// the reader, as was seen right after a cut healed.
 	directWait = 1500 * time.Millisecond
-	// Pauses after a read that failed. The first retry is quick, for a
-	// connection that broke; later ones spare the service.
+	// Pauses after a read that failed. They are short, as a host must know
+	// what it missed within three seconds of a cut's end, of which two pass
+	// in telling lapsed entries from upstreams that left. One reader of the
+	// three tries; the others wait for it, at most awaitLead.
 	retryReadFirst = 100 * time.Millisecond
-	retryReadMost  = 800 * time.Millisecond
+	retryReadMost  = 300 * time.Millisecond
+	awaitLead      = 2 * time.Second
 	// gather is the pause after a read of the upstreams' stream, so that
 	// records that come in a burst cost one read.
 	gather = 150 * time.Millisecond
@@ -42,6 +46,47 @@
 	// success.
 	apply  func(relay.Batch)
 	failed func(error)
+	// lead is the reader that tries while the service fails.
+	lead   bool
+	health *health
+}
+
+// health tells the readers of one host whether the service answers the one
+// that leads. While it does not, the others need not ask.
+type health struct {
+	mu sync.Mutex
+	// back is closed when the service answers again; nil while it does.
+	back chan struct{}
+}
+
+// set takes in whether the leading reader was answered.
+func (h *health) set(ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case ok && h.back != nil:
+		close(h.back)
+		h.back = nil
+	case !ok && h.back == nil:
+		h.back = make(chan struct{})
+	}
+}
+
+// await waits until the leading reader is answered, for at most d.
+func (h *health) await(ctx context.Context, d time.Duration) {
+	h.mu.Lock()
+	back := h.back
+	h.mu.Unlock()
+	if back == nil {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-back:
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 // run follows the stream until ctx ends.
@@ -54,9 +99,15 @@
 			return
 		}
 		f.failed(err)
+		if f.lead {
+			f.health.set(err == nil)
+		}
 		if err != nil {
 			pause(ctx, backoff/2+rand.N(backoff))
 			backoff = min(backoff*2, retryReadMost)
+			if !f.lead {
+				f.health.await(ctx, awaitLead)
+			}
 			continue
 		}
 		backoff = retryReadFirst
--- a/internal/entryhost/roster.go
+++ b/internal/entryhost/roster.go
@@ -12,7 +12,7 @@
 const (
 	// relist is how long after an outage of the log service upstreams whose
 	// entries lapsed meanwhile need to be listed again.
-	relist = 2100 * time.Millisecond
+	relist = 2 * time.Second
 	// remembered is how long an upstream that is no longer listed is kept
 	// as leaving, so that its keys can be taken back.
 	remembered = 20 * time.Second
@@ -50,26 +50,26 @@
 
 // missing takes note that an upstream is not listed any more. During an
 // outage of the log service entries lapse though their upstreams live; they
-// are back within about two seconds, and until then it is no sign of leaving.
-func (r *roster) missing(id string, outage bool, now time.Time) {
+// are back within about two seconds, and until spare it is no sign of leaving.
+func (r *roster) missing(id string, spare, now time.Time) {
 	_, gone := r.unlisted[id]
 	if r.ups[id] == nil || gone {
 		return
 	}
-	if !outage {
+	if !now.Before(spare) {
 		r.unlist(id, now)
 		return
 	}
 	if _, ok := r.suspects[id]; !ok {
-		r.suspects[id] = now.Add(relist)
+		r.suspects[id] = spare
 	}
 }
 
 // missingBut takes note that only the listed ones are.
-func (r *roster) missingBut(listed map[string]bool, outage bool, now time.Time) {
+func (r *roster) missingBut(listed map[string]bool, spare, now time.Time) {
 	for id := range r.ups {
 		if !listed[id] {
-			r.missing(id, outage, now)
+			r.missing(id, spare, now)
 		}
 	}
 }
--- a/internal/entryhost/roster_test.go
+++ b/internal/entryhost/roster_test.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 	now := time.Unix(1000, 0)
 	r := newRoster(zap.NewNop())
 	listed(r, "u1")
-	r.missing("u1", false, now)
+	r.missing("u1", now, now)
 	wantState(t, r, "u1", "leaving")
 	r.settle(false, now.Add(remembered+time.Second))
 	wantState(t, r, "u1", "unknown")
@@ -53,8 +54,8 @@
 	r := newRoster(zap.NewNop())
 	listed(r, "back")
 	listed(r, "gone")
-	r.missing("back", true, now)
-	r.missing("gone", true, now)
+	r.missing("back", now.Add(relist), now)
+	r.missing("gone", now.Add(relist), now)
 	r.settle(true, now.Add(time.Minute))
 	wantState(t, r, "back", "ready")
 	wantState(t, r, "gone", "ready")
@@ -71,9 +72,9 @@
 	now := time.Unix(1000, 0)
 	r := newRoster(zap.NewNop())
 	listed(r, "u1")
-	r.missing("u1", false, now)
+	r.missing("u1", now, now)
 	now = now.Add(remembered - time.Second)
-	r.missingBut(nil, true, now)
+	r.missingBut(nil, now.Add(relist), now)
 	now = now.Add(2 * time.Second)
 	r.settle(true, now)
 	r.settle(false, now.Add(relist))
@@ -104,3 +105,38 @@
 		t.Fatal("still sent to, though the planner saw no outage")
 	}
 }
+
+// A host regains one stream after a cut, and reads the list of upstreams half
+// a second later. The time in which lapsed entries come back runs from the
+// first sign that the log service is back, not from the list.
+func TestSparedTimeRunsFromTheFirstSign(t *testing.T) {
+	c := newControl(zap.NewNop(), memstore.New(), decoder{}, nil, view.NewHolder(), planner.Options{Host: "h"})
+	for _, s := range []metastore.Stream{metastore.StreamDesired, metastore.StreamUpstreams} {
+		c.noteStream(s, metastore.ErrNoAnswer)
+	}
+	c.noteStream(metastore.StreamDesired, nil)
+	first := c.backAt
+	c.backAt = first.Add(-500 * time.Millisecond)
+	c.noteStream(metastore.StreamUpstreams, nil)
+	now := time.Now()
+	if got := c.spareUntil(now).Sub(now); got > relist-400*time.Millisecond {
+		t.Errorf("spared for %v more", got)
+	}
+}
+
+// While the service fails, one reader tries and the others wait for it.
+func TestOnlyOneReaderTriesDuringAnOutage(t *testing.T) {
+	log := memstore.New()
+	log.SetDown(true)
+	c := newControl(zap.NewNop(), log, decoder{}, nil, view.NewHolder(), planner.Options{Host: "h"})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.run(ctx)
+	for _, f := range c.followers(ctx) {
+		go f.run(ctx)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if n := log.Calls("newest"); n > 15 {
+		t.Errorf("%d calls in 1.5 s of an outage", n)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -195,10 +195,13 @@
 }
 
 // from returns the records from offset at on, or the newest of each key if
-// those are no longer all kept.
+// those are no longer all kept. Of the ownership stream only the newest is of
+// use, and each holds a whole table: a host that is a few records behind gets
+// 5 KB instead of a few times that, on links of 10 Mbit/s.
 func (st *stream) from(s metastore.Stream, at int64) Batch {
 	b := Batch{Stream: s, Next: st.next}
-	if first := st.next - int64(len(st.recent)); at >= first && at >= 0 {
+	first := st.next - int64(len(st.recent))
+	if at >= first && at >= 0 && s != metastore.StreamOwnership {
 		b.Records = append(b.Records, st.recent[at-first:]...)
 		return b
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -137,3 +137,21 @@
 		t.Errorf("age %v, want that of the older stream", got)
 	}
 }
+
+// A host that is several ownership records behind is sent the newest only.
+func TestOwnershipIsSentOnce(t *testing.T) {
+	c, follower := NewCopy(), NewCopy()
+	own := metastore.StreamOwnership
+	c.Apply(Batch{Stream: own, Reset: true, Next: 0})
+	for i := range int64(5) {
+		c.Apply(Batch{Stream: own, Records: []metastore.Record{record(i, "svc", fmt.Sprint("table ", i))}, Next: i + 1})
+	}
+	got := c.Since(context.Background(), map[metastore.Stream]int64{own: 1}, time.Nanosecond)
+	if len(got) != 1 || len(got[0].Records) != 1 || string(got[0].Records[0].Value) != "table 4" {
+		t.Fatalf("sent %+v", got)
+	}
+	follower.Apply(got[0])
+	if follower.Next(own) != 5 {
+		t.Errorf("the follower is at %d, want 5", follower.Next(own))
+	}
+}
