Read-through: dispatch split by step; one scan of a log stream; target errors wrap their cause

The CLI's drain and the control loop each paged through a stream; both use logservice.Scan now (test: more than a page). Behaviour stays as it was.

--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -11,6 +11,7 @@
 	"github.com/papayatide/papayatide/internal/logservice"
 	"github.com/papayatide/papayatide/internal/manifest"
 	"github.com/papayatide/papayatide/internal/placement"
+	"github.com/papayatide/papayatide/rpc/logsvcpb"
 )
 
 func drainCommand() *cobra.Command {
@@ -94,28 +95,18 @@
 // state of (svc, dc) and the stream's next offset.
 func currentState(cmd *cobra.Command, logc *logservice.Client, svc, dc string) (placement.State, int64, error) {
 	var cur placement.State
-	var from int64
-	for {
-		b, err := logc.Read(cmd.Context(), logservice.StreamPlacement, from, 0)
+	next, err := logc.Scan(cmd.Context(), logservice.StreamPlacement, 0, func(int64) {}, func(r *logsvcpb.Record) {
+		rec, err := placement.DecodeRecord(r.Data)
 		if err != nil {
-			return cur, 0, err
+			return // the entry hosts skip and log it
 		}
-		for _, r := range b.Records {
-			rec, err := placement.DecodeRecord(r.Data)
-			if err != nil {
-				continue
+		for _, s := range recordStates(rec) {
+			if s.Service == svc && s.DataCentre == dc {
+				cur = s
 			}
-			for _, s := range recordStates(rec) {
-				if s.Service == svc && s.DataCentre == dc {
-					cur = s
-				}
-			}
-		}
-		if len(b.Records) == 0 {
-			return cur, b.Next, nil
 		}
-		from = b.Records[len(b.Records)-1].Offset + 1
-	}
+	})
+	return cur, next, err
 }
 
 func recordStates(r *placement.Record) []placement.State {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -219,24 +219,17 @@
 // read are logged, since a host that far behind may have missed state.
 func (l *Loop) tail(ctx context.Context, stream string, next *int64, apply func(*logsvcpb.Record) bool) (bool, error) {
 	changed := false
-	for {
-		logReads.Inc()
-		b, err := l.logc.Read(ctx, stream, *next, 0)
-		if err != nil {
-			return changed, err
-		}
-		if b.First > *next && *next > 0 {
-			l.zl.Warn("records passed retention unread", zap.Int("event", events.RecordsGap),
-				zap.String("stream", stream), zap.Int64("from", *next), zap.Int64("first", b.First))
-		}
-		for _, rec := range b.Records {
-			*next = rec.Offset + 1
-			changed = apply(rec) || changed
-		}
-		if len(b.Records) == 0 || *next >= b.Next {
-			return changed, nil
+	logReads.Inc()
+	gap := func(first int64) {
+		if *next == 0 {
+			return // a host that starts late expects to find the beginning gone
 		}
+		l.zl.Warn("records passed retention unread", zap.Int("event", events.RecordsGap),
+			zap.String("stream", stream), zap.Int64("from", *next), zap.Int64("first", first))
 	}
+	var err error
+	*next, err = l.logc.Scan(ctx, stream, *next, gap, func(rec *logsvcpb.Record) { changed = apply(rec) || changed })
+	return changed, err
 }
 
 func (l *Loop) readManifests(ctx context.Context) (bool, error) {
--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/view"
+)
+
+// choose returns the upstream to send to next.
+func (d *Dispatcher) choose(ctx context.Context, q *request) (*catalogue.Upstream, *Refusal) {
+	if q.key >= 0 {
+		return d.owner(ctx, q)
+	}
+	v := d.views.Load()
+	c := balance.Choice{Home: d.home, FarPenalty: q.route.Objective / 4, Not: q.tried}
+	u := d.board.Pick(v.Upstreams.Of(q.service.Name), c, time.Now())
+	if u == nil && q.mayHaveRun {
+		// A broken answer says little of the next one; a refusal for want of
+		// room would only be repeated.
+		c.Not = nil
+		u = d.board.Pick(v.Upstreams.Of(q.service.Name), c, time.Now())
+	}
+	if u == nil && len(q.tried) > 0 {
+		return nil, q.giveUp()
+	}
+	if u == nil {
+		return nil, q.endUnsent(CauseNoUpstream, retryNoOwner)
+	}
+	return u, nil
+}
+
+// owner returns the owner of the request's key, waiting a little for one.
+func (d *Dispatcher) owner(ctx context.Context, q *request) (*catalogue.Upstream, *Refusal) {
+	for {
+		v := d.views.Load()
+		now := time.Now()
+		u, fence := v.Owner(q.service.Name, q.key)
+		if u != nil && !u.Leaving && !d.unheld.recent(q.service.Name, fence, u.ID, now) {
+			if d.board.Out(u.ID, now) {
+				return nil, q.endUnsent(CauseUnreachable, retryNoOwner)
+			}
+			q.lastSeen = fence
+			return u, nil
+		}
+		if !q.await(ctx, v) {
+			return nil, q.endUnsent(CauseNoOwner, retryNoOwner)
+		}
+	}
+}
+
+// waitForMove waits until the ownership table is newer than the one under
+// which the request was refused.
+func (d *Dispatcher) waitForMove(ctx context.Context, q *request) *Refusal {
+	for {
+		v := d.views.Load()
+		u, fence := v.Owner(q.service.Name, q.key)
+		if u != nil && (fence != q.lastSeen || u.ID != q.lastUp) {
+			return nil
+		}
+		if !q.await(ctx, v) {
+			return q.endUnsent(CauseMoved, retryMoved)
+		}
+	}
+}
+
+// await waits for a newer view than v. It reports false when the request
+// has waited as long as it should.
+func (q *request) await(ctx context.Context, v *view.View) bool {
+	left := time.Duration(moveWait*float64(q.route.Objective)) - q.waited
+	if left <= 0 {
+		return false
+	}
+	start := time.Now()
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-v.Changed():
+		q.waited += time.Since(start)
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/send.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/admission"
+	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/upstream"
+)
+
+// send makes one send and accounts for it.
+func (d *Dispatcher) send(ctx context.Context, q *request, u *catalogue.Upstream, ticket *admission.Ticket) (*upstream.Result, time.Duration) {
+	start := time.Now()
+	d.board.Start(u.ID)
+	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, q.up)
+	took := time.Since(start)
+	judged := judge(ctx, res)
+	d.board.Done(u.ID, judged, took, time.Now())
+	ticket.Done(verdict(judged, took, q.route.Objective), took)
+	q.lastUp, q.lastErr = u.ID, res.Err
+	q.tried = append(q.tried, u.ID)
+	if res.Outcome != upstream.NotSent {
+		q.sends++
+	}
+	if res.Outcome == upstream.Unknown || res.Outcome == upstream.Answered {
+		q.mayHaveRun = true
+	}
+	return res, took
+}
+
+// judge says what a send shows of its upstream.
+func judge(ctx context.Context, res *upstream.Result) balance.Outcome {
+	switch {
+	case ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled):
+		return balance.Abandoned
+	case res.Outcome == upstream.Answered && res.Status < http.StatusInternalServerError:
+		return balance.Served
+	case res.Outcome == upstream.NotRun && res.Misdirected():
+		return balance.Abandoned
+	case res.Outcome == upstream.NotRun:
+		return balance.Full
+	}
+	return balance.Failed
+}
+
+// lateShare is the part of the latency objective above which an answer's
+// time at the upstream counts as late; the rest is for the ways.
+const lateShare = 0.8
+
+// verdict says what a send's end shows of its upstream's load.
+func verdict(o balance.Outcome, took, objective time.Duration) admission.Verdict {
+	late := took > time.Duration(lateShare*float64(objective))
+	switch {
+	case o == balance.Served && late:
+		return admission.Late
+	case o == balance.Served:
+		return admission.InTime
+	case o == balance.Full:
+		return admission.Full
+	}
+	return admission.NoSign
+}
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -99,6 +99,29 @@
 	return &Batch{Records: resp.Records, Next: resp.Next, First: resp.First}, nil
 }
 
+// Scan reads stream from offset from to its end, a page at a time, and hands
+// each record to visit. If records before the first kept one were still to be
+// read, gap is told the first kept offset. It returns the offset to go on
+// from, also with an error.
+func (c *Client) Scan(ctx context.Context, stream string, from int64, gap func(first int64), visit func(*logsvcpb.Record)) (int64, error) {
+	for {
+		b, err := c.Read(ctx, stream, from, 0)
+		if err != nil {
+			return from, err
+		}
+		if b.First > from {
+			gap(b.First)
+		}
+		for _, rec := range b.Records {
+			from = rec.Offset + 1
+			visit(rec)
+		}
+		if len(b.Records) == 0 || from >= b.Next {
+			return max(from, b.Next), nil
+		}
+	}
+}
+
 // Last returns the newest record of stream, or nil if it has none.
 func (c *Client) Last(ctx context.Context, stream string) (*logsvcpb.Record, int64, error) {
 	head, err := c.Read(ctx, stream, 1<<62, 1)
--- a/internal/logservice/client_test.go
+++ b/internal/logservice/client_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/papayatide/papayatide/internal/logservice"
 	"github.com/papayatide/papayatide/internal/standin/logsvc"
+	"github.com/papayatide/papayatide/rpc/logsvcpb"
 )
 
 // Two operators publish from the same base at once. The caller of the
@@ -51,3 +53,24 @@
 		t.Fatalf("read back %+v %v", b, err)
 	}
 }
+
+// A stream longer than a page is read whole, once, in order.
+func TestScanReadsAllPages(t *testing.T) {
+	srv := logsvc.NewServer(0)
+	hs := httptest.NewServer(srv.Handler())
+	defer hs.Close()
+	c := logservice.New(hs.URL, hs.Client())
+	ctx := context.Background()
+	const records = logsvc.MaxRead + 10
+	for i := range records {
+		if _, err := c.Append(ctx, "s", fmt.Append(nil, i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var got []string
+	next, err := c.Scan(ctx, "s", 3, func(int64) { t.Error("a gap where none is") },
+		func(r *logsvcpb.Record) { got = append(got, string(r.Data)) })
+	if err != nil || next != records || len(got) != records-3 || got[0] != "3" || got[len(got)-1] != fmt.Sprint(records-1) {
+		t.Errorf("%d records to %d, error %v", len(got), next, err)
+	}
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -123,7 +123,7 @@
 	url := "http://" + u.Addr + PathWork + req.Service + "/" + req.Key
 	hr, err := http.NewRequestWithContext(ctx, req.Method, url, bytes.NewReader(req.Body))
 	if err != nil {
-		return nil, eris.Wrapf(ErrNotSent, "forward to %s: build request: %v", u.Name, err)
+		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "forward to %s: build request", u.Name)
 	}
 	hr.Header.Set(HeaderShard, strconv.Itoa(req.Shard))
 	hr.Header.Set(HeaderFencingToken, strconv.FormatInt(req.FencingToken, 10))
@@ -138,14 +138,14 @@
 	resp, err := hc.Do(hr)
 	if err != nil {
 		if !wrote.Load() {
-			return nil, eris.Wrapf(ErrNotSent, "forward to %s: %v", u.Name, err)
+			return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "forward to %s", u.Name)
 		}
-		return nil, eris.Wrapf(ErrNoAnswer, "forward to %s: %v", u.Name, err)
+		return nil, eris.Wrapf(errors.Join(ErrNoAnswer, err), "forward to %s", u.Name)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
 	if err != nil {
-		return nil, eris.Wrapf(ErrNoAnswer, "forward to %s: read answer: %v", u.Name, err)
+		return nil, eris.Wrapf(errors.Join(ErrNoAnswer, err), "forward to %s: read answer", u.Name)
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
