--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -58,8 +58,6 @@
 	plan    *planner.Planner
 	loads   *loadmap.Map
 	clock   bootclock.Clock
-	// onView is told of each new view.
-	onView func(*view.View)
 
 	inbox  chan func()
 	roster *roster
@@ -77,7 +75,7 @@
 
 func newControl(zl *zap.Logger, store metastore.Store, dec Decoder, granter Granter, views *view.Holder, opts planner.Options) *control {
 	c := &control{zl: zl, store: store, decoder: dec, granter: granter, views: views, plan: planner.New(opts),
-		loads: loadmap.New(), clock: bootclock.Now, onView: func(*view.View) {}, inbox: make(chan func(), 256),
+		loads: loadmap.New(), clock: bootclock.Now, inbox: make(chan func(), 256),
 		roster: newRoster(zl), broken: map[metastore.Stream]time.Time{}, copy: relay.NewCopy()}
 	c.plan.Load = func(service string, owners []*catalogue.Upstream) (ownership.Load, float64) {
 		return c.loads.Load(service, owners, time.Now())
@@ -297,11 +295,6 @@
 	}
 }
 
-func (c *control) publish(change func(*view.View)) {
-	c.views.Publish(change)
-	c.onView(c.views.Load())
-}
-
 func (c *control) applyDesired(recs []metastore.Record) {
 	for _, rec := range recs {
 		if rec.Value == nil {
@@ -316,7 +309,7 @@
 		if st == nil || (cur != nil && st.Version <= cur.Version) {
 			continue
 		}
-		c.publish(func(v *view.View) { v.Desired = st })
+		c.views.Publish(func(v *view.View) { v.Desired = st })
 		c.zl.Info("desired state adopted", zap.Int("event", events.DesiredAdopted), zap.Int64("version", st.Version), zap.Int64("offset", rec.Offset))
 	}
 }
@@ -339,7 +332,7 @@
 	if cur := c.views.Load().Tables[t.Service]; cur != nil && t.Fence <= cur.Fence {
 		return
 	}
-	c.publish(func(v *view.View) {
+	c.views.Publish(func(v *view.View) {
 		tables := map[string]*ownership.Table{t.Service: t}
 		for name, old := range v.Tables {
 			if name != t.Service {
@@ -387,7 +380,7 @@
 
 func (c *control) publishUpstreams() {
 	snap := c.roster.snapshot()
-	c.publish(func(v *view.View) { v.Upstreams = snap })
+	c.views.Publish(func(v *view.View) { v.Upstreams = snap })
 }
 
 // leave gives the planner's seat up, so that another host plans at once
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -14,16 +14,19 @@
 //
 // # Why no key has two owners
 //
-// Let Hold be the time of a grant, Skew the slowness of an upstream's clock,
-// and ViewAge the longest that a planner renews without having proved its
-// seat. A key moves from U to V only by a record in the log, and that is
-// appended only when U cannot hold the key any more, because
+// Let bound be the longest that an upstream may keep keys after a grant was
+// sent to it: Hold, its clock's slowness and the way there. A key moves from U
+// to V only by a record in the log, and that is appended only when U cannot
+// hold the key any more, because
 //
-//   - U answered a release, and no grant to U is without an answer, or
-//   - now > last grant that may have reached U + Hold·(1+Skew), and
-//   - U has acknowledged a token of this term, or
-//     now > start of term + ViewAge + Hold·(1+Skew).
+//   - no grant to U is under way,
+//   - U answered a release, or bound has passed since the last grant that may
+//     have reached it,
+//   - bound has passed since the last grant to U that got no answer, and
+//   - U has acknowledged a token of this term on the key, or bound has passed
+//     since the last grant that an earlier planner may have sent.
 //
-// The third line bounds the predecessor: it proved its seat before this term
-// began, so it sends nothing later than start of term + ViewAge.
+// The last line is about planners that do not know yet that they were
+// replaced. One proved its seat before its successor's first record, and sends
+// nothing later than ViewAge after its last proof; history.go has the bounds.
 package planner
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -217,7 +217,7 @@
 	}
 	t := p.services[name]
 	if t == nil {
-		t = newTerm(p, name, now)
+		t = newTerm(p, name)
 		p.services[name] = t
 	}
 	t.adopt(v.Tables[name], now)
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -23,7 +23,6 @@
 	// started is set once this host's first record is in force; number is
 	// that term's and startFence the token it put on every range.
 	started    bool
-	startedAt  bootclock.Time
 	number     int64
 	startFence int64
 	// base is the table that the term's first record was made from, foreign
@@ -75,8 +74,8 @@
 	lost      bool
 }
 
-func newTerm(p *Planner, name string, now bootclock.Time) *term {
-	return &term{p: p, name: name, startedAt: now, ups: map[string]*catalogue.Upstream{},
+func newTerm(p *Planner, name string) *term {
+	return &term{p: p, name: name, ups: map[string]*catalogue.Upstream{},
 		holders: map[string]*holder{}, leases: map[span]*lease{}}
 }
 
@@ -100,7 +99,7 @@
 		t.p.Note(Event{Kind: TermEnded, Service: t.name, Table: latest})
 		ended := *t
 		t.p.past[t.name] = &ended
-		*t = *newTerm(t.p, t.name, now)
+		*t = *newTerm(t.p, t.name)
 	}
 	t.table = latest
 	if a := t.appending; a != nil && a.Table.Fence <= latest.Fence {
@@ -116,7 +115,6 @@
 
 func (t *term) start(now bootclock.Time) {
 	t.started = true
-	t.startedAt = now
 	t.startFence = t.table.Fence
 	// Whoever held the seat before has lost it by now.
 	t.foreign.until = now.Add(t.p.opts.ViewAge)
