A request whose time ran out at the upstream is told so, 504

The connection's deadline is the request's, and was noticed a moment before the request's own. Ruled out: the upstream ending (it reads until the connection ends). Change: a passed deadline of the connection counts as the request's. Test without timing: fails before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -178,7 +179,8 @@
 	case upstream.NotRun:
 		return d.afterNotRun(ctx, q, res)
 	}
-	if ctx.Err() != nil {
+	// The connection's deadline is the context's, and may be noticed first.
+	if ctx.Err() != nil || errors.Is(res.Err, os.ErrDeadlineExceeded) {
 		return false, d.outOfTime(ctx, q)
 	}
 	if !q.mayRepeat() || !d.another(q) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -442,3 +443,16 @@
 		t.Errorf("%d connections for two requests", len(conns))
 	}
 }
+
+// Time runs out at the upstream, and the connection's deadline is noticed a
+// moment before the request's own. The caller is told that time ran out, 504,
+// not that the upstream broke off.
+func TestConnectionsDeadlineIsTheRequests(t *testing.T) {
+	g := newRig(t)
+	q := &request{route: &desired.Route{MaxAttempts: 2}, up: &upstream.Request{}, deadline: time.Now(), sends: 1, mayHaveRun: true, key: -1}
+	res := &upstream.Result{Outcome: upstream.Unknown, Err: fmt.Errorf("answer: %w", os.ErrDeadlineExceeded)}
+	again, ref := g.d.after(context.Background(), q, res)
+	if again || ref == nil || ref.Cause != CauseTimeout || ref.Status != http.StatusGatewayTimeout {
+		t.Errorf("again %v, refusal %+v", again, ref)
+	}
+}
