Stand-ins' ports are held in blocks; the planner's plays run side by side

Another test's process had been handed the port meanwhile: blocks of 512 by process number overlap. Change: a process holds a block of 1,000 ports by listening on its first one (test). No code of the product changes.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 		params.MinSuccessfulTests = 10
 	}
 	params.MaxShrinkCount = 0
+	params.Workers = 4
 	p := gopter.NewProperties(params)
 	p.Property("one owner a key", prop.ForAll(func(seed uint64) (string, error) {
 		s := newSim(seed, allFaults, testOptions)
@@ -55,9 +57,12 @@
 		seeds = 10
 	}
 	for seed := range seeds {
-		if err := newSim(seed, cuts, testOptions).run(40 * time.Second); err != nil {
-			t.Errorf("seed %d: %v", seed, err)
-		}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			if err := newSim(seed, cuts, testOptions).run(40 * time.Second); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
 
--- a/internal/standin/ports/ports.go
+++ b/internal/standin/ports/ports.go
@@ -4,8 +4,7 @@
 import (
 	"fmt"
 	"net"
-	"os"
-	"sync/atomic"
+	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -17,18 +16,32 @@
 	// is listened on: a host then failed to start, and its callers reached
 	// somebody else's server.
 	first, last = 10000, 32000
-	// share is how many ports each process starts apart from the next one.
-	share = 512
+	// block is how many ports a process takes at once. It holds a block by
+	// listening on its first port, so that no other process is handed a port
+	// of it, even while a stand-in that is being restarted has closed its own.
+	block = 1000
 )
 
-var handedOut atomic.Int32
+var (
+	mu     sync.Mutex
+	next   int
+	end    int
+	guards []net.Listener // kept open for the life of the process
+)
 
 // Free returns a loopback address on which nobody listens, and which is not
-// handed out again by this process.
+// handed out again.
 func Free() (string, error) {
-	for range last - first {
-		n := os.Getpid()*share + int(handedOut.Add(1))
-		addr := fmt.Sprint("127.0.0.1:", first+n%(last-first))
+	mu.Lock()
+	defer mu.Unlock()
+	for {
+		if next >= end {
+			if err := takeBlock(); err != nil {
+				return "", err
+			}
+		}
+		addr := address(next)
+		next++
 		ln, err := net.Listen("tcp4", addr)
 		if err != nil {
 			continue
@@ -38,5 +51,20 @@
 		}
 		return addr, nil
 	}
-	return "", eris.Errorf("no free port from %d to %d", first, last)
 }
+
+// takeBlock takes a block that no process holds.
+func takeBlock() error {
+	for start := first; start+block <= last; start += block {
+		guard, err := net.Listen("tcp4", address(start))
+		if err != nil {
+			continue
+		}
+		guards = append(guards, guard)
+		next, end = start+1, start+block
+		return nil
+	}
+	return eris.Errorf("no free block of ports from %d to %d", first, last)
+}
+
+func address(port int) string { return fmt.Sprint("127.0.0.1:", port) }
