One record of each upstream; the cap on its connections is shared by the hosts

Cause: MaxConns of the desired state was read and never used; an upstream resets connections beyond it, with requests on them that may have run. Three maps by upstream (limiter, board, latency) each pruned and smoothed for themselves. Ruled out: a cap in the connection pool. A host opens a connection only while all others are in use, so bounding the requests under way suffices and lets admission see the bound. Change: balance.Board keeps the limiter; in-flight counts and latency are the limiter's. Acquire takes the caller's bound, MaxConns by fleet size (the size follows in the next commit).

Test: TestConnectionsAreSharedAmongHosts; without the bound it fails (4 connections, 2 allowed).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -33,7 +33,7 @@
 	// limit was cut say nothing of the new one.
 	calm = 150 * time.Millisecond
 	// startLatency is assumed before the first answer.
-	startLatency = 200 * time.Millisecond
+	startLatency = 150 * time.Millisecond
 	smoothing    = 0.2
 )
 
@@ -53,8 +53,10 @@
 
 // Limiter bounds this host's requests under way to one upstream.
 type Limiter struct {
-	mu       sync.Mutex
-	limit    float64
+	mu    sync.Mutex
+	limit float64
+	// most is the caller's own bound; see Acquire.
+	most     float64
 	underWay int
 	latency  time.Duration
 	cutAt    time.Time
@@ -65,7 +67,9 @@
 }
 
 // NewLimiter returns a limiter of an upstream not heard of before.
-func NewLimiter() *Limiter { return &Limiter{limit: startLimit, latency: startLatency} }
+func NewLimiter() *Limiter {
+	return &Limiter{limit: startLimit, most: mostLimit, latency: startLatency}
+}
 
 // Ticket is the leave to send one request. Done must be called on it.
 type Ticket struct {
@@ -75,9 +79,11 @@
 
 // Acquire returns a ticket, or nil if the request would wait longer than
 // patience or ctx ends. It refuses at once where the wait is foreseeable.
-func (l *Limiter) Acquire(ctx context.Context, patience time.Duration) *Ticket {
+// However well the upstream answers, at most most requests are under way.
+func (l *Limiter) Acquire(ctx context.Context, patience time.Duration, most int) *Ticket {
 	now := time.Now()
 	l.mu.Lock()
+	l.most = float64(most)
 	if len(l.waiters) == 0 && l.room(now) {
 		t := l.start()
 		l.mu.Unlock()
@@ -135,16 +141,19 @@
 func (l *Limiter) State() State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return State{Limit: l.limit, UnderWay: l.underWay, Waiting: len(l.waiters), Latency: l.latency}
+	return State{Limit: l.allowed(), UnderWay: l.underWay, Waiting: len(l.waiters), Latency: l.latency}
 }
 
 func (l *Limiter) room(now time.Time) bool {
 	if l.limit < 1 {
 		return l.underWay == 0 && !now.Before(l.nextStart)
 	}
-	return float64(l.underWay+1) <= l.limit
+	return float64(l.underWay+1) <= l.allowed()
 }
 
+// allowed is how many requests may be under way now.
+func (l *Limiter) allowed() float64 { return min(l.limit, l.most) }
+
 func (l *Limiter) start() *Ticket {
 	l.underWay++
 	return &Ticket{l: l, underWay: l.underWay}
@@ -152,7 +161,7 @@
 
 // expectedWait is how long one more request would wait for its turn.
 func (l *Limiter) expectedWait(now time.Time) time.Duration {
-	wait := time.Duration(float64(len(l.waiters)+1) / l.limit * float64(l.latency))
+	wait := time.Duration(float64(len(l.waiters)+1) / l.allowed() * float64(l.latency))
 	if l.limit < 1 && l.underWay == 0 {
 		wait = max(l.nextStart.Sub(now), 0) + time.Duration(float64(len(l.waiters))/l.limit*float64(l.latency))
 	}
@@ -216,35 +225,3 @@
 	l.cutAt = now
 	l.limit = max(min(l.limit, float64(underWay))*factor, leastLimit)
 }
-
-// Limiters keeps a limiter for each upstream.
-type Limiters struct {
-	mu sync.Mutex
-	by map[string]*Limiter
-}
-
-// NewLimiters returns an empty set.
-func NewLimiters() *Limiters { return &Limiters{by: map[string]*Limiter{}} }
-
-// Of returns the upstream's limiter.
-func (ls *Limiters) Of(id string) *Limiter {
-	ls.mu.Lock()
-	defer ls.mu.Unlock()
-	l := ls.by[id]
-	if l == nil {
-		l = NewLimiter()
-		ls.by[id] = l
-	}
-	return l
-}
-
-// Prune forgets upstreams that keep does not know.
-func (ls *Limiters) Prune(keep func(id string) bool) {
-	ls.mu.Lock()
-	defer ls.mu.Unlock()
-	for id, l := range ls.by {
-		if !keep(id) && l.UnderWay() == 0 {
-			delete(ls.by, id)
-		}
-	}
-}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -79,7 +79,7 @@
 	start := time.Now()
 	var t *Ticket
 	if admit {
-		t = l.Acquire(context.Background(), objective/2)
+		t = l.Acquire(context.Background(), objective/2, mostLimit)
 		if t == nil {
 			res.mu.Lock()
 			defer res.mu.Unlock()
@@ -150,7 +150,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := NewLimiter()
 		for range 20 {
-			tk := l.Acquire(context.Background(), time.Second)
+			tk := l.Acquire(context.Background(), time.Second, mostLimit)
 			time.Sleep(calm)
 			tk.Done(Full, 0)
 		}
@@ -159,7 +159,7 @@
 		}
 		start := time.Now()
 		for l.limit < 2 {
-			tk := l.Acquire(context.Background(), 10*time.Second)
+			tk := l.Acquire(context.Background(), 10*time.Second, mostLimit)
 			time.Sleep(100 * time.Millisecond)
 			tk.Done(InTime, 100*time.Millisecond)
 		}
@@ -174,16 +174,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := NewLimiter()
 		l.limit = 1
-		first := l.Acquire(context.Background(), time.Second)
+		first := l.Acquire(context.Background(), time.Second, mostLimit)
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() {
-			if l.Acquire(ctx, time.Minute) != nil {
+			if l.Acquire(ctx, time.Minute, mostLimit) != nil {
 				t.Error("a caller that left got a turn")
 			}
 		}()
 		time.Sleep(time.Millisecond)
 		got := make(chan *Ticket)
-		go func() { got <- l.Acquire(context.Background(), time.Minute) }()
+		go func() { got <- l.Acquire(context.Background(), time.Minute, mostLimit) }()
 		time.Sleep(time.Millisecond)
 		cancel()
 		synctest.Wait()
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,9 +3,11 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/catalogue"
 )
 
@@ -24,10 +26,6 @@
 )
 
 const (
-	// startLatency is assumed of an upstream that has not answered yet.
-	startLatency = 150 * time.Millisecond
-	// smoothing is the weight of a new latency in the mean.
-	smoothing = 0.2
 	// fullPause is how long an upstream counts as full after it refused:
 	// about the time in which one of its slots comes free.
 	fullPause = 100 * time.Millisecond
@@ -40,56 +38,55 @@
 	coldFactor = 2
 )
 
-type stats struct {
-	inFlight int
-	latency  time.Duration
+// record is what this host knows of one upstream. The limiter counts what is
+// under way and smooths the latency; the rest is its health.
+type record struct {
+	limiter  *admission.Limiter
 	failures int
 	outUntil time.Time
 	fullTill time.Time
 }
 
-// Board keeps what this host has seen of each upstream.
+// Board keeps one record of each upstream.
 type Board struct {
 	mu sync.Mutex
-	by map[string]*stats
+	by map[string]*record
 }
 
 // NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{by: map[string]*stats{}} }
+func NewBoard() *Board { return &Board{by: map[string]*record{}} }
 
-func (b *Board) of(id string) *stats {
-	s := b.by[id]
-	if s == nil {
-		s = &stats{latency: startLatency}
-		b.by[id] = s
+func (b *Board) of(id string) *record {
+	r := b.by[id]
+	if r == nil {
+		r = &record{limiter: admission.NewLimiter()}
+		b.by[id] = r
 	}
-	return s
+	return r
 }
 
-// Start counts a send to the upstream.
-func (b *Board) Start(id string) {
+// Limiter returns the upstream's limiter.
+func (b *Board) Limiter(id string) *admission.Limiter {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(id).inFlight++
+	return b.of(id).limiter
 }
 
-// Done counts its end.
-func (b *Board) Done(id string, o Outcome, took time.Duration, now time.Time) {
+// Done takes in how a send to the upstream ended.
+func (b *Board) Done(id string, o Outcome, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.of(id)
-	s.inFlight--
+	r := b.of(id)
 	switch o {
 	case Served:
-		s.failures = 0
-		s.latency += time.Duration(smoothing * float64(took-s.latency))
+		r.failures = 0
 	case Full:
-		s.failures = 0
-		s.fullTill = now.Add(fullPause)
+		r.failures = 0
+		r.fullTill = now.Add(fullPause)
 	case Failed:
-		s.failures++
-		if s.failures >= ejectAfter {
-			s.outUntil = now.Add(min(ejectFirst<<min(s.failures-ejectAfter, 4), ejectMost))
+		r.failures++
+		if r.failures >= ejectAfter {
+			r.outUntil = now.Add(min(ejectFirst<<min(r.failures-ejectAfter, 4), ejectMost))
 		}
 	case Abandoned:
 	}
@@ -107,8 +104,8 @@
 func (b *Board) Prune(keep func(id string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, s := range b.by {
-		if s.inFlight == 0 && !keep(id) {
+	for id, r := range b.by {
+		if !keep(id) && r.limiter.State().UnderWay == 0 {
 			delete(b.by, id)
 		}
 	}
@@ -132,15 +129,15 @@
 	var best, lastResort *catalogue.Upstream
 	var bestCost, lastCost time.Duration
 	for _, u := range ups {
-		if u.Leaving || contains(c.Not, u.ID) {
+		if u.Leaving || slices.Contains(c.Not, u.ID) {
 			continue
 		}
-		s := b.of(u.ID)
-		cost := s.cost(u, now)
+		r := b.of(u.ID)
+		cost := r.cost(u, now)
 		if u.DataCentre != c.Home {
 			cost += c.FarPenalty
 		}
-		if now.Before(s.outUntil) || now.Before(s.fullTill) {
+		if now.Before(r.outUntil) || now.Before(r.fullTill) {
 			if lastResort == nil || cost < lastCost {
 				lastResort, lastCost = u, cost
 			}
@@ -157,19 +154,11 @@
 }
 
 // cost is the time in which an answer is expected.
-func (s *stats) cost(u *catalogue.Upstream, now time.Time) time.Duration {
-	c := s.latency
+func (r *record) cost(u *catalogue.Upstream, now time.Time) time.Duration {
+	s := r.limiter.State()
+	c := s.Latency
 	if now.Before(u.SlowUntil) {
 		c *= coldFactor
 	}
-	return c + c*time.Duration(s.inFlight)/time.Duration(u.Slots)
-}
-
-func contains(ids []string, id string) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
+	return c + c*time.Duration(s.UnderWay)/time.Duration(u.Slots)
 }
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -43,14 +43,3 @@
 
 // Of returns the service's upstreams, leaving ones included.
 func (s *Snapshot) Of(service string) []*Upstream { return s.byService[service] }
-
-// Ready returns the service's upstreams that are not leaving.
-func (s *Snapshot) Ready(service string) []*Upstream {
-	var out []*Upstream
-	for _, u := range s.byService[service] {
-		if !u.Leaving {
-			out = append(out, u)
-		}
-	}
-	return out
-}
--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -44,8 +44,6 @@
 	WarmUp time.Duration
 	// MaxConns bounds an upstream's connections from all hosts together.
 	MaxConns int
-	// HealthPath is the path of the upstreams' health endpoint.
-	HealthPath string
 }
 
 // Limits bound what callers may send.
--- /dev/null
+++ b/internal/dispatch/connections_test.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/view"
+)
+
+// An upstream takes four connections from all hosts together and resets the
+// rest, on which requests may already run. One of two hosts, pressed by ten
+// callers at once, opens no more than its two; callers that cannot be served
+// in time are told at once when to come back.
+func TestConnectionsAreSharedAmongHosts(t *testing.T) {
+	var open, most atomic.Int64
+	var conns sync.Map
+	f := startUpstream(t, func(w io.Writer, c net.Conn, r *http.Request, _ int64) bool {
+		if _, known := conns.LoadOrStore(c, true); !known {
+			if n := open.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+		}
+		time.Sleep(30 * time.Millisecond)
+		return echo(w, c, r, 0)
+	})
+	g := newRig(t, up("u1", "plain", f))
+	g.views.Publish(func(v *view.View) {
+		d := *v.Desired
+		d.Services = map[string]*desired.Service{"plain": {Name: "plain", MaxConns: 4}}
+		v.Desired = &d
+	})
+	g.d.SetFleet(2)
+	var wg sync.WaitGroup
+	for i := range 10 {
+		wg.Go(func() {
+			a := g.post("charge.example", fmt.Sprint("c", i))
+			if a.status != http.StatusOK && (a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "") {
+				t.Errorf("a caller got %d %q, Retry-After %q", a.status, a.body, a.header.Get("Retry-After"))
+			}
+		})
+	}
+	wg.Wait()
+	if most.Load() > 2 {
+		t.Errorf("%d connections opened, this host's part is 2", most.Load())
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/budget"
+	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
@@ -49,10 +51,11 @@
 	views   *view.Holder
 	client  *upstream.Client
 	board   *balance.Board
-	limits  *admission.Limiters
 	budget  *budget.Budget
 	splits  *splitter
 	unheld  *unheld
+	// fleet is how many hosts there are, this one included.
+	fleet atomic.Int64
 	// Ended is told of every request's end.
 	Ended func(*End)
 }
@@ -85,8 +88,10 @@
 
 // New returns a dispatcher for callers in the data centre home.
 func New(h protocol.Headers, home string, views *view.Holder, client *upstream.Client, board *balance.Board, bud *budget.Budget) *Dispatcher {
-	return &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud,
-		limits: admission.NewLimiters(), splits: newSplitter(), unheld: newUnheld(), Ended: func(*End) {}}
+	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud,
+		splits: newSplitter(), unheld: newUnheld(), Ended: func(*End) {}}
+	d.SetFleet(1)
+	return d
 }
 
 // ServeHTTP implements http.Handler.
@@ -146,9 +151,10 @@
 		if ref != nil {
 			return nil, ref
 		}
-		ticket := d.limits.Of(u.ID).Acquire(ctx, q.patience())
+		limiter := d.board.Limiter(u.ID)
+		ticket := limiter.Acquire(ctx, q.patience(), d.connections(q.service))
 		if ticket == nil {
-			end.Upstream, end.Crowd = u.ID, d.limits.Of(u.ID).State()
+			end.Upstream, end.Crowd = u.ID, limiter.State()
 			return nil, d.crowdedOut(ctx, q)
 		}
 		if q.sends > 0 && !d.budget.Repeat(q.service.Name, time.Now()) {
@@ -191,29 +197,44 @@
 
 // afterNotRun decides what follows an upstream's refusal.
 func (d *Dispatcher) afterNotRun(ctx context.Context, q *request, res *upstream.Result) (again bool, ref *Refusal) {
-	if q.key < 0 {
-		return q.mayRepeat(), q.refusedUnless(q.mayRepeat(), res)
+	keyed := q.key >= 0
+	if keyed && res.Misdirected() {
+		d.unheld.note(q.service.Name, q.lastSeen, q.lastUp, time.Now())
+	}
+	if !q.mayRepeat() {
+		return false, q.refused(res)
+	}
+	if !keyed {
+		return true, nil
 	}
 	if !res.Misdirected() {
 		// The key has no other owner, and one that is full now is full in a
 		// few milliseconds too.
 		return false, q.refused(res)
 	}
-	d.unheld.note(q.service.Name, q.lastSeen, q.lastUp, time.Now())
-	if !q.mayRepeat() {
-		return false, q.refused(res)
-	}
 	ref = d.waitForMove(ctx, q)
 	return ref == nil, ref
 }
 
-func (q *request) refusedUnless(again bool, res *upstream.Result) *Refusal {
-	if again {
-		return nil
+// unbounded is the bound on a host's requests to an upstream whose
+// connections the service does not bound; admission's own is far below it.
+const unbounded = 1 << 16
+
+// connections is this host's part of the connections that an upstream of the
+// service accepts from all hosts together. It resets those beyond, and with
+// them requests that may have run: callers would see 502. A host opens a
+// connection only while all it has to the upstream are in use, so bounding the
+// requests under way suffices.
+func (d *Dispatcher) connections(s *desired.Service) int {
+	if s.MaxConns == 0 {
+		return unbounded
 	}
-	return q.refused(res)
+	return max(s.MaxConns/int(d.fleet.Load()), 1)
 }
 
+// SetFleet tells how many hosts share the upstreams' connections.
+func (d *Dispatcher) SetFleet(hosts int) { d.fleet.Store(int64(hosts)) }
+
 // patience is how long the request may wait for its turn: what is left of
 // its latency objective less the time the upstream needs.
 func (q *request) patience() time.Duration {
@@ -285,8 +306,7 @@
 	return failed(CauseTimeout, http.StatusGatewayTimeout)
 }
 
-// Prune forgets upstreams that keep does not know.
-func (d *Dispatcher) Prune(keep func(id string) bool) {
-	d.limits.Prune(keep)
+// Prune forgets what no longer matters.
+func (d *Dispatcher) Prune() {
 	d.unheld.prune(time.Now())
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -26,7 +26,7 @@
 )
 
 var names = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
-	AnsweringID: "X-Upstream", NotRun: "X-Not-Run", Key: "X-Key"}
+	NotRun: "X-Not-Run", Key: "X-Key"}
 
 // fakeUpstream speaks HTTP by hand, so that it can misbehave. answer gets
 // each request and writes what it likes; false ends the connection.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -227,7 +227,7 @@
 			keep := known(h.views.Load().Upstreams)
 			h.client.Prune(now, keep)
 			h.board.Prune(keep)
-			h.dispatch.Prune(keep)
+			h.dispatch.Prune()
 		}
 	}
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -12,8 +12,6 @@
 	Signature string
 	// ExpectedUpstream is the ID of the upstream a request is meant for.
 	ExpectedUpstream string
-	// AnsweringID is the ID of the upstream that answers, where it says.
-	AnsweringID string
 	// NotRun marks a refusal whose request was not run.
 	NotRun string
 	// Key is the key of a request to a keyed service.
