Strong hosts plan, one per large data centre relays; the fleet's size is known

Cause: on the grown site the planner was a weak host. No table was there for 3.7 s after the start, so 85 weak hosts sought the seat, and again at each change; a planner with 0.16 of a core and 10 Mbit/s stalled for seconds, its grants timed out, owners were taken for lost, and 16% of the arrivals came to upstreams that no longer held the key. Ruled out: the rebalancing itself (0.4 ms a plan; the planner's mean was 0.07 of a core), the log service (calls fine until the stall). The division ignores load while no key had an owner. Tests: TestWeakHostWaitsWhileTheFleetStarts, TestWeakPlannerGivesWay, TestFirstRecordComesBeforeTheDivision, package fleet. What is left is the hot key (one owner, 13 a second).

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -71,6 +71,9 @@
 	// soleWriter tells them whether it is the only one that writes the
 	// ownership stream, which need not be read then.
 	soleWriter atomic.Bool
+	// eagerAlive reports whether a host that is strong enough to plan
+	// follows this one.
+	eagerAlive func() bool
 }
 
 func newControl(zl *zap.Logger, store metastore.Store, dec Decoder, granter Granter, views *view.Holder, opts planner.Options) *control {
@@ -81,6 +84,7 @@
 		return c.loads.Load(service, owners, time.Now())
 	}
 	c.plan.Note = c.notePlanner
+	c.eagerAlive = func() bool { return false }
 	return c
 }
 
@@ -137,6 +141,10 @@
 
 func (c *control) tick(ctx context.Context) {
 	now := c.clock()
+	if c.plan.ShouldGiveWay(now) && c.eagerAlive() {
+		c.plan.GiveWay(now)
+		c.giveUpSeat(ctx)
+	}
 	c.planning.Store(c.plan.Holding(now))
 	c.soleWriter.Store(c.plan.SoleWriter(now))
 	_, lost := c.broken[metastore.StreamUpstreams]
@@ -388,10 +396,15 @@
 func (c *control) leave(ctx context.Context) {
 	c.post(ctx, func() {
 		c.plan.Resign()
-		go func() {
-			if err := c.store.Leave(ctx, c.member()); err != nil {
-				c.zl.Info("planner's seat not given up; it lapses", zap.Int("event", events.PlannerSeatLost), ErrorField(err))
-			}
-		}()
+		c.giveUpSeat(ctx)
 	})
 }
+
+// giveUpSeat tells the log service that this host seeks the seat no more.
+func (c *control) giveUpSeat(ctx context.Context) {
+	go func() {
+		if err := c.store.Leave(ctx, c.member()); err != nil {
+			c.zl.Info("planner's seat not given up; it lapses", zap.Int("event", events.PlannerSeatLost), ErrorField(err))
+		}
+	}()
+}
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/relay"
@@ -20,21 +22,29 @@
 	// followTimeout bounds such a call; a planner that does not answer in
 	// time is taken for lost and the log service is read directly.
 	followTimeout = followWait + 400*time.Millisecond
+	// relayWait is followWait of a host that relays: what it passes on is so
+	// much older.
+	relayWait = 200 * time.Millisecond
 	// copyAge is the greatest age of the planner's copy that is relied on.
 	// With followTimeout it leaves a host behind the log by at most 1.8 s
-	// before it reads for itself.
-	copyAge = 1100 * time.Millisecond
+	// before it reads for itself; relayedAge is that of a relay's copy, with
+	// which it is 2.2 s.
+	copyAge    = 1100 * time.Millisecond
+	relayedAge = 1500 * time.Millisecond
 	// seekPlanner is the pause between calls while the planner is unknown,
 	// this host itself, or does not answer.
 	seekPlanner = 150 * time.Millisecond
 )
 
-// feed keeps the copy of the log current: from the planner's copy where that
-// is young enough, from the log service otherwise.
+// feed keeps the copy of the log current: from the planner's copy, or that
+// of a relay, where it is young enough, from the log service otherwise.
 type feed struct {
 	peers     *peer.Client
 	copy      *relay.Copy
 	followers []*follower
+	// self describes this host to the others.
+	self  func() fleet.Host
+	fleet *fleet.Fleet
 	// planner returns the planner's peer address; empty if there is none
 	// or it is this host.
 	planner func() string
@@ -49,8 +59,18 @@
 	zl       *zap.Logger
 
 	stopDirect context.CancelFunc
-	// following is the planner whose copy is relied on, if any.
+	// following is the host whose copy is relied on, if any.
 	following string
+	// relay is the host that relays the copy of the planner at relayOf.
+	relay, relayOf string
+	// last is the last answer of the planner itself; see standing.
+	last atomic.Pointer[heard]
+}
+
+// heard is what the planner said of its copy.
+type heard struct {
+	at          time.Time
+	age, steady time.Duration
 }
 
 // run keeps the copy current until ctx ends.
@@ -67,23 +87,39 @@
 	f.indirect()
 }
 
-// follow makes one call to the planner and reports whether it can be relied
-// on.
+// follow makes one call to the planner, or to the relay of its copy, and
+// reports whether the answer can be relied on.
 func (f *feed) follow(ctx context.Context) bool {
-	addr := f.planner()
+	planner := f.planner()
 	loads := f.takeLoads()
-	if addr == "" {
+	if planner == "" {
 		f.localLoads(loads)
 		f.note("", 0, nil)
 		return false
 	}
-	positions := map[metastore.Stream]int64{}
+	if f.relay != "" && f.relayOf == planner {
+		if f.ask(ctx, f.relay, relayedAge, loads) {
+			return true
+		}
+		loads = nil
+	}
+	f.relay, f.relayOf = "", planner
+	return f.ask(ctx, planner, copyAge, loads)
+}
+
+// ask makes one call and takes the answer in. It reports whether it can be
+// relied on: it must not be older than oldest.
+func (f *feed) ask(ctx context.Context, addr string, oldest time.Duration, loads []peer.ServiceLoad) bool {
+	q := peer.Question{Self: f.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Wait: followWait}
+	if q.Self.Followers > 0 {
+		q.Wait = relayWait
+	}
 	for _, s := range relay.Streams {
-		positions[s] = f.copy.Next(s)
+		q.Positions[s] = f.copy.Next(s)
 	}
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	got, err := f.peers.Follow(ctx, addr, positions, loads, followWait)
+	got, err := f.peers.Follow(ctx, addr, q)
 	if err != nil {
 		f.note("", 0, err)
 		return false
@@ -91,7 +127,12 @@
 	for _, b := range got.Batches {
 		f.apply(b)
 	}
-	if got.Age > copyAge {
+	if addr == f.relayOf && f.relay == "" {
+		f.last.Store(&heard{at: time.Now(), age: got.Age, steady: got.Steady})
+		f.relay = got.Relay
+	}
+	f.fleet.Told(got.Hosts)
+	if got.Age > oldest {
 		f.note("", got.Age, nil)
 		return false
 	}
@@ -100,6 +141,18 @@
 	return true
 }
 
+// standing is the standing of this host's copy where it follows the planner
+// itself. The planner's steadiness is passed on as it was, without the time
+// since: that it reached the log service then says nothing of now.
+func (f *feed) standing(now time.Time) (peer.Standing, bool) {
+	h := f.last.Load()
+	if h == nil {
+		return peer.Standing{}, false
+	}
+	age := h.age + now.Sub(h.at)
+	return peer.Standing{Age: age, Steady: h.steady}, age <= relayedAge
+}
+
 // note logs that another planner's copy is relied on, or none any more.
 func (f *feed) note(addr string, age time.Duration, err error) {
 	if addr == f.following {
--- a/internal/entryhost/fleet_test.go
+++ b/internal/entryhost/fleet_test.go
@@ -25,10 +25,10 @@
 )
 
 var names = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
-	AnsweringID: "X-Upstream", NotRun: "X-Not-Run", Key: "X-Key"}
+	NotRun: "X-Not-Run", Key: "X-Key"}
 
 // fleet is a few entry hosts, a log and upstreams on loopback.
-type fleet struct {
+type testFleet struct {
 	t     *testing.T
 	log   *memstore.Log
 	hosts []*testHost
@@ -64,7 +64,7 @@
 }
 
 // granter reaches the stand-ins without a network.
-type granter struct{ f *fleet }
+type granter struct{ f *testFleet }
 
 func (g granter) at(addr string) *ranged.Upstream {
 	g.f.mu.Lock()
@@ -95,9 +95,9 @@
 	return addr
 }
 
-func newFleet(t *testing.T, hosts, upstreams int) *fleet {
+func newFleet(t *testing.T, hosts, upstreams int) *testFleet {
 	t.Helper()
-	f := &fleet{t: t, log: memstore.New(), ups: map[string]*ranged.Upstream{}}
+	f := &testFleet{t: t, log: memstore.New(), ups: map[string]*ranged.Upstream{}}
 	f.log.Put(metastore.StreamDesired, "state", []byte("1"))
 	for i := range upstreams {
 		f.addUpstream(fmt.Sprint("u", i))
@@ -110,7 +110,7 @@
 }
 
 // stopAll stops every host and waits for them.
-func (f *fleet) stopAll() {
+func (f *testFleet) stopAll() {
 	for _, h := range f.hosts {
 		h.stop()
 	}
@@ -126,7 +126,7 @@
 	}
 }
 
-func (f *fleet) addUpstream(id string) *ranged.Upstream {
+func (f *testFleet) addUpstream(id string) *ranged.Upstream {
 	u, err := ranged.Start(id, names, 20*time.Millisecond)
 	if err != nil {
 		f.t.Fatal(err)
@@ -139,7 +139,7 @@
 	return u
 }
 
-func (f *fleet) list(u *ranged.Upstream, leaving bool) {
+func (f *testFleet) list(u *ranged.Upstream, leaving bool) {
 	data, err := json.Marshal(catalogue.Upstream{ID: u.ID, Service: "sheets", Addr: u.Addr(), DataCentre: "dc", Slots: 3, Leaving: leaving})
 	if err != nil {
 		f.t.Fatal(err)
@@ -148,14 +148,14 @@
 }
 
 // cut makes an upstream unreachable for orders and requests.
-func (f *fleet) cut(u *ranged.Upstream) {
+func (f *testFleet) cut(u *ranged.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.ups, u.Addr())
 	u.Kill()
 }
 
-func (f *fleet) startHost(name string) *testHost {
+func (f *testFleet) startHost(name string) *testHost {
 	cfg := &settings.Entry{Host: name, DataCentre: "dc", Listen: freeAddr(f.t), ReadyListen: freeAddr(f.t), PeerListen: freeAddr(f.t),
 		MetricsListen: freeAddr(f.t), LogLevel: "info", MemoryMB: 284, CPUShare: 1, LinkMbps: 1000, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
 		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second, Hold: time.Second, ViewAge: 2 * time.Second}
@@ -200,7 +200,7 @@
 
 // served waits until every tenth of the keys is served by the host, and
 // returns how long that took.
-func (f *fleet) served(h *testHost, within time.Duration) time.Duration {
+func (f *testFleet) served(h *testHost, within time.Duration) time.Duration {
 	f.t.Helper()
 	start := time.Now()
 	for k := 0; k < 10; {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -19,6 +19,7 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/dispatch"
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/planner"
@@ -58,8 +59,9 @@
 	gcPercent = 50
 	// memoryShare of the allowance makes the collector work harder.
 	memoryShare = 0.8
-	// assumedHosts divides the fixed part of the repeat budget. It is at
-	// least the number of hosts that share it.
+	// assumedHosts is the least number of hosts that the fixed part of the
+	// repeat budget is divided by: for the time in which the fleet's size is
+	// not known yet.
 	assumedHosts = 16
 )
 
@@ -73,6 +75,10 @@
 	board    *balance.Board
 	budget   *budget.Budget
 	peers    *peer.Client
+	feed     *feed
+	fleet    *fleet.Fleet
+	// eager hosts are strong enough to plan and to relay.
+	eager    bool
 	reporter *reporter
 	plat     Platform
 	front    *http.Server
@@ -93,14 +99,16 @@
 	var g run.Group
 	work, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { h.control.run(work); return nil }, func(error) { cancel() })
-	g.Add(func() error { h.newFeed(work).run(work); return nil }, func(error) { cancel() })
+	h.feed = h.newFeed(work)
+	g.Add(func() error { h.feed.run(work); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.housekeep(work, reload); return nil }, func(error) { cancel() })
 	if err := h.listen(work, &g); err != nil {
 		cancel()
 		return err
 	}
 	g.Add(func() error { return h.awaitStop(ctx, work) }, func(error) { cancel() })
-	zl.Info("started", zap.Int("event", events.EntryStarted), zap.String("host", cfg.Host), zap.String("data_centre", cfg.DataCentre))
+	zl.Info("started", zap.Int("event", events.EntryStarted), zap.String("host", cfg.Host), zap.String("data_centre", cfg.DataCentre),
+		zap.Float64("cpu_share", cfg.CPUShare), zap.Float64("link_mbps", cfg.LinkMbps), zap.Bool("eager", h.eager))
 	err := g.Run()
 	zl.Info("stopped", zap.Int("event", events.EntryStopped), ErrorField(err))
 	if errors.Is(err, context.Canceled) {
@@ -111,12 +119,14 @@
 
 func newHost(cfg *settings.Entry, plat Platform, zl *zap.Logger) *host {
 	h := &host{cfg: cfg, zl: zl, views: view.NewHolder(), client: upstream.NewClient(plat.Headers), board: balance.NewBoard(),
-		budget: budget.New(shareOfBudget(cfg), time.Now()), reporter: newReporter(), plat: plat,
-		peers: peer.NewClient(cfg.Host, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}})}
+		budget: budget.New(shareOfBudget(cfg, 1), time.Now()), reporter: newReporter(), plat: plat, fleet: fleet.New(),
+		eager: cfg.CPUShare >= eagerCPU && cfg.LinkMbps >= eagerLink,
+		peers: peer.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}})}
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget)
 	h.dispatch.Ended = h.ended
 	h.control = newControl(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
-		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: cfg.CPUShare >= eagerCPU && cfg.LinkMbps >= eagerLink})
+		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: h.eager})
+	h.control.eagerAlive = func() bool { return h.fleet.EagerAlive(time.Now()) }
 	return h
 }
 
@@ -128,8 +138,9 @@
 // seatTTL is how long the planner's seat outlives its holder's last word.
 const seatTTL = 1200 * time.Millisecond
 
-func shareOfBudget(cfg *settings.Entry) budget.Limits {
-	return budget.Limits{Ratio: cfg.RepeatRatio, Slack: cfg.RepeatSlack / assumedHosts, Window: cfg.RepeatWindow}
+// shareOfBudget is this host's part of the repeats in a fleet of so many.
+func shareOfBudget(cfg *settings.Entry, hosts int) budget.Limits {
+	return budget.Limits{Ratio: cfg.RepeatRatio, Slack: cfg.RepeatSlack / float64(max(hosts, assumedHosts)), Window: cfg.RepeatWindow}
 }
 
 // listen adds the host's servers.
@@ -144,8 +155,8 @@
 		return err
 	}
 	peers := http.NewServeMux()
-	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Planning: h.control.planning.Load,
-		Loads: func(l []peer.ServiceLoad) { h.takeLoads(work, l) }})
+	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Standing: h.standing, Fleet: h.fleet,
+		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }})
 	peers.Handle(ps.PathPrefix(), ps)
 	if err := addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
@@ -215,15 +226,19 @@
 func (h *host) housekeep(ctx context.Context, reload <-chan *settings.Entry) {
 	t := time.NewTicker(pruneEvery)
 	defer t.Stop()
+	current := h.cfg
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case cfg := <-reload:
-			h.budget.SetLimits(shareOfBudget(cfg))
+			current = cfg
 			h.zl.Info("settings reloaded", zap.Int("event", events.SettingsReloaded))
 		case now := <-t.C:
 			h.noteDropped()
+			hosts := h.fleet.Size(now)
+			h.dispatch.SetFleet(hosts)
+			h.budget.SetLimits(shareOfBudget(current, hosts))
 			keep := known(h.views.Load().Upstreams)
 			h.client.Prune(now, keep)
 			h.board.Prune(keep)
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/dispatch"
+	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/loadmap"
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/relay"
@@ -16,15 +18,18 @@
 
 // reporter gathers what callers ask of keyed services.
 type reporter struct {
-	mu   sync.Mutex
-	by   map[string]*peer.ServiceLoad
-	seen map[string]int
+	mu sync.Mutex
+	by map[string]*gathered
 }
 
-func newReporter() *reporter {
-	return &reporter{by: map[string]*peer.ServiceLoad{}, seen: map[string]int{}}
+// gathered is a sample of a service's requests; seen is how many they were.
+type gathered struct {
+	samples []loadmap.Sample
+	seen    float64
 }
 
+func newReporter() *reporter { return &reporter{by: map[string]*gathered{}} }
+
 // add counts a request that has ended.
 func (r *reporter) add(e *dispatch.End) {
 	if e.Key < 0 || e.Service == "" {
@@ -36,14 +41,40 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.by[e.Service]
-	if l == nil {
-		l = &peer.ServiceLoad{Service: e.Service, Weight: 1}
-		r.by[e.Service] = l
+	r.of(e.Service).add(s, 1)
+}
+
+// merge takes in the reports of hosts that follow this one.
+func (r *reporter) merge(loads []peer.ServiceLoad) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range loads {
+		g := r.of(l.Service)
+		for _, s := range l.Samples {
+			g.add(s, l.Weight)
+		}
+	}
+}
+
+func (r *reporter) of(service string) *gathered {
+	g := r.by[service]
+	if g == nil {
+		g = &gathered{}
+		r.by[service] = g
+	}
+	return g
+}
+
+// add takes in a request that stands for weight requests. Beyond
+// reportSamples each is kept with the chance that all had.
+func (g *gathered) add(s loadmap.Sample, weight float64) {
+	g.seen += weight
+	if len(g.samples) < reportSamples {
+		g.samples = append(g.samples, s)
+		return
 	}
-	r.seen[e.Service]++
-	if len(l.Samples) < reportSamples {
-		l.Samples = append(l.Samples, s)
+	if rand.Float64()*g.seen < reportSamples*weight {
+		g.samples[rand.IntN(reportSamples)] = s
 	}
 }
 
@@ -52,12 +83,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []peer.ServiceLoad
-	for name, l := range r.by {
-		l.Weight = float64(r.seen[name]) / float64(len(l.Samples))
-		out = append(out, *l)
+	for name, g := range r.by {
+		out = append(out, peer.ServiceLoad{Service: name, Weight: g.seen / float64(len(g.samples)), Samples: g.samples})
 	}
 	clear(r.by)
-	clear(r.seen)
 	return out
 }
 
@@ -72,6 +101,16 @@
 	return ""
 }
 
+// loadsFrom takes in reports of other hosts: the planner uses them, a relay
+// passes them on with its own.
+func (h *host) loadsFrom(ctx context.Context, loads []peer.ServiceLoad) {
+	if h.control.planning.Load() {
+		h.takeLoads(ctx, loads)
+		return
+	}
+	h.reporter.merge(loads)
+}
+
 func (h *host) takeLoads(ctx context.Context, loads []peer.ServiceLoad) {
 	if len(loads) == 0 {
 		return
@@ -83,9 +122,24 @@
 	})
 }
 
+// self describes this host to the others.
+func (h *host) self() fleet.Host {
+	return fleet.Host{Name: h.cfg.Host, DataCentre: h.cfg.DataCentre, PeerAddr: h.cfg.PeerListen, Eager: h.eager,
+		Followers: h.fleet.Followers(time.Now())}
+}
+
+// standing is the standing of this host's copy of the log.
+func (h *host) standing(now time.Time) (peer.Standing, bool) {
+	if h.control.planning.Load() {
+		return peer.Standing{Planning: true, Age: h.control.copy.Age(now), Steady: h.control.copy.Steady(now)}, true
+	}
+	return h.feed.standing(now)
+}
+
 // newFeed returns the feed of the host's copy of the log.
 func (h *host) newFeed(ctx context.Context) *feed {
 	return &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, followers: h.control.followers(ctx), planner: h.plannerAddr,
+		self: h.self, fleet: h.fleet,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
 		apply:    func(b relay.Batch) { h.control.take(ctx, b) },
 		followed: func(steady time.Duration) { h.control.post(ctx, func() { h.control.followedPlanner(steady) }) }}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,144 @@
+// Package fleet keeps what the planner knows of the other entry hosts from
+// their calls: how many there are, which can plan, and which relay the copy
+// of the log to the others of their data centre. It makes no calls.
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// alive is how long after its last call a host counts as running.
+	// Undisturbed hosts call three times a second.
+	alive = 1500 * time.Millisecond
+	// counted is how long it counts as one that may have connections open
+	// and repeats spent: a host cut off from the planner goes on serving.
+	counted = time.Minute
+	// relayFrom is the number of a data centre's hosts from which on one of
+	// them relays: for fewer the planner's own answers are cheap.
+	relayFrom = 8
+)
+
+// Host is what a host says of itself.
+type Host struct {
+	Name string
+	// DataCentre is where it runs, PeerAddr (host:port) where its peers
+	// reach it.
+	DataCentre, PeerAddr string
+	// Eager hosts are strong enough to plan and to relay.
+	Eager bool
+	// Followers is how many hosts follow it in turn.
+	Followers int
+}
+
+type entry struct {
+	Host
+	at time.Time
+}
+
+// Fleet is safe for concurrent use.
+type Fleet struct {
+	mu sync.Mutex
+	by map[string]entry
+	// relays holds the name of each data centre's present relay.
+	relays map[string]string
+	// told is the fleet's size as another host last knew it.
+	told int
+}
+
+// New returns a fleet of which nothing is known.
+func New() *Fleet { return &Fleet{by: map[string]entry{}, relays: map[string]string{}} }
+
+// Seen takes in a call of h.
+func (f *Fleet) Seen(h Host, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.by[h.Name] = entry{Host: h, at: now}
+}
+
+// Told takes in the fleet's size as the planner knows it.
+func (f *Fleet) Told(size int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = size
+}
+
+// Size returns how many hosts there are, this one included, as the planner
+// or this host itself knows, whichever is more.
+func (f *Fleet) Size(now time.Time) int {
+	return max(f.Followers(now)+1, f.toldSize())
+}
+
+func (f *Fleet) toldSize() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told
+}
+
+// Followers returns how many hosts follow this one, itself or through a
+// relay.
+func (f *Fleet) Followers(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for name, e := range f.by {
+		if now.Sub(e.at) > counted {
+			delete(f.by, name)
+			continue
+		}
+		n += 1 + e.Followers
+	}
+	return n
+}
+
+// EagerAlive reports whether another host that is strong enough to plan has
+// called lately.
+func (f *Fleet) EagerAlive(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.by {
+		if e.Eager && now.Sub(e.at) <= alive {
+			return true
+		}
+	}
+	return false
+}
+
+// RelayFor returns the peer address of the host that relays in h's data
+// centre; empty if h itself does or none is needed. A relay stays one while
+// it calls, so that hosts do not change back and forth.
+func (f *Fleet) RelayFor(h Host, now time.Time) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	relay := f.by[f.relays[h.DataCentre]]
+	if relay.Name == "" || now.Sub(relay.at) > alive {
+		relay = f.electRelay(h.DataCentre, now)
+	}
+	if relay.Name == "" || relay.Name == h.Name {
+		return ""
+	}
+	delete(f.by, h.Name) // from now on it is the relay's to count
+	return relay.PeerAddr
+}
+
+// electRelay chooses the first eager host by name, if the data centre has
+// enough hosts.
+func (f *Fleet) electRelay(dataCentre string, now time.Time) entry {
+	var best entry
+	n := 0
+	for _, e := range f.by {
+		if e.DataCentre != dataCentre || now.Sub(e.at) > alive {
+			continue
+		}
+		n++
+		if e.Eager && (best.Name == "" || e.Name < best.Name) {
+			best = e
+		}
+	}
+	if n < relayFrom {
+		best = entry{}
+	}
+	f.relays[dataCentre] = best.Name
+	return best
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func call(f *Fleet, dc string, i int, eager bool, now time.Time) string {
+	h := Host{Name: fmt.Sprintf("%s-%02d", dc, i), DataCentre: dc, PeerAddr: fmt.Sprintf("%s:%d", dc, i), Eager: eager}
+	f.Seen(h, now)
+	return f.RelayFor(h, now)
+}
+
+// Twelve hosts of a data centre follow the planner. The first strong one
+// relays, the others are sent to it; small data centres need none.
+func TestRelayOfALargeDataCentre(t *testing.T) {
+	f, now := New(), time.Unix(1000, 0)
+	for i := range relayFrom - 1 {
+		if to := call(f, "small", i, true, now); to != "" {
+			t.Errorf("a small data centre's host is sent to %s", to)
+		}
+	}
+	for i := range 12 {
+		call(f, "large", i, i >= 3, now)
+	}
+	for i := range 12 {
+		want := "large:3"
+		if i == 3 {
+			want = ""
+		}
+		if to := call(f, "large", i, i >= 3, now); to != want {
+			t.Errorf("host %d is sent to %q, want %q", i, to, want)
+		}
+	}
+}
+
+// The relay dies. Its hosts call the planner again and are sent to another
+// strong host; a weak one never relays.
+func TestDeadRelayIsReplaced(t *testing.T) {
+	f, now := New(), time.Unix(1000, 0)
+	for i := range 12 {
+		call(f, "dc", i, i == 3 || i == 7, now)
+	}
+	later := now.Add(alive + time.Second)
+	got := ""
+	for i := range 12 {
+		if i != 3 {
+			got = call(f, "dc", i, i == 7, later)
+		}
+	}
+	if got != "dc:7" {
+		t.Errorf("sent to %q, want the other strong host", got)
+	}
+	weak := New()
+	for i := range 12 {
+		if to := call(weak, "dc", i, false, now); to != "" {
+			t.Errorf("sent to the weak host %s", to)
+		}
+	}
+}
+
+// What is shared by all hosts is divided by their number, also by hosts that
+// know it from others only, and for a while by those that went silent: they
+// may go on serving behind a cut.
+func TestSize(t *testing.T) {
+	f, now := New(), time.Unix(1000, 0)
+	if f.Size(now) != 1 {
+		t.Errorf("alone: %d", f.Size(now))
+	}
+	f.Seen(Host{Name: "a"}, now)
+	f.Seen(Host{Name: "relay", Followers: 30}, now)
+	if got := f.Size(now.Add(counted / 2)); got != 33 {
+		t.Errorf("%d hosts, want this one, two callers and thirty behind one of them", got)
+	}
+	if got := f.Size(now.Add(2 * counted)); got != 1 {
+		t.Errorf("%d hosts long after the last call", got)
+	}
+	f.Told(91)
+	if got := f.Size(now); got != 91 {
+		t.Errorf("%d hosts, the planner counts 91", got)
+	}
+}
+
+// A weak planner gives way to a strong host that calls it, not to one that
+// has ended.
+func TestEagerAlive(t *testing.T) {
+	f, now := New(), time.Unix(1000, 0)
+	f.Seen(Host{Name: "weak"}, now)
+	if f.EagerAlive(now) {
+		t.Error("a weak host counts as strong")
+	}
+	f.Seen(Host{Name: "strong", Eager: true}, now)
+	if !f.EagerAlive(now) || f.EagerAlive(now.Add(alive+time.Second)) {
+		t.Error("a strong host must count while it calls")
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
 
+	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/loadmap"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/relay"
@@ -25,14 +26,24 @@
 
 // Client calls other entry hosts.
 type Client struct {
-	host string
 	http *http.Client
 }
 
-// NewClient returns a client that calls as host.
-func NewClient(host string, hc *http.Client) *Client { return &Client{host: host, http: hc} }
+// NewClient returns a client that calls over hc.
+func NewClient(hc *http.Client) *Client { return &Client{http: hc} }
 
-// Answer is the planner's answer to Follow.
+// Question is what a host says when it calls Follow.
+type Question struct {
+	Self fleet.Host
+	// Positions are how far it has read each stream.
+	Positions map[metastore.Stream]int64
+	// Loads are what its callers asked for since its last call.
+	Loads []ServiceLoad
+	// Wait is how long the call may wait for something new.
+	Wait time.Duration
+}
+
+// Answer is the answer to Follow.
 type Answer struct {
 	// Batches are what this host lacks of the log.
 	Batches []relay.Batch
@@ -40,23 +51,30 @@
 	Age time.Duration
 	// Steady is for how long it has reached the log service without a break.
 	Steady time.Duration
+	// Hosts is how many hosts there are.
+	Hosts int
+	// Relay is where to call from now on (host:port); empty for the same
+	// host again.
+	Relay string
 }
 
-// Follow hands loads to the planner at addr (host:port) and returns what this
-// host lacks of the log. It waits up to wait for something new.
-func (c *Client) Follow(ctx context.Context, addr string, positions map[metastore.Stream]int64, loads []ServiceLoad, wait time.Duration) (*Answer, error) {
-	msg := &peerpb.FollowRequest{Host: c.host, WaitMs: uint32(wait.Milliseconds())}
+// Follow hands loads to the host at addr (host:port), the planner or a relay,
+// and returns what this host lacks of the log.
+func (c *Client) Follow(ctx context.Context, addr string, q Question) (*Answer, error) {
+	msg := &peerpb.FollowRequest{Host: q.Self.Name, DataCentre: q.Self.DataCentre, PeerAddr: q.Self.PeerAddr,
+		Eager: q.Self.Eager, Followers: uint32(q.Self.Followers), WaitMs: uint32(q.Wait.Milliseconds())}
 	for _, s := range relay.Streams {
-		msg.Positions = append(msg.Positions, &peerpb.Position{Stream: string(s), Next: positions[s]})
+		msg.Positions = append(msg.Positions, &peerpb.Position{Stream: string(s), Next: q.Positions[s]})
 	}
-	for _, l := range loads {
+	for _, l := range q.Loads {
 		msg.Loads = append(msg.Loads, encodeLoad(l))
 	}
 	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Follow(ctx, msg)
 	if err != nil {
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
-	out := &Answer{Age: time.Duration(reply.AgeMs) * time.Millisecond, Steady: time.Duration(reply.SteadyMs) * time.Millisecond}
+	out := &Answer{Age: time.Duration(reply.AgeMs) * time.Millisecond, Steady: time.Duration(reply.SteadyMs) * time.Millisecond,
+		Hosts: int(reply.Hosts), Relay: reply.Relay}
 	for _, b := range reply.Batches {
 		out.Batches = append(out.Batches, decodeBatch(b))
 	}
@@ -115,13 +133,23 @@
 	return out
 }
 
+// Standing is how far a host's copy of the log can be relied on.
+type Standing struct {
+	// Planning is set on the planner, whose copy the others follow.
+	Planning bool
+	// Age and Steady are as in Answer.
+	Age, Steady time.Duration
+}
+
 // Server answers other hosts.
 type Server struct {
 	// Copy is this host's copy of the log.
 	Copy *relay.Copy
-	// Planning reports whether this host is the planner; only then is its
-	// copy kept current.
-	Planning func() bool
+	// Standing returns the copy's standing; false if this host neither plans
+	// nor has lately followed the planner itself.
+	Standing func(now time.Time) (Standing, bool)
+	// Fleet is told of each call.
+	Fleet *fleet.Fleet
 	// Loads is handed each report.
 	Loads func([]ServiceLoad)
 }
@@ -131,20 +159,16 @@
 
 // Follow implements peerpb.Peer.
 func (s *Server) Follow(ctx context.Context, m *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
-	if !s.Planning() {
-		return nil, twirp.NewError(twirp.Unavailable, "this host is not the planner")
+	if _, ok := s.Standing(time.Now()); !ok {
+		return nil, twirp.NewError(twirp.Unavailable, "this host is neither the planner nor does it follow one")
 	}
-	var loads []ServiceLoad
-	for _, sm := range m.Loads {
-		l, err := decodeLoad(sm)
-		if err != nil {
-			return nil, twirp.InvalidArgumentError("loads", err.Error())
-		}
-		loads = append(loads, l)
-	}
-	if len(loads) > 0 {
-		s.Loads(loads)
+	loads, err := decodeLoads(m.Loads)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("loads", err.Error())
 	}
+	s.Loads(loads)
+	caller := fleet.Host{Name: m.Host, DataCentre: m.DataCentre, PeerAddr: m.PeerAddr, Eager: m.Eager, Followers: int(m.Followers)}
+	s.Fleet.Seen(caller, time.Now())
 	positions := map[metastore.Stream]int64{}
 	for _, p := range m.Positions {
 		positions[metastore.Stream(p.Stream)] = p.Next
@@ -153,8 +177,34 @@
 	for _, b := range s.Copy.Since(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
+	return reply, s.describe(reply, caller)
+}
+
+// describe says in the reply how far it can be relied on and whom the caller
+// calls next.
+func (s *Server) describe(reply *peerpb.FollowReply, caller fleet.Host) error {
 	now := time.Now()
-	reply.AgeMs = uint32(s.Copy.Age(now).Milliseconds())
-	reply.SteadyMs = uint32(s.Copy.Steady(now).Milliseconds())
-	return reply, nil
+	st, ok := s.Standing(now)
+	if !ok {
+		return twirp.NewError(twirp.Unavailable, "this host has lost the planner")
+	}
+	reply.AgeMs = uint32(st.Age.Milliseconds())
+	reply.SteadyMs = uint32(st.Steady.Milliseconds())
+	reply.Hosts = uint32(s.Fleet.Size(now))
+	if st.Planning {
+		reply.Relay = s.Fleet.RelayFor(caller, now)
+	}
+	return nil
+}
+
+func decodeLoads(ms []*peerpb.ServiceLoad) ([]ServiceLoad, error) {
+	var out []ServiceLoad
+	for _, m := range ms {
+		l, err := decodeLoad(m)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, l)
+	}
+	return out, nil
 }
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -38,6 +38,9 @@
 
 // plan starts the moves that the present owners and load call for.
 func (t *term) plan(now bootclock.Time) {
+	if t.gathering(now) {
+		return
+	}
 	urgent := t.needsOwner(now)
 	if !urgent && now.Before(t.nextFit) {
 		return
@@ -49,6 +52,12 @@
 		return
 	}
 	load, samples := t.p.Load(t.name, owners)
+	if t.undivided() {
+		// Requests that were refused for want of an owner say little: after
+		// ten of them the ten keys would be dealt out and the rest left in
+		// one piece.
+		load.ByKey = nil
+	}
 	lim := t.p.Limits
 	lim.MaxMoves = max(lim.MaxMoves-len(t.moves), 0)
 	if samples < fewestSamples || now.Sub(t.p.seat.provenAt) > freshSeat {
@@ -63,6 +72,18 @@
 	t.syncLeases(now)
 }
 
+// gathering reports whether the service's upstreams are still registering
+// before the first division: those that came first would get all keys.
+func (t *term) gathering(now bootclock.Time) bool {
+	seen, ok := t.p.firstSeen[t.name]
+	return t.undivided() && (!ok || now.Sub(seen) < settle)
+}
+
+// undivided reports whether no key has had an owner yet.
+func (t *term) undivided() bool {
+	return !slices.ContainsFunc(t.table.Ranges, func(r ownership.Range) bool { return r.Owner != "" })
+}
+
 // needsOwner reports whether a range that is not on the move is owned by
 // nobody who could keep it.
 func (t *term) needsOwner(now bootclock.Time) bool {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -134,6 +134,7 @@
 
 // watch keeps the histories, whether this host plans or not.
 func (p *Planner) watch(now bootclock.Time, v *view.View) {
+	p.watchServices(now, v)
 	for name, t := range v.Tables {
 		h := p.histories[name]
 		if h == nil {
@@ -144,12 +145,24 @@
 	}
 }
 
+// watchServices notes when each keyed service's first upstream was seen.
+func (p *Planner) watchServices(now bootclock.Time, v *view.View) {
+	if v.Desired == nil {
+		return
+	}
+	for _, name := range v.Desired.KeyedServices() {
+		if _, ok := p.firstSeen[name]; !ok && len(v.Upstreams.Of(name)) > 0 {
+			p.firstSeen[name] = now
+		}
+	}
+}
+
 // join returns the next proof of the seat if it is due.
 func (p *Planner) join(now bootclock.Time, v *view.View) Action {
 	if p.resigned || p.seat.joining || now.Before(p.seat.nextJoin) || v.Desired == nil || len(v.Desired.KeyedServices()) == 0 {
 		return nil
 	}
-	if p.plannerSeenAt == 0 {
+	if p.plannerSeenAt == 0 || !p.tableDue(now, v) {
 		p.plannerSeenAt = now // a planner may be about to show itself
 	}
 	if !p.opts.Eager && !p.seat.held && now.Sub(p.plannerSeenAt) < patience {
@@ -163,6 +176,37 @@
 	return &Join{TTL: ttl, Generation: p.seat.generation, SentAt: now}
 }
 
+// tableDue reports whether a planner would have shown itself by now, if there
+// were one. Where 85 weak hosts sought the seat because there was no table
+// yet, one of them got it at the start of every fleet.
+func (p *Planner) tableDue(now bootclock.Time, v *view.View) bool {
+	if len(v.Tables) > 0 {
+		return true
+	}
+	for _, seen := range p.firstSeen {
+		if now.Sub(seen) > settle {
+			return true
+		}
+	}
+	return false
+}
+
+// ShouldGiveWay reports whether this host plans, though it is not eager, and
+// can give the seat up now.
+func (p *Planner) ShouldGiveWay(now bootclock.Time) bool {
+	return !p.opts.Eager && p.Holding(now) && !p.seat.joining
+}
+
+// GiveWay ends this host's planning in favour of a stronger one. What it
+// granted outlives the change: grants last Hold, the successor renews them
+// within one pause between its proofs of the seat.
+func (p *Planner) GiveWay(now bootclock.Time) {
+	p.Note(Event{Kind: SeatLost, Cause: "a stronger host is there", Age: now.Sub(p.seat.provenAt)})
+	p.seat.held = false
+	p.plannerSeenAt = now
+	p.dropTerms()
+}
+
 // JoinDone takes a Join's answer.
 func (p *Planner) JoinDone(j *Join, s metastore.Seat, err error, now bootclock.Time) {
 	p.seat.joining = false
@@ -211,10 +255,6 @@
 
 // tickService returns the calls for one service.
 func (p *Planner) tickService(now bootclock.Time, name string, v *view.View) []Action {
-	ups := v.Upstreams.Of(name)
-	if _, ok := p.firstSeen[name]; !ok && len(ups) > 0 {
-		p.firstSeen[name] = now
-	}
 	t := p.services[name]
 	if t == nil {
 		t = newTerm(p, name)
@@ -225,7 +265,7 @@
 		return nil
 	}
 	if !t.started {
-		return t.takeOver(now, v)
+		return t.takeOver(now)
 	}
 	t.observe(v)
 	var out []Action
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -288,6 +288,66 @@
 	}
 }
 
+// A fleet starts: the strong hosts' first table takes its time while the
+// upstreams register. A weak host that sought the seat meanwhile would get it
+// and plan for everybody.
+func TestWeakHostWaitsWhileTheFleetStarts(t *testing.T) {
+	h := newHarness(t)
+	h.p.opts.Eager = false
+	if got := h.play(2*patience, allWell); len(got) > 0 {
+		t.Fatalf("sends %T though no upstream is there to plan for", got[0])
+	}
+	h.ups["a"] = &catalogue.Upstream{ID: "a", Service: simService, Addr: "a", Slots: 3}
+	h.publish()
+	if got := h.play(patience+settle-simStep, allWell); len(got) > 0 {
+		t.Fatalf("sends %T before a planner could have shown itself", got[0])
+	}
+	h.play(patience, allWell)
+	if h.tab == nil || !owns(h.tab, "a") {
+		t.Error("nobody plans")
+	}
+}
+
+// A weak host has the seat when a strong one is there again: it gives way,
+// and takes the seat back if the strong one does not take it.
+func TestWeakPlannerGivesWay(t *testing.T) {
+	h := newHarness(t, "a")
+	h.p.opts.Eager = false
+	h.play(patience+5*time.Second, allWell)
+	if !h.p.Holding(h.now) || !h.p.ShouldGiveWay(h.now) {
+		t.Fatal("the weak host does not plan")
+	}
+	h.p.GiveWay(h.now)
+	if got := h.play(patience-simStep, allWell); len(got) > 0 {
+		t.Fatalf("sends %T though it gave way", got[0])
+	}
+	h.play(patience, allWell)
+	if !h.p.Holding(h.now) {
+		t.Error("nobody plans")
+	}
+	h.p.opts.Eager = true
+	if h.p.ShouldGiveWay(h.now) {
+		t.Error("a strong planner gives way")
+	}
+}
+
+// The seat's holder writes a record before any key is divided: it shows the
+// other hosts whom to follow. The keys are divided once the upstreams had time
+// to register; the first one alone must not get them all.
+func TestFirstRecordComesBeforeTheDivision(t *testing.T) {
+	h := newHarness(t, "a")
+	h.play(settle/2, allWell)
+	if h.tab == nil || owns(h.tab, "a") {
+		t.Fatalf("after half the time to register the table is %+v", h.tab)
+	}
+	h.ups["b"] = &catalogue.Upstream{ID: "b", Service: simService, Addr: "b", Slots: 3}
+	h.publish()
+	h.play(settle, allWell)
+	if !owns(h.tab, "a") || !owns(h.tab, "b") || owns(h.tab, "") {
+		t.Errorf("the keys are not divided among both: %+v", h.tab.Ranges)
+	}
+}
+
 // A planner marks a dead upstream as lost and is killed ten seconds into its
 // term. Its successor saw the mark: nothing was sent to that upstream since,
 // and its keys need not wait for the whole time that a planner may send.
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -36,6 +36,8 @@
 	steady bool
 	// overstay is how much longer than told upstreams hold, as a factor.
 	overstay float64
+	// granted is set by each grant that an upstream takes.
+	granted bool
 }
 
 // faults are the chances of each fault, per call or per second.
@@ -151,6 +153,10 @@
 			do := s.queue[0].do
 			s.queue = s.queue[1:]
 			do()
+			if !s.granted {
+				continue // without a new grant no key gets a second holder
+			}
+			s.granted = false
 			if err := s.check(); err != nil {
 				return err
 			}
@@ -391,6 +397,7 @@
 	u.seen = append(u.seen, hold{r.From, r.To, r.Fence, 0})
 	u.holds = cutOut(u.holds, r.From, r.To)
 	u.holds = append(u.holds, hold{r.From, r.To, r.Fence, until})
+	s.granted = true
 	return nil
 }
 
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -128,7 +128,7 @@
 }
 
 // takeOver returns the record that starts this host's term.
-func (t *term) takeOver(now bootclock.Time, v *view.View) []Action {
+func (t *term) takeOver(now bootclock.Time) []Action {
 	if t.appending != nil {
 		return t.sendAgain(now)
 	}
@@ -137,21 +137,14 @@
 	}
 	base := t.table
 	if base == nil {
-		seen, ok := t.p.firstSeen[t.name]
-		if !ok || now.Sub(seen) < settle {
-			return nil
-		}
+		// The first record divides nothing yet. It shows the other hosts whom
+		// to follow, before each of them has read the log for itself.
 		base = ownership.NewTable(t.name)
 	}
 	next := base.TakeOver(t.p.opts.Host, t.p.opts.PeerAddr)
 	t.number = next.Term
 	t.base = t.table
 	t.foreign.sooner = t.p.histories[t.name].soonerAfter(t.base, &t.p.opts)
-	if t.table == nil {
-		t.observe(v)
-		load, _ := t.p.Load(t.name, t.candidates(now))
-		next = next.Apply(ownership.Rebalance(next, load, t.p.Limits))
-	}
 	t.appending = &Append{Table: next, At: t.p.end, Cause: "new planner"}
 	return []Action{t.appending}
 }
