A change of planner costs a host one or two calls of the log service

Cause: 1,600 calls in the first two seconds of 91 hosts. A new planner's reads under way waited 1.5 s, so its copy looked too old to all others and each read three streams itself; reading the newest records did not count as knowing the stream; the next seat holder learned of its seat up to 0.84 s late. Ruled out: joins (132, a tenth of a call each). Change: the planner's readers begin anew when the seat comes, and wait no longer than its copy may age; the newest records count; a host without a planner reads the ownership stream first, which says who plans, the others once what it knows is 1.5 s old; a planner's silence hurries the next proof of the seat. Test: TestLostPlannerIsReplacedSoon; package tests.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -202,8 +202,9 @@
 
 func (c *control) member() string { return c.plan.Host() }
 
-// followers returns the readers of the log service's streams.
-func (c *control) followers(ctx context.Context) []*follower {
+// followers returns the readers of the log service's streams, that of the
+// ownership stream by itself.
+func (c *control) followers(ctx context.Context) (own *follower, rest []*follower) {
 	h := &health{}
 	mk := func(s metastore.Stream, gather, wait func() time.Duration) *follower {
 		return &follower{store: c.store, stream: s, gather: gather, copy: c.copy, wait: wait, health: h, lead: s == metastore.StreamUpstreams,
@@ -219,11 +220,17 @@
 			return direct
 		}
 	}
-	wait := either(planningWait, directWait)
-	ownership := mk(metastore.StreamOwnership, either(0, 0), wait)
-	ownership.idle = c.soleWriter.Load
-	return []*follower{
-		ownership,
+	// The planner's copy is never known to be older than planningWait, also
+	// where it was old when the seat came here.
+	wait := func() time.Duration {
+		if c.planning.Load() {
+			return max(planningWait-c.copy.Age(time.Now()), 0)
+		}
+		return directWait
+	}
+	own = mk(metastore.StreamOwnership, either(0, 0), wait)
+	own.idle = c.soleWriter.Load
+	return own, []*follower{
 		mk(metastore.StreamDesired, either(0, 0), wait),
 		mk(metastore.StreamUpstreams, either(gatherPlanning, gatherDirect), wait),
 	}
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -31,6 +31,14 @@
 	// which it is 2.2 s.
 	copyAge    = 1100 * time.Millisecond
 	relayedAge = 1500 * time.Millisecond
+	// restAge is the age of what this host knows from which on it reads
+	// every stream itself; it leaves a second of the 2.5 s within which a
+	// change must be in force.
+	restAge = 1500 * time.Millisecond
+	// startAlone is how long a weak host that knows nothing looks for a
+	// planner before it reads every stream itself. A strong one does so at
+	// once: it may have to plan.
+	startAlone = time.Second
 	// seekPlanner is the pause between calls while the planner is unknown,
 	// this host itself, or does not answer.
 	seekPlanner = 150 * time.Millisecond
@@ -39,9 +47,14 @@
 // feed keeps the copy of the log current: from the planner's copy, or that
 // of a relay, where it is young enough, from the log service otherwise.
 type feed struct {
-	peers     *peer.Client
-	copy      *relay.Copy
-	followers []*follower
+	peers *peer.Client
+	copy  *relay.Copy
+	// ownership reads the ownership stream, which says who plans; rest are
+	// the readers of the others.
+	ownership *follower
+	rest      []*follower
+	// planning reports whether this host plans.
+	planning func() bool
 	// self describes this host to the others.
 	self  func() fleet.Host
 	fleet *fleet.Fleet
@@ -56,9 +69,20 @@
 	// followed is told that a call to the planner was good, and for how long
 	// the planner has reached the log service.
 	followed func(steady time.Duration)
+	// lost is told of a call that failed.
+	lost func()
 	zl       *zap.Logger
 
+	// started is when run began, failed whether the last call failed.
+	started time.Time
+	failed  bool
+	// wasPlanning is planning as of the last look.
+	wasPlanning bool
+	// directCtx is that of the readers at work, nil while there are none;
+	// restAtWork is set once those of rest are among them.
+	directCtx  context.Context
 	stopDirect context.CancelFunc
+	restAtWork bool
 	// following is the host whose copy is relied on, if any.
 	following string
 	// relay is the host that relays the copy of the planner at relayOf.
@@ -75,8 +99,10 @@
 
 // run keeps the copy current until ctx ends.
 func (f *feed) run(ctx context.Context) {
+	f.started = time.Now()
 	f.direct(ctx)
 	for ctx.Err() == nil {
+		f.lookAtSeat()
 		if f.follow(ctx) {
 			f.indirect()
 			continue
@@ -120,13 +146,18 @@
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	got, err := f.peers.Follow(ctx, addr, q)
+	f.failed = err != nil
 	if err != nil {
+		f.lost()
 		f.note("", 0, err)
 		return false
 	}
 	for _, b := range got.Batches {
 		f.apply(b)
 	}
+	for _, s := range relay.Streams {
+		f.copy.Current(s, time.Now().Add(-got.Age))
+	}
 	if addr == f.relayOf && f.relay == "" {
 		f.last.Store(&heard{at: time.Now(), age: got.Age, steady: got.Steady})
 		f.relay = got.Relay
@@ -167,22 +198,50 @@
 	f.following = addr
 }
 
-// direct has the log service read, if it is not already.
+// lookAtSeat has the readers begin anew when this host gets the planner's
+// seat. Their reads under way wait longer than the planner's: its copy would
+// look too old to the others, who would all read the log service.
+func (f *feed) lookAtSeat() {
+	now := f.planning()
+	if now && !f.wasPlanning {
+		f.indirect()
+	}
+	f.wasPlanning = now
+}
+
+// direct has the log service read: the ownership stream at once, as it says
+// who plans now, the others once they must be.
 func (f *feed) direct(ctx context.Context) {
-	if f.stopDirect != nil {
+	if f.directCtx == nil {
+		f.directCtx, f.stopDirect = context.WithCancel(ctx)
+		go f.ownership.run(f.directCtx)
+	}
+	if f.restAtWork || !f.needRest(time.Now()) {
 		return
 	}
-	dctx, cancel := context.WithCancel(ctx)
-	f.stopDirect = cancel
-	for _, fl := range f.followers {
-		go fl.run(dctx)
+	f.restAtWork = true
+	for _, fl := range f.rest {
+		go fl.run(f.directCtx)
+	}
+}
+
+// needRest reports whether the streams other than ownership have to be read
+// directly. After a change of planner most hosts find the new one before they
+// have to: a change costs one or two calls a host instead of six.
+func (f *feed) needRest(now time.Time) bool {
+	switch {
+	case f.planning():
+		return true
+	case f.copy.Next(metastore.StreamDesired) < 0:
+		return f.self().Eager || f.failed || now.Sub(f.started) > startAlone
 	}
+	return f.copy.Age(now) > restAge
 }
 
 // indirect ends reading the log service.
 func (f *feed) indirect() {
-	if f.stopDirect != nil {
+	if f.directCtx != nil {
 		f.stopDirect()
-		f.stopDirect = nil
+		f.directCtx, f.restAtWork = nil, false
 	}
 }
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -146,10 +146,12 @@
 			return next, err
 		}
 	}
+	asked := time.Now()
 	recs, end, err := f.store.Newest(ctx, f.stream)
 	if err != nil {
 		return next, err
 	}
+	f.copy.Current(f.stream, asked)
 	f.apply(relay.Batch{Stream: f.stream, Reset: true, Records: recs, Next: end})
 	return end, nil
 }
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -138,9 +138,11 @@
 
 // newFeed returns the feed of the host's copy of the log.
 func (h *host) newFeed(ctx context.Context) *feed {
-	return &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, followers: h.control.followers(ctx), planner: h.plannerAddr,
+	own, rest := h.control.followers(ctx)
+	return &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, ownership: own, rest: rest, planner: h.plannerAddr, planning: h.control.planning.Load,
 		self: h.self, fleet: h.fleet,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
 		apply:    func(b relay.Batch) { h.control.take(ctx, b) },
+		lost:     func() { h.control.post(ctx, h.control.plan.PlannerLost) },
 		followed: func(steady time.Duration) { h.control.post(ctx, func() { h.control.followedPlanner(steady) }) }}
 }
--- a/internal/entryhost/roster_test.go
+++ b/internal/entryhost/roster_test.go
@@ -132,7 +132,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go c.run(ctx)
-	for _, f := range c.followers(ctx) {
+	own, rest := c.followers(ctx)
+	for _, f := range append(rest, own) {
 		go f.run(ctx)
 	}
 	time.Sleep(1500 * time.Millisecond)
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -58,6 +58,9 @@
 	// relative to its time to live, of its holder and of the others.
 	joinHolder = 0.35
 	joinOther  = 0.7
+	// joinHurried is the least pause between proofs while the planner does
+	// not answer.
+	joinHurried = 200 * time.Millisecond
 )
 
 // holdBound is the longest that an upstream may keep keys after a grant was
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -71,7 +71,9 @@
 	generation int64
 	provenAt   bootclock.Time
 	joining    bool
-	nextJoin   bootclock.Time
+	// joinedAt is when the last proof was answered, nextJoin when the next
+	// is due.
+	joinedAt, nextJoin bootclock.Time
 }
 
 // New returns a planner that holds no seat.
@@ -210,6 +212,7 @@
 // JoinDone takes a Join's answer.
 func (p *Planner) JoinDone(j *Join, s metastore.Seat, err error, now bootclock.Time) {
 	p.seat.joining = false
+	p.seat.joinedAt = now
 	pause := joinOther
 	if p.seat.held {
 		pause = joinHolder
@@ -337,6 +340,15 @@
 // PlannerSeen tells that another host plans.
 func (p *Planner) PlannerSeen(now bootclock.Time) { p.plannerSeenAt = now }
 
+// PlannerLost tells that the planner did not answer or is none any more. The
+// seat may be this host's already, which only its next proof tells it: the
+// group deals seats anew whenever a member joins or leaves.
+func (p *Planner) PlannerLost() {
+	if soon := p.seat.joinedAt.Add(joinHurried); !p.seat.held && soon.Before(p.seat.nextJoin) {
+		p.seat.nextJoin = soon
+	}
+}
+
 // Resign makes the planner seek its seat no more, for a planned stop. It goes
 // on renewing what it granted, for as long as its last proof allows or until
 // its successor's token is seen, so that no lease runs out before the
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -331,6 +331,22 @@
 	}
 }
 
+// The planner's host ends and the group gives its seat to this one, which
+// learns of it with its next proof only. The planner's silence makes that
+// proof come soon; without it keys would be planned for by nobody the longer.
+func TestLostPlannerIsReplacedSoon(t *testing.T) {
+	h := newHarness(t, "a")
+	h.play(simStep, func(Action) error { return metastore.ErrRefused })
+	if got := h.play(joinHurried+simStep, allWell); len(got) > 0 {
+		t.Fatalf("sends %T while the planner is well", got[0])
+	}
+	h.p.PlannerLost()
+	h.play(simStep, allWell)
+	if !h.p.Holding(h.now) {
+		t.Error("the seat is not sought")
+	}
+}
+
 // The seat's holder writes a record before any key is divided: it shows the
 // other hosts whom to follow. The keys are divided once the upstreams had time
 // to register; the first one alone must not get them all.
