A stale proof of the seat starts no term; refused orders make the planner read

A planner was cut off from the log for 5 s and another got the seat. When the cut ended it read the other's table, ended its own term and took over at once, on a proof of the seat from before the cut. The true planner's grants were refused for the higher token; it did not read the ownership stream, as it believed itself the only writer, took all upstreams for lost after 1.8 s, and keys of ended upstreams then waited 9 s for what the rogue term might have sent. Ruled out: the group giving two hosts the seat (its log shows one holder). Change: after another planner's table is seen, a term starts only on a later proof, sought at once. An order refused for a higher token makes the stream be read again, and counts as an answer. Failed orders are told once a second for each upstream and kind, with the number not told (a lost owner of 40 ranges logged 40 lines each retry). Tests: TestStaleProofOfTheSeatStartsNoTerm, TestRefusedOrdersMakeThePlannerReadTheStream; both failed before.

--- a/internal/entryhost/plannerlog.go
+++ b/internal/entryhost/plannerlog.go
@@ -39,6 +39,9 @@
 	if e.Cause != "" {
 		fields = append(fields, zap.String("cause", e.Cause))
 	}
+	if e.Untold > 0 {
+		fields = append(fields, zap.Int("untold", e.Untold))
+	}
 	if e.Age != 0 {
 		fields = append(fields, zap.Duration("age", e.Age))
 	}
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -190,7 +190,7 @@
 	}
 	if err != nil {
 		m.nextRelease = now.Add(retryRelease)
-		t.p.Note(Event{Kind: ReleaseFailed, Service: t.name, Upstream: r.Range.Owner, Err: err})
+		t.noteTrouble(ReleaseFailed, r.Range.Owner, err, now)
 		return
 	}
 	if t.comeBack(r.Range.Owner, now) {
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -41,6 +41,9 @@
 	// is still or again listed; it doubles with each loss up to shunMost.
 	shunFirst = 4 * time.Second
 	shunMost  = 16 * time.Second
+	// noteEvery is the least time between two log lines of the same kind of
+	// failed order at one upstream.
+	noteEvery = time.Second
 	// retryAppend is the pause before an append without an answer is sent
 	// again.
 	retryAppend = 150 * time.Millisecond
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -30,7 +30,7 @@
 	past      map[string]*term
 	histories map[string]*history
 	// end is where the ownership stream ends, as far as is known; endDoubted
-	// is set while an append has shown that it may end further on.
+	// is set while an append or an order has shown that it may end further on.
 	end        int64
 	endDoubted bool
 	// plannerSeenAt is when another host was last seen to plan.
@@ -48,6 +48,8 @@
 	Cause    string
 	Age      time.Duration
 	Err      error
+	// Untold is how many events of the kind were not told since the last.
+	Untold int
 }
 
 // EventKind names an Event.
@@ -108,7 +110,7 @@
 
 // SoleWriter reports whether the ownership stream holds nothing that this host
 // has not written itself: the seat was proved lately, is not being given up,
-// and every append was answered. After a lost answer only reading tells where
+// every append was answered and no order refused for a higher token. After a lost answer only reading tells where
 // the stream ends; without it each further append would be refused.
 func (p *Planner) SoleWriter(now bootclock.Time) bool {
 	return p.Holding(now) && !p.resigned && !p.endDoubted && now.Sub(p.seat.provenAt) <= freshSeat
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -347,6 +347,69 @@
 	}
 }
 
+// foreignTable is the table as another host's next term would record it.
+func (h *harness) foreignTable() *ownership.Table {
+	return h.tab.TakeOver("other", "other:1")
+}
+
+// A planner is cut off from the log for five seconds, and another gets its
+// seat. The first one reads of it as soon as the cut ends, when its own proof
+// of the seat is still younger than the time for which it may renew grants.
+// If it took over on that proof, the two would supersede each other and the
+// keys of lost upstreams would wait for what either may have sent.
+func TestStaleProofOfTheSeatStartsNoTerm(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.play(10*time.Second, allWell)
+	cut := func(a Action) error {
+		if _, ok := a.(*Join); ok {
+			return metastore.ErrNoAnswer
+		}
+		return nil
+	}
+	h.play(5*time.Second, cut)
+	h.tab = h.foreignTable()
+	h.publish()
+	for _, a := range h.play(500*time.Millisecond, cut) {
+		if ap, ok := a.(*Append); ok {
+			t.Fatalf("records term %d on a proof of the seat from before the other planner's term", ap.Table.Term)
+		}
+	}
+	h.play(500*time.Millisecond, allWell)
+	if h.tab.Planner != "me" {
+		t.Error("does not take over once the seat is proved again")
+	}
+}
+
+// A planner's orders are refused because an upstream has seen a later one's
+// token. The planner reads the stream that it otherwise need not read, to
+// learn who plans; and upstreams that refuse are not lost: if they counted as
+// lost, all keys would stand without an owner once it plans again.
+func TestRefusedOrdersMakeThePlannerReadTheStream(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.play(10*time.Second, allWell)
+	if !h.p.SoleWriter(h.now) {
+		t.Fatal("a planner in peace reads the stream")
+	}
+	lost := 0
+	h.p.Note = func(e Event) {
+		if e.Kind == UpstreamLost {
+			lost++
+		}
+	}
+	h.play(4*time.Second, func(a Action) error {
+		if _, ok := a.(*Grant); ok {
+			return ownership.ErrFenced
+		}
+		return nil
+	})
+	if h.p.SoleWriter(h.now) {
+		t.Error("the stream is not read though another planner's token was seen")
+	}
+	if lost > 0 {
+		t.Errorf("%d upstreams that answer are taken for lost", lost)
+	}
+}
+
 // The seat's holder writes a record before any key is divided: it shows the
 // other hosts whom to follow. The keys are divided once the upstreams had time
 // to register; the first one alone must not get them all.
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -29,6 +29,8 @@
 	// bounds what earlier planners may still send.
 	base    *ownership.Table
 	foreign foreign
+	// foreignAt is when a table of another planner's was last adopted.
+	foreignAt bootclock.Time
 
 	appending  *Append
 	resend     bool
@@ -69,11 +71,19 @@
 	answeredAt bootclock.Time
 	// confirmed are the spans on which it has seen this term's token.
 	confirmed []span
+	// noted is what was last told of orders that failed.
+	noted     map[EventKind]noted
 	losses    int
 	shunUntil bootclock.Time
 	lost      bool
 }
 
+// noted is when a kind of failure was last told, and how many were not since.
+type noted struct {
+	at     bootclock.Time
+	untold int
+}
+
 func newTerm(p *Planner, name string) *term {
 	return &term{p: p, name: name, ups: map[string]*catalogue.Upstream{},
 		holders: map[string]*holder{}, leases: map[span]*lease{}}
@@ -102,6 +112,9 @@
 		*t = *newTerm(t.p, t.name)
 	}
 	t.table = latest
+	if latest.Planner != t.p.opts.Host {
+		t.foreignAt = now
+	}
 	if a := t.appending; a != nil && a.Table.Fence <= latest.Fence {
 		t.appending = nil
 		t.resend = false
@@ -135,6 +148,13 @@
 	if now.Before(t.nextAppend) {
 		return nil
 	}
+	if t.p.seat.provenAt.Before(t.foreignAt) {
+		// Another host has planned since the seat was proved. A host that
+		// comes back from a cut may hold such a proof; a term started on it
+		// would supersede the planner's, and be superseded in turn.
+		t.p.seat.nextJoin = min(t.p.seat.nextJoin, now)
+		return nil
+	}
 	base := t.table
 	if base == nil {
 		// The first record divides nothing yet. It shows the other hosts whom
@@ -280,9 +300,10 @@
 		h.unanswered = true
 		h.unansweredAt = now
 	case errors.Is(err, ownership.ErrFenced):
+		h.answeredAt = now
 		t.fenced(g.Range, now, err)
 	case errors.Is(err, ownership.ErrRefused):
-		t.p.Note(Event{Kind: GrantRefused, Service: t.name, Upstream: g.Range.Owner, Err: err})
+		t.noteTrouble(GrantRefused, g.Range.Owner, err, now)
 	}
 	if l != nil {
 		l.next = now.Add(retryGrant)
@@ -293,17 +314,36 @@
 	}
 }
 
+// noteTrouble tells of an order that failed, once in noteEvery for each
+// upstream and kind: an owner of a hundred ranges fails a hundred orders at
+// once, and again with each retry.
+func (t *term) noteTrouble(k EventKind, upstream string, err error, now bootclock.Time) {
+	h := t.holder(upstream)
+	n := h.noted[k]
+	if n.at != 0 && now.Sub(n.at) < noteEvery {
+		n.untold++
+		h.noted[k] = n
+		return
+	}
+	t.p.Note(Event{Kind: k, Service: t.name, Upstream: upstream, Err: err, Untold: n.untold})
+	if h.noted == nil {
+		h.noted = map[EventKind]noted{}
+	}
+	h.noted[k] = noted{at: now}
+}
+
 // fenced takes note that an upstream has seen a higher token than that of a
 // grant in force: another planner is at work, whose record has not reached
-// this host.
+// this host. It must read the ownership stream again to learn of it.
 func (t *term) fenced(r ownership.Range, now bootclock.Time, err error) {
 	if t.table.Find(r.From).Fence != r.Fence {
 		return // a grant from before a move of this host's own
 	}
 	if !t.superseded {
-		t.p.Note(Event{Kind: GrantRefused, Service: t.name, Upstream: r.Owner, Err: err})
+		t.noteTrouble(GrantRefused, r.Owner, err, now)
 	}
 	t.superseded, t.supersededAt = true, now
+	t.p.endDoubted = true
 }
 
 // standingDown reports whether the term is superseded and the seat has not
