Fault soak: real entry hosts behind proxies, signals, dying upstreams and a failing log

Separate processes of papayatided, a loopback proxy before each host, log link and upstream (delay, reset, silence, one-way cuts), SIGKILL, SIGTERM, SIGSTOP, upstreams that die, drain and come back at the same address, a log service that fails and forgets. Checked from what callers and upstreams saw: MIXED, TWICE, REFUSED, DENIED, UNASKED, OWNER, LOST at planned stops, answers after the timeout, recovery within 15 s. platform/standin speaks the platform's side of the wire over the stand-ins.

--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/papayatide/papayatide/internal/standin/ports"
+	"github.com/papayatide/papayatide/platform"
+)
+
+// Host is one entry host: a process, started again and again, between a
+// proxy for its callers and one for the log service.
+type Host struct {
+	Name  string
+	Front *Proxy
+	Log   *Proxy
+
+	binary, settings, output string
+	readyURL                 string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// gone is closed when the present process has ended.
+	gone chan struct{}
+	// told is set once the process was told to end, by any signal.
+	told     bool
+	paused   bool
+	failures []string
+}
+
+const settingsText = `[host]
+name = %s
+data_centre = dc
+listen = %s
+ready_listen = %s
+peer_listen = %s
+metrics_listen = %s
+[log]
+addr = %s
+[bounds]
+repeat_slack = 200
+`
+
+func newHost(name, binary, dir, logAddr string) (*Host, error) {
+	addrs, err := freeAddrs(6)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{Name: name, binary: binary, settings: filepath.Join(dir, name+".ini"), output: filepath.Join(dir, name+".log"),
+		readyURL: "http://" + addrs[1] + platform.PathReady}
+	if h.Front, err = NewProxy(addrs[4], addrs[0]); err != nil {
+		return nil, err
+	}
+	if h.Log, err = NewProxy(addrs[5], logAddr); err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(settingsText, name, addrs[0], addrs[1], addrs[2], addrs[3], h.Log.Addr())
+	return h, eris.Wrap(os.WriteFile(h.settings, []byte(text), 0o600), "settings")
+}
+
+func freeAddrs(n int) ([]string, error) {
+	var out []string
+	for range n {
+		a, err := ports.Free()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+// Start starts a process unless one runs.
+func (h *Host) Start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd != nil {
+		return nil
+	}
+	out, err := os.OpenFile(h.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "output")
+	}
+	defer func() { _ = out.Close() }() // the process has its own copy
+	cmd := exec.Command(h.binary, "entry")
+	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+h.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return eris.Wrap(err, "start")
+	}
+	h.cmd, h.told, h.gone = cmd, false, make(chan struct{})
+	go h.wait(cmd, h.gone)
+	return nil
+}
+
+// wait notes how the process ends. One that was told to stop ends with 0, one
+// that was not told does not end.
+func (h *Host) wait(cmd *exec.Cmd, gone chan struct{}) {
+	err := cmd.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	killed := cmd.ProcessState.Sys().(syscall.WaitStatus).Signal() == syscall.SIGKILL
+	if !h.told || (err != nil && !killed) {
+		h.failures = append(h.failures, fmt.Sprintf("%s ended: told %v, %v", h.Name, h.told, err))
+	}
+	h.cmd, h.paused = nil, false
+	close(gone)
+}
+
+// signal sends a signal to the process if one runs.
+func (h *Host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd == nil {
+		return
+	}
+	switch s {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		h.told = true
+	case syscall.SIGSTOP:
+		h.paused = true
+	case syscall.SIGCONT:
+		h.paused = false
+	}
+	// It may have ended just now; wait tells.
+	_ = h.cmd.Process.Signal(s)
+}
+
+// Kill ends the process at once.
+func (h *Host) Kill() { h.signal(syscall.SIGKILL) }
+
+// Stop tells the process to stop as planned.
+func (h *Host) Stop() { h.signal(syscall.SIGTERM) }
+
+// Pause and Resume freeze and thaw it.
+func (h *Host) Pause()  { h.signal(syscall.SIGSTOP) }
+func (h *Host) Resume() { h.signal(syscall.SIGCONT) }
+
+// AwaitEnd waits until the process has ended, for at most d.
+func (h *Host) AwaitEnd(d time.Duration) bool {
+	h.mu.Lock()
+	gone, running := h.gone, h.cmd != nil
+	h.mu.Unlock()
+	if !running {
+		return true
+	}
+	select {
+	case <-gone:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// Failures returns what was wrong with how processes ended.
+func (h *Host) Failures() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures
+}
+
+// shutDown ends everything of the host.
+func (h *Host) shutDown() {
+	h.Resume()
+	h.Kill()
+	h.AwaitEnd(endPatience)
+	h.Front.Close()
+	h.Log.Close()
+}
+
+// endPatience is how long a killed process may take to be gone.
+const endPatience = 5 * time.Second
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,162 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/papayatide/papayatide/internal/ownership"
+)
+
+// Options shape one run.
+type Options struct {
+	// Binary is papayatided.
+	Binary string
+	// Dir takes settings and the hosts' output.
+	Dir string
+	// Seed draws the faults and the requests.
+	Seed uint64
+	// Faults is how long faults are injected.
+	Faults time.Duration
+	// Hosts, Keyed, Plain and Callers are how many there are of each.
+	Hosts, Keyed, Plain, Callers int
+}
+
+// Report is what a run saw.
+type Report struct {
+	// Breaches are promises that were not kept.
+	Breaches []string
+	// Faults are what was injected, in order.
+	Faults []string
+	// Requests and Served count the callers' requests and those answered
+	// with success.
+	Requests, Served int
+	// Recovered is how long after the last fault every key was served
+	// through every host.
+	Recovered time.Duration
+}
+
+const (
+	// startWithin and recoverWithin bound the time until every key is served
+	// through every host, from the start and from the last fault's end.
+	startWithin   = 15 * time.Second
+	recoverWithin = 15 * time.Second
+	// calmSpan is how long callers go on after everything is served again.
+	calmSpan = 2 * time.Second
+	// calmShare is the least share of their requests that is served.
+	calmShare = 0.95
+)
+
+// Run makes one run.
+func Run(ctx context.Context, opts Options) (*Report, error) {
+	w, err := newWorld(opts.Keyed, opts.Plain)
+	if err != nil {
+		return nil, err
+	}
+	defer w.shutDown()
+	var hosts []*Host
+	for i := range opts.Hosts {
+		h, err := newHost(fmt.Sprint("host-", i), opts.Binary, opts.Dir, w.logAddr)
+		if err != nil {
+			return nil, err
+		}
+		hosts = append(hosts, h)
+		defer h.shutDown()
+		if err := h.Start(); err != nil {
+			return nil, err
+		}
+	}
+	if took, key := awaitServed(hosts, startWithin); key >= 0 {
+		return nil, eris.Errorf("key %d is not served %v after the start", key, took)
+	}
+	return play(ctx, opts, w, hosts), nil
+}
+
+// play lets callers, faults and the calm after them run, and checks.
+func play(ctx context.Context, opts Options, w *World, hosts []*Host) *Report {
+	cctx, stopCallers := context.WithCancel(ctx)
+	defer stopCallers()
+	c := &callers{hosts: hosts}
+	var wg sync.WaitGroup
+	wg.Go(func() { c.balance(cctx) })
+	for i := range opts.Callers {
+		wg.Go(func() { c.run(cctx, opts.Seed*1000+uint64(i)) })
+	}
+	in := &injector{world: w, hosts: hosts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), busy: map[any]bool{}}
+	fctx, cancel := context.WithTimeout(ctx, opts.Faults)
+	in.run(fctx)
+	cancel()
+	r := &Report{}
+	took, key := awaitServed(hosts, recoverWithin)
+	r.Recovered = took
+	if key >= 0 {
+		r.Breaches = append(r.Breaches, fmt.Sprintf("RECOVER: key %d is not served %v after the last fault", key, took))
+	}
+	calmFrom := time.Now()
+	sleep(ctx, calmSpan)
+	stopCallers()
+	wg.Wait()
+	r.sum(c, w, in, calmFrom)
+	return r
+}
+
+// sum checks what was seen and writes it into the report.
+func (r *Report) sum(c *callers, w *World, in *injector, calmFrom time.Time) {
+	calm, calmServed := 0, 0
+	for _, o := range c.outcomes {
+		r.Requests++
+		ok := o.err == nil && o.status == http.StatusOK
+		if ok {
+			r.Served++
+		}
+		if o.began.After(calmFrom) && !o.left {
+			calm++
+			if ok {
+				calmServed++
+			}
+		}
+	}
+	if float64(calmServed) < calmShare*float64(calm) {
+		r.Breaches = append(r.Breaches, fmt.Sprintf("RECOVER: %d of %d requests served once all was calm", calmServed, calm))
+	}
+	r.Breaches = append(r.Breaches, check(c.outcomes, w.runs(), in)...)
+	w.mu.Lock()
+	r.Breaches = append(r.Breaches, w.breaches...)
+	w.mu.Unlock()
+	for _, h := range in.hosts {
+		r.Breaches = append(r.Breaches, h.Failures()...)
+	}
+	for _, f := range in.faults {
+		r.Faults = append(r.Faults, fmt.Sprintf("%s to %s %s", f.from.Format(stamp), f.to.Format(stamp), f.what))
+	}
+}
+
+// probes is how many keys, evenly spread, stand for all.
+const probes = 16
+
+// awaitServed waits until the probed keys are served through every host. It
+// returns the time that took, and a key that was not served within d or -1.
+func awaitServed(hosts []*Host, d time.Duration) (time.Duration, int) {
+	start := time.Now()
+	hc := &http.Client{Timeout: time.Second}
+	defer hc.CloseIdleConnections()
+	for i := 0; i < probes*len(hosts); {
+		o := &outcome{id: fmt.Sprint("probe-", time.Now().UnixNano()), host: hosts[i%len(hosts)]}
+		key := i / len(hosts) * (ownership.Keys / probes)
+		o.exchange(context.Background(), hc, http.MethodGet, readHost, key)
+		if o.err == nil && o.status == http.StatusOK {
+			i++
+			continue
+		}
+		if time.Since(start) > d {
+			return time.Since(start), key
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start), -1
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,87 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	seeds  = flag.Int("seeds", 0, "run so many fresh seeds instead of the fixed ones")
+	first  = flag.Uint64("first", 0, "first of the fresh seeds; 0 draws one")
+	span   = flag.Duration("span", 15*time.Second, "how long faults are injected")
+	keep   = flag.String("keep", "", "directory that keeps settings and logs of failed runs")
+	beside = flag.Int("beside", 4, "runs at once")
+)
+
+// fixed are the seeds run in CI. Those after the first two once failed; each
+// says why.
+var fixed = []uint64{1, 2}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "papayatided")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/papayatide/papayatide/cmd/papayatided").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// Entry hosts run as processes while links are cut, processes and upstreams
+// end, pause and come back, and the log service fails, in series and
+// overlapping. Callers get their own whole answers or truthful refusals, no
+// charge runs twice, no key has two owners, and all is served again soon
+// after the last fault.
+func TestSoak(t *testing.T) {
+	binary := build(t)
+	list := fixed
+	if *seeds > 0 {
+		start := *first
+		if start == 0 {
+			start = rand.Uint64N(1 << 32)
+		}
+		list = nil
+		for i := range *seeds {
+			list = append(list, start+uint64(i))
+		}
+	}
+	turn := make(chan struct{}, *beside)
+	for _, seed := range list {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			turn <- struct{}{}
+			defer func() { <-turn }()
+			soakOnce(t, binary, seed)
+		})
+	}
+}
+
+func soakOnce(t *testing.T, binary string, seed uint64) {
+	dir := t.TempDir()
+	if *keep != "" {
+		dir = filepath.Join(*keep, fmt.Sprint("seed-", seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, err := Run(context.Background(), Options{Binary: binary, Dir: dir, Seed: seed, Faults: *span, Hosts: 4, Keyed: 4, Plain: 2, Callers: 12})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d requests, %d served, %d faults, all served again after %v", r.Requests, r.Served, len(r.Faults), r.Recovered.Round(time.Millisecond))
+	if len(r.Breaches) == 0 {
+		if *keep != "" {
+			_ = os.RemoveAll(dir)
+		}
+		return
+	}
+	t.Errorf("%d breaches:\n%s\nfaults:\n%s", len(r.Breaches), strings.Join(r.Breaches[:min(len(r.Breaches), 20)], "\n"), strings.Join(r.Faults, "\n"))
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,226 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/standin/memstore"
+	"github.com/papayatide/papayatide/internal/standin/ports"
+	"github.com/papayatide/papayatide/internal/standin/ranged"
+	"github.com/papayatide/papayatide/platform"
+	"github.com/papayatide/papayatide/platform/standin"
+)
+
+const (
+	keyedService, plainService = "keyed", "plain"
+	readHost, chargeHost       = "read.example", "charge.example"
+	plainHost                  = "plain.example"
+	// routeTimeout is every route's, objectives are half of it.
+	routeTimeout = time.Second
+	// work is how long an upstream works on a request.
+	work = 20 * time.Millisecond
+	// clockSkew is how much longer than told an upstream holds keys: its
+	// clock may run 2% slow.
+	clockSkew = 1.02
+	// thaw is how long after a host was resumed a grant of its counts as
+	// held up on its way: it was decided on before the pause.
+	thaw = 300 * time.Millisecond
+)
+
+// place is where an upstream is reached: a proxy before one life after
+// another, each with an ID of its own at the same address.
+type place struct {
+	service string
+	proxy   *Proxy
+	life    *life
+	lives   int
+}
+
+// life is one upstream from its start to its end.
+type life struct {
+	*ranged.Upstream
+	place *place
+	up    bool
+	srv   *http.Server
+}
+
+// World is the platform and the upstreams.
+type World struct {
+	log     *memstore.Log
+	logSrv  *http.Server
+	logAddr string
+
+	// mu makes grants, ends of upstreams and the check of them one step.
+	mu       sync.Mutex
+	places   []*place
+	all      []*life
+	version  int
+	resumed  time.Time
+	breaches []string
+}
+
+func newWorld(keyed, plain int) (*World, error) {
+	w := &World{log: memstore.New()}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "log service")
+	}
+	w.logAddr = ln.Addr().String()
+	w.logSrv = &http.Server{Handler: standin.Log{Log: w.log}}
+	go func() { _ = w.logSrv.Serve(ln) }()
+	for i := range keyed + plain {
+		service := keyedService
+		if i >= keyed {
+			service = plainService
+		}
+		if err := w.addPlace(service); err != nil {
+			return nil, err
+		}
+	}
+	return w, w.publish()
+}
+
+func (w *World) addPlace(service string) error {
+	addr, err := ports.Free()
+	if err != nil {
+		return err
+	}
+	p := &place{service: service}
+	if p.proxy, err = NewProxy(addr, ""); err != nil {
+		return err
+	}
+	w.places = append(w.places, p)
+	return w.revive(p)
+}
+
+// publish writes the next desired state.
+func (w *World) publish() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	doc, err := standin.DesiredRecord(w.version, []standin.Route{{Host: readHost, Service: keyedService, Idempotent: true},
+		{Host: chargeHost, Service: keyedService}, {Host: plainHost, Service: plainService}}, map[string]bool{keyedService: true}, routeTimeout)
+	if err != nil {
+		return eris.Wrap(err, "desired state")
+	}
+	w.log.Put(metastore.StreamDesired, standin.DesiredKey, doc)
+	return nil
+}
+
+// revive starts the place's next life, if it has none.
+func (w *World) revive(p *place) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p.life != nil && p.life.up {
+		return nil
+	}
+	p.lives++
+	id := fmt.Sprintf("i-%s-%d", p.proxy.Addr(), p.lives)
+	u := ranged.New(id, platform.Headers, work)
+	l := &life{Upstream: u, place: p, up: true}
+	l.srv = &http.Server{Handler: standin.Orders(id, &audited{w, l}, u)}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return eris.Wrap(err, "upstream")
+	}
+	go func() { _ = l.srv.Serve(ln) }()
+	p.life = l
+	w.all = append(w.all, l)
+	p.proxy.SetTarget(ln.Addr().String())
+	w.list(l, false)
+	return nil
+}
+
+// list writes the upstream's entry.
+func (w *World) list(l *life, leaving bool) {
+	w.log.Put(metastore.StreamUpstreams, l.ID, standin.UpstreamRecord(&catalogue.Upstream{ID: l.ID, Service: l.place.service,
+		Addr: l.place.proxy.Addr(), DataCentre: "dc", Slots: 6, Leaving: leaving}))
+}
+
+// kill ends the place's life at once; its entry lapses later.
+func (w *World) kill(p *place) *life {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := p.life
+	l.up = false
+	_ = l.srv.Close()
+	return l
+}
+
+// unlist lets an entry lapse.
+func (w *World) unlist(l *life) { w.log.Put(metastore.StreamUpstreams, l.ID, nil) }
+
+// relist lets every entry lapse and come back a little later, as after an
+// outage of the log service.
+func (w *World) relist(after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.places {
+		l := p.life
+		w.unlist(l)
+		time.AfterFunc(after, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if l.up {
+				w.list(l, false)
+			}
+		})
+	}
+}
+
+// noteResumed tells that a host was thawed just now.
+func (w *World) noteResumed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.resumed = time.Now()
+}
+
+// audited checks each grant against what the other upstreams hold.
+type audited struct {
+	w *World
+	l *life
+}
+
+// Grant implements standin.Holder. A grant of a host that was thawed just now
+// is lost where it would give a key a second owner: it was decided on before
+// the pause, and no upstream can tell.
+func (a *audited) Grant(r ownership.Range, d time.Duration) error {
+	a.w.mu.Lock()
+	defer a.w.mu.Unlock()
+	for _, other := range a.w.all {
+		if other == a.l || !other.up || !a.l.up || !other.HoldsAny(r) {
+			continue
+		}
+		if time.Since(a.w.resumed) < thaw {
+			return ownership.ErrRefused
+		}
+		a.w.breaches = append(a.w.breaches, fmt.Sprintf("%s: OWNER: keys %d to %d granted to %s (token %d) while %s holds some of them",
+			time.Now().Format(stamp), r.From, r.To, a.l.ID, r.Fence, other.ID))
+	}
+	return a.l.Upstream.Grant(r, time.Duration(clockSkew*float64(d)))
+}
+
+// Release implements standin.Holder.
+func (a *audited) Release(r ownership.Range) string {
+	a.w.mu.Lock()
+	defer a.w.mu.Unlock()
+	return a.l.Upstream.Release(r)
+}
+
+const stamp = "15:04:05.000"
+
+func (w *World) shutDown() {
+	for _, p := range w.places {
+		w.kill(p)
+		p.proxy.Close()
+	}
+	_ = w.logSrv.Close()
+}
