Soak's proxies wait for a port's probe listener to go

Ruled out: another process's block (its guard is held), time-wait (Go sets the address reusable). Change: ports.Listen waits up to a second.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/papayatide/papayatide/internal/standin/ports"
 )
 
 // Proxy passes connections on to a target and misbehaves on demand.
@@ -46,9 +48,9 @@
 
 // NewProxy starts a proxy at addr.
 func NewProxy(addr, target string) (*Proxy, error) {
-	ln, err := net.Listen("tcp4", addr)
+	ln, err := ports.Listen(addr)
 	if err != nil {
-		return nil, eris.Wrapf(err, "proxy %s", addr)
+		return nil, eris.Wrap(err, "proxy")
 	}
 	p := &Proxy{ln: ln, target: target, cut: map[direction]bool{}, links: map[*link]bool{}}
 	go p.accept()
--- a/internal/standin/ports/ports.go
+++ b/internal/standin/ports/ports.go
@@ -2,9 +2,12 @@
 package ports
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -68,3 +71,22 @@
 }
 
 func address(port int) string { return fmt.Sprint("127.0.0.1:", port) }
+
+const (
+	// listenTries and listenPause bound how long Listen waits for an address.
+	listenTries = 50
+	listenPause = 20 * time.Millisecond
+)
+
+// Listen listens on an address that Free returned. A process that is being
+// started meanwhile holds a copy of Free's own listener until it runs its
+// program, and the address is in use for these few milliseconds.
+func Listen(addr string) (net.Listener, error) {
+	for try := 0; ; try++ {
+		ln, err := net.Listen("tcp4", addr)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || try >= listenTries {
+			return ln, eris.Wrapf(err, "listen %s", addr)
+		}
+		time.Sleep(listenPause)
+	}
+}
--- a/internal/standin/ports/ports_test.go
+++ b/internal/standin/ports/ports_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 )
 
 // While a stand-in is restarted its port is closed for a moment. No other
@@ -30,3 +31,22 @@
 		seen[addr] = true
 	}
 }
+
+// A process that is being started holds a copy of a listener for a moment
+// after it was closed; who is to listen there next waits for it.
+func TestListenWaitsForACopyToGo(t *testing.T) {
+	addr, err := Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied, err := net.Listen("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(5*listenPause, func() { _ = copied.Close() })
+	ln, err := Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+}
