--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -1,6 +1,7 @@
 package burn
 
 import (
+	"math"
 	"sort"
 	"sync"
 	"time"
@@ -96,6 +97,23 @@
 	return out
 }
 
+// fewestBad is how many failures the budget must allow in a window before a
+// burn is told: with less, one failed request looks like a burn of hundreds.
+const fewestBad = 1
+
+// FewestRequests returns how many requests a window needs for its burn of the
+// objective to mean anything: 1,000 for 0.999.
+func FewestRequests(objective float64) int64 {
+	if objective >= 1 {
+		return 1
+	}
+	return int64(math.Ceil(fewestBad/(1-objective) - rounding))
+}
+
+// rounding keeps 1/(1-0.999), which is a little over 1,000 in floating point,
+// from counting as 1,001.
+const rounding = 1e-6
+
 // Rate returns how many times faster than allowed the error budget of an
 // objective (e.g. 0.999) is being spent: 1 spends it exactly over the
 // objective's period, 14.4 over an hour spends a 30-day budget in ~2 days.
--- a/internal/burn/recorder_test.go
+++ b/internal/burn/recorder_test.go
@@ -26,3 +26,13 @@
 		t.Fatalf("rate %v, want 1", rate)
 	}
 }
+
+// One refused request of two is no burn of 500 times the budget: too few were
+// seen to tell.
+func TestFewestRequests(t *testing.T) {
+	for objective, want := range map[float64]int64{0.999: 1000, 0.99: 100, 0.5: 2, 1: 1} {
+		if got := FewestRequests(objective); got != want {
+			t.Errorf("objective %v needs %d requests, want %d", objective, got, want)
+		}
+	}
+}
--- a/internal/cli/burn.go
+++ b/internal/cli/burn.go
@@ -57,6 +57,14 @@
 	return cmd
 }
 
+// rateText is the burn, or that too few requests were seen to tell one.
+func rateText(bad, total int64, objective float64) string {
+	if least := burn.FewestRequests(objective); total < least {
+		return fmt.Sprintf("under %d requests", least)
+	}
+	return fmt.Sprintf("%.2f", burn.Rate(bad, total, objective))
+}
+
 func printBurn(cmd *cobra.Command, sums map[[2]int64]*adminpb.WindowCounts, availability, latency float64) {
 	rows := make([]*adminpb.WindowCounts, 0, len(sums))
 	for _, w := range sums {
@@ -72,7 +80,7 @@
 	defer w.Flush()
 	fmt.Fprintln(w, "SERVICE\tWINDOW\tREQUESTS\tREFUSED\tAVAIL BURN\tSLOW\tLATENCY BURN")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.2f\t%d\t%.2f\n", r.Service, time.Duration(r.WindowS)*time.Second,
-			r.Total, r.Bad, burn.Rate(r.Bad, r.Total, availability), r.Slow, burn.Rate(r.Slow, r.Total, latency))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%d\t%s\n", r.Service, time.Duration(r.WindowS)*time.Second,
+			r.Total, r.Bad, rateText(r.Bad, r.Total, availability), r.Slow, rateText(r.Slow, r.Total, latency))
 	}
 }
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
@@ -11,14 +13,21 @@
 )
 
 func explainCommand() *cobra.Command {
-	return &cobra.Command{
+	var ids string
+	cmd := &cobra.Command{
 		Use:   "explain REQUEST-ID [LOG-FILE...]",
 		Short: "Tell a request's story from the entry hosts' logs",
 		Long: "Reads the logs of papayatided from the files, or from standard input, and prints the\n" +
 			"request's own lines (marked >) and the changes of belief that concern it, in order of\n" +
-			"time. Exits with 1 if no line bears the ID.",
-		Args: cobra.MinimumNArgs(1),
+			"time. Exits with 1 if no line bears the ID. With --ids, prints the cause of every request listed\n" +
+			"in the file, and exits with 1 if one has none; all arguments are log files then.",
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if ids != "" {
+				return explainAll(cmd, ids, args)
+			}
+			if len(args) == 0 {
+				return eris.New("want a request ID, or --ids")
+			}
 			lines, err := readLogs(cmd.InOrStdin(), args[1:])
 			if err != nil {
 				return err
@@ -30,6 +39,36 @@
 			return story.Write(cmd.OutOrStdout())
 		},
 	}
+	cmd.Flags().StringVar(&ids, "ids", "", "file of request IDs, one a line")
+	return cmd
+}
+
+// explainAll prints the cause of each request listed in the file.
+func explainAll(cmd *cobra.Command, file string, logs []string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(err, "request IDs")
+	}
+	lines, err := readLogs(cmd.InOrStdin(), logs)
+	if err != nil {
+		return err
+	}
+	causes := explain.Causes(lines)
+	found, asked := 0, strings.Fields(string(data))
+	for _, id := range asked {
+		cause, ok := causes[id]
+		if ok {
+			found++
+		} else {
+			cause = "(no line)"
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "%s\t%s\n", id, cause)
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "%d of %d requests have a line that says why\n", found, len(asked))
+	if found < len(asked) {
+		return eris.Errorf("%d requests are not explained", len(asked)-found)
+	}
+	return nil
 }
 
 func readLogs(stdin io.Reader, files []string) ([]*explain.Line, error) {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -13,12 +13,19 @@
 )
 
 func statusCommand() *cobra.Command {
-	var admins []string
+	var admins, peers []string
 	var verbose bool
 	cmd := &cobra.Command{
 		Use:   "status",
-		Short: "Show the manifest and placement in force on entry hosts",
+		Short: "Show what is in force on entry hosts",
+		Long: "With --admin, asks hosts for their manifest and placement. With --peer, asks hosts that run on the\n" +
+			"platform, at peer_listen of their settings: who plans, whose copy of the log a host follows and how\n" +
+			"old that is, the owners of keys with their fencing tokens, and the last changes of ownership with\n" +
+			"their causes. Exits with 1 if a host cannot be reached.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if len(peers) > 0 {
+				return showPeers(cmd, peers, verbose)
+			}
 			w := tabwriter.NewWriter(cmd.OutOrStdout(), 2, 4, 2, ' ', 0)
 			defer w.Flush()
 			fmt.Fprintln(w, "HOST\tDC\tDEPLOYMENT\tMANIFEST\tEPOCH\tVIEW AGE\tMEMBERS")
@@ -52,7 +59,8 @@
 			return nil
 		}}
 	cmd.Flags().StringSliceVar(&admins, "admin", []string{"http://127.0.0.1:9081"}, "admin URLs of entry hosts")
-	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "list every upstream")
+	cmd.Flags().StringSliceVar(&peers, "peer", nil, "peer addresses (host:port) of entry hosts on the platform")
+	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "list every upstream, or every range of keys")
 	return cmd
 }
 
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -66,6 +66,8 @@
 	broken map[metastore.Stream]time.Time
 	backAt time.Time
 	copy   *relay.Copy
+	// changes are the last changes of ownership.
+	changes changes
 	// planning tells other goroutines whether this host is the planner.
 	planning atomic.Bool
 	// soleWriter tells them whether it is the only one that writes the
@@ -350,9 +352,11 @@
 }
 
 func (c *control) adoptTable(t *ownership.Table) {
-	if cur := c.views.Load().Tables[t.Service]; cur != nil && t.Fence <= cur.Fence {
+	cur := c.views.Load().Tables[t.Service]
+	if cur != nil && t.Fence <= cur.Fence {
 		return
 	}
+	c.changes.add(cur, t)
 	c.views.Publish(func(v *view.View) {
 		tables := map[string]*ownership.Table{t.Service: t}
 		for name, old := range v.Tables {
@@ -363,7 +367,8 @@
 		v.Tables = tables
 	})
 	c.zl.Info("ownership adopted", zap.Int("event", events.OwnershipAdopted), zap.String("service", t.Service),
-		zap.Int64("term", t.Term), zap.Int64("fence", t.Fence), zap.String("planner", t.Planner), zap.Int("ranges", len(t.Ranges)))
+		zap.Int64("term", t.Term), zap.Int64("fence", t.Fence), zap.String("planner", t.Planner), zap.Int("ranges", len(t.Ranges)),
+		zap.String("cause", t.Cause))
 }
 
 // applyUpstreams takes in upstreams' records. After a reset, those that are
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -66,9 +66,9 @@
 	takeLoads  func() []peer.ServiceLoad
 	localLoads func([]peer.ServiceLoad)
 	apply      func(relay.Batch)
-	// followed is told that a call to the planner was good, and for how long
+	// good is told that a call to the planner was good, and for how long
 	// the planner has reached the log service.
-	followed func(steady time.Duration)
+	good func(steady time.Duration)
 	// lost is told of a call that failed.
 	lost func()
 	zl   *zap.Logger
@@ -83,8 +83,10 @@
 	directCtx  context.Context
 	stopDirect context.CancelFunc
 	restAtWork bool
-	// following is the host whose copy is relied on, if any.
+	// following is the host whose copy is relied on, if any; others read it
+	// from followed.
 	following string
+	followed  atomic.Value
 	// relay is the host that relays the copy of the planner at relayOf.
 	relay, relayOf string
 	// last is the last answer of the planner itself; see standing.
@@ -168,7 +170,7 @@
 		return false
 	}
 	f.note(addr, got.Age, nil)
-	f.followed(got.Steady)
+	f.good(got.Steady)
 	return true
 }
 
@@ -196,6 +198,7 @@
 			zap.Duration("age", age), ErrorField(err))
 	}
 	f.following = addr
+	f.followed.Store(addr)
 }
 
 // lookAtSeat has the readers begin anew when this host gets the planner's
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -155,7 +155,7 @@
 		return err
 	}
 	peers := http.NewServeMux()
-	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Standing: h.standing, Fleet: h.fleet,
+	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Standing: h.standing, Fleet: h.fleet, Tell: h.status,
 		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }})
 	peers.Handle(ps.PathPrefix(), ps)
 	if err := addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -142,7 +142,7 @@
 	return &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, ownership: own, rest: rest, planner: h.plannerAddr, planning: h.control.planning.Load,
 		self: h.self, fleet: h.fleet,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
-		apply:    func(b relay.Batch) { h.control.take(ctx, b) },
-		lost:     func() { h.control.post(ctx, h.control.plan.PlannerLost) },
-		followed: func(steady time.Duration) { h.control.post(ctx, func() { h.control.followedPlanner(steady) }) }}
+		apply: func(b relay.Batch) { h.control.take(ctx, b) },
+		lost:  func() { h.control.post(ctx, h.control.plan.PlannerLost) },
+		good:  func(steady time.Duration) { h.control.post(ctx, func() { h.control.followedPlanner(steady) }) }}
 }
--- /dev/null
+++ b/internal/entryhost/status.go
@@ -0,0 +1,69 @@
+package entryhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/rpc/peerpb"
+)
+
+// keptChanges bounds the changes of ownership that a host remembers.
+const keptChanges = 32
+
+// change is a change of ownership that this host adopted.
+type change struct {
+	at    time.Time
+	table *ownership.Table
+	keys  int
+}
+
+// changes are the last ones. It is safe for concurrent use.
+type changes struct {
+	mu   sync.Mutex
+	last []change
+}
+
+func (c *changes) add(old, now *ownership.Table) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = append(c.last, change{at: time.Now(), table: now, keys: now.KeysMovedSince(old)})
+	if n := len(c.last) - keptChanges; n > 0 {
+		c.last = append([]change(nil), c.last[n:]...)
+	}
+}
+
+func (c *changes) list() []change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]change(nil), c.last...)
+}
+
+// status tells what this host believes, for operators.
+func (h *host) status(context.Context) *peerpb.StatusReply {
+	now := time.Now()
+	v := h.views.Load()
+	out := &peerpb.StatusReply{Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Planning: h.control.planning.Load(),
+		ViewAgeMs: uint32(h.control.copy.Age(now).Milliseconds()), Hosts: uint32(h.fleet.Size(now)), InFlight: h.inFlight.Load()}
+	out.Follows, _ = h.feed.followed.Load().(string)
+	if v.Desired != nil {
+		out.Version = v.Desired.Version
+	}
+	for _, t := range v.Tables {
+		out.Services = append(out.Services, describeTable(t))
+	}
+	for _, c := range h.control.changes.list() {
+		out.Changes = append(out.Changes, &peerpb.OwnershipChange{AgeMs: uint32(now.Sub(c.at).Milliseconds()), Service: c.table.Service,
+			Term: c.table.Term, Fence: c.table.Fence, Keys: uint32(c.keys), Cause: c.table.Cause})
+	}
+	return out
+}
+
+func describeTable(t *ownership.Table) *peerpb.ServiceStatus {
+	s := &peerpb.ServiceStatus{Name: t.Service, Term: t.Term, Fence: t.Fence, Planner: t.Planner, Lost: t.Lost}
+	for _, r := range t.Ranges {
+		s.Ranges = append(s.Ranges, &peerpb.OwnedRange{From: uint32(r.From), To: uint32(r.To), Owner: r.Owner, Fence: r.Fence})
+	}
+	return s
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -88,6 +88,25 @@
 	return l
 }
 
+// Causes returns why each request ended as it did, for those whose lines say
+// so: the refusal's cause, or the upstream's failure.
+func Causes(lines []*Line) map[string]string {
+	out := map[string]string{}
+	for _, l := range lines {
+		id := l.Field("request")
+		if !isRequest(l) || id == "" {
+			continue
+		}
+		switch {
+		case l.Field("cause") != "":
+			out[id] = l.Field("cause")
+		case l.Field("status") != "":
+			out[id] = l.Text + ", status " + l.Field("status") + " of " + l.Field("peer")
+		}
+	}
+	return out
+}
+
 // Story is what the logs say of one request.
 type Story struct {
 	// Own are the request's lines on all hosts, Around the changes of
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -36,6 +36,8 @@
 	// peers reach it.
 	Planner     string `json:"planner"`
 	PlannerAddr string `json:"planner_addr"`
+	// Cause says why it differs from the record before, for operators.
+	Cause string `json:"cause,omitempty"`
 	// Fence is the highest fencing token used so far.
 	Fence int64 `json:"fence"`
 	// Lost are owners, sorted, to which this term's planner has stopped
@@ -150,6 +152,29 @@
 	return next
 }
 
+// KeysMovedSince returns how many keys have another owner than in old; all
+// that have one, if old is nil.
+func (t *Table) KeysMovedSince(old *Table) int {
+	n := 0
+	for _, r := range t.Ranges {
+		if old == nil {
+			if r.Owner != "" {
+				n += r.To - r.From + 1
+			}
+			continue
+		}
+		for k := r.From; k <= r.To; {
+			was := old.Find(k)
+			to := min(was.To, r.To)
+			if was.Owner != r.Owner {
+				n += to - k + 1
+			}
+			k = to + 1
+		}
+	}
+	return n
+}
+
 func (t *Table) copyWith(planner, addr string) *Table {
 	next := *t
 	next.Planner, next.PlannerAddr = planner, addr
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -152,6 +152,13 @@
 	Fleet *fleet.Fleet
 	// Loads is handed each report.
 	Loads func([]ServiceLoad)
+	// Tell describes this host.
+	Tell func(context.Context) *peerpb.StatusReply
+}
+
+// Status implements peerpb.Peer.
+func (s *Server) Status(ctx context.Context, _ *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	return s.Tell(ctx), nil
 }
 
 // maxWait bounds how long a call is kept waiting.
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -269,6 +269,7 @@
 	if next == t.table {
 		return nil
 	}
+	next.Cause = cause
 	t.appending = &Append{Table: next, At: t.p.end, Cause: cause}
 	return t.appending
 }
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -165,7 +165,8 @@
 	t.number = next.Term
 	t.base = t.table
 	t.foreign.sooner = t.p.histories[t.name].soonerAfter(t.base, &t.p.opts)
-	t.appending = &Append{Table: next, At: t.p.end, Cause: "new planner"}
+	next.Cause = "new planner"
+	t.appending = &Append{Table: next, At: t.p.end, Cause: next.Cause}
 	return []Action{t.appending}
 }
 
