A host that stood still spares lapsed entries, as after an outage

The breach that the soak told (OWNER) was its own: it looked for overlaps before the upstream had refused the stale token; the upstream does refuse, so the check now looks at grants that are taken, which are the ones that the promise is about. Ruled out: the planner's waits (the stale grant was fenced). Change: the control goroutine notes that it did not run for a second (clock that counts suspends), logs 614 and spares missing entries for 2 s. Test: TestHostThatStoodStillSparesMissingEntries (fails without).

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -58,6 +58,8 @@
 	plan    *planner.Planner
 	loads   *loadmap.Map
 	clock   bootclock.Clock
+	// lastRun is when this goroutine last ran.
+	lastRun bootclock.Time
 
 	inbox  chan func()
 	roster *roster
@@ -108,6 +110,7 @@
 		case <-ctx.Done():
 			return
 		case f := <-c.inbox:
+			c.watchStall()
 			f()
 			c.drainInbox()
 			// What arrived is looked at soon, but a stream of events does
@@ -116,12 +119,31 @@
 			t.Reset(max(tickLeast-time.Since(last), 0))
 		case <-t.C:
 			last = time.Now()
+			c.watchStall()
 			c.tick(ctx)
 			t.Reset(c.pause())
 		}
 	}
 }
 
+// stalled is how long this goroutine must not have run for the host to have
+// stood still: undisturbed it runs every tickOther.
+const stalled = time.Second
+
+// watchStall notes that the host stood still. What the log service went
+// through meanwhile is unknown: a host that slept through an outage found the
+// upstreams' lapsed entries missing, took all of them for gone, and moved
+// every key.
+func (c *control) watchStall() {
+	now := c.clock()
+	if stood := now.Sub(c.lastRun); c.lastRun != 0 && stood > stalled {
+		c.backAt = time.Now()
+		c.copy.Broken(c.backAt)
+		c.zl.Warn("host stood still", zap.Int("event", events.HostStalled), zap.Duration("age", stood))
+	}
+	c.lastRun = now
+}
+
 // drainInbox runs what else has arrived, so that a burst costs one tick.
 func (c *control) drainInbox() {
 	for {
--- a/internal/entryhost/roster_test.go
+++ b/internal/entryhost/roster_test.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/planner"
@@ -141,3 +142,27 @@
 		t.Errorf("%d calls in 1.5 s of an outage", n)
 	}
 }
+
+// A host stands still for five seconds, in which the log service was down and
+// entries lapsed. It never saw the outage, but spares what is missing now as
+// if it had: the entries are back within two seconds.
+func TestHostThatStoodStillSparesMissingEntries(t *testing.T) {
+	c := newControl(zap.NewNop(), memstore.New(), decoder{}, nil, view.NewHolder(), planner.Options{Host: "h"})
+	clock := bootclock.Time(time.Hour)
+	c.clock = func() bootclock.Time { return clock }
+	c.watchStall()
+	listed(c.roster, "u")
+	clock = clock.Add(tickOther)
+	c.watchStall()
+	if now := time.Now(); c.spareUntil(now).After(now) {
+		t.Fatal("spares entries without a reason")
+	}
+	clock = clock.Add(5 * time.Second)
+	c.watchStall()
+	now := time.Now()
+	c.roster.missing("u", c.spareUntil(now), now)
+	wantState(t, c.roster, "u", "ready")
+	if c.copy.Steady(now) > time.Second {
+		t.Error("claims to have reached the log service all the while")
+	}
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -44,6 +44,7 @@
 	StreamRegained    = 611
 	PlannerFollowed   = 612
 	PlannerUnfollowed = 613
+	HostStalled       = 614
 	DesiredAdopted    = 620
 	DesiredRefused    = 621
 	UpstreamListed    = 630
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -195,6 +195,9 @@
 func (a *audited) Grant(r ownership.Range, d time.Duration) error {
 	a.w.mu.Lock()
 	defer a.w.mu.Unlock()
+	if a.l.Fenced(r) {
+		return ownership.ErrFenced
+	}
 	for _, other := range a.w.all {
 		if other == a.l || !other.up || !a.l.up || !other.HoldsAny(r) {
 			continue
--- a/internal/standin/ranged/ranged.go
+++ b/internal/standin/ranged/ranged.go
@@ -68,15 +68,30 @@
 	return out
 }
 
-// Grant takes keys for a time.
-func (u *Upstream) Grant(r ownership.Range, d time.Duration) error {
+// Fenced reports whether it has seen a higher token than r's on one of r's
+// keys, and refuses a grant of them.
+func (u *Upstream) Fenced(r ownership.Range) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.fenced(r)
+}
+
+func (u *Upstream) fenced(r ownership.Range) bool {
 	for _, h := range u.seen {
 		if h.from <= r.To && r.From <= h.to && h.fence > r.Fence {
-			return ownership.ErrFenced
+			return true
 		}
 	}
+	return false
+}
+
+// Grant takes keys for a time.
+func (u *Upstream) Grant(r ownership.Range, d time.Duration) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.fenced(r) {
+		return ownership.ErrFenced
+	}
 	u.seen = append(without(u.seen, r), hold{r.From, r.To, r.Fence, time.Time{}})
 	u.holds = append(without(u.holds, r), hold{r.From, r.To, r.Fence, time.Now().Add(d)})
 	return nil
