The planner's reads wait by the age of their own stream

Cause (TestCallsDoNotGrowWithHosts, 75 and 129 reads in two seconds instead of 6): the wait was cut by the age of the older of two streams, so while one stream's read waited the other was read again and again without a wait. Ruled out: hosts that do not follow (their reads do not grow). Change: readWait looks at the stream that is read.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -235,8 +235,9 @@
 // ownership stream by itself.
 func (c *control) followers(ctx context.Context) (own *follower, rest []*follower) {
 	h := &health{}
-	mk := func(s metastore.Stream, gather, wait func() time.Duration) *follower {
-		return &follower{store: c.store, stream: s, gather: gather, copy: c.copy, wait: wait, health: h, lead: s == metastore.StreamUpstreams,
+	mk := func(s metastore.Stream, gather func() time.Duration) *follower {
+		return &follower{store: c.store, stream: s, gather: gather, copy: c.copy, wait: func() time.Duration { return c.readWait(s) }, health: h,
+			lead:   s == metastore.StreamUpstreams,
 			apply:  func(b relay.Batch) { c.take(ctx, b) },
 			failed: func(err error) { c.post(ctx, func() { c.noteStream(s, err) }) }}
 	}
@@ -249,20 +250,22 @@
 			return direct
 		}
 	}
-	// The planner's copy is never known to be older than planningWait, also
-	// where it was old when the seat came here.
-	wait := func() time.Duration {
-		if c.planning.Load() {
-			return max(planningWait-c.copy.Age(time.Now()), 0)
-		}
-		return directWait
-	}
-	own = mk(metastore.StreamOwnership, either(0, 0), wait)
+	own = mk(metastore.StreamOwnership, either(0, 0))
 	own.idle = c.soleWriter.Load
 	return own, []*follower{
-		mk(metastore.StreamDesired, either(0, 0), wait),
-		mk(metastore.StreamUpstreams, either(gatherPlanning, gatherDirect), wait),
+		mk(metastore.StreamDesired, either(0, 0)),
+		mk(metastore.StreamUpstreams, either(gatherPlanning, gatherDirect)),
+	}
+}
+
+// readWait is how long the next read of a stream may wait for a record. The
+// planner's copy is never known to be older than planningWait, also where it
+// was older when the seat came here.
+func (c *control) readWait(s metastore.Stream) time.Duration {
+	if !c.planning.Load() {
+		return directWait
 	}
+	return min(max(planningWait-c.copy.StreamAge(s, time.Now()), 0), planningWait)
 }
 
 // take hands a batch that was read to the control goroutine and returns once
