--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -77,6 +77,25 @@
 func (b *Budget) Repeat(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.left(service, now) < 1 {
+		return false
+	}
+	b.slot(service, now).repeats++
+	return true
+}
+
+// Left returns how many repeats each service has left, for metrics.
+func (b *Budget) Left(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]float64{}
+	for service := range b.by {
+		out[service] = b.left(service, now)
+	}
+	return out
+}
+
+func (b *Budget) left(service string, now time.Time) float64 {
 	cur := b.slot(service, now)
 	requests, repeats := 0, 0
 	for _, c := range b.by[service] {
@@ -86,11 +105,7 @@
 		}
 	}
 	allowed := (float64(requests)*b.limits.Ratio + b.limits.Slack) * b.share(now)
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	cur.repeats++
-	return true
+	return allowed - float64(repeats)
 }
 
 func (b *Budget) share(now time.Time) float64 {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,9 +79,11 @@
 	Version int64
 	ViewAge time.Duration
 	Took    time.Duration
-	// AtUpstream is how long the last send took.
-	AtUpstream time.Duration
-	Left       time.Duration
+	// AtUpstream is how long the last send took, Connect how long of that was
+	// spent on a new connection, and Waited how long all waits for a turn
+	// took.
+	AtUpstream, Connect, Waited time.Duration
+	Left                        time.Duration
 	// Crowd is the state of the upstream's limiter, if the request was
 	// refused for it.
 	Crowd admission.State
@@ -153,7 +155,9 @@
 			return nil, ref
 		}
 		limiter := d.board.Limiter(u.ID)
+		asked := time.Now()
 		ticket := limiter.Acquire(ctx, q.patience(), d.share(u, q.service))
+		end.Waited += time.Since(asked)
 		if ticket == nil {
 			end.Upstream, end.Crowd = u.ID, limiter.State()
 			return nil, d.crowdedOut(ctx, q)
@@ -167,7 +171,7 @@
 			return nil, q.giveUp()
 		}
 		res, took := d.send(ctx, q, u, ticket)
-		end.AtUpstream = took
+		end.AtUpstream, end.Connect = took, res.Connect
 		again, ref := d.after(ctx, q, res)
 		if !again {
 			return res, ref
--- /dev/null
+++ b/internal/dispatch/fuzz_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/view"
+)
+
+// Whatever a caller sends is refused or read into a request of a route that
+// exists, with a key in range; it never ends the process.
+func FuzzRequest(f *testing.F) {
+	f.Add("GET", "keyed.example", "/a", "77", "500", "Close, X-Id", []byte("body"))
+	f.Add("POST", "charge.example:80", "/%2f//..", "-1", "99999999999999999999", ",", []byte{})
+	f.Add("GET", "", "*", "65536", "x", "Connection", []byte{0})
+	d := New(names, "dc1", view.NewHolder(), nil, nil, nil)
+	route := &desired.Route{Name: "r", Host: "keyed.example", Prefix: "/", Timeout: testTimeout, Objective: testObjective, MaxAttempts: 1,
+		Shares: []desired.Share{{Service: "keyed", Weight: 1}}}
+	d.views.Publish(func(v *view.View) {
+		v.Desired = desired.New(1, []*desired.Route{route}, map[string]*desired.Service{"keyed": {Name: "keyed", Keyed: true}}, desired.Limits{})
+	})
+	f.Fuzz(func(t *testing.T, method, host, path, key, timeout, connection string, body []byte) {
+		r, err := http.NewRequest(method, "http://x/", bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		r.Host, r.RequestURI, r.URL.Path = host, path, path
+		r.Header.Set("X-Key", key)
+		r.Header.Set("X-Timeout-Ms", timeout)
+		r.Header.Set("Connection", connection)
+		q, ref := d.read(r, testArrival)
+		if ref != nil {
+			ref.write(httptest.NewRecorder(), names.RequestID, "id")
+			return
+		}
+		if q.key < 0 || q.key >= ownership.Keys || q.route != route || q.deadline.After(testArrival.Add(testTimeout)) {
+			t.Errorf("read as %+v", q)
+		}
+	})
+}
+
+var testArrival = time.Unix(1000, 0)
--- /dev/null
+++ b/internal/entryhost/gauges.go
@@ -0,0 +1,40 @@
+package entryhost
+
+import (
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// writeGauges writes what this host believes at the moment, for the metrics
+// page. Labels are services, of which the desired state has a few.
+func (h *host) writeGauges(w io.Writer, now time.Time) {
+	metrics.WriteGaugeUint64(w, "papayatide_in_flight_requests", uint64(h.inFlight.Load()))
+	metrics.WriteGaugeFloat64(w, "papayatide_view_age_seconds", h.control.copy.Age(now).Seconds())
+	metrics.WriteGaugeUint64(w, "papayatide_hosts", uint64(h.fleet.Size(now)))
+	metrics.WriteGaugeUint64(w, "papayatide_planning", asNumber(h.control.planning.Load()))
+	metrics.WriteCounterUint64(w, "papayatide_log_lines_dropped_total", uint64(h.plat.LogDropped()))
+	for service, t := range h.views.Load().Tables {
+		owned := 0
+		for _, r := range t.Ranges {
+			if r.Owner != "" {
+				owned++
+			}
+		}
+		label := `{service="` + service + `"}`
+		metrics.WriteGaugeUint64(w, "papayatide_ranges"+label, uint64(len(t.Ranges)))
+		metrics.WriteGaugeUint64(w, "papayatide_owned_ranges"+label, uint64(owned))
+		metrics.WriteGaugeUint64(w, "papayatide_lost_owners"+label, uint64(len(t.Lost)))
+	}
+	for service, left := range h.budget.Left(now) {
+		metrics.WriteGaugeFloat64(w, `papayatide_repeats_left{service="`+service+`"}`, left)
+	}
+}
+
+func asNumber(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -162,7 +162,10 @@
 		return err
 	}
 	page := http.NewServeMux()
-	page.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	page.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+		h.writeGauges(w, time.Now())
+	})
 	return addServer(work, g, h.cfg.MetricsListen, &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout})
 }
 
--- a/internal/entryhost/requestlog.go
+++ b/internal/entryhost/requestlog.go
@@ -18,6 +18,8 @@
 var (
 	servedCount  atomic.Int64
 	totalLatency = metrics.NewHistogram(`papayatide_request_duration_seconds{stage="total"}`)
+	waitLatency  = metrics.NewHistogram(`papayatide_request_duration_seconds{stage="admission"}`)
+	connLatency  = metrics.NewHistogram(`papayatide_request_duration_seconds{stage="connect"}`)
 	upLatency    = metrics.NewHistogram(`papayatide_request_duration_seconds{stage="upstream"}`)
 )
 
@@ -25,6 +27,12 @@
 func (h *host) ended(e *dispatch.End) {
 	h.reporter.add(e)
 	totalLatency.Update(e.Took.Seconds())
+	if e.Waited > 0 {
+		waitLatency.Update(e.Waited.Seconds())
+	}
+	if e.Connect > 0 {
+		connLatency.Update(e.Connect.Seconds())
+	}
 	if e.AtUpstream > 0 {
 		upLatency.Update(e.AtUpstream.Seconds())
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -69,6 +69,8 @@
 	Body   []byte
 	// NewConn says that a connection was opened for the request.
 	NewConn bool
+	// Connect is how long opening it took.
+	Connect time.Duration
 	// Err says why there is no answer.
 	Err error
 }
@@ -121,15 +123,19 @@
 	p := c.pool(t)
 	cn := p.get(time.Now())
 	fresh := cn == nil
+	began := time.Now()
 	if fresh {
 		var err error
 		if cn, err = dial(ctx, t.Addr); err != nil {
 			return &Result{Outcome: NotSent, NewConn: true, Err: eris.Wrapf(err, "upstream %s: connect", t.ID)}
 		}
 	}
+	connect := time.Since(began)
 	stop := context.AfterFunc(ctx, cn.abort)
 	res, reusable := c.exchange(ctx, cn, t, req)
-	res.NewConn = fresh
+	if res.NewConn = fresh; fresh {
+		res.Connect = connect
+	}
 	if !stop() || !reusable {
 		cn.abort()
 		return res
