--- a/cmd/papayatided/daemon.go
+++ b/cmd/papayatided/daemon.go
@@ -17,7 +17,7 @@
 	flag.Parse()
 	cfg, err := settings.Load(*path)
 	if err != nil {
-		return err
+		return settingsError{err}
 	}
 	zl, err := daemon.NewLogger(cfg.LogLevel)
 	if err != nil {
--- a/cmd/papayatided/entry.go
+++ b/cmd/papayatided/entry.go
@@ -32,7 +32,7 @@
 	path := os.Getenv(platform.SettingsEnv)
 	cfg, err := settings.LoadEntry(path)
 	if err != nil {
-		return err
+		return settingsError{err}
 	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
--- a/cmd/papayatided/main.go
+++ b/cmd/papayatided/main.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 )
@@ -18,6 +19,25 @@
 	}
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "papayatided:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
+
+// Exit codes. A supervisor need not start again what has bad settings.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// settingsError says that the settings are not valid.
+type settingsError struct{ error }
+
+func (e settingsError) Unwrap() error { return e.error }
+
+func exitCode(err error) int {
+	var bad settingsError
+	if errors.As(err, &bad) {
+		return exitSettings
+	}
+	return exitFailed
+}
