A relay's copy may be 1.25 s old, so that a silent relay is noticed within 2 s

Cause: read while checking the bounds of the first two sites, which allow 2 s; 1.5 s and the 0.7 s until a silent relay is given up make 2.2 s, over it on a deployment with such bounds and eight hosts a data centre. Change: 1.25 s. Test: TestSilentPlannerIsNoticedInTime (failed for the relay).

--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -28,12 +28,13 @@
 	// copyAge is the greatest age of the planner's copy that is relied on.
 	// With followTimeout it leaves a host behind the log by at most 1.8 s
 	// before it reads for itself; relayedAge is that of a relay's copy, with
-	// which it is 2.2 s.
+	// which it is 1.95 s. A change must be in force, and an upstream that
+	// leaves left alone, within 2 s.
 	copyAge    = 1100 * time.Millisecond
-	relayedAge = 1500 * time.Millisecond
+	relayedAge = 1250 * time.Millisecond
 	// restAge is the age of what this host knows from which on it reads
-	// every stream itself; it leaves a second of the 2.5 s within which a
-	// change must be in force.
+	// every stream itself, if it does not find the planner again; it leaves
+	// 0.5 s for that.
 	restAge = 1500 * time.Millisecond
 	// startAlone is how long a weak host that knows nothing looks for a
 	// planner before it reads every stream itself. A strong one does so at
--- /dev/null
+++ b/internal/entryhost/feed_test.go
@@ -0,0 +1,25 @@
+package entryhost
+
+import (
+	"testing"
+	"time"
+)
+
+// inForce is within what time a change must be in force and a leaving upstream
+// be left alone, by the tightest of the users' deployments.
+const inForce = 2 * time.Second
+
+// A host follows a copy of the greatest age allowed, and its planner or relay
+// then goes silent. It must still know in time what the log says.
+func TestSilentPlannerIsNoticedInTime(t *testing.T) {
+	for name, age := range map[string]time.Duration{
+		"planner":             copyAge + followTimeout,
+		"relay":               relayedAge + followTimeout,
+		"planner not found":   restAge + seekPlanner,
+		"log read by the way": directWait,
+	} {
+		if age >= inForce {
+			t.Errorf("%s: what a host knows may be %v old", name, age)
+		}
+	}
+}
