A stand-in that is killed right after its start frees its address at once

Ruled out: another process (its block is guarded), copies of descriptors at a fork (the package starts none), connections in time-wait (Go reuses the address). Change: the stand-in closes its listener itself.

--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -56,7 +56,7 @@
 	// Server is the current incarnation.
 	Server *target.Server
 	opts   target.Options
-	srv    *http.Server
+	srv    *server
 	// past are earlier incarnations, kept so that counts of work run
 	// survive a restart.
 	past []*target.Server
@@ -83,16 +83,30 @@
 	Targets  map[string]*Target
 	Hosts    []*Host
 	spec     Spec
-	logSrv   *http.Server
-	hostSrv  *http.Server
+	logSrv   *server
+	hostSrv  *server
 }
 
-func serve(addr string, h http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
+// server is an HTTP server whose Close frees its address at once.
+type server struct {
+	*http.Server
+	ln net.Listener
+}
+
+// Close ends the server. The listener is closed by itself: a server that was
+// not serving yet does not know it, and would keep the address until its
+// goroutine ran.
+func (s *server) Close() error {
+	_ = s.ln.Close() // the server may have closed it
+	return s.Server.Close()
+}
+
+func serve(addr string, h http.Handler, connContext func(context.Context, net.Conn) context.Context) (*server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen %s", addr)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ConnContext: connContext}
+	srv := &server{Server: &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ConnContext: connContext}, ln: ln}
 	go func() { _ = srv.Serve(ln) }()
 	return srv, nil
 }
