--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -97,8 +97,9 @@
 // not serving yet does not know it, and would keep the address until its
 // goroutine ran.
 func (s *server) Close() error {
+	err := s.Server.Close()
 	_ = s.ln.Close() // the server may have closed it
-	return s.Server.Close()
+	return err
 }
 
 func serve(addr string, h http.Handler, connContext func(context.Context, net.Conn) context.Context) (*server, error) {
