One fading sum serves the load map and the limits

Cause: the limiter's rate of starts repeated loadmap's fading sum and its span by hand. Change: package decay, called by both.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -11,9 +11,10 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
+
+	"github.com/papayatide/papayatide/internal/decay"
 )
 
 const (
@@ -65,12 +66,12 @@
 	limit float64
 	share Share
 	// firstStart is when the first request started, starts counts those
-	// since, fading with startMemory as of lastStart.
-	firstStart, lastStart time.Time
-	starts                float64
-	underWay              int
-	latency               time.Duration
-	cutAt                 time.Time
+	// since, fading with startMemory.
+	firstStart time.Time
+	starts     decay.Sum
+	underWay   int
+	latency    time.Duration
+	cutAt      time.Time
 	// nextStart spaces requests out while the limit is below one.
 	nextStart time.Time
 	waiters   []chan struct{}
@@ -234,8 +235,7 @@
 	if l.firstStart.IsZero() {
 		l.firstStart = now
 	}
-	l.starts = l.starts*math.Exp(-now.Sub(l.lastStart).Seconds()/startMemory.Seconds()) + 1
-	l.lastStart = now
+	l.starts.Add(1, startMemory, now)
 }
 
 // used is how much of the limit is in use: the requests under way or, where
@@ -246,8 +246,8 @@
 	if l.underWay > 1 {
 		return float64(l.underWay)
 	}
-	memory := startMemory.Seconds() * (1 - math.Exp(-now.Sub(l.firstStart).Seconds()/startMemory.Seconds()))
-	return min(l.starts*l.latency.Seconds()/max(memory, l.latency.Seconds()), 1)
+	span := max(decay.Span(startMemory, now.Sub(l.firstStart)), l.latency.Seconds())
+	return min(l.starts.Value(startMemory, now)*l.latency.Seconds()/span, 1)
 }
 
 // expectedWait is how long one more request would wait for its turn.
--- a/internal/loadmap/loadmap.go
+++ b/internal/loadmap/loadmap.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/decay"
 	"github.com/papayatide/papayatide/internal/ownership"
 )
 
@@ -45,27 +46,9 @@
 	forgetEvery = 10 * time.Second
 )
 
-// decayed is a sum whose parts fade with a time constant.
-type decayed struct {
-	sum float64
-	at  time.Time
-}
-
-func (d *decayed) add(x float64, tau time.Duration, now time.Time) {
-	d.sum = d.value(tau, now) + x
-	d.at = now
-}
-
-func (d *decayed) value(tau time.Duration, now time.Time) float64 {
-	if d.sum == 0 {
-		return 0
-	}
-	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/tau.Seconds())
-}
-
-type key struct{ usual, recent decayed }
+type key struct{ usual, recent decay.Sum }
 
-type speed struct{ count, latency decayed }
+type speed struct{ count, latency decay.Sum }
 
 type service struct {
 	keys      map[int]*key
@@ -96,8 +79,8 @@
 			k = &key{}
 			s.keys[x.Key] = k
 		}
-		k.usual.add(weight, steady, now)
-		k.recent.add(weight, sudden, now)
+		k.usual.Add(weight, steady, now)
+		k.recent.Add(weight, sudden, now)
 		if x.Upstream != "" && x.Latency > 0 {
 			s.addLatency(x.Upstream, x.Latency, weight, now)
 		}
@@ -111,8 +94,8 @@
 		u = &speed{}
 		s.upstreams[id] = u
 	}
-	u.count.add(weight, speedMemory, now)
-	u.latency.add(weight*l.Seconds(), speedMemory, now)
+	u.count.Add(weight, speedMemory, now)
+	u.latency.Add(weight*l.Seconds(), speedMemory, now)
 }
 
 // forget drops keys that nobody asks for any more.
@@ -122,7 +105,7 @@
 	}
 	s.forgotAt = now
 	for k, v := range s.keys {
-		if v.usual.value(steady, now) < negligible {
+		if v.usual.Value(steady, now) < negligible {
 			delete(s.keys, k)
 		}
 	}
@@ -130,8 +113,7 @@
 
 // span is the time over which a sum with time constant tau has gathered.
 func (s *service) span(tau time.Duration, now time.Time) float64 {
-	age := now.Sub(s.started).Seconds()
-	return tau.Seconds() * (1 - math.Exp(-age/tau.Seconds()))
+	return decay.Span(tau, now.Sub(s.started))
 }
 
 // rate returns the requests a second for a key: its usual rate, unless the
@@ -141,8 +123,8 @@
 	if longSpan == 0 {
 		return 0
 	}
-	usual := k.usual.value(steady, now) / longSpan
-	recent := k.recent.value(sudden, now)
+	usual := k.usual.Value(steady, now) / longSpan
+	recent := k.recent.Value(sudden, now)
 	expected := usual * shortSpan
 	if math.Abs(recent-expected) > max(signs*math.Sqrt(expected), least) {
 		return recent / shortSpan
@@ -165,7 +147,7 @@
 	samples := 0.0
 	for k, v := range s.keys {
 		out.ByKey[k] = s.rate(v, now)
-		samples += v.usual.value(steady, now)
+		samples += v.usual.Value(steady, now)
 	}
 	typical := s.typical(owners, now)
 	for _, u := range owners {
@@ -193,8 +175,8 @@
 	if sp == nil {
 		return 0, 0
 	}
-	n := sp.count.value(speedMemory, now)
-	total := sp.latency.value(speedMemory, now)
+	n := sp.count.Value(speedMemory, now)
+	total := sp.latency.Value(speedMemory, now)
 	if n < 1 {
 		return 0, 0
 	}
