Less state: one word for who is followed, no kept tables, no idle choices

- feed kept the followed host twice, as a field and as its atomic copy.
- The last changes kept 32 whole ownership tables for five of their fields; that is two megabytes at 900 ranges, worked out, not measured.
- either(0, 0) chose between two zeros; the one real choice is a method.
- Board.Prune worked out a limiter's whole state for its requests under way, which UnderWay returns.
Fleet.Size locked twice.
Behaviour as before; no test changed.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -105,7 +105,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, r := range b.by {
-		if !keep(id) && r.limiter.State().UnderWay == 0 {
+		if !keep(id) && r.limiter.UnderWay() == 0 {
 			delete(b.by, id)
 		}
 	}
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -241,21 +241,21 @@
 			apply:  func(b relay.Batch) { c.take(ctx, b) },
 			failed: func(err error) { c.post(ctx, func() { c.noteStream(s, err) }) }}
 	}
-	// either returns the first while this host plans, the second otherwise.
-	either := func(planning, direct time.Duration) func() time.Duration {
-		return func() time.Duration {
-			if c.planning.Load() {
-				return planning
-			}
-			return direct
-		}
-	}
-	own = mk(metastore.StreamOwnership, either(0, 0))
+	atOnce := func() time.Duration { return 0 }
+	own = mk(metastore.StreamOwnership, atOnce)
 	own.idle = c.soleWriter.Load
 	return own, []*follower{
-		mk(metastore.StreamDesired, either(0, 0)),
-		mk(metastore.StreamUpstreams, either(gatherPlanning, gatherDirect)),
+		mk(metastore.StreamDesired, atOnce),
+		mk(metastore.StreamUpstreams, c.gatherUpstreams),
+	}
+}
+
+// gatherUpstreams is the pause after a read that returned upstreams' records.
+func (c *control) gatherUpstreams() time.Duration {
+	if c.planning.Load() {
+		return gatherPlanning
 	}
+	return gatherDirect
 }
 
 // readWait is how long the next read of a stream may wait for a record. The
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -84,10 +84,9 @@
 	directCtx  context.Context
 	stopDirect context.CancelFunc
 	restAtWork bool
-	// following is the host whose copy is relied on, if any; others read it
-	// from followed.
-	following string
-	followed  atomic.Value
+	// following holds the address of the host whose copy is relied on, a
+	// string; empty or nil if there is none.
+	following atomic.Value
 	// relay is the host that relays the copy of the planner at relayOf.
 	relay, relayOf string
 	// last is the last answer of the planner itself; see standing.
@@ -187,19 +186,25 @@
 	return peer.Standing{Age: age, Steady: h.steady}, age <= relayedAge
 }
 
+// followed returns the address of the host whose copy is relied on, if any.
+func (f *feed) followed() string {
+	addr, _ := f.following.Load().(string)
+	return addr
+}
+
 // note logs that another planner's copy is relied on, or none any more.
 func (f *feed) note(addr string, age time.Duration, err error) {
-	if addr == f.following {
+	old := f.followed()
+	if addr == old {
 		return
 	}
 	if addr != "" {
 		f.zl.Info("planner's copy of the log followed", zap.Int("event", events.PlannerFollowed), zap.String("planner", addr), zap.Duration("age", age))
 	} else {
-		f.zl.Info("planner's copy of the log left", zap.Int("event", events.PlannerUnfollowed), zap.String("planner", f.following),
+		f.zl.Info("planner's copy of the log left", zap.Int("event", events.PlannerUnfollowed), zap.String("planner", old),
 			zap.Duration("age", age), ErrorField(err))
 	}
-	f.following = addr
-	f.followed.Store(addr)
+	f.following.Store(addr)
 }
 
 // lookAtSeat has the readers begin anew when this host gets the planner's
--- a/internal/entryhost/status.go
+++ b/internal/entryhost/status.go
@@ -12,11 +12,13 @@
 // keptChanges bounds the changes of ownership that a host remembers.
 const keptChanges = 32
 
-// change is a change of ownership that this host adopted.
+// change is a change of ownership that this host adopted. It does not keep
+// the table: thirty of them are two megabytes on a large fleet.
 type change struct {
-	at    time.Time
-	table *ownership.Table
-	keys  int
+	at             time.Time
+	service, cause string
+	term, fence    int64
+	keys           int
 }
 
 // changes are the last ones. It is safe for concurrent use.
@@ -28,7 +30,8 @@
 func (c *changes) add(old, now *ownership.Table) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.last = append(c.last, change{at: time.Now(), table: now, keys: now.KeysMovedSince(old)})
+	c.last = append(c.last, change{at: time.Now(), service: now.Service, cause: now.Cause, term: now.Term, fence: now.Fence,
+		keys: now.KeysMovedSince(old)})
 	if n := len(c.last) - keptChanges; n > 0 {
 		c.last = append([]change(nil), c.last[n:]...)
 	}
@@ -46,7 +49,7 @@
 	v := h.views.Load()
 	out := &peerpb.StatusReply{Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Planning: h.control.planning.Load(),
 		ViewAgeMs: uint32(h.control.copy.Age(now).Milliseconds()), Hosts: uint32(h.fleet.Size(now)), InFlight: h.inFlight.Load()}
-	out.Follows, _ = h.feed.followed.Load().(string)
+	out.Follows = h.feed.followed()
 	if v.Desired != nil {
 		out.Version = v.Desired.Version
 	}
@@ -54,8 +57,8 @@
 		out.Services = append(out.Services, describeTable(t))
 	}
 	for _, c := range h.control.changes.list() {
-		out.Changes = append(out.Changes, &peerpb.OwnershipChange{AgeMs: uint32(now.Sub(c.at).Milliseconds()), Service: c.table.Service,
-			Term: c.table.Term, Fence: c.table.Fence, Keys: uint32(c.keys), Cause: c.table.Cause})
+		out.Changes = append(out.Changes, &peerpb.OwnershipChange{AgeMs: uint32(now.Sub(c.at).Milliseconds()), Service: c.service,
+			Term: c.term, Fence: c.fence, Keys: uint32(c.keys), Cause: c.cause})
 	}
 	return out
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,13 +67,9 @@
 // Size returns how many hosts there are, this one included, as the planner
 // or this host itself knows, whichever is more.
 func (f *Fleet) Size(now time.Time) int {
-	return max(f.Followers(now)+1, f.toldSize())
-}
-
-func (f *Fleet) toldSize() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.told
+	return max(f.followers(now)+1, f.told)
 }
 
 // Followers returns how many hosts follow this one, itself or through a
@@ -81,6 +77,10 @@
 func (f *Fleet) Followers(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.followers(now)
+}
+
+func (f *Fleet) followers(now time.Time) int {
 	n := 0
 	for name, e := range f.by {
 		if now.Sub(e.at) > counted {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -113,8 +113,9 @@
 
 // SoleWriter reports whether the ownership stream holds nothing that this host
 // has not written itself: the seat was proved lately, is not being given up,
-// every append was answered and no order refused for a higher token. After a lost answer only reading tells where
-// the stream ends; without it each further append would be refused.
+// every append was answered and no order refused for a higher token. After a
+// lost answer only reading tells where the stream ends; without it each
+// further append would be refused.
 func (p *Planner) SoleWriter(now bootclock.Time) bool {
 	return p.Holding(now) && !p.resigned && !p.endDoubted && now.Sub(p.seat.provenAt) <= freshSeat
 }
