--- /dev/null
+++ b/internal/entryhost/calls.go
@@ -0,0 +1,64 @@
+package entryhost
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/planner"
+	"github.com/papayatide/papayatide/internal/relay"
+)
+
+// start makes a planner's call and hands its result back.
+func (c *control) start(ctx context.Context, a planner.Action) {
+	switch a := a.(type) {
+	case *planner.Join:
+		go func() {
+			seat, err := c.store.Join(ctx, c.member(), a.TTL, a.Generation)
+			c.post(ctx, func() { c.plan.JoinDone(a, seat, err, c.clock()) })
+		}()
+	case *planner.Leave:
+		go func() {
+			if err := c.store.Leave(ctx, c.member()); err != nil {
+				c.zl.Info("planner's group not left; the membership lapses", zap.Int("event", events.PlannerSeatLost), ErrorField(err))
+			}
+		}()
+	case *planner.Append:
+		go c.append(ctx, a)
+	case *planner.Grant:
+		go func() {
+			gctx, cancel := context.WithTimeout(ctx, grantTimeout)
+			err := c.granter.Grant(gctx, a.Addr, a.Range, a.Hold)
+			cancel()
+			c.post(ctx, func() { c.plan.GrantDone(a, err, c.clock()) })
+		}()
+	case *planner.Release:
+		go func() {
+			rctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+			token, err := c.granter.Release(rctx, a.Addr, a.Range)
+			cancel()
+			c.post(ctx, func() { c.plan.ReleaseDone(a, token, err, c.clock()) })
+		}()
+	}
+}
+
+func (c *control) append(ctx context.Context, a *planner.Append) {
+	data, err := a.Table.Encode()
+	var end int64
+	if err == nil {
+		end, err = c.store.AppendAt(ctx, metastore.StreamOwnership, a.Table.Service, data, a.At)
+	}
+	c.post(ctx, func() {
+		t := c.plan.AppendDone(a, end, err, c.clock())
+		if t == nil {
+			return
+		}
+		c.adoptTable(t)
+		c.copy.Apply(relay.Batch{Stream: metastore.StreamOwnership, Next: end,
+			Records: []metastore.Record{{Key: t.Service, Value: data, Offset: end - 1}}})
+	})
+}
+
+func (c *control) member() string { return c.plan.Host() }
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -179,58 +179,6 @@
 	}
 }
 
-// start makes a planner's call and hands its result back.
-func (c *control) start(ctx context.Context, a planner.Action) {
-	switch a := a.(type) {
-	case *planner.Join:
-		go func() {
-			seat, err := c.store.Join(ctx, c.member(), a.TTL, a.Generation)
-			c.post(ctx, func() { c.plan.JoinDone(a, seat, err, c.clock()) })
-		}()
-	case *planner.Leave:
-		go func() {
-			if err := c.store.Leave(ctx, c.member()); err != nil {
-				c.zl.Info("planner's group not left; the membership lapses", zap.Int("event", events.PlannerSeatLost), ErrorField(err))
-			}
-		}()
-	case *planner.Append:
-		go c.append(ctx, a)
-	case *planner.Grant:
-		go func() {
-			gctx, cancel := context.WithTimeout(ctx, grantTimeout)
-			err := c.granter.Grant(gctx, a.Addr, a.Range, a.Hold)
-			cancel()
-			c.post(ctx, func() { c.plan.GrantDone(a, err, c.clock()) })
-		}()
-	case *planner.Release:
-		go func() {
-			rctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-			token, err := c.granter.Release(rctx, a.Addr, a.Range)
-			cancel()
-			c.post(ctx, func() { c.plan.ReleaseDone(a, token, err, c.clock()) })
-		}()
-	}
-}
-
-func (c *control) append(ctx context.Context, a *planner.Append) {
-	data, err := a.Table.Encode()
-	var end int64
-	if err == nil {
-		end, err = c.store.AppendAt(ctx, metastore.StreamOwnership, a.Table.Service, data, a.At)
-	}
-	c.post(ctx, func() {
-		t := c.plan.AppendDone(a, end, err, c.clock())
-		if t == nil {
-			return
-		}
-		c.adoptTable(t)
-		c.copy.Apply(relay.Batch{Stream: metastore.StreamOwnership, Next: end,
-			Records: []metastore.Record{{Key: t.Service, Value: data, Offset: end - 1}}})
-	})
-}
-
-func (c *control) member() string { return c.plan.Host() }
-
 // followers returns the readers of the log service's streams, that of the
 // ownership stream by itself.
 func (c *control) followers(ctx context.Context) (own *follower, rest []*follower) {
@@ -268,37 +216,6 @@
 	return min(max(planningWait-c.copy.StreamAge(s, time.Now()), 0), planningWait)
 }
 
-// take hands a batch that was read to the control goroutine and returns once
-// it was taken in, so that the next read goes on behind it.
-func (c *control) take(ctx context.Context, b relay.Batch) {
-	done := make(chan struct{})
-	c.post(ctx, func() {
-		c.apply(b)
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
-// apply takes in the part of a batch that is new.
-func (c *control) apply(b relay.Batch) {
-	fresh := c.copy.Apply(b)
-	if fresh == nil {
-		return
-	}
-	switch b.Stream {
-	case metastore.StreamDesired:
-		c.applyDesired(fresh.Records)
-	case metastore.StreamUpstreams:
-		c.applyUpstreams(fresh.Records, fresh.Reset)
-	case metastore.StreamOwnership:
-		c.plan.StreamEnd(fresh.Next)
-		c.applyOwnership(fresh.Records)
-	}
-}
-
 // wasCut is for how long the planner must have reached the log service for a
 // break that this host saw to be its own: no outage, in which entries lapse.
 const wasCut = 4 * time.Second
@@ -343,97 +260,6 @@
 	}
 }
 
-func (c *control) applyDesired(recs []metastore.Record) {
-	for _, rec := range recs {
-		if rec.Value == nil {
-			continue
-		}
-		st, err := c.decoder.Desired(rec.Key, rec.Value)
-		if err != nil {
-			c.zl.Error("desired state refused", zap.Int("event", events.DesiredRefused), zap.Int64("offset", rec.Offset), ErrorField(err))
-			continue
-		}
-		cur := c.views.Load().Desired
-		if st == nil || (cur != nil && st.Version <= cur.Version) {
-			continue
-		}
-		c.views.Publish(func(v *view.View) { v.Desired = st })
-		c.zl.Info("desired state adopted", zap.Int("event", events.DesiredAdopted), zap.Int64("version", st.Version), zap.Int64("offset", rec.Offset))
-	}
-}
-
-func (c *control) applyOwnership(recs []metastore.Record) {
-	for _, rec := range recs {
-		if rec.Value == nil {
-			continue
-		}
-		t, err := ownership.Decode(rec.Value)
-		if err != nil {
-			c.zl.Error("ownership record refused", zap.Int("event", events.OwnershipRefused), zap.Int64("offset", rec.Offset), ErrorField(err))
-			continue
-		}
-		c.adoptTable(t)
-	}
-}
-
-func (c *control) adoptTable(t *ownership.Table) {
-	cur := c.views.Load().Tables[t.Service]
-	if cur != nil && t.Fence <= cur.Fence {
-		return
-	}
-	c.changes.add(cur, t)
-	c.views.Publish(func(v *view.View) {
-		tables := map[string]*ownership.Table{t.Service: t}
-		for name, old := range v.Tables {
-			if name != t.Service {
-				tables[name] = old
-			}
-		}
-		v.Tables = tables
-	})
-	c.zl.Info("ownership adopted", zap.Int("event", events.OwnershipAdopted), zap.String("service", t.Service),
-		zap.Int64("term", t.Term), zap.Int64("fence", t.Fence), zap.String("planner", t.Planner), zap.Int("ranges", len(t.Ranges)),
-		zap.String("cause", t.Cause))
-}
-
-// applyUpstreams takes in upstreams' records. After a reset, those that are
-// not among them are missing.
-func (c *control) applyUpstreams(recs []metastore.Record, reset bool) {
-	now := time.Now()
-	listed := map[string]bool{}
-	for _, rec := range recs {
-		if rec.Value == nil {
-			c.roster.missing(rec.Key, c.spareUntil(now), now)
-			continue
-		}
-		u, err := c.decoder.Upstream(rec.Key, rec.Value, now)
-		if err != nil {
-			c.zl.Error("upstream's record refused", zap.Int("event", events.UpstreamRefused), zap.String("peer", rec.Key), ErrorField(err))
-			continue
-		}
-		listed[u.ID] = true
-		c.roster.list(u)
-	}
-	if reset {
-		c.roster.missingBut(listed, c.spareUntil(now), now)
-	}
-	c.publishUpstreams()
-}
-
-// spareUntil returns until when an upstream that is missing now is not taken
-// for gone; in the past unless the log service has only just come back.
-func (c *control) spareUntil(now time.Time) time.Time {
-	if _, lost := c.broken[metastore.StreamUpstreams]; lost {
-		return now.Add(relist)
-	}
-	return c.backAt.Add(relist)
-}
-
-func (c *control) publishUpstreams() {
-	snap := c.roster.snapshot()
-	c.views.Publish(func(v *view.View) { v.Upstreams = snap })
-}
-
 // leave gives the planner's seat up, so that another host plans at once
 // rather than when this one's time to live has run out.
 func (c *control) leave(ctx context.Context) {
--- /dev/null
+++ b/internal/entryhost/records.go
@@ -0,0 +1,136 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/view"
+)
+
+// take hands a batch that was read to the control goroutine and returns once
+// it was taken in, so that the next read goes on behind it.
+func (c *control) take(ctx context.Context, b relay.Batch) {
+	done := make(chan struct{})
+	c.post(ctx, func() {
+		c.apply(b)
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// apply takes in the part of a batch that is new.
+func (c *control) apply(b relay.Batch) {
+	fresh := c.copy.Apply(b)
+	if fresh == nil {
+		return
+	}
+	switch b.Stream {
+	case metastore.StreamDesired:
+		c.applyDesired(fresh.Records)
+	case metastore.StreamUpstreams:
+		c.applyUpstreams(fresh.Records, fresh.Reset)
+	case metastore.StreamOwnership:
+		c.plan.StreamEnd(fresh.Next)
+		c.applyOwnership(fresh.Records)
+	}
+}
+
+func (c *control) applyDesired(recs []metastore.Record) {
+	for _, rec := range recs {
+		if rec.Value == nil {
+			continue
+		}
+		st, err := c.decoder.Desired(rec.Key, rec.Value)
+		if err != nil {
+			c.zl.Error("desired state refused", zap.Int("event", events.DesiredRefused), zap.Int64("offset", rec.Offset), ErrorField(err))
+			continue
+		}
+		cur := c.views.Load().Desired
+		if st == nil || (cur != nil && st.Version <= cur.Version) {
+			continue
+		}
+		c.views.Publish(func(v *view.View) { v.Desired = st })
+		c.zl.Info("desired state adopted", zap.Int("event", events.DesiredAdopted), zap.Int64("version", st.Version), zap.Int64("offset", rec.Offset))
+	}
+}
+
+func (c *control) applyOwnership(recs []metastore.Record) {
+	for _, rec := range recs {
+		if rec.Value == nil {
+			continue
+		}
+		t, err := ownership.Decode(rec.Value)
+		if err != nil {
+			c.zl.Error("ownership record refused", zap.Int("event", events.OwnershipRefused), zap.Int64("offset", rec.Offset), ErrorField(err))
+			continue
+		}
+		c.adoptTable(t)
+	}
+}
+
+func (c *control) adoptTable(t *ownership.Table) {
+	cur := c.views.Load().Tables[t.Service]
+	if cur != nil && t.Fence <= cur.Fence {
+		return
+	}
+	c.changes.add(cur, t)
+	c.views.Publish(func(v *view.View) {
+		tables := map[string]*ownership.Table{t.Service: t}
+		for name, old := range v.Tables {
+			if name != t.Service {
+				tables[name] = old
+			}
+		}
+		v.Tables = tables
+	})
+	c.zl.Info("ownership adopted", zap.Int("event", events.OwnershipAdopted), zap.String("service", t.Service),
+		zap.Int64("term", t.Term), zap.Int64("fence", t.Fence), zap.String("planner", t.Planner), zap.Int("ranges", len(t.Ranges)),
+		zap.String("cause", t.Cause))
+}
+
+// applyUpstreams takes in upstreams' records. After a reset, those that are
+// not among them are missing.
+func (c *control) applyUpstreams(recs []metastore.Record, reset bool) {
+	now := time.Now()
+	listed := map[string]bool{}
+	for _, rec := range recs {
+		if rec.Value == nil {
+			c.roster.missing(rec.Key, c.spareUntil(now), now)
+			continue
+		}
+		u, err := c.decoder.Upstream(rec.Key, rec.Value, now)
+		if err != nil {
+			c.zl.Error("upstream's record refused", zap.Int("event", events.UpstreamRefused), zap.String("peer", rec.Key), ErrorField(err))
+			continue
+		}
+		listed[u.ID] = true
+		c.roster.list(u)
+	}
+	if reset {
+		c.roster.missingBut(listed, c.spareUntil(now), now)
+	}
+	c.publishUpstreams()
+}
+
+// spareUntil returns until when an upstream that is missing now is not taken
+// for gone; in the past unless the log service has only just come back.
+func (c *control) spareUntil(now time.Time) time.Time {
+	if _, lost := c.broken[metastore.StreamUpstreams]; lost {
+		return now.Add(relist)
+	}
+	return c.backAt.Add(relist)
+}
+
+func (c *control) publishUpstreams() {
+	snap := c.roster.snapshot()
+	c.views.Publish(func(v *view.View) { v.Upstreams = snap })
+}
