--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -121,7 +121,10 @@
 		ring = &[slots]counts{}
 		b.by[service] = ring
 	}
-	step := now.UnixNano() / int64(b.limits.Window/steps)
+	// Steps are counted from the start by the steady clock. By the time of
+	// day, a clock set back by seconds would empty the window, and the whole
+	// budget be spent again within it.
+	step := int64(now.Sub(b.start) / (b.limits.Window / steps))
 	c := &ring[step%slots]
 	if c.step != step {
 		*c = counts{step: step}
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -18,7 +18,7 @@
 var Windows = []time.Duration{5 * time.Minute, time.Hour}
 
 type bucket struct {
-	start            int64 // bucket number (unix time / width)
+	start            int64 // bucket number, from the recorder's first time on
 	total, bad, slow int64
 }
 
@@ -36,6 +36,9 @@
 	LatencyObjective time.Duration
 	mu               sync.Mutex
 	services         map[string]*[Buckets]bucket
+	// began is the first time that was told. Buckets are counted from it by
+	// the steady clock: the time of day may jump.
+	began time.Time
 }
 
 // NewRecorder returns a recorder with the given latency objective.
@@ -43,12 +46,21 @@
 	return &Recorder{LatencyObjective: latency, services: map[string]*[Buckets]bucket{}}
 }
 
+// bucketAt returns the number of the bucket of a time. The caller holds mu.
+func (r *Recorder) bucketAt(now time.Time) int64 {
+	if r.began.IsZero() {
+		r.began = now
+	}
+	// The ring is indexed by the number, which must not be negative.
+	return int64(now.Sub(r.began)/BucketWidth) + Buckets
+}
+
 // Record counts one request of service answered at now after took; bad
 // says it was refused for a cause other than the caller's own.
 func (r *Recorder) Record(service string, bad bool, took time.Duration, now time.Time) {
-	n := now.UnixNano() / int64(BucketWidth)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	n := r.bucketAt(now)
 	ring := r.services[service]
 	if ring == nil {
 		ring = new([Buckets]bucket)
@@ -70,9 +82,9 @@
 // Snapshot returns every service's counts over each of Windows at now,
 // sorted by service then window.
 func (r *Recorder) Snapshot(now time.Time) []Counts {
-	n := now.UnixNano() / int64(BucketWidth)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	n := r.bucketAt(now)
 	var out []Counts
 	for svc, ring := range r.services {
 		for _, w := range Windows {
