A stopping host answers every request before its grace period ends

Change: 0.7 s before the end of the grace period every request is ended truthfully, 503 where it has not run and 504 where that is not known; requests that come later are given, and their upstreams told, the time that is left.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -55,6 +55,7 @@
 	budget  *budget.Budget
 	splits  *splitter
 	unheld  *unheld
+	stop    *stopper
 	// fleet is how many hosts there are, this one included.
 	fleet atomic.Int64
 	// Ended is told of every request's end.
@@ -92,7 +93,7 @@
 // New returns a dispatcher for callers in the data centre home.
 func New(h protocol.Headers, home string, views *view.Holder, client *upstream.Client, board *balance.Board, bud *budget.Budget) *Dispatcher {
 	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud,
-		splits: newSplitter(), unheld: newUnheld(), Ended: func(*End) {}}
+		splits: newSplitter(), unheld: newUnheld(), stop: newStopper(), Ended: func(*End) {}}
 	d.SetFleet(1)
 	return d
 }
@@ -105,7 +106,7 @@
 	var res *upstream.Result
 	if ref == nil {
 		d.budget.Request(q.service.Name, arrived)
-		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+		ctx, cancel := d.stop.context(r.Context(), q.deadline)
 		res, ref = d.forward(ctx, q, end)
 		cancel()
 		end.describe(q)
@@ -276,7 +277,7 @@
 	if !q.route.Idempotent {
 		return false
 	}
-	return time.Until(q.deadline) > q.route.Objective/4
+	return time.Until(d.stop.last(q.deadline)) > q.route.Objective/4
 }
 
 // giveUp ends a request that cannot be sent again.
@@ -308,13 +309,17 @@
 
 // outOfTime ends a request whose context is over.
 func (d *Dispatcher) outOfTime(ctx context.Context, q *request) *Refusal {
+	never, sent := CauseTimeoutNever, CauseTimeout
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return failed(CauseGone, http.StatusBadGateway)
+		if !d.stop.over() {
+			return failed(CauseGone, http.StatusBadGateway)
+		}
+		never, sent = CauseStopping, CauseStopping
 	}
 	if q.sends == 0 || !q.mayHaveRun {
-		return notRun(CauseTimeoutNever, spreadOut(retryFull))
+		return notRun(never, spreadOut(retryFull))
 	}
-	return failed(CauseTimeout, http.StatusGatewayTimeout)
+	return failed(sent, http.StatusGatewayTimeout)
 }
 
 // Prune forgets what no longer matters.
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -23,6 +23,7 @@
 	CauseTimeoutNever Cause = "time ran out before the request could be sent"
 	CauseTimeout      Cause = "time ran out at the upstream"
 	CauseBroken       Cause = "upstream broke off; the outcome is unknown"
+	CauseStopping     Cause = "this host stops"
 	CauseGone         Cause = "caller left"
 )
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -56,6 +56,7 @@
 			q.deadline = own
 		}
 	}
+	q.deadline = d.stop.last(q.deadline)
 	q.service = st.Services[d.splits.pick(route)]
 	if q.service.Keyed {
 		key, err := strconv.Atoi(r.Header.Get(d.headers.Key))
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -46,8 +46,10 @@
 	// taking connections: the platform asks once a second and takes a host
 	// out after two misses.
 	noticed = 2300 * time.Millisecond
-	// stopMargin is left of the grace period for the process to end.
-	stopMargin = 400 * time.Millisecond
+	// stopMargin is left of the grace period for the process to end, and
+	// answerMargin for the last answers to be written before that.
+	stopMargin   = 400 * time.Millisecond
+	answerMargin = 300 * time.Millisecond
 	// callerIdle is how long callers' idle connections are kept. It is over
 	// every idle time that callers are told.
 	callerIdle = 75 * time.Second
@@ -214,10 +216,12 @@
 	h.stopping.Store(true)
 	began := time.Now()
 	h.zl.Info("stopping", zap.Int("event", events.EntryStopping), zap.Int64("in_flight", h.inFlight.Load()))
+	last := began.Add(h.cfg.Grace - stopMargin)
+	h.dispatch.StopBy(last.Add(-answerMargin))
 	h.control.leave(work)
 	time.Sleep(noticed)
 	// Shutdown, unlike Close, lets answers that are being written go out.
-	sctx, cancel := context.WithDeadline(work, began.Add(h.cfg.Grace-stopMargin))
+	sctx, cancel := context.WithDeadline(work, last)
 	defer cancel()
 	if err := h.front.Shutdown(sctx); err != nil {
 		h.zl.Warn("stopped with requests under way", zap.Int("event", events.EntryStopping), zap.Int64("in_flight", h.inFlight.Load()), ErrorField(err))
