A server's lives are told apart; entries of other writers name no upstream

Cause: a server may start again under its ID; its record's start was not read. The restarted one has forgotten its grants and the fencing tokens it has seen, so that an acknowledgement of its earlier life proved nothing, and a late grant of an earlier planner could give it keys that belong to another. Records that lack fields or hold others' types were used (no slots as one slot, an unknown state as leaving), an unreadable one left the earlier entry in use, and one that cannot be split into key and value stopped the reading of its stream. Records are checked field by field; one that names no upstream withdraws the server's entry and is logged once a second at most. Ruled out: a refused connection as proof of an owner's end. Cut links may refuse connections too, while the owner lives and holds its keys. Tests: plays with restarts at any moment, a directed play that fails where connections are opened at any time, tables of forged records, soak with lives under one ID and forged entries.

--- a/cmd/papayatided/entry.go
+++ b/cmd/papayatided/entry.go
@@ -24,7 +24,9 @@
 	// storeConns and orderConns are the connections used to the log service
 	// and, for orders, to each upstream.
 	storeConns = 8
-	orderConns = 2
+	// Of the latter some may end while the log service is away and none may
+	// be opened.
+	orderConns = 3
 )
 
 // runEntry runs an entry host on the users' platform.
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -8,8 +8,9 @@
 )
 
 // Upstream is one life of a target server. A restarted server is another
-// Upstream, even at the same address.
+// Upstream, even at the same address and under the same ID of its own.
 type Upstream struct {
+	// ID names the life; see LifeID.
 	ID         string
 	Service    string
 	Addr       string
--- a/internal/entryhost/calls.go
+++ b/internal/entryhost/calls.go
@@ -30,7 +30,7 @@
 	case *planner.Grant:
 		go func() {
 			gctx, cancel := context.WithTimeout(ctx, grantTimeout)
-			err := c.granter.Grant(gctx, a.Addr, a.Range, a.Hold)
+			err := c.granter.Grant(gctx, a.Addr, a.Range, a.Hold, a.KeptOnly)
 			cancel()
 			c.post(ctx, func() { c.plan.GrantDone(a, err, c.clock()) })
 		}()
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -29,7 +29,8 @@
 // Granter gives keys to upstreams and takes them back. Errors wrap the
 // sentinel errors of package ownership.
 type Granter interface {
-	Grant(ctx context.Context, addr string, r ownership.Range, hold time.Duration) error
+	// Grant goes over a connection that is open already, if kept is set.
+	Grant(ctx context.Context, addr string, r ownership.Range, hold time.Duration, kept bool) error
 	Release(ctx context.Context, addr string, r ownership.Range) (handover string, err error)
 }
 
@@ -68,6 +69,10 @@
 	broken map[metastore.Stream]time.Time
 	backAt time.Time
 	copy   *relay.Copy
+	// refusedAt is when a refused upstream's record was last logged,
+	// refusedUntold how many were not since.
+	refusedAt     time.Time
+	refusedUntold int
 	// changes are the last changes of ownership.
 	changes changes
 	// planning tells other goroutines whether this host is the planner.
--- a/internal/entryhost/fleet_test.go
+++ b/internal/entryhost/fleet_test.go
@@ -72,7 +72,7 @@
 	return g.f.ups[addr]
 }
 
-func (g granter) Grant(_ context.Context, addr string, r ownership.Range, d time.Duration) error {
+func (g granter) Grant(_ context.Context, addr string, r ownership.Range, d time.Duration, _ bool) error {
 	if u := g.at(addr); u != nil {
 		return u.Grant(r, d)
 	}
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -109,10 +109,14 @@
 		}
 		u, err := c.decoder.Upstream(rec.Key, rec.Value, now)
 		if err != nil {
-			c.zl.Error("upstream's record refused", zap.Int("event", events.UpstreamRefused), zap.String("peer", rec.Key), ErrorField(err))
+			// Whoever wrote it, the server's own entry is not there any more.
+			// Its upstream gets nothing new; its keys are taken back from it
+			// as from one that leaves, as it may be alive.
+			c.roster.missing(rec.Key, now, now)
+			c.noteRefusedRecord(rec.Key, err, now)
 			continue
 		}
-		listed[u.ID] = true
+		listed[rec.Key] = true
 		c.roster.list(u)
 	}
 	if reset {
@@ -121,6 +125,20 @@
 	c.publishUpstreams()
 }
 
+// noteRefused is the least time between two log lines of upstreams' records
+// that cannot be used: another writer may write many a second.
+const noteRefused = time.Second
+
+// noteRefusedRecord logs that an upstream's record cannot be used.
+func (c *control) noteRefusedRecord(server string, err error, now time.Time) {
+	if now.Sub(c.refusedAt) < noteRefused {
+		c.refusedUntold++
+		return
+	}
+	c.zl.Error("upstream's record refused", zap.Int("event", events.UpstreamRefused), zap.String("peer", server), zap.Int("untold", c.refusedUntold), ErrorField(err))
+	c.refusedAt, c.refusedUntold = now, 0
+}
+
 // spareUntil returns until when an upstream that is missing now is not taken
 // for gone; in the past unless the log service has only just come back.
 func (c *control) spareUntil(now time.Time) time.Time {
--- a/internal/entryhost/roster.go
+++ b/internal/entryhost/roster.go
@@ -23,6 +23,9 @@
 type roster struct {
 	zl  *zap.Logger
 	ups map[string]*catalogue.Upstream
+	// lives holds the ID of each server's last known life. Entries are kept
+	// by server: the entry of a newer life replaces the older one's.
+	lives map[string]string
 	// unlisted holds when an upstream was taken for gone, suspects when one
 	// that lapsed during an outage will be.
 	unlisted map[string]time.Time
@@ -30,11 +33,22 @@
 }
 
 func newRoster(zl *zap.Logger) *roster {
-	return &roster{zl: zl, ups: map[string]*catalogue.Upstream{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{}}
+	return &roster{zl: zl, ups: map[string]*catalogue.Upstream{}, lives: map[string]string{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{}}
 }
 
-// list takes in an upstream's entry.
+// list takes in an upstream's entry. The entry of a newer life ends the older
+// one; that of an older life was written late and says nothing any more.
 func (r *roster) list(u *catalogue.Upstream) {
+	server := catalogue.ServerOf(u.ID)
+	known, ok := r.lives[server]
+	if ok && catalogue.Succeeds(known, u.ID) {
+		return
+	}
+	if ok && known != u.ID {
+		r.forget(known)
+		r.zl.Info("upstream started again", zap.Int("event", events.UpstreamRestarted), zap.String("peer", u.ID), zap.String("service", u.Service))
+	}
+	r.lives[server] = u.ID
 	old := r.ups[u.ID]
 	delete(r.suspects, u.ID)
 	delete(r.unlisted, u.ID)
@@ -48,10 +62,21 @@
 	}
 }
 
-// missing takes note that an upstream is not listed any more. During an
-// outage of the log service entries lapse though their upstreams live; they
-// are back within about two seconds, and until spare it is no sign of leaving.
-func (r *roster) missing(id string, spare, now time.Time) {
+// forget drops a life that has ended.
+func (r *roster) forget(id string) {
+	delete(r.ups, id)
+	delete(r.suspects, id)
+	delete(r.unlisted, id)
+	if server := catalogue.ServerOf(id); r.lives[server] == id {
+		delete(r.lives, server)
+	}
+}
+
+// missing takes note that a server is not listed any more. During an outage
+// of the log service entries lapse though their upstreams live; they are back
+// within about two seconds, and until spare it is no sign of leaving.
+func (r *roster) missing(server string, spare, now time.Time) {
+	id := r.lives[server]
 	_, gone := r.unlisted[id]
 	if r.ups[id] == nil || gone {
 		return
@@ -65,11 +90,11 @@
 	}
 }
 
-// missingBut takes note that only the listed ones are.
+// missingBut takes note that only the listed servers are.
 func (r *roster) missingBut(listed map[string]bool, spare, now time.Time) {
-	for id := range r.ups {
-		if !listed[id] {
-			r.missing(id, spare, now)
+	for server := range r.lives {
+		if !listed[server] {
+			r.missing(server, spare, now)
 		}
 	}
 }
@@ -97,8 +122,7 @@
 	}
 	for id, at := range r.unlisted {
 		if now.Sub(at) > remembered {
-			delete(r.unlisted, id)
-			delete(r.ups, id)
+			r.forget(id)
 			changed = true
 		}
 	}
--- a/internal/entryhost/roster_test.go
+++ b/internal/entryhost/roster_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/catalogue"
@@ -166,3 +168,49 @@
 		t.Error("claims to have reached the log service all the while")
 	}
 }
+
+// A server starts again under its ID while callers and the planner know its
+// earlier life. Only the new life is known from its entry on, and an entry that
+// the old one wrote late does not bring it back. When the server leaves it is
+// the new life that is leaving.
+func TestServerThatStartsAgainUnderItsID(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRoster(zap.NewNop())
+	first, second := catalogue.LifeID("u1", 1), catalogue.LifeID("u1", 2)
+	listed(r, first)
+	listed(r, second)
+	listed(r, first)
+	wantState(t, r, first, "unknown")
+	wantState(t, r, second, "ready")
+	r.missing("u1", now, now)
+	wantState(t, r, second, "leaving")
+	r.settle(false, now.Add(remembered+time.Second))
+	wantState(t, r, second, "unknown")
+	listed(r, first)
+	wantState(t, r, first, "ready")
+}
+
+// Another writer replaces an upstream's entry by one that cannot be read, and
+// writes one under a key of its own. The first upstream gets nothing new until
+// it writes again, the others are left alone, and one line is logged for all.
+func TestEntryOfAnotherWriterNamesNoUpstream(t *testing.T) {
+	core, logs := observer.New(zap.ErrorLevel)
+	views := view.NewHolder()
+	c := newControl(zap.New(core), memstore.New(), decoder{}, nil, views, planner.Options{Host: "h"})
+	entry := func(id string) metastore.Record {
+		return metastore.Record{Key: id, Value: fmt.Appendf(nil, `{"ID":%q,"Service":"s"}`, id)}
+	}
+	forged := func(id string) metastore.Record { return metastore.Record{Key: id, Value: []byte("\xff")} }
+	c.applyUpstreams([]metastore.Record{entry("u1"), entry("u2")}, true)
+	c.applyUpstreams([]metastore.Record{forged("u1"), forged("nobody"), forged("")}, false)
+	if ups := views.Load().Upstreams.ByID; !ups["u1"].Leaving || ups["u2"].Leaving || len(ups) != 2 {
+		t.Errorf("upstreams are %+v", ups)
+	}
+	if n := logs.Len(); n != 1 {
+		t.Errorf("%d lines logged", n)
+	}
+	c.applyUpstreams([]metastore.Record{entry("u1")}, false)
+	if views.Load().Upstreams.ByID["u1"].Leaving {
+		t.Error("the upstream's own entry does not bring it back")
+	}
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -51,6 +51,7 @@
 	UpstreamLeaving   = 631
 	UpstreamUnlisted  = 632
 	UpstreamRefused   = 633
+	UpstreamRestarted = 634
 	OwnershipAdopted  = 640
 	OwnershipRefused  = 641
 	LinesDropped      = 660
--- a/internal/planner/actions.go
+++ b/internal/planner/actions.go
@@ -36,6 +36,9 @@
 	Range         ownership.Range
 	Hold          time.Duration
 	SentAt        bootclock.Time
+	// KeptOnly grants go over a connection that is open already, or not at
+	// all; see the package comment.
+	KeptOnly bool
 	// holder is where it was counted when it was sent.
 	holder *holder
 }
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -29,4 +29,20 @@
 // The last line is about planners that do not know yet that they were
 // replaced. One proved its seat before its successor's first record, and sends
 // nothing later than ViewAge after its last proof; history.go has the bounds.
+//
+// # Servers that start again under their ID
+//
+// A restarted server holds nothing and has forgotten every token, so that what
+// an earlier life acknowledged proves nothing of it: a grant of an earlier
+// planner, or one that was meant for the earlier life, may be taken. Lives are
+// therefore owners apart (catalogue.LifeID), while the grants that are under
+// way are accounted by server. Two rules follow.
+//
+//   - The keys of a life that has ended go to the next life of its server, at
+//     once: whatever it takes of the earlier one's, no other upstream has them.
+//   - A planner whose seat was not proved lately sends grants only over
+//     connections that are open: one of them ends with the life it led to, and
+//     what acknowledged a successor's token has not forgotten it. Until a term
+//     is old enough for that to hold of its predecessor, such an
+//     acknowledgement does not count.
 package planner
--- a/internal/planner/history.go
+++ b/internal/planner/history.go
@@ -37,6 +37,8 @@
 type foreign struct {
 	// until is when the last of them may be sent to any owner.
 	until bootclock.Time
+	// dialsUntil is when they may last open a connection for one.
+	dialsUntil bootclock.Time
 	// sooner holds an earlier bound for owners that the last planner had
 	// marked as lost.
 	sooner map[string]bootclock.Time
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/bootclock"
+	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/ownership"
 )
 
@@ -65,6 +66,10 @@
 		// without an owner until it can.
 		lim.MaxMoves = 0
 	}
+	if t.moveToSuccessors(now) {
+		t.syncLeases(now)
+		return // recorded first; load is looked at after that
+	}
 	planned := t.table.Apply(t.pendingMoves())
 	for _, m := range ownership.Rebalance(planned, load, lim) {
 		t.startMove(m, now)
@@ -72,6 +77,22 @@
 	t.syncLeases(now)
 }
 
+// moveToSuccessors gives the keys of lives that have ended to the next life of
+// their server, where one is listed. It alone may have been given them by a
+// late grant to its predecessor, so that they are free for it at once; another
+// upstream would have to wait until the last of those has run out. It reports
+// whether there are such keys.
+func (t *term) moveToSuccessors(now bootclock.Time) bool {
+	found := false
+	for _, r := range t.table.Ranges {
+		if u := t.successor(r.Owner); u != nil && !u.Leaving && !t.shunned(u.ID, now) {
+			t.startMove(ownership.Move{From: r.From, To: r.To, NewOwner: u.ID}, now)
+			found = true
+		}
+	}
+	return found
+}
+
 // gathering reports whether the service's upstreams are still registering
 // before the first division: those that came first would get all keys.
 func (t *term) gathering(now bootclock.Time) bool {
@@ -148,6 +169,8 @@
 	switch {
 	case owner == "":
 		return "no owner"
+	case t.successor(owner) != nil:
+		return "owner restarted"
 	case u == nil:
 		return "owner gone"
 	case u.Leaving:
@@ -165,7 +188,7 @@
 	var out []Action
 	for _, m := range t.moves {
 		u := t.ups[m.old.Owner]
-		if m.released || m.release != nil || u == nil || now.Before(m.nextRelease) || t.holder(m.old.Owner).inFlight > 0 {
+		if m.released || m.release != nil || u == nil || now.Before(m.nextRelease) || t.holder(m.old.Owner).inFlight > 0 || !t.mayRelease(m, now) {
 			continue
 		}
 		m.release = &Release{Service: t.name, Addr: u.Addr, Range: m.old}
@@ -221,12 +244,15 @@
 	if m.old.Owner == "" {
 		return true
 	}
+	if m.release == nil && catalogue.Succeeds(m.dest, m.old.Owner) {
+		return true
+	}
 	bound := t.p.opts.holdBound()
 	h := t.holder(m.old.Owner)
 	if h.inFlight > 0 || m.release != nil {
 		return false
 	}
-	if m.old.Fence <= t.startFence && !h.sawThisTerm(m.span) && now.Sub(t.foreign.lastTo(m.old.Owner)) <= bound {
+	if m.old.Fence <= t.startFence && !t.foreignOver(m, now) {
 		return false
 	}
 	if h.unanswered && now.Sub(h.unansweredAt) <= bound {
@@ -235,6 +261,27 @@
 	return m.released || !h.sentAny || now.Sub(h.mayHoldFrom) > bound
 }
 
+// foreignOver reports whether no grant of an earlier planner can keep the
+// move's keys at their old owner.
+func (t *term) foreignOver(m *move, now bootclock.Time) bool {
+	bound := t.p.opts.holdBound()
+	if now.Sub(t.foreign.lastTo(m.old.Owner)) > bound {
+		return true
+	}
+	h := t.holder(m.old.Owner)
+	if h.life != m.old.Owner || !h.sawThisTerm(m.span) {
+		return false
+	}
+	return m.released || now.Sub(t.foreign.dialsUntil) > bound
+}
+
+// mayRelease reports whether a release now would end what earlier planners
+// granted too: none of their grants reaches a later life of the owner's server
+// after it.
+func (t *term) mayRelease(m *move, now bootclock.Time) bool {
+	return m.old.Fence > t.startFence || now.Sub(t.foreign.dialsUntil) > arrival
+}
+
 // record returns the append of the moves that are ready, if any.
 func (t *term) record(now bootclock.Time) Action {
 	if t.appending != nil {
@@ -316,10 +363,10 @@
 func (t *term) settleLosses(now bootclock.Time) {
 	owns := map[string]bool{}
 	for _, r := range t.table.Ranges {
-		owns[r.Owner] = true
+		owns[catalogue.ServerOf(r.Owner)] = true
 	}
-	for id, h := range t.holders {
-		if !h.lost || owns[id] || h.inFlight > 0 {
+	for server, h := range t.holders {
+		if !h.lost || owns[server] || h.inFlight > 0 {
 			continue
 		}
 		h.lost = false
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -295,7 +295,7 @@
 	if !t.started {
 		return t.takeOver(now)
 	}
-	t.observe(v)
+	t.observe(v, now)
 	var out []Action
 	if !p.resigned {
 		t.plan(now)
--- a/internal/planner/plays_test.go
+++ b/internal/planner/plays_test.go
@@ -15,7 +15,7 @@
 var testOptions = Options{Eager: true, Hold: 3 * time.Second, ViewAge: 6 * time.Second, SeatTTL: 1200 * time.Millisecond}
 
 var allFaults = faults{orderLost: 0.05, orderLate: 0.05, mute: 0.05, orderCut: 0.01, appendLost: 0.1, appendLate: 0.1, storeCut: 0.05,
-	reseat: 0.1, freeze: 0.03, crash: 0.01, leave: 0.02, hostRestart: 0.03}
+	reseat: 0.1, freeze: 0.03, crash: 0.01, restart: 0.02, leave: 0.02, hostRestart: 0.03}
 
 // Callers of one key must never reach two upstreams that both believe they
 // own it. Three hosts plan in turn while orders and records get lost or take
@@ -61,6 +61,80 @@
 	}
 }
 
+// Planners that were cut off from the log go on renewing, while upstreams end
+// and start again under their IDs at any moment of a move: a restarted one has
+// forgotten that it refused the cut-off planner's tokens.
+var restartFaults = faults{orderLost: 0.02, orderLate: 0.02, appendLost: 0.02, orderCut: 0.05, storeCut: 0.25, reseat: 0.3, freeze: 0.05, restart: 0.15}
+
+func TestNoKeyHasTwoOwnersWhileUpstreamsRestart(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 10
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			if err := newSim(seed, restartFaults, testOptions).run(40 * time.Second); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A planner stands still for 4 s and is cut off from the log. Its successor has a range's owner acknowledge
+// the new token, takes the range from it and gives it to another upstream. The
+// old owner then restarts under its ID and knows of no token. The first planner
+// wakes before its view has run out and renews what it had granted: the
+// restarted upstream must not get the range, which is another's. Where planners
+// open connections for grants at any time, it does.
+func TestRestartedUpstreamGetsNoGrantOfAReplacedPlanner(t *testing.T) {
+	play := func(keepsOpen bool) error {
+		s := newSim(1, faults{}, testOptions)
+		s.keepsOpen, s.steady = keepsOpen, true
+		if err := s.run(5 * time.Second); err != nil {
+			return err
+		}
+		first := s.planner()
+		first.frozenUntil, first.cutUntil = s.now.Add(4*time.Second), s.now.Add(6*time.Second)
+		if err := s.run(2500 * time.Millisecond); err != nil {
+			return err
+		}
+		successor := s.planner().p.services[simService]
+		moved := successor.table.Ranges[0]
+		to := s.ups[0].id
+		if moved.Owner == to {
+			to = s.ups[1].id
+		}
+		successor.startMove(ownership.Move{From: moved.From, To: moved.To, NewOwner: to}, s.now)
+		if err := s.run(1400 * time.Millisecond); err != nil {
+			return err
+		}
+		if successor.table.Find(moved.From).Owner != to {
+			t.Fatal("the range has not moved")
+		}
+		old := s.upstream(moved.Owner)
+		old.life++
+		old.holds, old.seen = nil, nil
+		return s.run(2 * time.Second)
+	}
+	if err := play(false); err != nil {
+		t.Error(err)
+	}
+	if play(true) == nil {
+		t.Error("the play does not need the safeguard")
+	}
+}
+
+// planner returns the host that holds the seat.
+func (s *sim) planner() *simHost {
+	for _, h := range s.hosts {
+		if h.name == s.seatHolder && s.now.Before(s.seatUntil) {
+			return h
+		}
+	}
+	panic("nobody plans")
+}
+
 // Without faults the play must be a real one: keys get owners, grants are
 // kept up, and load moves keys.
 func TestCalmPlayGivesEveryKeyAnOwner(t *testing.T) {
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -34,6 +34,8 @@
 	byKey      []float64
 	// steady keeps the load as it is.
 	steady bool
+	// keepsOpen makes hosts open connections for grants whenever they like.
+	keepsOpen bool
 	// overstay is how much longer than told upstreams hold, as a factor.
 	overstay float64
 	// granted is set by each grant that an upstream takes.
@@ -52,6 +54,7 @@
 	reseat      float64 // a second: the seat is dealt anew
 	freeze      float64 // a second: a host stands still for a while
 	crash       float64 // a second: an upstream dies; another life starts
+	restart     float64 // a second: an upstream starts again under its ID
 	leave       float64 // a second: an upstream starts to leave; another starts
 	hostRestart float64 // a second: a host's planner starts anew
 }
@@ -69,7 +72,9 @@
 	frozenUntil bootclock.Time
 	cutUntil    bootclock.Time // from the log
 	noWay       map[string]bootclock.Time
-	life        int
+	// kept are the lives of upstreams to which a connection is open.
+	kept map[string]int
+	life int
 }
 
 type hold struct {
@@ -83,6 +88,9 @@
 	up      bool
 	listed  bool
 	leaving bool
+	// life counts its starts. Each forgets the holds and tokens of the one
+	// before.
+	life int
 	// muteUntil is until when most of its answers are lost.
 	muteUntil bootclock.Time
 	holds     []hold
@@ -98,7 +106,7 @@
 		s.addUpstream(fmt.Sprintf("u%d", i))
 	}
 	for i := range 3 {
-		h := &simHost{name: fmt.Sprintf("h%d", i), noWay: map[string]bootclock.Time{}}
+		h := &simHost{name: fmt.Sprintf("h%d", i), noWay: map[string]bootclock.Time{}, kept: map[string]int{}}
 		s.hosts = append(s.hosts, h)
 		s.restart(h)
 	}
@@ -220,6 +228,9 @@
 			u.up, u.holds = false, nil
 			s.after(s.between(500*time.Millisecond, 3*time.Second), func() { u.listed = false })
 			s.addUpstream(next)
+		case s.chance(s.faults.restart, simStep):
+			u.up, u.holds, u.seen = false, nil, nil
+			s.after(s.between(0, 2*time.Second), func() { u.up, u.life = true, u.life+1 })
 		case s.chance(s.faults.leave, simStep):
 			u.leaving = true
 			s.after(s.between(4*time.Second, 12*time.Second), func() { u.listed, u.up, u.holds = false, false, nil })
@@ -245,7 +256,8 @@
 	all := map[string]*catalogue.Upstream{}
 	for _, u := range s.ups {
 		if u.listed {
-			all[u.id] = &catalogue.Upstream{ID: u.id, Service: simService, Addr: u.id, Slots: 3, Leaving: u.leaving}
+			id := catalogue.LifeID(u.id, int64(u.life))
+			all[id] = &catalogue.Upstream{ID: id, Service: simService, Addr: u.id, Slots: 3, Leaving: u.leaving}
 		}
 	}
 	tables := map[string]*ownership.Table{}
@@ -283,6 +295,11 @@
 	case *Append:
 		s.append(h, a, deliver)
 	case *Grant:
+		if a.KeptOnly && !s.keepsOpen && h.kept[a.Addr] != s.upstream(a.Addr).life {
+			deliver(func() { p.GrantDone(a, ownership.ErrNotSent, s.now) })
+			return
+		}
+		h.kept[a.Addr] = s.upstream(a.Addr).life
 		s.order(h, a.Addr, func(arrived bootclock.Time) error { return s.grant(a, arrived) }, 0, true,
 			func(err error) { deliver(func() { p.GrantDone(a, err, s.now) }) })
 	case *Release:
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -42,7 +42,10 @@
 	superseded   bool
 	supersededAt bootclock.Time
 
-	ups     map[string]*catalogue.Upstream
+	// ups are the lives that are listed, byServer the same by their servers.
+	ups      map[string]*catalogue.Upstream
+	byServer map[string]*catalogue.Upstream
+	// holders are by server.
 	holders map[string]*holder
 	leases  map[span]*lease
 	// moves are under way, in the order of their keys.
@@ -57,8 +60,12 @@
 	inFlight bool
 }
 
-// holder is what is known of one upstream's grants.
+// holder is what is known of the grants sent to one server. Its lives share
+// it: a grant that was sent to one may reach the next.
 type holder struct {
+	// life is the newest life a grant was meant for or that was listed. What
+	// earlier ones acknowledged they took into their graves.
+	life     string
 	inFlight int
 	// mayHoldFrom is when the last grant was sent that may have reached it.
 	mayHoldFrom bootclock.Time
@@ -85,19 +92,40 @@
 }
 
 func newTerm(p *Planner, name string) *term {
-	return &term{p: p, name: name, ups: map[string]*catalogue.Upstream{},
+	return &term{p: p, name: name, ups: map[string]*catalogue.Upstream{}, byServer: map[string]*catalogue.Upstream{},
 		holders: map[string]*holder{}, leases: map[span]*lease{}}
 }
 
-func (t *term) holder(id string) *holder {
-	h := t.holders[id]
+// holder returns the account of the life's server.
+func (t *term) holder(life string) *holder {
+	server := catalogue.ServerOf(life)
+	h := t.holders[server]
 	if h == nil {
-		h = &holder{}
-		t.holders[id] = h
+		h = &holder{life: life}
+		t.holders[server] = h
 	}
 	return h
 }
 
+// succeeded turns to a newer life. It has forgotten the tokens that the older
+// one acknowledged, and none of the older one's failures are its own.
+func (h *holder) succeeded(life string, now bootclock.Time) {
+	h.life = life
+	h.confirmed = nil
+	h.lost, h.losses, h.shunUntil = false, 0, 0
+	h.answeredAt = now
+}
+
+// successor returns the newer life of the owner's server, if one is listed:
+// the owner has ended then.
+func (t *term) successor(owner string) *catalogue.Upstream {
+	u := t.byServer[catalogue.ServerOf(owner)]
+	if u != nil && catalogue.Succeeds(u.ID, owner) {
+		return u
+	}
+	return nil
+}
+
 // adopt takes the table that the log has now.
 func (t *term) adopt(latest *ownership.Table, now bootclock.Time) {
 	if latest == nil || (t.table != nil && latest.Fence <= t.table.Fence) {
@@ -131,6 +159,7 @@
 	t.startFence = t.table.Fence
 	// Whoever held the seat before has lost it by now.
 	t.foreign.until = now.Add(t.p.opts.ViewAge)
+	t.foreign.dialsUntil = now.Add(freshSeat)
 	if past := t.p.past[t.name]; past != nil && t.base != nil && past.number == t.base.Term {
 		// No other planner was in between: those before are bounded as they
 		// were, and this host's own grants are on the holders' accounts.
@@ -180,10 +209,15 @@
 }
 
 // observe takes in the upstreams that are listed.
-func (t *term) observe(v *view.View) {
+func (t *term) observe(v *view.View, now bootclock.Time) {
 	clear(t.ups)
+	clear(t.byServer)
 	for _, u := range v.Upstreams.Of(t.name) {
 		t.ups[u.ID] = u
+		t.byServer[catalogue.ServerOf(u.ID)] = u
+		if h := t.holder(u.ID); catalogue.Succeeds(u.ID, h.life) {
+			h.succeeded(u.ID, now)
+		}
 	}
 }
 
@@ -199,8 +233,8 @@
 }
 
 func (t *term) shunned(id string, now bootclock.Time) bool {
-	h := t.holders[id]
-	return h != nil && (h.lost || now.Before(h.shunUntil))
+	h := t.holder(id)
+	return h.lost || now.Before(h.shunUntil)
 }
 
 // syncLeases makes the leases cover the owned ranges of the table less the
@@ -268,7 +302,8 @@
 		h.inFlight++
 		h.sentAny = true
 		l.inFlight = true
-		out = append(out, &Grant{Service: t.name, Addr: u.Addr, Range: l.r, Hold: t.p.opts.Hold, SentAt: now, holder: h})
+		out = append(out, &Grant{Service: t.name, Addr: u.Addr, Range: l.r, Hold: t.p.opts.Hold, SentAt: now,
+			KeptOnly: now.Sub(t.p.seat.provenAt) > freshSeat, holder: h})
 	}
 	return out
 }
@@ -279,6 +314,8 @@
 func (t *term) grantDone(g *Grant, err error, now bootclock.Time) {
 	h := g.holder
 	h.inFlight--
+	// What an ended life answers, or does not, says nothing of the next one.
+	ended := catalogue.Succeeds(h.life, g.Range.Owner)
 	s := span{g.Range.From, g.Range.To}
 	l := t.leases[s]
 	if l != nil && l.r.Fence == g.Range.Fence {
@@ -290,6 +327,9 @@
 	}
 	switch {
 	case err == nil:
+		if ended {
+			return
+		}
 		h.answeredAt = now
 		h.losses = 0
 		h.confirmed = append(h.confirmed, s)
@@ -309,7 +349,7 @@
 	if l != nil {
 		l.next = now.Add(retryGrant)
 	}
-	if !h.lost && now.Sub(h.answeredAt) > time.Duration(lostAfter*float64(t.p.opts.Hold)) {
+	if !h.lost && !ended && now.Sub(h.answeredAt) > time.Duration(lostAfter*float64(t.p.opts.Hold)) {
 		h.lost = true
 		t.p.Note(Event{Kind: UpstreamLost, Service: t.name, Upstream: g.Range.Owner, Age: now.Sub(h.answeredAt), Err: err})
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -22,6 +22,8 @@
 	world *World
 	hosts []*Host
 	rng   *rand.Rand
+	// forgeSeed is that of forgeEntries.
+	forgeSeed uint64
 
 	wg     sync.WaitGroup
 	mu     sync.Mutex
@@ -58,6 +60,7 @@
 
 // run injects faults until ctx ends, and then waits for those under way.
 func (in *injector) run(ctx context.Context) {
+	in.wg.Go(func() { in.forgeEntries(ctx) })
 	for ctx.Err() == nil {
 		k := kinds[in.rng.IntN(len(kinds))]
 		k.do(in, ctx)
@@ -148,6 +151,28 @@
 	}
 }
 
+// forged are entries that no upstream wrote.
+var forged = [][]byte{[]byte("\xff\x00"), []byte(`{"Service":"keyed"}`), []byte(`{"Service":"keyed","Slots":"many"}`)}
+
+const (
+	// forgedFor is how long a forged entry stands: the upstream writes its own
+	// again with its next heartbeat.
+	forgedFor    = 900 * time.Millisecond
+	forgePeriods = 8 * time.Second
+)
+
+// forgeEntries has another writer replace upstreams' entries now and then. It
+// draws apart from the other faults, which a seed draws as it always did.
+func (in *injector) forgeEntries(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(in.forgeSeed, 2))
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(rng.Int64N(int64(forgePeriods))))
+		p := in.world.places[rng.IntN(len(in.world.places))]
+		entry := forged[rng.IntN(len(forged))]
+		in.during("forged entry of "+p.proxy.Addr(), nil, &forged, forgedFor, func() { in.world.forge(p, entry, forgedFor) }, func() {})
+	}
+}
+
 // drainUpstream has an upstream leave as planned.
 func (in *injector) drainUpstream(context.Context) {
 	p := in.place()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -36,7 +36,7 @@
 )
 
 // place is where an upstream is reached: a proxy before one life after
-// another, each with an ID of its own at the same address.
+// another at the same address, every other one under the ID of the one before.
 type place struct {
 	service string
 	proxy   *Proxy
@@ -48,6 +48,8 @@
 type life struct {
 	*ranged.Upstream
 	place *place
+	// start tells lives with one ID apart.
+	start int64
 	up    bool
 	srv   *http.Server
 }
@@ -123,9 +125,9 @@
 		return nil
 	}
 	p.lives++
-	id := fmt.Sprintf("i-%s-%d", p.proxy.Addr(), p.lives)
+	id := fmt.Sprintf("i-%s-%d", p.proxy.Addr(), p.lives/2)
 	u := ranged.New(id, platform.Headers, work)
-	l := &life{Upstream: u, place: p, up: true}
+	l := &life{Upstream: u, place: p, start: int64(p.lives), up: true}
 	l.srv = &http.Server{Handler: standin.Orders(id, &audited{w, l}, u)}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -141,7 +143,7 @@
 
 // list writes the upstream's entry.
 func (w *World) list(l *life, leaving bool) {
-	w.log.Put(metastore.StreamUpstreams, l.ID, standin.UpstreamRecord(&catalogue.Upstream{ID: l.ID, Service: l.place.service,
+	w.log.Put(metastore.StreamUpstreams, l.ID, standin.UpstreamRecord(&catalogue.Upstream{ID: catalogue.LifeID(l.ID, l.start), Service: l.place.service,
 		Addr: l.place.proxy.Addr(), DataCentre: "dc", Slots: 6, Leaving: leaving}))
 }
 
@@ -155,8 +157,30 @@
 	return l
 }
 
-// unlist lets an entry lapse.
-func (w *World) unlist(l *life) { w.log.Put(metastore.StreamUpstreams, l.ID, nil) }
+// unlist lets an entry lapse, unless it is a later life's by now.
+func (w *World) unlist(l *life) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now := l.place.life; now == l || now.ID != l.ID {
+		w.log.Put(metastore.StreamUpstreams, l.ID, nil)
+	}
+}
+
+// forge writes an entry that no upstream wrote in place of the place's own,
+// which comes back after a while.
+func (w *World) forge(p *place, entry []byte, back time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := p.life
+	w.log.Put(metastore.StreamUpstreams, l.ID, entry)
+	time.AfterFunc(back, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if l.up && p.life == l {
+			w.list(l, false)
+		}
+	})
+}
 
 // relist lets every entry lapse and come back a little later, as after an
 // outage of the log service.
@@ -165,7 +189,7 @@
 	defer w.mu.Unlock()
 	for _, p := range w.places {
 		l := p.life
-		w.unlist(l)
+		w.log.Put(metastore.StreamUpstreams, l.ID, nil)
 		time.AfterFunc(after, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,13 +15,14 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/protocol"
 )
 
 // Target is where a request is sent.
 type Target struct {
-	// ID is the upstream that the request is meant for; another one at the
-	// same address refuses it.
+	// ID is the upstream's life that the request is meant for; another server
+	// at the same address refuses it.
 	ID   string
 	Addr string
 }
@@ -195,7 +196,7 @@
 		h["User-Agent"] = nil // keeps net/http from adding its own
 	}
 	h.Set(c.headers.TimeoutMs, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	h.Set(c.headers.ExpectedUpstream, t.ID)
+	h.Set(c.headers.ExpectedUpstream, catalogue.ServerOf(t.ID))
 	hreq := &http.Request{Method: req.Method, URL: &url.URL{Scheme: "http", Host: req.Host, Opaque: req.URI},
 		Host: req.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	switch {
