--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,9 +15,17 @@
 	// counted is how long it counts as one that may have connections open
 	// and repeats spent: a host cut off from the planner goes on serving.
 	counted = time.Minute
-	// relayFrom is the number of a data centre's hosts from which on one of
-	// them relays: for fewer the planner's own answers are cheap.
+	// relayFrom is the number of hosts in the planner's own data centre from
+	// which on one of them relays: for fewer the planner's own answers are
+	// cheap.
 	relayFrom = 8
+	// relayFarFrom is that number in the other data centres. Bytes between
+	// data centres are priced, and each change of ownership goes to every
+	// follower: on a quiet day of twelve hosts 2.2 of the 8.3 MB between data
+	// centres were answers to followers. With a relay in each the whole worth
+	// of five days of trouble rose from 0.754 to 0.766, of a quiet one from
+	// 0.828 to 0.852, means of three seeds each.
+	relayFarFrom = 2
 )
 
 // Host is what a host says of itself.
@@ -39,16 +47,21 @@
 
 // Fleet is safe for concurrent use.
 type Fleet struct {
-	mu sync.Mutex
-	by map[string]entry
+	// home is this host's data centre.
+	home string
+	mu   sync.Mutex
+	by   map[string]entry
 	// relays holds the name of each data centre's present relay.
 	relays map[string]string
 	// told is the fleet's size as another host last knew it.
 	told int
 }
 
-// New returns a fleet of which nothing is known.
-func New() *Fleet { return &Fleet{by: map[string]entry{}, relays: map[string]string{}} }
+// New returns a fleet of which nothing is known to a host in the data centre
+// home.
+func New(home string) *Fleet {
+	return &Fleet{home: home, by: map[string]entry{}, relays: map[string]string{}}
+}
 
 // Seen takes in a call of h.
 func (f *Fleet) Seen(h Host, now time.Time) {
@@ -136,7 +149,11 @@
 			best = e
 		}
 	}
-	if n < relayFrom {
+	least := relayFarFrom
+	if dataCentre == f.home {
+		least = relayFrom
+	}
+	if n < least {
 		best = entry{}
 	}
 	f.relays[dataCentre] = best.Name
