A planner that was replaced is asked to retire

Most predecessors were stopped or restarted, or live and have merely lost the seat. Change: the new planner asks the one before, at the address in the table, to send no more grants; it says so once none is under way, and a process that was started since has none. Tables say whether planners before their writer's are past sending (Settled), so that those need not be waited for either. One that is cut off, frozen or gone does not answer and is waited for as before. Ruled out: a refused connection as proof of the owner's end (cut links refuse too); a shorter time without the log (keys would lose their owners in outages).

--- a/internal/cli/peers_test.go
+++ b/internal/cli/peers_test.go
@@ -21,6 +21,10 @@
 	return p.reply, nil
 }
 
+func (p peerStandin) Retire(context.Context, *peerpb.RetireRequest) (*peerpb.RetireReply, error) {
+	return &peerpb.RetireReply{}, nil
+}
+
 // An operator asks a host for what it believes: role, age of its view, owners
 // with their tokens, lost owners and the last change with its cause. A host
 // that cannot be reached is named and makes the command fail.
--- a/internal/entryhost/calls.go
+++ b/internal/entryhost/calls.go
@@ -27,6 +27,16 @@
 		}()
 	case *planner.Append:
 		go c.append(ctx, a)
+	case *planner.Retire:
+		go func() {
+			rctx, cancel := context.WithTimeout(ctx, retireTimeout)
+			host, retired, err := c.retirer.Retire(rctx, a.Addr, a.Service, a.Term)
+			cancel()
+			if err != nil {
+				c.zl.Debug("planner before does not answer", zap.Int("event", events.PlannerNotRetired), zap.String("peer", a.Host), ErrorField(err))
+			}
+			c.post(ctx, func() { c.plan.RetireDone(a, host, retired, c.clock()) })
+		}()
 	case *planner.Grant:
 		go func() {
 			gctx, cancel := context.WithTimeout(ctx, grantTimeout)
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -43,11 +43,20 @@
 	tickLeast = 10 * time.Millisecond
 	// grantTimeout bounds a grant; an undisturbed answer takes 3 ms.
 	grantTimeout = 300 * time.Millisecond
+	// retireTimeout bounds a question to the planner before.
+	retireTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds a release, which is answered when the work under
 	// way on its keys has ended: at most some two seconds.
 	releaseTimeout = 3 * time.Second
 )
 
+// Retirer asks the planner before this one to send no more grants.
+type Retirer interface {
+	// Retire returns the name of the host at addr and whether it sends no
+	// grant of a term before the given one any more.
+	Retire(ctx context.Context, addr, service string, term int64) (host string, retired bool, err error)
+}
+
 // control owns what the host believes. All its methods but post run on its
 // own goroutine.
 type control struct {
@@ -55,6 +64,7 @@
 	store   metastore.Store
 	decoder Decoder
 	granter Granter
+	retirer Retirer
 	views   *view.Holder
 	plan    *planner.Planner
 	loads   *loadmap.Map
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -128,6 +128,7 @@
 	h.dispatch.Ended = h.ended
 	h.control = newControl(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
 		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: h.eager})
+	h.control.retirer = h.peers
 	h.control.eagerAlive = func() bool { return h.fleet.EagerAlive(time.Now()) }
 	return h
 }
@@ -157,7 +158,7 @@
 		return err
 	}
 	peers := http.NewServeMux()
-	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Standing: h.standing, Fleet: h.fleet, Tell: h.status,
+	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Standing: h.standing, Fleet: h.fleet, Name: h.cfg.Host, Tell: h.status, Retired: h.retire,
 		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }})
 	peers.Handle(ps.PathPrefix(), ps)
 	if err := addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
--- a/internal/entryhost/status.go
+++ b/internal/entryhost/status.go
@@ -43,6 +43,19 @@
 	return append([]change(nil), c.last...)
 }
 
+// retire stops what this host plans of the service in terms before the given
+// one, and reports whether no grant of those is under way any more.
+func (h *host) retire(ctx context.Context, service string, term int64) bool {
+	done := make(chan bool, 1)
+	h.control.post(ctx, func() { done <- h.control.plan.Retired(service, term, h.control.clock()) })
+	select {
+	case retired := <-done:
+		return retired
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // status tells what this host believes, for operators.
 func (h *host) status(context.Context) *peerpb.StatusReply {
 	now := time.Now()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -66,6 +66,7 @@
 	OwnerLost          = 706
 	GrantRefused       = 707
 	ReleaseFailed      = 708
+	PlannerNotRetired  = 709
 
 	// 8xx: requests.
 	RequestServed  = 800
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -40,6 +40,9 @@
 	Cause string `json:"cause,omitempty"`
 	// Fence is the highest fencing token used so far.
 	Fence int64 `json:"fence"`
+	// Settled is set once no planner of an earlier term than this record's can
+	// send grants any more.
+	Settled bool `json:"settled,omitempty"`
 	// Lost are owners, sorted, to which this term's planner has stopped
 	// sending grants: they do not answer. None is sent to them before a
 	// record without them is written, so that a successor knows how long
@@ -133,6 +136,7 @@
 func (t *Table) TakeOver(planner, addr string) *Table {
 	next := t.copyWith(planner, addr)
 	next.Term++
+	next.Settled = false
 	next.Fence++
 	for i := range next.Ranges {
 		next.Ranges[i].Fence = next.Fence
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -81,6 +81,16 @@
 	return out, nil
 }
 
+// Retire asks the host at addr (host:port) to send no more grants of terms
+// before the given one. It returns that host's name and whether it sends none.
+func (c *Client) Retire(ctx context.Context, addr, service string, term int64) (host string, retired bool, err error) {
+	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Retire(ctx, &peerpb.RetireRequest{Service: service, Term: term})
+	if err != nil {
+		return "", false, eris.Wrapf(err, "peer %s: retire", addr)
+	}
+	return reply.Host, reply.Retired, nil
+}
+
 func encodeLoad(l ServiceLoad) *peerpb.ServiceLoad {
 	out := &peerpb.ServiceLoad{Service: l.Service, Weight: l.Weight}
 	index := map[string]uint32{"": 0}
@@ -152,10 +162,20 @@
 	Fleet *fleet.Fleet
 	// Loads is handed each report.
 	Loads func([]ServiceLoad)
+	// Name is this host's.
+	Name string
+	// Retired stops what this host plans of a service in terms before the
+	// given one, and reports whether no grant of those is under way any more.
+	Retired func(ctx context.Context, service string, term int64) bool
 	// Tell describes this host.
 	Tell func(context.Context) *peerpb.StatusReply
 }
 
+// Retire implements peerpb.Peer.
+func (s *Server) Retire(ctx context.Context, m *peerpb.RetireRequest) (*peerpb.RetireReply, error) {
+	return &peerpb.RetireReply{Host: s.Name, Retired: s.Retired(ctx, m.Service, m.Term)}, nil
+}
+
 // Status implements peerpb.Peer.
 func (s *Server) Status(ctx context.Context, _ *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
 	return s.Tell(ctx), nil
--- a/internal/planner/actions.go
+++ b/internal/planner/actions.go
@@ -21,6 +21,16 @@
 // Leave ends this host's membership of the group that holds the seat.
 type Leave struct{}
 
+// Retire asks the host that planned before this one to send no more grants;
+// see Planner.RetireDone.
+type Retire struct {
+	Service string
+	// Host is its name, Addr where its peers reach it.
+	Host, Addr string
+	// Term is the one that this host has recorded.
+	Term int64
+}
+
 // Append records a table if the ownership stream ends at At; see
 // Planner.AppendDone.
 type Append struct {
@@ -50,6 +60,7 @@
 }
 
 func (*Leave) action()   {}
+func (*Retire) action()  {}
 func (*Join) action()    {}
 func (*Append) action()  {}
 func (*Grant) action()   {}
--- a/internal/planner/history.go
+++ b/internal/planner/history.go
@@ -44,6 +44,18 @@
 	sooner map[string]bootclock.Time
 }
 
+// earlierUntil bounds the grants of the planners before base's writer, by what
+// its record says or by when its term was first seen.
+func (h *history) earlierUntil(base *ownership.Table, now bootclock.Time, opts *Options) bootclock.Time {
+	switch {
+	case base == nil || base.Settled:
+		return 0
+	case h != nil && h.term == base.Term:
+		return h.termAt.Add(opts.ViewAge)
+	}
+	return now.Add(opts.ViewAge)
+}
+
 // soonerAfter returns the bounds for owners that base's writer marked as
 // lost. The writer has stopped sending to them when the mark was seen; those
 // before it have lost their seat before its first record, and send for
@@ -59,6 +71,16 @@
 	return out
 }
 
+// retired takes in that the planner of the term before sends no more grants
+// since now, and that those before it send none after earlier.
+func (f *foreign) retired(now, earlier bootclock.Time) {
+	f.until = min(f.until, max(now, earlier))
+	f.dialsUntil = min(f.dialsUntil, max(now, earlier))
+	for owner, at := range f.sooner {
+		f.sooner[owner] = min(at, f.until)
+	}
+}
+
 // lastTo returns when the last grant of an earlier planner may be sent to the
 // owner.
 func (f *foreign) lastTo(owner string) bootclock.Time {
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -317,6 +317,7 @@
 		return nil
 	}
 	next.Cause = cause
+	next.Settled = t.settled(now)
 	t.appending = &Append{Table: next, At: t.p.end, Cause: cause}
 	return t.appending
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -297,9 +297,12 @@
 	}
 	t.observe(v, now)
 	var out []Action
+	if a := t.retire(now); a != nil {
+		out = append(out, a)
+	}
 	if !p.resigned {
 		t.plan(now)
-		out = t.releases(now)
+		out = append(out, t.releases(now)...)
 	}
 	out = append(out, t.grants(now)...)
 	if a := t.record(now); a != nil {
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -288,6 +288,8 @@
 	switch a := a.(type) {
 	case *Join:
 		s.join(h, a, deliver)
+	case *Retire:
+		s.retire(h, a, deliver)
 	case *Leave:
 		if s.seatHolder == h.name {
 			s.seatUntil = s.now
@@ -325,6 +327,19 @@
 	deliver(func() { h.p.JoinDone(j, seat, nil, s.now) })
 }
 
+// retire asks another host. One that stands still does not answer.
+func (s *sim) retire(h *simHost, r *Retire, deliver func(func())) {
+	p := h.p
+	i := slices.IndexFunc(s.hosts, func(o *simHost) bool { return o.name == r.Host })
+	asked := s.hosts[i]
+	if s.now.Before(asked.frozenUntil) || s.rng.Float64() < s.faults.orderLost {
+		s.after(orderTimeout, func() { deliver(func() { p.RetireDone(r, "", false, s.now) }) })
+		return
+	}
+	retired := asked.p.Retired(r.Service, r.Term, s.now)
+	deliver(func() { p.RetireDone(r, asked.name, retired, s.now) })
+}
+
 func (s *sim) append(h *simHost, a *Append, deliver func(func())) {
 	p := h.p
 	write := func() error {
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -29,6 +29,11 @@
 	// bounds what earlier planners may still send.
 	base    *ownership.Table
 	foreign foreign
+	// earlierUntil bounds those before the last one.
+	earlierUntil bootclock.Time
+	// before asks the planner of the term before to retire; nil if there was
+	// none, or it has.
+	before *predecessor
 	// foreignAt is when a table of another planner's was last adopted.
 	foreignAt bootclock.Time
 
@@ -165,6 +170,9 @@
 		// were, and this host's own grants are on the holders' accounts.
 		t.foreign = past.foreign
 		t.holders = past.holders
+		t.before = past.before
+	} else if t.base != nil {
+		t.before = &predecessor{host: t.base.Planner, addr: t.base.PlannerAddr, earlier: t.earlierUntil}
 	}
 	t.p.Note(Event{Kind: TermStarted, Service: t.name, Table: t.table})
 }
@@ -193,6 +201,7 @@
 	next := base.TakeOver(t.p.opts.Host, t.p.opts.PeerAddr)
 	t.number = next.Term
 	t.base = t.table
+	t.earlierUntil = t.p.histories[t.name].earlierUntil(t.base, now, &t.p.opts)
 	t.foreign.sooner = t.p.histories[t.name].soonerAfter(t.base, &t.p.opts)
 	next.Cause = "new planner"
 	t.appending = &Append{Table: next, At: t.p.end, Cause: next.Cause}
