Owners that come back from a cut keep their keys

Cause: when a data centre's cut heals its upstreams answer releases before they are listed again. Change: an owner that answers after a silence is given one second to be listed again; its moves are given up then.

--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -23,6 +23,10 @@
 	released    bool
 	handover    string
 	nextRelease bootclock.Time
+	// failed is set once a release got no answer, silentUntil is until when
+	// an owner that answers again may still be listed again.
+	failed      bool
+	silentUntil bootclock.Time
 	cause       string
 }
 
@@ -47,6 +51,7 @@
 		return
 	}
 	t.nextFit = now.Add(fitEvery)
+	t.keepReturned(now)
 	t.settleLosses(now)
 	owners := t.candidates(now)
 	if len(owners) == 0 {
@@ -212,6 +217,7 @@
 		return
 	}
 	if err != nil {
+		m.failed = true
 		m.nextRelease = now.Add(retryRelease)
 		t.noteTrouble(ReleaseFailed, r.Range.Owner, err, now)
 		return
@@ -220,6 +226,31 @@
 		return
 	}
 	m.released, m.handover = true, handover
+	if m.failed {
+		m.silentUntil = now.Add(relisted)
+	}
+}
+
+// keepReturned gives up the moves of owners that were taken for gone or lost
+// and are back: listed again, with nobody else granted their keys. After a
+// data centre's cut heals its upstreams answer before they are listed, all
+// within a heartbeat; moving a third of the keys off them, cold, left the
+// others overloaded for seconds.
+func (t *term) keepReturned(now bootclock.Time) {
+	if t.appending != nil {
+		return
+	}
+	t.moves = slices.DeleteFunc(t.moves, func(m *move) bool {
+		u := t.ups[m.old.Owner]
+		wasUnlisted := m.cause == "owner leaving" || m.cause == "owner gone"
+		if !m.failed || m.release != nil || u == nil || u.Leaving || (!m.released && !wasUnlisted) {
+			return false
+		}
+		h := t.holder(u.ID)
+		h.lost, h.answeredAt = false, now
+		return true
+	})
+	t.syncLeases(now)
 }
 
 // comeBack gives an upstream that was taken for lost, but answers again, its
@@ -249,7 +280,7 @@
 	}
 	bound := t.p.opts.holdBound()
 	h := t.holder(m.old.Owner)
-	if h.inFlight > 0 || m.release != nil {
+	if h.inFlight > 0 || m.release != nil || now.Before(m.silentUntil) {
 		return false
 	}
 	if m.old.Fence <= t.startFence && !t.foreignOver(m, now) {
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -44,6 +44,9 @@
 	// noteEvery is the least time between two log lines of the same kind of
 	// failed order at one upstream.
 	noteEvery = time.Second
+	// relisted is how long an owner that answers again after a silence is
+	// given to be listed again: upstreams write about every 0.9 s.
+	relisted = time.Second
 	// retryAppend is the pause before an append without an answer is sent
 	// again.
 	retryAppend = 150 * time.Millisecond
