Callers are told to return by what they wait for

Cause: Retry-After was 0.3 s for a full upstream, whatever the objective: a caller with 0.4 s to be served in came back too late for it. For a key that nobody can serve it was 0.5 s: cuts and lost owners last seconds, and who came back within one was refused again.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -33,7 +33,7 @@
 	retryMoved = 250 * time.Millisecond
 	// retryNoOwner: the keys of a lost upstream get an owner when its
 	// lease has run out.
-	retryNoOwner = 500 * time.Millisecond
+	retryNoOwner = 1500 * time.Millisecond
 	spread       = 0.5
 )
 
@@ -263,9 +263,11 @@
 	if ctx.Err() != nil {
 		return d.outOfTime(ctx, q)
 	}
-	return q.endUnsent(CauseFull, retryFull)
+	return q.endUnsent(CauseFull, q.soon())
 }
 
+func (q *request) soon() time.Duration { return q.route.Objective / 4 }
+
 // mayRepeat reports whether the route allows one more send.
 func (q *request) mayRepeat() bool {
 	return q.up.Stream == nil && q.sends < q.route.MaxAttempts
@@ -283,9 +285,9 @@
 // giveUp ends a request that cannot be sent again.
 func (q *request) giveUp() *Refusal {
 	if q.sends == 0 {
-		return q.endUnsent(CauseUnreachable, retryFull)
+		return q.endUnsent(CauseUnreachable, q.soon())
 	}
-	return q.endUnsent(CauseFull, retryFull)
+	return q.endUnsent(CauseFull, q.soon())
 }
 
 // endUnsent ends a request that has nowhere to be sent.
@@ -300,7 +302,7 @@
 	if res.Misdirected() {
 		return q.endUnsent(CauseMoved, retryMoved)
 	}
-	return q.endUnsent(CauseFull, retryFull)
+	return q.endUnsent(CauseFull, q.soon())
 }
 
 func spreadOut(d time.Duration) time.Duration {
