Orders keep a spare connection to upstreams that close theirs

Cause: a planner that has lost the log opens no connections for grants. Change: a connection is opened within 50 ms of the answer that closed one, which is to the same life.

--- a/cmd/papayatided/entry.go
+++ b/cmd/papayatided/entry.go
@@ -47,7 +47,7 @@
 	reload := make(chan *settings.Entry)
 	go watchSettings(ctx, path, reload, zl)
 	plat := entryhost.Platform{Store: platform.NewStore(cfg.LogAddr, platform.NewHTTPClient(storeConns)), Decoder: platform.Decoder{},
-		Granter: &platform.Granter{HTTP: platform.NewHTTPClient(orderConns)}, Headers: platform.Headers, ReadyPath: platform.PathReady,
+		Granter: platform.NewGranter(orderConns), Headers: platform.Headers, ReadyPath: platform.PathReady,
 		LogDropped: sink.Dropped}
 	return entryhost.Run(ctx, cfg, plat, reload, zl)
 }
