The most urgent requests keep half of the repeat budget

Cause: where all upstreams of a service refused part of their requests, the budget ran out on lookups while bids worth twice as much got no repeat. Change: less urgent routes of a service leave half of its budget alone.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -39,6 +39,12 @@
 // make 1.02 times the repeats allowed.
 const restart = 0.35
 
+// reserve is the part of a budget that is kept for the most urgent requests of
+// a service. Where all its upstreams refused 55 of 100 requests, the budget ran
+// out on lookups while bids worth twice as much went without a repeat; worth of
+// five days of trouble, three seeds each, 0.7797 without and 0.7822 with it.
+const reserve = 0.5
+
 type counts struct {
 	step     int64
 	requests int
@@ -73,11 +79,12 @@
 }
 
 // Repeat takes one repeat from service's budget and reports whether there
-// was one left.
-func (b *Budget) Repeat(service string, now time.Time) bool {
+// was one left. Requests that are not urgent leave the reserve alone.
+func (b *Budget) Repeat(service string, urgent bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.left(service, now) < 1 {
+	left, allowed := b.left(service, now)
+	if left < 1 || (!urgent && left < reserve*allowed) {
 		return false
 	}
 	b.slot(service, now).repeats++
@@ -90,12 +97,12 @@
 	defer b.mu.Unlock()
 	out := map[string]float64{}
 	for service := range b.by {
-		out[service] = b.left(service, now)
+		out[service], _ = b.left(service, now)
 	}
 	return out
 }
 
-func (b *Budget) left(service string, now time.Time) float64 {
+func (b *Budget) left(service string, now time.Time) (left, whole float64) {
 	cur := b.slot(service, now)
 	requests, repeats := 0, 0
 	for _, c := range b.by[service] {
@@ -105,7 +112,7 @@
 		}
 	}
 	allowed := (float64(requests)*b.limits.Ratio + b.limits.Slack) * b.share(now)
-	return allowed - float64(repeats)
+	return allowed - float64(repeats), allowed
 }
 
 func (b *Budget) share(now time.Time) float64 {
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -13,7 +13,7 @@
 	var out []time.Time
 	for at := start; at.Before(end); at = at.Add(time.Second / time.Duration(perSecond)) {
 		b.Request("s", at)
-		for b.Repeat("s", at) {
+		for b.Repeat("s", true, at) {
 			out = append(out, at)
 		}
 	}
@@ -73,7 +73,31 @@
 	now := time.Unix(1000, 0)
 	b := New(limits, now.Add(-time.Minute))
 	spend(b, now, now.Add(time.Second), 30)
-	if !b.Repeat("other", now.Add(time.Second)) {
+	if !b.Repeat("other", true, now.Add(time.Second)) {
 		t.Error("another service's budget is spent")
 	}
 }
+
+// Every upstream of a service refuses half of what it is sent. Lookups and bids
+// ask for repeats in turn; the lookups must not spend what the bids need.
+func TestUrgentRequestsKeepTheReserve(t *testing.T) {
+	start := time.Unix(1000, 0)
+	b := New(Limits{Ratio: 0.2, Window: 10 * time.Second}, start.Add(-time.Minute))
+	for range 1000 {
+		b.Request("s", start)
+	}
+	lookups, bids := 0, 0
+	for range 1000 {
+		if b.Repeat("s", false, start) {
+			lookups++
+		}
+	}
+	for range 1000 {
+		if b.Repeat("s", true, start) {
+			bids++
+		}
+	}
+	if lookups == 0 || bids < lookups-1 {
+		t.Errorf("%d repeats of lookups, %d of bids", lookups, bids)
+	}
+}
--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -60,14 +60,21 @@
 	Services map[string]*Service
 	Limits   Limits
 	byHost   map[string][]*Route
+	// urgent is the highest rank of a route to each service.
+	urgent map[string]int
 }
 
 // New indexes routes by host, longest prefix first.
 func New(version int64, routes []*Route, services map[string]*Service, limits Limits) *State {
-	s := &State{Version: version, Services: services, Limits: limits, byHost: map[string][]*Route{}}
+	s := &State{Version: version, Services: services, Limits: limits, byHost: map[string][]*Route{}, urgent: map[string]int{}}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		s.byHost[host] = append(s.byHost[host], r)
+		for _, sh := range r.Shares {
+			if top, ok := s.urgent[sh.Service]; !ok || r.Priority < top {
+				s.urgent[sh.Service] = r.Priority
+			}
+		}
 	}
 	for _, rs := range s.byHost {
 		sort.Slice(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
@@ -88,6 +95,10 @@
 	return nil
 }
 
+// MostUrgent returns the highest rank (lowest Priority) of the routes to a
+// service.
+func (s *State) MostUrgent(service string) int { return s.urgent[service] }
+
 // KeyedServices returns the names of the services divided by key, sorted.
 func (s *State) KeyedServices() []string {
 	var out []string
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -167,7 +167,7 @@
 			ticket.Done(admission.NoSign, 0)
 			continue
 		}
-		if q.sends > 0 && !d.budget.Repeat(q.service.Name, time.Now()) {
+		if q.sends > 0 && !d.budget.Repeat(q.service.Name, q.urgent, time.Now()) {
 			ticket.Done(admission.NoSign, 0)
 			return nil, q.giveUp()
 		}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -23,6 +23,8 @@
 	route *desired.Route
 	// service is the part of the route's traffic it belongs to.
 	service *desired.Service
+	// urgent is set if no route to the service ranks higher.
+	urgent bool
 	// key is -1 for services that are not keyed.
 	key      int
 	arrived  time.Time
@@ -58,6 +60,7 @@
 	}
 	q.deadline = d.stop.last(q.deadline)
 	q.service = st.Services[d.splits.pick(route)]
+	q.urgent = route.Priority <= st.MostUrgent(q.service.Name)
 	if q.service.Keyed {
 		key, err := strconv.Atoi(r.Header.Get(d.headers.Key))
 		if err != nil || key < 0 || key >= ownership.Keys {
