--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -84,7 +84,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	left, allowed := b.left(service, now)
-	if left < 1 || (!urgent && left < reserve*allowed) {
+	if left < 1 || (!urgent && left <= reserve*allowed) {
 		return false
 	}
 	b.slot(service, now).repeats++
