All planners that may still send are asked to retire; a busy planner keeps its seat

With processor time counted the planner also lost its seat three times: it looked for owners in each tick, 25 times a second at some milliseconds each. Change: tables list the planners that may still send, and each new planner asks all of them; owners are looked for every 0.1 s. Hosts give a relay 0.55 s to answer instead of 0.7, as relays are now used where 2 s must be kept.

--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -22,14 +22,17 @@
 	// followTimeout bounds such a call; a planner that does not answer in
 	// time is taken for lost and the log service is read directly.
 	followTimeout = followWait + 400*time.Millisecond
+	// relayTimeout is followTimeout of a call to a relay, which is in this
+	// host's data centre: undisturbed it answers in a millisecond.
+	relayTimeout = followWait + 250*time.Millisecond
 	// relayWait is followWait of a host that relays: what it passes on is so
 	// much older.
 	relayWait = 200 * time.Millisecond
 	// copyAge is the greatest age of the planner's copy that is relied on.
 	// With followTimeout it leaves a host behind the log by at most 1.8 s
 	// before it reads for itself; relayedAge is that of a relay's copy, with
-	// which it is 1.95 s. A change must be in force, and an upstream that
-	// leaves left alone, within 2 s.
+	// which and relayTimeout it is 1.8 s too. A change must be in force, and an
+	// upstream that leaves left alone, within 2 s.
 	copyAge    = 1100 * time.Millisecond
 	relayedAge = 1250 * time.Millisecond
 	// restAge is the age of what this host knows from which on it reads
@@ -126,18 +129,18 @@
 		return false
 	}
 	if f.relay != "" && f.relayOf == planner {
-		if f.ask(ctx, f.relay, relayedAge, loads) {
+		if f.ask(ctx, f.relay, relayedAge, relayTimeout, loads) {
 			return true
 		}
 		loads = nil
 	}
 	f.relay, f.relayOf = "", planner
-	return f.ask(ctx, planner, copyAge, loads)
+	return f.ask(ctx, planner, copyAge, followTimeout, loads)
 }
 
 // ask makes one call and takes the answer in. It reports whether it can be
-// relied on: it must not be older than oldest.
-func (f *feed) ask(ctx context.Context, addr string, oldest time.Duration, loads []peer.ServiceLoad) bool {
+// relied on: it must come within timeout and not be older than oldest.
+func (f *feed) ask(ctx context.Context, addr string, oldest, timeout time.Duration, loads []peer.ServiceLoad) bool {
 	q := peer.Question{Self: f.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Wait: followWait}
 	if q.Self.Followers > 0 {
 		q.Wait = relayWait
@@ -145,7 +148,7 @@
 	for _, s := range relay.Streams {
 		q.Positions[s] = f.copy.Next(s)
 	}
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	got, err := f.peers.Follow(ctx, addr, q)
 	f.failed = err != nil
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -27,6 +27,13 @@
 	Handover string `json:"h,omitempty"`
 }
 
+// Planner is a host that planned.
+type Planner struct {
+	Host string `json:"h"`
+	// Addr is where its peers reach it.
+	Addr string `json:"a"`
+}
+
 // Table is one service's ownership at one point of the log. It is immutable.
 type Table struct {
 	Service string `json:"service"`
@@ -40,9 +47,8 @@
 	Cause string `json:"cause,omitempty"`
 	// Fence is the highest fencing token used so far.
 	Fence int64 `json:"fence"`
-	// Settled is set once no planner of an earlier term than this record's can
-	// send grants any more.
-	Settled bool `json:"settled,omitempty"`
+	// Earlier are the planners of earlier terms that may still send grants.
+	Earlier []Planner `json:"earlier,omitempty"`
 	// Lost are owners, sorted, to which this term's planner has stopped
 	// sending grants: they do not answer. None is sent to them before a
 	// record without them is written, so that a successor knows how long
@@ -136,7 +142,7 @@
 func (t *Table) TakeOver(planner, addr string) *Table {
 	next := t.copyWith(planner, addr)
 	next.Term++
-	next.Settled = false
+	next.Earlier = t.planners()
 	next.Fence++
 	for i := range next.Ranges {
 		next.Ranges[i].Fence = next.Fence
@@ -145,6 +151,15 @@
 	return next
 }
 
+// planners returns those that may send grants: t's own and those before it.
+func (t *Table) planners() []Planner {
+	if t.Planner == "" {
+		return nil
+	}
+	others := slices.DeleteFunc(slices.Clone(t.Earlier), func(p Planner) bool { return p.Host == t.Planner })
+	return append(others, Planner{Host: t.Planner, Addr: t.PlannerAddr})
+}
+
 // Apply returns the table after the moves, all under one new fencing token.
 func (t *Table) Apply(moves []Move) *Table {
 	next := t.copyWith(t.Planner, t.PlannerAddr)
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -30,8 +30,14 @@
 	cause       string
 }
 
-// pause between looks for load that is out of balance.
-const fitEvery = 250 * time.Millisecond
+const (
+	// fitEvery is the pause between looks for load that is out of balance.
+	fitEvery = 250 * time.Millisecond
+	// urgentEvery is that pause while keys need an owner. A look costs some
+	// milliseconds; with one in each tick a planner whose upstreams restarted
+	// in turn was too busy to prove its seat and lost it three times.
+	urgentEvery = 100 * time.Millisecond
+)
 
 // fewestSamples is how many requests must be known before keys move for
 // load: a planner that has just taken over knows nothing of it yet.
@@ -46,11 +52,10 @@
 	if t.gathering(now) {
 		return
 	}
-	urgent := t.needsOwner(now)
-	if !urgent && now.Before(t.nextFit) {
+	if now.Before(t.nextUrgent) || (now.Before(t.nextFit) && !t.needsOwner(now)) {
 		return
 	}
-	t.nextFit = now.Add(fitEvery)
+	t.nextFit, t.nextUrgent = now.Add(fitEvery), now.Add(urgentEvery)
 	t.keepReturned(now)
 	t.settleLosses(now)
 	owners := t.candidates(now)
@@ -171,7 +176,7 @@
 	if t.ups[old.Owner] == nil || h.lost {
 		return true
 	}
-	return h.life == old.Owner && h.sawThisTerm(span{old.From, old.To}) && now.Sub(t.foreign.dialsUntil) > arrival
+	return h.life == old.Owner && h.sawThisTerm(span{old.From, old.To}) && now.Sub(t.foreign.dialsUntil()) > arrival
 }
 
 // insertMove keeps the moves in the order of their keys.
@@ -323,14 +328,14 @@
 	if h.life != m.old.Owner || !h.sawThisTerm(m.span) {
 		return false
 	}
-	return m.released || now.Sub(t.foreign.dialsUntil) > bound
+	return m.released || now.Sub(t.foreign.dialsUntil()) > bound
 }
 
 // mayRelease reports whether a release now would end what earlier planners
 // granted too: none of their grants reaches a later life of the owner's server
 // after it.
 func (t *term) mayRelease(m *move, now bootclock.Time) bool {
-	return m.old.Fence > t.startFence || now.Sub(t.foreign.dialsUntil) > arrival
+	return m.old.Fence > t.startFence || now.Sub(t.foreign.dialsUntil()) > arrival
 }
 
 // record returns the append of the moves that are ready, if any.
@@ -368,7 +373,7 @@
 		return nil
 	}
 	next.Cause = cause
-	next.Settled = t.settled(now)
+	next.Earlier = t.earlier(now)
 	t.appending = &Append{Table: next, At: t.p.end, Cause: cause}
 	return t.appending
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -294,10 +294,7 @@
 		return t.takeOver(now)
 	}
 	t.observe(v, now)
-	var out []Action
-	if a := t.retire(now); a != nil {
-		out = append(out, a)
-	}
+	out := t.retire(now)
 	if !p.resigned {
 		t.plan(now)
 		out = append(out, t.releases(now)...)
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -29,11 +29,8 @@
 	// bounds what earlier planners may still send.
 	base    *ownership.Table
 	foreign foreign
-	// earlierUntil bounds those before the last one.
-	earlierUntil bootclock.Time
-	// before asks the planner of the term before to retire; nil if there was
-	// none, or it has.
-	before *predecessor
+	// baseSeenAt is when the term of base was first seen.
+	baseSeenAt bootclock.Time
 	// foreignAt is when a table of another planner's was last adopted.
 	foreignAt bootclock.Time
 
@@ -54,8 +51,9 @@
 	holders map[string]*holder
 	leases  map[span]*lease
 	// moves are under way, in the order of their keys.
-	moves   []*move
-	nextFit bootclock.Time
+	moves []*move
+	// nextFit is when load is looked at next, nextUrgent keys without owners.
+	nextFit, nextUrgent bootclock.Time
 }
 
 // lease is one grant that is kept up.
@@ -162,17 +160,12 @@
 func (t *term) start(now bootclock.Time) {
 	t.started = true
 	t.startFence = t.table.Fence
-	// Whoever held the seat before has lost it by now.
-	t.foreign.until = now.Add(t.p.opts.ViewAge)
-	t.foreign.dialsUntil = now.Add(freshSeat)
+	t.foreign.before = t.predecessors(now)
 	if past := t.p.past[t.name]; past != nil && t.base != nil && past.number == t.base.Term {
 		// No other planner was in between: those before are bounded as they
 		// were, and this host's own grants are on the holders' accounts.
 		t.foreign = past.foreign
 		t.holders = past.holders
-		t.before = past.before
-	} else if t.base != nil {
-		t.before = &predecessor{host: t.base.Planner, addr: t.base.PlannerAddr, earlier: t.earlierUntil}
 	}
 	t.p.Note(Event{Kind: TermStarted, Service: t.name, Table: t.table})
 }
@@ -201,7 +194,9 @@
 	next := base.TakeOver(t.p.opts.Host, t.p.opts.PeerAddr)
 	t.number = next.Term
 	t.base = t.table
-	t.earlierUntil = t.p.histories[t.name].earlierUntil(t.base, now, &t.p.opts)
+	if t.base != nil {
+		t.baseSeenAt = t.p.histories[t.name].seenAt(t.base, now)
+	}
 	t.foreign.sooner = t.p.histories[t.name].soonerAfter(t.base, &t.p.opts)
 	next.Cause = "new planner"
 	t.appending = &Append{Table: next, At: t.p.end, Cause: next.Cause}
