--- /dev/null
+++ b/internal/planner/record.go
@@ -0,0 +1,130 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/papayatide/papayatide/internal/bootclock"
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/ownership"
+)
+
+// free reports whether the move's old owner can no longer hold its keys; see
+// the package comment for why.
+func (t *term) free(m *move, now bootclock.Time) bool {
+	if m.old.Owner == "" {
+		return true
+	}
+	if m.release == nil && catalogue.Succeeds(m.dest, m.old.Owner) {
+		return true
+	}
+	bound := t.p.opts.holdBound()
+	h := t.holder(m.old.Owner)
+	if h.inFlight > 0 || m.release != nil || now.Before(m.silentUntil) {
+		return false
+	}
+	if m.old.Fence <= t.startFence && !t.foreignOver(m, now) {
+		return false
+	}
+	if h.unanswered && now.Sub(h.unansweredAt) <= bound {
+		return false
+	}
+	return m.released || !h.sentAny || now.Sub(h.mayHoldFrom) > bound
+}
+
+// foreignOver reports whether no grant of an earlier planner can keep the
+// move's keys at their old owner.
+func (t *term) foreignOver(m *move, now bootclock.Time) bool {
+	bound := t.p.opts.holdBound()
+	if now.Sub(t.foreign.lastTo(m.old.Owner)) > bound {
+		return true
+	}
+	h := t.holder(m.old.Owner)
+	if h.life != m.old.Owner || !h.sawThisTerm(m.span) {
+		return false
+	}
+	return m.released || now.Sub(t.foreign.dialsUntil()) > bound
+}
+
+// mayRelease reports whether a release now would end what earlier planners
+// granted too: none of their grants reaches a later life of the owner's server
+// after it.
+func (t *term) mayRelease(m *move, now bootclock.Time) bool {
+	return m.old.Fence > t.startFence || now.Sub(t.foreign.dialsUntil()) > arrival
+}
+
+// record returns the append of the moves that are ready, if any.
+func (t *term) record(now bootclock.Time) Action {
+	if t.appending != nil {
+		if again := t.sendAgain(now); len(again) > 0 {
+			return again[0]
+		}
+		return nil
+	}
+	if now.Before(t.nextAppend) {
+		return nil
+	}
+	var ready []ownership.Move
+	cause := ""
+	for _, m := range t.moves {
+		if !t.free(m, now) {
+			continue
+		}
+		if u := t.ups[m.dest]; u == nil || u.Leaving || t.shunned(m.dest, now) {
+			t.redirect(m, now)
+		}
+		ready = append(ready, ownership.Move{From: m.from, To: m.to, NewOwner: m.dest, Handover: m.handover})
+		cause = m.cause
+	}
+	next := t.table
+	if len(ready) > 0 {
+		next = next.Apply(ready)
+	}
+	if lost := t.lostOwners(next); !slices.Equal(lost, t.table.Lost) {
+		next = next.WithLost(lost)
+		cause = cmp.Or(cause, "lost owners")
+	}
+	if next == t.table {
+		return nil
+	}
+	next.Cause = cause
+	next.Earlier = t.earlier(now)
+	t.appending = &Append{Table: next, At: t.p.end, Cause: cause}
+	return t.appending
+}
+
+// lostOwners returns the owners in the table that get no grants: those that
+// are not listed or do not answer. An owner with a grant under way is not
+// marked yet, as its mark says that nothing is sent any more.
+func (t *term) lostOwners(table *ownership.Table) []string {
+	var out []string
+	for _, r := range table.Ranges {
+		h := t.holder(r.Owner)
+		silent := t.ups[r.Owner] == nil || h.lost
+		if r.Owner != "" && silent && h.inFlight == 0 {
+			out = append(out, r.Owner)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// redirect gives a move whose new owner is no candidate any more another
+// one: the one with the fewest keys.
+func (t *term) redirect(m *move, now bootclock.Time) {
+	keys := map[string]int{}
+	for _, r := range t.table.Ranges {
+		keys[r.Owner] += r.To - r.From + 1
+	}
+	m.dest = ""
+	for _, u := range t.candidates(now) {
+		if m.dest == "" || keys[u.ID] < keys[m.dest] || (keys[u.ID] == keys[m.dest] && u.ID < m.dest) {
+			m.dest = u.ID
+		}
+	}
+}
+
+// dropFinishedMoves forgets the moves that the table in force contains.
+func (t *term) dropFinishedMoves() {
+	t.moves = slices.DeleteFunc(t.moves, func(m *move) bool { return t.table.Find(m.from).Fence > m.old.Fence })
+}
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -63,37 +63,6 @@
 	inFlight bool
 }
 
-// holder is what is known of the grants sent to one server. Its lives share
-// it: a grant that was sent to one may reach the next.
-type holder struct {
-	// life is the newest life a grant was meant for or that was listed. What
-	// earlier ones acknowledged they took into their graves.
-	life     string
-	inFlight int
-	// mayHoldFrom is when the last grant was sent that may have reached it.
-	mayHoldFrom bootclock.Time
-	sentAny     bool
-	// unansweredAt is when the last grant was sent that got no answer; it
-	// may be carried out late, even after a release.
-	unansweredAt bootclock.Time
-	unanswered   bool
-	// answeredAt is when it last answered, or was first sent a grant.
-	answeredAt bootclock.Time
-	// confirmed are the spans on which it has seen this term's token.
-	confirmed []span
-	// noted is what was last told of orders that failed.
-	noted     map[EventKind]noted
-	losses    int
-	shunUntil bootclock.Time
-	lost      bool
-}
-
-// noted is when a kind of failure was last told, and how many were not since.
-type noted struct {
-	at     bootclock.Time
-	untold int
-}
-
 func newTerm(p *Planner, name string) *term {
 	return &term{p: p, name: name, ups: map[string]*catalogue.Upstream{}, byServer: map[string]*catalogue.Upstream{},
 		holders: map[string]*holder{}, leases: map[span]*lease{}}
@@ -110,15 +79,6 @@
 	return h
 }
 
-// succeeded turns to a newer life. It has forgotten the tokens that the older
-// one acknowledged, and none of the older one's failures are its own.
-func (h *holder) succeeded(life string, now bootclock.Time) {
-	h.life = life
-	h.confirmed = nil
-	h.lost, h.losses, h.shunUntil = false, 0, 0
-	h.answeredAt = now
-}
-
 // successor returns the newer life of the owner's server, if one is listed:
 // the owner has ended then.
 func (t *term) successor(owner string) *catalogue.Upstream {
@@ -399,22 +359,3 @@
 	}
 	return t.superseded
 }
-
-// maxConfirmed bounds the spans remembered per upstream; more than an
-// upstream has ranges is never needed.
-const maxConfirmed = 256
-
-// sawThisTerm reports whether the upstream has acknowledged this term's
-// token on every key of s, so that it refuses its predecessor's grants.
-func (h *holder) sawThisTerm(s span) bool {
-	from := s.from
-	for again := true; again && from <= s.to; {
-		again = false
-		for _, c := range h.confirmed {
-			if c.from <= from && from <= c.to {
-				from, again = c.to+1, true
-			}
-		}
-	}
-	return from > s.to
-}
