--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,12 +27,14 @@
 	// retryNoDesired: the first desired state is read within a few
 	// milliseconds of reaching the log service.
 	retryNoDesired = 300 * time.Millisecond
-	// retryFull: about the time in which an upstream works off its queue.
-	retryFull = 300 * time.Millisecond
+	// retryLate is told to callers whose time ran out before their request
+	// could be sent.
+	retryLate = 300 * time.Millisecond
 	// retryMoved: about the time a key takes to change hands.
 	retryMoved = 250 * time.Millisecond
-	// retryNoOwner: the keys of a lost upstream get an owner when its
-	// lease has run out.
+	// retryNoOwner: the keys of a lost upstream get an owner when its lease
+	// has run out, and a cut lasts seconds; who returned after half a second
+	// was mostly refused again. Callers cut it to a third of their time.
 	retryNoOwner = 1500 * time.Millisecond
 	spread       = 0.5
 )
@@ -266,6 +268,9 @@
 	return q.endUnsent(CauseFull, q.soon())
 }
 
+// soon is when to come back to a full upstream: early enough to be served
+// within the objective still. After 0.3 s a caller with an objective of 0.4 s
+// was late whatever the upstream did.
 func (q *request) soon() time.Duration { return q.route.Objective / 4 }
 
 // mayRepeat reports whether the route allows one more send.
@@ -319,7 +324,7 @@
 		never, sent = CauseStopping, CauseStopping
 	}
 	if q.sends == 0 || !q.mayHaveRun {
-		return notRun(never, spreadOut(retryFull))
+		return notRun(never, spreadOut(retryLate))
 	}
 	return failed(sent, http.StatusGatewayTimeout)
 }
--- /dev/null
+++ b/internal/dispatch/return_test.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// A caller is refused for want of room: it must come back while it can be
+// served within its objective still. One whose key nobody owns must not come
+// back before a lost owner's lease can have run out.
+func TestCallersAreToldWhenToComeBack(t *testing.T) {
+	full := startUpstream(t, func(w io.Writer, _ net.Conn, r *http.Request, _ int64) bool {
+		return whole(w, r, 503, "", "X-Not-Run: 1")
+	})
+	g := newRig(t, up("u1", "plain", full))
+	told := func(a answer) time.Duration {
+		t.Helper()
+		a.want(t, http.StatusServiceUnavailable, "")
+		secs, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return time.Duration(secs * float64(time.Second))
+	}
+	if d := told(g.post("charge.example", "r1")); d > testObjective/3 {
+		t.Errorf("full: told %v, the objective is %v", d, testObjective)
+	}
+	if d := told(g.get("keyed.example", "r2")); d < retryNoOwner/2 {
+		t.Errorf("no owner: told %v", d)
+	}
+}
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -29,6 +29,16 @@
 	cause       string
 }
 
+// Causes of moves, as they stand in the log and in table records.
+const (
+	causeNoOwner   = "no owner"
+	causeRestarted = "owner restarted"
+	causeGone      = "owner gone"
+	causeLeaving   = "owner leaving"
+	causeLost      = "owner lost"
+	causeLoad      = "load"
+)
+
 const (
 	// fitEvery is the pause between looks for load that is out of balance.
 	fitEvery = 250 * time.Millisecond
@@ -197,17 +207,17 @@
 	u := t.ups[owner]
 	switch {
 	case owner == "":
-		return "no owner"
+		return causeNoOwner
 	case t.successor(owner) != nil:
-		return "owner restarted"
+		return causeRestarted
 	case u == nil:
-		return "owner gone"
+		return causeGone
 	case u.Leaving:
-		return "owner leaving"
+		return causeLeaving
 	case t.shunned(owner, now):
-		return "owner lost"
+		return causeLost
 	}
-	return "load"
+	return causeLoad
 }
 
 // releases returns the releases to send. A release waits for the grants
@@ -266,7 +276,7 @@
 	}
 	t.moves = slices.DeleteFunc(t.moves, func(m *move) bool {
 		u := t.ups[m.old.Owner]
-		wasUnlisted := m.cause == "owner leaving" || m.cause == "owner gone"
+		wasUnlisted := m.cause == causeLeaving || m.cause == causeGone
 		if !m.failed || m.release != nil || u == nil || u.Leaving || (!m.released && !wasUnlisted) {
 			return false
 		}
