The first division waits until no more upstreams register

Cause: the first division came 1.2 s after the first upstream was seen. In a fleet of 181 the first 81 got all keys; the others owned nothing until load moved keys to them, while callers were refused at the 81.

Change: it also waits until none has registered for 0.7 s, at most 4 s in all.

--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -115,8 +115,15 @@
 // gathering reports whether the service's upstreams are still registering
 // before the first division: those that came first would get all keys.
 func (t *term) gathering(now bootclock.Time) bool {
-	seen, ok := t.p.firstSeen[t.name]
-	return t.undivided() && (!ok || now.Sub(seen) < settle)
+	if !t.undivided() {
+		return false
+	}
+	a := t.p.arrivals[t.name]
+	if a.known == 0 {
+		return true
+	}
+	since := now.Sub(a.first)
+	return since < settle || (now.Sub(a.last) < settleQuiet && since < settleMost)
 }
 
 // undivided reports whether no key has had an owner yet.
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -53,6 +53,12 @@
 	// settle is how long after the first upstream was seen the first
 	// division of a service's keys waits for the others to register.
 	settle = 1200 * time.Millisecond
+	// settleQuiet is how long no further upstream must have registered for
+	// that, and settleMost the longest wait: hundreds take seconds, and those
+	// that came too late owned nothing until callers had overloaded the
+	// others. In a fleet of 181 the first 81 got all keys.
+	settleQuiet = 700 * time.Millisecond
+	settleMost  = 4 * time.Second
 	// trigger, settleAt and maxMoves are the usual limits of rebalancing; an
 	// owner's load estimate rests on some fifty requests, which chance makes
 	// a third too high now and then.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -35,8 +35,16 @@
 	endDoubted bool
 	// plannerSeenAt is when another host was last seen to plan.
 	plannerSeenAt bootclock.Time
-	// firstSeen is when each service's first upstream was seen.
-	firstSeen map[string]bootclock.Time
+	// arrivals is when each service's upstreams registered.
+	arrivals map[string]arrivals
+}
+
+// arrivals is when a service's upstreams were seen to register.
+type arrivals struct {
+	// known is the most that were listed at once; first and last are when the
+	// first of them was seen and when the last.
+	known       int
+	first, last bootclock.Time
 }
 
 // Event is a change of belief, for the log.
@@ -82,7 +90,7 @@
 
 // New returns a planner that holds no seat.
 func New(opts Options) *Planner {
-	return &Planner{opts: opts, services: map[string]*term{}, past: map[string]*term{}, histories: map[string]*history{}, firstSeen: map[string]bootclock.Time{},
+	return &Planner{opts: opts, services: map[string]*term{}, past: map[string]*term{}, histories: map[string]*history{}, arrivals: map[string]arrivals{},
 		Limits: ownership.Limits{Trigger: trigger, Settle: settleAt, MaxMoves: maxMoves},
 		Load: func(_ string, owners []*catalogue.Upstream) (ownership.Load, float64) {
 			return ownership.Load{Capacity: slotsOf(owners)}, 0
@@ -156,15 +164,22 @@
 	}
 }
 
-// watchServices notes when each keyed service's first upstream was seen.
+// watchServices notes when each keyed service's upstreams register.
 func (p *Planner) watchServices(now bootclock.Time, v *view.View) {
 	if v.Desired == nil {
 		return
 	}
 	for _, name := range v.Desired.KeyedServices() {
-		if _, ok := p.firstSeen[name]; !ok && len(v.Upstreams.Of(name)) > 0 {
-			p.firstSeen[name] = now
+		a := p.arrivals[name]
+		n := len(v.Upstreams.Of(name))
+		if n <= a.known {
+			continue
+		}
+		if a.known == 0 {
+			a.first = now
 		}
+		a.known, a.last = n, now
+		p.arrivals[name] = a
 	}
 }
 
@@ -205,8 +220,8 @@
 	if len(v.Tables) > 0 {
 		return true
 	}
-	for _, seen := range p.firstSeen {
-		if now.Sub(seen) > settle {
+	for _, a := range p.arrivals {
+		if now.Sub(a.first) > settle {
 			return true
 		}
 	}
--- a/internal/planner/seat_test.go
+++ b/internal/planner/seat_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -271,6 +272,42 @@
 	}
 }
 
+// A large fleet starts: its upstreams register over two seconds. Callers of
+// keys that lie with the first few would be refused for want of room while the
+// others own nothing, so the division waits until no more come.
+func TestFirstDivisionWaitsForAllUpstreamsOfALargeFleet(t *testing.T) {
+	h := newHarness(t)
+	h.play(settleQuiet, allWell)
+	const arriving = 20
+	for i := range arriving {
+		id := fmt.Sprintf("u%02d", i)
+		h.ups[id] = &catalogue.Upstream{ID: id, Service: simService, Addr: id, Slots: 3}
+		h.publish()
+		h.play(100*time.Millisecond, allWell)
+	}
+	h.play(settle, allWell)
+	for id := range h.ups {
+		if !owns(h.tab, id) {
+			t.Errorf("%s owns nothing", id)
+		}
+	}
+}
+
+// Upstreams go on registering without an end. Callers must be served all the
+// same: the keys are divided among those that are there after settleMost.
+func TestFirstDivisionDoesNotWaitForever(t *testing.T) {
+	h := newHarness(t)
+	for at := time.Duration(0); at < settleMost+settleQuiet; at += settleQuiet / 2 {
+		id := fmt.Sprint("u", at)
+		h.ups[id] = &catalogue.Upstream{ID: id, Service: simService, Addr: id, Slots: 3}
+		h.publish()
+		h.play(settleQuiet/2, allWell)
+	}
+	if h.tab == nil || owns(h.tab, "") {
+		t.Error("the keys are not divided while upstreams still come")
+	}
+}
+
 // A planner that was cut off from the log is told by an upstream that a
 // later planner is at work. It must send no further orders: they would all be
 // refused, hundreds a second, until its own view ends.
