A large service may have more keys on the move for load; their records are gathered

Cause: 24 moves at once, of any cause. A busy region of a few hundred keys needs over a hundred new owners while it lasts, 5 s, and 200 moves of lost owners' keys, which wait for leases, kept every other owner from being relieved.

Change: for load one move for three owners, 24 at least; only those for load count. Records of moves for load alone come 150 ms apart at least: there were up to 37 a second, each sent to every host. Tests: half of sixty owners lost and an overloaded one beside them (before: nothing moved); shifting load recorded at most once in 150 ms.

--- a/internal/ownership/rebalance.go
+++ b/internal/ownership/rebalance.go
@@ -70,9 +70,10 @@
 	}
 	b := newBalance(t, load)
 	b.placeOrphans(load.ByKey == nil)
-	if lim.MaxMoves > 0 {
-		b.placeHottest(load.ByKey)
+	if lim.MaxMoves == 0 {
+		return b.changes()
 	}
+	b.placeHottest(load.ByKey)
 	for n := 0; n < lim.MaxMoves && b.relieveOne(lim); n++ {
 	}
 	return b.changes()
--- /dev/null
+++ b/internal/planner/load_test.go
@@ -0,0 +1,112 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/ownership"
+)
+
+// manyOwners is a harness with so many upstreams, which have their keys, and
+// samples enough for load to be looked at.
+func manyOwners(t *testing.T, n int) (*harness, []string) {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("u%02d", i))
+	}
+	h := newHarness(t, ids...)
+	h.play(4*time.Second, allWell)
+	return h, ids
+}
+
+// busyKeys makes the planner see equal load on all keys but those from first
+// on, which are asked for ten times as much.
+func (h *harness) busyKeys(first *int) {
+	h.p.Load = func(_ string, owners []*catalogue.Upstream) (ownership.Load, float64) {
+		byKey := make([]float64, ownership.Keys)
+		for k := range byKey {
+			byKey[k] = 0.01
+		}
+		for k := *first; k < *first+ownership.Keys/20; k++ {
+			byKey[k] = 0.1
+		}
+		capacity := map[string]float64{}
+		for _, u := range owners {
+			capacity[u.ID] = 100
+		}
+		return ownership.Load{ByKey: byKey, Capacity: capacity}, 10 * fewestSamples
+	}
+}
+
+// A cut takes half of sixty owners away: their keys wait three seconds for
+// leases to run out. Callers of keys at an overloaded owner that lives must not
+// wait for that too: its keys move meanwhile.
+func TestLostOwnersDoNotKeepOthersFromBeingRelieved(t *testing.T) {
+	h, ids := manyOwners(t, 60)
+	dead := map[string]bool{}
+	for _, id := range ids[:30] {
+		dead[id] = true
+	}
+	answer := func(a Action) error {
+		switch a := a.(type) {
+		case *Grant:
+			if dead[a.Addr] {
+				return ownership.ErrNoAnswer
+			}
+		case *Release:
+			if dead[a.Addr] {
+				return ownership.ErrNoAnswer
+			}
+		}
+		return nil
+	}
+	h.play(testOptions.Hold*7/10, answer)
+	if lost := len(h.tab.Lost); lost != 30 {
+		t.Fatalf("the play is wrong: %d owners are lost", lost)
+	}
+	first := 0
+	for h.tab.Find(first).Owner != ids[45] {
+		first++
+	}
+	h.busyKeys(&first)
+	before := h.tab
+	h.play(500*time.Millisecond, answer)
+	if moved := h.tab.KeysMovedSince(before); moved == 0 {
+		t.Error("no key of an overloaded owner moved while others were lost")
+	}
+}
+
+// Load shifts all the time. Each record of the table goes to every host of the
+// fleet: those for load alone come no closer than gatherMoves.
+func TestRecordsOfMovesForLoadAreGathered(t *testing.T) {
+	h, _ := manyOwners(t, 60)
+	first := 0
+	h.busyKeys(&first)
+	records := 0
+	const played = 2 * time.Second
+	var releases []Action // answered one a step, as the work under way ends
+	for end := h.now.Add(played); h.now.Before(end); h.now = h.now.Add(simStep) {
+		for _, a := range h.p.Tick(h.now, h.v.Load()) {
+			if r, ok := a.(*Append); ok && r.Cause == causeLoad {
+				records++
+			}
+			if _, ok := a.(*Release); ok {
+				releases = append(releases, a)
+				continue
+			}
+			h.answer(a, nil)
+		}
+		if len(releases) > 0 {
+			h.answer(releases[0], nil)
+			releases = releases[1:]
+		}
+		if first += 100; first > ownership.Keys*9/10 {
+			first = 0
+		}
+	}
+	if most := int(played/gatherMoves) + 1; records == 0 || records > most {
+		t.Errorf("%d records of moves for load in %v, want 1 to %d", records, played, most)
+	}
+}
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -79,7 +79,7 @@
 		load.ByKey = nil
 	}
 	lim := t.p.Limits
-	lim.MaxMoves = max(lim.MaxMoves-len(t.moves), 0)
+	lim.MaxMoves = max(max(lim.MaxMoves, len(owners)/movingOwners)-t.movingForLoad(), 0)
 	if samples < fewestSamples || now.Sub(t.p.seat.provenAt) > freshSeat {
 		// Keys taken back while the log cannot be written to would stay
 		// without an owner until it can.
@@ -96,6 +96,20 @@
 	t.syncLeases(now)
 }
 
+// movingForLoad returns how many keys' runs are on the move for load. Those of
+// owners that are lost or leave do not count: their keys are not stopped for
+// the sake of balance, and while 200 of them waited for leases to run out no
+// other owner was relieved.
+func (t *term) movingForLoad() int {
+	n := 0
+	for _, m := range t.moves {
+		if m.cause == causeLoad {
+			n++
+		}
+	}
+	return n
+}
+
 // moveToSuccessors gives the keys of lives that have ended to the next life of
 // their server, where one is listed. It alone may have been given them by a
 // late grant to its predecessor, so that they are free for it at once; another
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -64,6 +64,15 @@
 	// a third too high now and then.
 	trigger, settleAt = 1.35, 1.05
 	maxMoves          = 24
+	// movingOwners bounds the moves for load of a large service, to one for
+	// so many owners. Each takes a second or so, most of it work under way,
+	// and a busy region of 200 keys needs 150 new owners while it lasts.
+	movingOwners = 3
+	// gatherMoves is the least pause between records of moves for load alone.
+	// Each record goes to every host; at 30 a second a table of 700 ranges
+	// would take a weak host's processor. A move waits 0.5 s and more for the
+	// work under way on its keys anyway.
+	gatherMoves = 150 * time.Millisecond
 	// patience is how long hosts that are not eager wait for a planner.
 	patience = 3 * time.Second
 	// joinHolder and joinOther are the pauses between proofs of the seat,
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -65,7 +65,7 @@
 		return nil
 	}
 	var ready []ownership.Move
-	cause := ""
+	cause, urgent := "", false
 	for _, m := range t.moves {
 		if !t.free(m, now) {
 			continue
@@ -75,6 +75,10 @@
 		}
 		ready = append(ready, ownership.Move{From: m.from, To: m.to, NewOwner: m.dest, Handover: m.handover})
 		cause = m.cause
+		urgent = urgent || m.cause != causeLoad
+	}
+	if len(ready) > 0 && !urgent && now.Sub(t.recordedAt) < gatherMoves {
+		return nil
 	}
 	next := t.table
 	if len(ready) > 0 {
@@ -90,6 +94,7 @@
 	next.Cause = cause
 	next.Earlier = t.earlier(now)
 	t.appending = &Append{Table: next, At: t.p.end, Cause: cause}
+	t.recordedAt = now
 	return t.appending
 }
 
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -37,6 +37,8 @@
 	appending  *Append
 	resend     bool
 	nextAppend bootclock.Time
+	// recordedAt is when the last record was begun.
+	recordedAt bootclock.Time
 
 	// supersededAt is when an upstream showed that it has seen a later
 	// planner's token. Until the seat is proved anew this host sends no
