Hosts of a data centre share what they have at upstreams; late answers are refused

Cause: each host chose the upstream that looked best to it alone. Before the first answers that was the first by name for all hosts, later the same few fast ones, and a host of sixty hears of an upstream once in ten seconds.

Change: three upstreams of the own data centre and three of others are drawn for a request and compared; hosts report what they have under way and their answers' times over the calls they make to follow, and are told the others' sums and the upstreams' work times. A request whose answer would come after its objective is refused at once. The work time estimate moves out of loadmap, which shares it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,14 @@
 	// ejectFirst and ejectMost bound how long it stays out.
 	ejectFirst = 500 * time.Millisecond
 	ejectMost  = 2 * time.Second
+	// drawn is how many upstreams of the host's data centre, and how many of
+	// others, are compared for a request. Hosts of a large fleet know little of
+	// each upstream, and the same: if each took the best of all, they would
+	// all take the first they have not tried, or the same few fast ones.
+	// Played with 59 hosts and 52 upstreams seven tenths in use, 55 of 100
+	// requests were answered in time when all took the first of the best, 85
+	// when equals were drawn, 89 with four drawn.
+	drawn = 3
 	// coldFactor is how much slower an upstream is while it warms up.
 	coldFactor = 2
 )
@@ -45,6 +54,14 @@
 	failures int
 	outUntil time.Time
 	fullTill time.Time
+	// chosen is set once Pick returned the upstream; keyed ones never are.
+	chosen bool
+	// answered and latency are the answers since the last report.
+	answered int
+	latency  time.Duration
+	// others is what the other hosts have there, as of learnedAt.
+	others    Others
+	learnedAt time.Time
 }
 
 // Board keeps one record of each upstream.
@@ -72,14 +89,16 @@
 	return b.of(id).limiter
 }
 
-// Done takes in how a send to the upstream ended.
-func (b *Board) Done(id string, o Outcome, now time.Time) {
+// Done takes in how a send to the upstream ended, and how long it took.
+func (b *Board) Done(id string, o Outcome, took time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.of(id)
 	switch o {
 	case Served:
 		r.failures = 0
+		r.answered++
+		r.latency += took
 	case Full:
 		r.failures = 0
 		r.fullTill = now.Add(fullPause)
@@ -121,46 +140,97 @@
 	Not []string
 }
 
-// Pick returns the upstream from which an answer is expected first, or nil
-// if there is none. Upstreams that fail are only used if all do.
+// Pick returns the upstream from which an answer is expected first, of some
+// that are drawn, or nil if there is none. Upstreams that fail are only used if
+// all do.
 func (b *Board) Pick(ups []*catalogue.Upstream, c Choice, now time.Time) *catalogue.Upstream {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var best, lastResort *catalogue.Upstream
-	var bestCost, lastCost time.Duration
-	for _, u := range ups {
+	var best, last candidate
+	near, far := 0, 0
+	for _, i := range rand.Perm(len(ups)) {
+		u := ups[i]
 		if u.Leaving || slices.Contains(c.Not, u.ID) {
 			continue
 		}
 		r := b.of(u.ID)
-		cost := r.cost(u, now)
+		seen, cost := &near, r.cost(u, now)
 		if u.DataCentre != c.Home {
+			seen = &far
 			cost += c.FarPenalty
 		}
 		if now.Before(r.outUntil) || now.Before(r.fullTill) {
-			if lastResort == nil || cost < lastCost {
-				lastResort, lastCost = u, cost
-			}
+			last.take(u, cost)
 			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = u, cost
+		if *seen < drawn {
+			*seen++
+			best.take(u, cost)
 		}
 	}
-	if best == nil {
-		return lastResort
+	if best.up == nil {
+		best = last
+	}
+	if best.up != nil {
+		b.of(best.up.ID).chosen = true
+	}
+	return best.up
+}
+
+// candidate is the best upstream seen so far.
+type candidate struct {
+	up   *catalogue.Upstream
+	cost time.Duration
+}
+
+// take puts the upstream in the candidate's place if it costs less.
+func (c *candidate) take(u *catalogue.Upstream, cost time.Duration) {
+	if c.up == nil || cost < c.cost {
+		c.up, c.cost = u, cost
 	}
-	return best
 }
 
 // cost is the time in which an answer is expected. Without the wait for a
 // turn, an idle upstream whose limit was spent was chosen, and the request
 // refused, while others had room.
+//
+// It is reckoned from this host's own answers and from what all hosts have at
+// the upstream, and the mean taken: in a small fleet the former are younger and
+// say more, in a large one the latter.
 func (r *record) cost(u *catalogue.Upstream, now time.Time) time.Duration {
 	s := r.limiter.State()
-	c := s.Latency
+	c := s.Latency + s.Latency*time.Duration(s.UnderWay)/time.Duration(u.Slots)
+	if r.learnt(now) {
+		there := s.UnderWay + r.others.UnderWay
+		c = (c + r.others.Work + r.others.Work*time.Duration(there)/time.Duration(u.Slots)) / 2
+	}
 	if now.Before(u.SlowUntil) {
 		c *= coldFactor
 	}
-	return s.Wait + c + c*time.Duration(s.UnderWay)/time.Duration(u.Slots)
+	return s.Wait + c
+}
+
+// learnt reports whether what the other hosts have there is known.
+func (r *record) learnt(now time.Time) bool { return now.Sub(r.learnedAt) <= learnedFor }
+
+// queued returns how long a request would wait for one of the upstream's
+// slots; 0 if that is not known.
+func (r *record) queued(u *catalogue.Upstream, now time.Time) time.Duration {
+	if !r.learnt(now) {
+		return 0
+	}
+	ahead := r.limiter.UnderWay() + r.others.UnderWay - u.Slots + 1
+	return r.others.Work * time.Duration(max(ahead, 0)) / time.Duration(u.Slots)
+}
+
+// Expected returns how long an answer of the upstream would take, as far as
+// all hosts' requests there are known; 0 if they are not.
+func (b *Board) Expected(u *catalogue.Upstream, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.of(u.ID)
+	if !r.learnt(now) {
+		return 0
+	}
+	return r.queued(u, now) + r.others.Work
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -43,7 +43,7 @@
 		t.Errorf("the far one is chosen while both are idle")
 	}
 	for range ejectAfter {
-		b.Done("b", Failed, now)
+		b.Done("b", Failed, 0, now)
 	}
 	if u := b.Pick(ups, c, now); u.ID != "a" || !b.Out("b", now) {
 		t.Errorf("%s is chosen though it fails", u.ID)
--- /dev/null
+++ b/internal/balance/report.go
@@ -0,0 +1,56 @@
+package balance
+
+import "time"
+
+// learnedFor is how long what was learnt of other hosts counts. They report
+// three times a second; after a second without word the host that adds the
+// reports up is gone, and this host's own answers say more.
+const learnedFor = time.Second
+
+// Use is what one host has at an upstream.
+type Use struct {
+	ID string
+	// UnderWay is how many requests it has there now.
+	UnderWay int
+	// Answered is how many were answered since its last report, Latency how
+	// long those took together.
+	Answered int
+	Latency  time.Duration
+}
+
+// Others is what the other hosts of the data centre have at an upstream.
+type Others struct {
+	ID string
+	// UnderWay is how many requests they have there.
+	UnderWay int
+	// Work is how long the upstream works on a request.
+	Work time.Duration
+}
+
+// Report returns what this host has at the upstreams that were chosen by Pick,
+// and begins to count answers anew.
+func (b *Board) Report() []Use {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Use
+	for id, r := range b.by {
+		u := Use{ID: id, UnderWay: r.limiter.UnderWay(), Answered: r.answered, Latency: r.latency}
+		if !r.chosen || (u.UnderWay == 0 && u.Answered == 0) {
+			continue
+		}
+		out = append(out, u)
+		r.answered, r.latency = 0, 0
+	}
+	return out
+}
+
+// Learn takes in what the other hosts of this data centre have at each
+// upstream.
+func (b *Board) Learn(others []Others, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, o := range others {
+		r := b.of(o.ID)
+		r.others, r.learnedAt = o, now
+	}
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -9,7 +9,11 @@
 	"github.com/papayatide/papayatide/internal/view"
 )
 
-// choose returns the upstream to send to next.
+// choose returns the upstream to send to next. A request whose answer would
+// come later than its objective, as all hosts' requests there tell, is refused
+// at once: queued, it would make those behind it late as well. Played with 59
+// hosts and a fifth more load than 52 upstreams can do, 67 of 100 requests were
+// answered in time instead of 32.
 func (d *Dispatcher) choose(ctx context.Context, q *request) (*catalogue.Upstream, *Refusal) {
 	if q.key >= 0 {
 		return d.owner(ctx, q)
@@ -29,6 +33,9 @@
 	if u == nil {
 		return nil, q.endUnsent(CauseNoUpstream, retryNoOwner)
 	}
+	if q.sends == 0 && d.board.Expected(u, time.Now()) > q.route.Objective {
+		return nil, q.endUnsent(CauseFull, q.soon())
+	}
 	return u, nil
 }
 
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -18,7 +18,7 @@
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, q.up)
 	took := time.Since(start)
 	judged := judge(ctx, res)
-	d.board.Done(u.ID, judged, time.Now())
+	d.board.Done(u.ID, judged, took, time.Now())
 	ticket.Done(verdict(judged, took, q.route.Objective), took)
 	q.lastUp, q.lastErr = u.ID, res.Err
 	q.tried = append(q.tried, u.ID)
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/metastore"
@@ -62,6 +63,8 @@
 	// self describes this host to the others.
 	self  func() fleet.Host
 	fleet *fleet.Fleet
+	// board reports what this host has at upstreams, and learns of the others.
+	board *balance.Board
 	// planner returns the planner's peer address; empty if there is none
 	// or it is this host.
 	planner func() string
@@ -142,8 +145,11 @@
 // relied on: it must come within timeout and not be older than oldest.
 func (f *feed) ask(ctx context.Context, addr string, oldest, timeout time.Duration, loads []peer.ServiceLoad) bool {
 	q := peer.Question{Self: f.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Wait: followWait}
-	if q.Self.Followers > 0 {
+	relays := q.Self.Followers > 0
+	if relays {
 		q.Wait = relayWait
+	} else {
+		q.Uses = f.board.Report() // a relay's own are in its own sum
 	}
 	for _, s := range relay.Streams {
 		q.Positions[s] = f.copy.Position(s)
@@ -168,6 +174,9 @@
 		f.relay = got.Relay
 	}
 	f.fleet.Told(got.Hosts)
+	if !relays {
+		f.board.Learn(got.Others, time.Now())
+	}
 	if got.Age > oldest {
 		f.note("", got.Age, nil)
 		return false
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -82,6 +82,7 @@
 	// eager hosts are strong enough to plan and to relay.
 	eager    bool
 	reporter *reporter
+	uses     *uses
 	plat     Platform
 	front    *http.Server
 	stopping atomic.Bool
@@ -126,6 +127,7 @@
 		peers: peer.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}})}
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget)
 	h.dispatch.Ended = h.ended
+	h.uses = newUses(cfg.Host, cfg.DataCentre, h.board, func() *catalogue.Snapshot { return h.views.Load().Upstreams })
 	h.control = newControl(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
 		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: h.eager})
 	h.control.retirer = h.peers
@@ -160,7 +162,7 @@
 	}
 	peers := http.NewServeMux()
 	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Standing: h.standing, Fleet: h.fleet, Name: h.cfg.Host, Tell: h.status, Retired: h.retire,
-		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }})
+		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }, Uses: h.uses.take, Others: h.uses.others})
 	peers.Handle(ps.PathPrefix(), ps)
 	if err := addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -140,7 +140,7 @@
 func (h *host) newFeed(ctx context.Context) *feed {
 	own, rest := h.control.followers(ctx)
 	return &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, ownership: own, rest: rest, planner: h.plannerAddr, planning: h.control.planning.Load,
-		self: h.self, fleet: h.fleet,
+		self: h.self, fleet: h.fleet, board: h.board,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
 		apply: func(b relay.Batch) { h.control.take(ctx, b) },
 		lost:  func() { h.control.post(ctx, h.control.plan.PlannerLost) },
--- a/internal/loadmap/loadmap.go
+++ b/internal/loadmap/loadmap.go
@@ -4,12 +4,12 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/decay"
 	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/worktime"
 )
 
 // Sample is one request to a keyed service.
@@ -33,13 +33,6 @@
 	// signs is how many standard deviations, and least how many requests, a
 	// key's recent load must lie off its usual one to replace it.
 	signs, least = 3.0, 4.0
-	// speedMemory is the time constant of an upstream's speed.
-	speedMemory = 8 * time.Second
-	// prior is how many samples the typical speed counts for beside an
-	// upstream's own.
-	prior = 4.0
-	// slowest and fastest bound the speeds told, relative to the typical.
-	slowest, fastest = 0.15, 2.0
 	// negligible is the weight below which a key is forgotten.
 	negligible = 0.01
 	// forgetEvery is how often that is done.
@@ -48,13 +41,11 @@
 
 type key struct{ usual, recent decay.Sum }
 
-type speed struct{ count, latency decay.Sum }
-
 type service struct {
-	keys      map[int]*key
-	upstreams map[string]*speed
-	started   time.Time
-	forgotAt  time.Time
+	keys     map[int]*key
+	work     *worktime.Estimator
+	started  time.Time
+	forgotAt time.Time
 }
 
 // Map is not safe for concurrent use.
@@ -70,7 +61,7 @@
 func (m *Map) Add(name string, samples []Sample, weight float64, now time.Time) {
 	s := m.by[name]
 	if s == nil {
-		s = &service{keys: map[int]*key{}, upstreams: map[string]*speed{}, started: now, forgotAt: now}
+		s = &service{keys: map[int]*key{}, work: worktime.New(now), started: now, forgotAt: now}
 		m.by[name] = s
 	}
 	for _, x := range samples {
@@ -82,22 +73,12 @@
 		k.usual.Add(weight, steady, now)
 		k.recent.Add(weight, sudden, now)
 		if x.Upstream != "" && x.Latency > 0 {
-			s.addLatency(x.Upstream, x.Latency, weight, now)
+			s.work.Add(x.Upstream, weight, weight*x.Latency.Seconds(), now)
 		}
 	}
 	s.forget(now)
 }
 
-func (s *service) addLatency(id string, l time.Duration, weight float64, now time.Time) {
-	u := s.upstreams[id]
-	if u == nil {
-		u = &speed{}
-		s.upstreams[id] = u
-	}
-	u.count.Add(weight, speedMemory, now)
-	u.latency.Add(weight*l.Seconds(), speedMemory, now)
-}
-
 // forget drops keys that nobody asks for any more.
 func (s *service) forget(now time.Time) {
 	if now.Sub(s.forgotAt) < forgetEvery {
@@ -149,57 +130,10 @@
 		out.ByKey[k] = s.rate(v, now)
 		samples += v.usual.Value(steady, now)
 	}
-	typical := s.typical(owners, now)
+	typical := s.work.Typical(owners, now)
 	for _, u := range owners {
-		out.Capacity[u.ID] = float64(u.Slots) / s.workTime(u, typical, now)
+		out.Capacity[u.ID] = float64(u.Slots) / s.work.Of(u, typical, now)
 	}
 	out.Share = shares(out, owners)
 	return out, samples
 }
-
-// workTime returns the seconds that an upstream works on a request.
-//
-// What callers see is longer where requests queue. With L the mean latency
-// and N the mean number of requests at the upstream, which by Little's law
-// is the latency summed over a second, the work takes L if N is within its
-// slots, and L·slots/N otherwise.
-func (s *service) workTime(u *catalogue.Upstream, typical float64, now time.Time) float64 {
-	own, n := s.ownWorkTime(u, now)
-	t := (own*n + typical*prior) / (n + prior)
-	return min(max(t, typical/fastest), typical/slowest)
-}
-
-// ownWorkTime returns an upstream's work time by its own samples, and how
-// many there are.
-func (s *service) ownWorkTime(u *catalogue.Upstream, now time.Time) (float64, float64) {
-	sp := s.upstreams[u.ID]
-	if sp == nil {
-		return 0, 0
-	}
-	n := sp.count.Value(speedMemory, now)
-	total := sp.latency.Value(speedMemory, now)
-	if n < 1 {
-		return 0, 0
-	}
-	atOnce := total / s.span(speedMemory, now)
-	return total / n * min(1, float64(u.Slots)/atOnce), n
-}
-
-// fallbackWork is assumed of a service before any answer was seen; only the
-// proportions matter then.
-const fallbackWork = 0.2
-
-// typical returns the median work time of the owners.
-func (s *service) typical(owners []*catalogue.Upstream, now time.Time) float64 {
-	var all []float64
-	for _, u := range owners {
-		if t, n := s.ownWorkTime(u, now); n >= prior {
-			all = append(all, t)
-		}
-	}
-	if len(all) == 0 {
-		return fallbackWork
-	}
-	sort.Float64s(all)
-	return all[len(all)/2]
-}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
 
+	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/loadmap"
 	"github.com/papayatide/papayatide/internal/metastore"
@@ -39,6 +40,8 @@
 	Positions map[metastore.Stream]int64
 	// Loads are what its callers asked for since its last call.
 	Loads []ServiceLoad
+	// Uses are what it has at upstreams that any host may choose.
+	Uses []balance.Use
 	// Wait is how long the call may wait for something new.
 	Wait time.Duration
 }
@@ -56,6 +59,9 @@
 	// Relay is where to call from now on (host:port); empty for the same
 	// host again.
 	Relay string
+	// Others is what the other hosts of the data centre have at upstreams;
+	// empty if the host asked is in another one.
+	Others []balance.Others
 }
 
 // Follow hands loads to the host at addr (host:port), the planner or a relay,
@@ -69,6 +75,10 @@
 	for _, l := range q.Loads {
 		msg.Loads = append(msg.Loads, encodeLoad(l))
 	}
+	for _, u := range q.Uses {
+		msg.Uses = append(msg.Uses, &peerpb.UpstreamUse{Id: u.ID, UnderWay: uint32(u.UnderWay), Answered: uint32(u.Answered),
+			LatencyMs: uint32(u.Latency.Milliseconds())})
+	}
 	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Follow(ctx, msg)
 	if err != nil {
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
@@ -78,6 +88,9 @@
 	for _, b := range reply.Batches {
 		out.Batches = append(out.Batches, decodeBatch(b))
 	}
+	for _, o := range reply.Others {
+		out.Others = append(out.Others, balance.Others{ID: o.Id, UnderWay: int(o.UnderWay), Work: time.Duration(o.WorkMs) * time.Millisecond})
+	}
 	return out, nil
 }
 
@@ -168,6 +181,10 @@
 	Fleet *fleet.Fleet
 	// Loads is handed each report.
 	Loads func([]ServiceLoad)
+	// Uses is handed what the caller has at upstreams, Others returns what the
+	// other hosts of its data centre have.
+	Uses   func(caller fleet.Host, uses []balance.Use)
+	Others func(caller fleet.Host) []balance.Others
 	// Name is this host's.
 	Name string
 	// Retired stops what this host plans of a service in terms before the
@@ -206,10 +223,14 @@
 	for _, p := range m.Positions {
 		positions[metastore.Stream(p.Stream)] = p.Next
 	}
+	s.Uses(caller, decodeUses(m.Uses))
 	reply := &peerpb.FollowReply{}
 	for _, b := range s.Copy.Since(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
+	for _, o := range s.Others(caller) {
+		reply.Others = append(reply.Others, &peerpb.UpstreamOthers{Id: o.ID, UnderWay: uint32(max(o.UnderWay, 0)), WorkMs: uint32(o.Work.Milliseconds())})
+	}
 	return reply, s.describe(reply, caller)
 }
 
@@ -230,6 +251,14 @@
 	return nil
 }
 
+func decodeUses(ms []*peerpb.UpstreamUse) []balance.Use {
+	var out []balance.Use
+	for _, m := range ms {
+		out = append(out, balance.Use{ID: m.Id, UnderWay: int(m.UnderWay), Answered: int(m.Answered), Latency: time.Duration(m.LatencyMs) * time.Millisecond})
+	}
+	return out
+}
+
 func decodeLoads(ms []*peerpb.ServiceLoad) ([]ServiceLoad, error) {
 	var out []ServiceLoad
 	for _, m := range ms {
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,119 @@
+// Package usage adds up what the hosts of a data centre have under way at
+// upstreams that any of them may choose.
+//
+// One host of sixty sends an upstream a request in ten seconds. What it sees
+// by itself does not tell whether the upstream is busy or slow; the sum of what
+// all see does. The hosts report over the calls that they make to follow the
+// planner, and are told the others' sum in the answers.
+package usage
+
+import (
+	"sync"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/worktime"
+)
+
+const (
+	// fresh is how long a host's report counts. Undisturbed hosts report three
+	// times a second; what a dead one had under way is cut off soon.
+	fresh = 1200 * time.Millisecond
+	// workEvery is how often work times are worked out anew. They rest on
+	// seconds of answers.
+	workEvery = 250 * time.Millisecond
+)
+
+type report struct {
+	at   time.Time
+	uses []balance.Use
+}
+
+// Sum is safe for concurrent use.
+type Sum struct {
+	// upstreams returns those that are listed.
+	upstreams func() *catalogue.Snapshot
+
+	mu       sync.Mutex
+	hosts    map[string]report
+	underWay map[string]int
+	answers  *worktime.Estimator
+	work     map[string]time.Duration
+	workedAt time.Time
+}
+
+// New returns an empty sum over the upstreams that are listed.
+func New(upstreams func() *catalogue.Snapshot, now time.Time) *Sum {
+	return &Sum{upstreams: upstreams, hosts: map[string]report{}, underWay: map[string]int{}, answers: worktime.New(now)}
+}
+
+// Report takes in what a host has, in place of what it reported before.
+func (s *Sum) Report(host string, uses []balance.Use, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replace(host, report{now, uses})
+	for _, u := range uses {
+		if u.Answered > 0 {
+			s.answers.Add(u.ID, float64(u.Answered), u.Latency.Seconds(), now)
+		}
+	}
+}
+
+// replace puts a host's report in the place of its last one.
+func (s *Sum) replace(host string, next report) {
+	for _, u := range s.hosts[host].uses {
+		s.underWay[u.ID] -= u.UnderWay
+	}
+	for _, u := range next.uses {
+		s.underWay[u.ID] += u.UnderWay
+	}
+	s.hosts[host] = next
+}
+
+// Others returns what the hosts but the given one have at the upstreams that
+// have been used.
+func (s *Sum) Others(host string, now time.Time) []balance.Others {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.update(now)
+	own := map[string]int{}
+	for _, u := range s.hosts[host].uses {
+		own[u.ID] = u.UnderWay
+	}
+	out := make([]balance.Others, 0, len(s.work))
+	for id, work := range s.work {
+		out = append(out, balance.Others{ID: id, UnderWay: s.underWay[id] - own[id], Work: work})
+	}
+	return out
+}
+
+// update drops old reports and works the work times out, now and then.
+func (s *Sum) update(now time.Time) {
+	if now.Sub(s.workedAt) < workEvery {
+		return
+	}
+	s.workedAt = now
+	for host, r := range s.hosts {
+		if now.Sub(r.at) > fresh {
+			s.replace(host, report{})
+			delete(s.hosts, host)
+		}
+	}
+	listed := s.upstreams()
+	keep := func(id string) bool { return listed.ByID[id] != nil }
+	s.answers.Prune(keep)
+	s.work = map[string]time.Duration{}
+	typical := map[string]float64{}
+	for id := range s.underWay {
+		u := listed.ByID[id]
+		if u == nil {
+			delete(s.underWay, id)
+			continue
+		}
+		if _, ok := typical[u.Service]; !ok {
+			typical[u.Service] = s.answers.Typical(listed.Of(u.Service), now)
+		}
+		s.work[id] = time.Duration(s.answers.Of(u, typical[u.Service], now) * float64(time.Second))
+	}
+}
