The planner looks at load only once no key waits for its server's next life

plan worked the load out before it knew whether it was needed, and two bounds on earlier planners were one loop written twice. No behaviour meant to change; the tests of package planner pass.

--- a/internal/planner/history.go
+++ b/internal/planner/history.go
@@ -68,18 +68,18 @@
 // until returns when the last grant of the planners before this one may be
 // sent, to any owner.
 func (f *foreign) until() bootclock.Time {
-	last := bootclock.Time(0)
-	for _, b := range f.before {
-		last = max(last, b.until)
-	}
-	return last
+	return f.latest(func(b *predecessor) bootclock.Time { return b.until })
 }
 
 // dialsUntil returns when they may last open a connection for one.
 func (f *foreign) dialsUntil() bootclock.Time {
+	return f.latest(func(b *predecessor) bootclock.Time { return b.dialsUntil })
+}
+
+func (f *foreign) latest(bound func(*predecessor) bootclock.Time) bootclock.Time {
 	last := bootclock.Time(0)
 	for _, b := range f.before {
-		last = max(last, b.dialsUntil)
+		last = max(last, bound(b))
 	}
 	return last
 }
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -71,6 +71,21 @@
 	if len(owners) == 0 {
 		return
 	}
+	if t.moveToSuccessors(now) {
+		t.syncLeases(now)
+		return // recorded first; load is looked at after that
+	}
+	load, lim := t.loadOf(owners, now)
+	planned := t.table.Apply(t.pendingMoves())
+	for _, m := range ownership.Rebalance(planned, load, lim) {
+		t.startMove(m, now)
+	}
+	t.syncLeases(now)
+}
+
+// loadOf returns what is known of the load on the owners, and how far keys may
+// be moved for it now.
+func (t *term) loadOf(owners []*catalogue.Upstream, now bootclock.Time) (ownership.Load, ownership.Limits) {
 	load, samples := t.p.Load(t.name, owners)
 	if t.undivided() {
 		// Requests that were refused for want of an owner say little: after
@@ -79,21 +94,14 @@
 		load.ByKey = nil
 	}
 	lim := t.p.Limits
-	lim.MaxMoves = max(max(lim.MaxMoves, len(owners)/movingOwners)-t.movingForLoad(), 0)
+	most := max(lim.MaxMoves, len(owners)/movingOwners)
+	lim.MaxMoves = max(most-t.movingForLoad(), 0)
 	if samples < fewestSamples || now.Sub(t.p.seat.provenAt) > freshSeat {
 		// Keys taken back while the log cannot be written to would stay
 		// without an owner until it can.
 		lim.MaxMoves = 0
 	}
-	if t.moveToSuccessors(now) {
-		t.syncLeases(now)
-		return // recorded first; load is looked at after that
-	}
-	planned := t.table.Apply(t.pendingMoves())
-	for _, m := range ownership.Rebalance(planned, load, lim) {
-		t.startMove(m, now)
-	}
-	t.syncLeases(now)
+	return load, lim
 }
 
 // movingForLoad returns how many keys' runs are on the move for load. Those of
