Requests of callers that have left are not sent

Cause: a host that had no processor for a second reads requests whose callers have closed their connections by then. net/http notices that on another goroutine, which may come after the request was sent to an upstream.

Change: the caller's connection is looked at before each send, without taking anything from it; package peek serves this and the check of kept connections.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -165,6 +165,10 @@
 			end.Upstream, end.Crowd = u.ID, limiter.State()
 			return nil, d.crowdedOut(ctx, q)
 		}
+		if q.abandoned() {
+			ticket.Done(admission.NoSign, 0)
+			return nil, failed(CauseGone, http.StatusBadGateway)
+		}
 		if d.overtaken(q, u) {
 			ticket.Done(admission.NoSign, 0)
 			continue
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -2,14 +2,17 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/peek"
 	"github.com/papayatide/papayatide/internal/upstream"
 )
 
@@ -25,6 +28,8 @@
 	service *desired.Service
 	// urgent is set if no route to the service ranks higher.
 	urgent bool
+	// caller is the connection it came on; nil if that is not known.
+	caller net.Conn
 	// key is -1 for services that are not keyed.
 	key      int
 	arrived  time.Time
@@ -40,6 +45,23 @@
 	waited     time.Duration
 }
 
+// callerKey is the context's key of the connection that a request came on.
+type callerKey struct{}
+
+// WithCaller notes the connection that requests come on. It fits the field
+// ConnContext of http.Server.
+func WithCaller(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, c)
+}
+
+// abandoned reports whether the caller has closed its connection. A host that
+// had no processor for a second reads requests whose callers have left by then;
+// the end of their connections is read on another goroutine, which may come
+// second, and upstreams worked for nobody.
+func (q *request) abandoned() bool {
+	return q.caller != nil && peek.At(q.caller) == peek.Ended
+}
+
 // read finds the request's route and reads its body. It returns a refusal
 // if the request cannot be served.
 func (d *Dispatcher) read(r *http.Request, arrived time.Time) (*request, *Refusal) {
@@ -52,6 +74,7 @@
 		return nil, failed(CauseNoRoute, http.StatusNotFound)
 	}
 	q := &request{route: route, arrived: arrived, key: -1}
+	q.caller, _ = r.Context().Value(callerKey{}).(net.Conn)
 	q.deadline = arrived.Add(route.Timeout)
 	if ms, err := strconv.Atoi(r.Header.Get(d.headers.TimeoutMs)); err == nil {
 		if own := arrived.Add(time.Duration(ms) * time.Millisecond); own.Before(q.deadline) {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -151,7 +151,8 @@
 
 // listen adds the host's servers.
 func (h *host) listen(work context.Context, g *run.Group) error {
-	h.front = &http.Server{Handler: http.HandlerFunc(h.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes}
+	h.front = &http.Server{Handler: http.HandlerFunc(h.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
+		ConnContext: dispatch.WithCaller}
 	if err := addServer(work, g, h.cfg.Listen, h.front); err != nil {
 		return err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/papayatide/papayatide/internal/peek"
 )
 
 // Timings of connections to upstreams.
@@ -103,22 +105,8 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = rerr == unix.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	state := peek.At(c.Conn)
+	return state == peek.Quiet || state == peek.Unknown
 }
 
 // abort resets the connection. An orderly close would let the kernel go on
