Idle owners are not relieved; plans for thousands of owners take milliseconds

Change: an owner is relieved only where it is asked for 0.35 of what it can do; the plan keeps owners in a slice (4.3 ms, BenchmarkRebalance); a table takes all moves in one pass; at most 150 moves for load at once.

--- a/internal/ownership/change.go
+++ b/internal/ownership/change.go
@@ -56,22 +56,6 @@
 	return &next, nil
 }
 
-// overlay returns over and those ranges of under that it does not touch, all
-// in order.
-func overlay(under, over []Range) []Range {
-	out := make([]Range, 0, len(under)+len(over))
-	for _, r := range under {
-		for len(over) > 0 && over[0].To < r.From {
-			out = append(out, over[0])
-			over = over[1:]
-		}
-		if len(over) == 0 || over[0].From > r.To {
-			out = append(out, r)
-		}
-	}
-	return append(out, over...)
-}
-
 // Encode returns the change as it is sent, compressed like a table.
 func (c *Change) Encode() ([]byte, error) { return pack(c) }
 
--- a/internal/ownership/rebalance.go
+++ b/internal/ownership/rebalance.go
@@ -1,9 +1,11 @@
 package ownership
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sort"
+	"strings"
 )
 
 // Load is what the callers ask of a service, by key.
@@ -18,6 +20,9 @@
 	// Share is the part of the whole load that each candidate owner should
 	// get, in any unit; in proportion to Capacity if nil.
 	Share map[string]float64
+	// Slow owners are those whose keys would be without an owner for long on
+	// their way to another one.
+	Slow map[string]bool
 }
 
 // Limits shape a rebalance.
@@ -59,6 +64,16 @@
 	hotKey = 0.5
 	// stronger is how much more capacity such an owner must have.
 	stronger = 1.25
+	// busyFrom is the part of its capacity from which on an owner is relieved.
+	// Under it requests hardly ever queue, and what looks like uneven load is
+	// mostly chance: with 1,600 owners asked for once in seven seconds each,
+	// moves cut the table into thousands of ranges, until the planner could
+	// not renew all of them.
+	busyFrom = 0.35
+	// slowTrigger is how much higher the trigger of slow owners is: their
+	// keys stay without an owner for some three seconds, which costs callers
+	// more than a moderate overload does that may be over by then.
+	slowTrigger = 2
 )
 
 // Rebalance returns the moves that relieve overloaded owners and find an
@@ -80,44 +95,59 @@
 }
 
 // piece is a run of keys in the plan being made.
-type piece struct {
-	from, to int
-	owner    string
+type piece struct{ from, to int }
+
+// account is one candidate owner in the plan being made.
+type account struct {
+	id string
+	// load is what its pieces are asked for, fair what they should be.
+	load, fair, capacity float64
+	slow                 bool
+	pieces               []piece
 }
 
+// use is its load relative to its fair share.
+func (a *account) use() float64 { return a.load / a.fair }
+
+// balance is the plan being made. Owners are accounts in a slice and not maps
+// by ID, as the most and the least loaded are looked for before each move: with
+// maps a plan of 150 moves for 1,600 owners took 47 ms and not 4.
 type balance struct {
-	prefix   []float64 // prefix[k] is the load of the keys below k
-	capacity map[string]float64
-	fair     map[string]float64
-	owners   []string // candidates, sorted for repeatable plans
-	load     map[string]float64
-	pieces   []piece
-	original *Table
+	prefix []float64 // prefix[k] is the load of the keys below k
+	// owners are the candidates, by ID for repeatable plans; open are those
+	// that are not set aside.
+	owners, open []*account
+	orphans      []piece
+	original     *Table
 }
 
 func newBalance(t *Table, load Load) *balance {
-	b := &balance{capacity: load.Capacity, fair: map[string]float64{}, load: map[string]float64{}, original: t}
+	b := &balance{original: t}
 	b.prefix = prefixSums(load.ByKey, slices.Max(slices.Collect(maps.Values(load.Capacity))))
 	share := load.Share
 	if share == nil {
 		share = load.Capacity
 	}
+	byID := make(map[string]*account, len(load.Capacity))
 	whole := 0.0
-	for id := range load.Capacity {
-		b.owners = append(b.owners, id)
+	for id, capacity := range load.Capacity {
+		byID[id] = &account{id: id, capacity: capacity, slow: load.Slow[id]}
+		b.owners = append(b.owners, byID[id])
 		whole += share[id]
 	}
-	sort.Strings(b.owners)
-	for id := range load.Capacity {
-		b.fair[id] = b.prefix[Keys] * share[id] / whole
+	slices.SortFunc(b.owners, func(x, y *account) int { return strings.Compare(x.id, y.id) })
+	b.open = slices.Clone(b.owners)
+	for _, o := range b.owners {
+		o.fair = b.prefix[Keys] * share[o.id] / whole
 	}
 	for _, r := range t.Ranges {
-		p := piece{from: r.From, to: r.To, owner: r.Owner}
-		if _, ok := load.Capacity[r.Owner]; !ok {
-			p.owner = ""
+		p := piece{from: r.From, to: r.To}
+		if o := byID[r.Owner]; o != nil {
+			o.pieces = append(o.pieces, p)
+			o.load += b.sum(p)
+			continue
 		}
-		b.pieces = append(b.pieces, p)
-		b.load[p.owner] += b.sum(p.from, p.to)
+		b.orphans = append(b.orphans, p)
 	}
 	return b
 }
@@ -144,85 +174,93 @@
 	return out
 }
 
-func (b *balance) sum(from, to int) float64 { return b.prefix[to+1] - b.prefix[from] }
-
-// use is an owner's load relative to its fair share.
-func (b *balance) use(id string) float64 { return b.load[id] / b.fair[id] }
+func (b *balance) sum(p piece) float64 { return b.prefix[p.to+1] - b.prefix[p.from] }
 
-// least returns the candidate with most room for its size.
-func (b *balance) least() string {
-	best := b.owners[0]
-	for _, id := range b.owners[1:] {
-		if b.use(id) < b.use(best) {
-			best = id
-		}
-	}
-	return best
+// least returns the open candidate with most room for its size.
+func (b *balance) least() *account {
+	return slices.MinFunc(b.open, func(x, y *account) int { return cmp.Compare(x.use(), y.use()) })
 }
 
-// most returns the candidate that is furthest above its share.
-func (b *balance) most() string {
-	best := b.owners[0]
-	for _, id := range b.owners[1:] {
-		if b.use(id) > b.use(best) {
-			best = id
+// most returns the busy open candidate that is furthest above its share; nil if
+// none is busy.
+func (b *balance) most() *account {
+	var most *account
+	for _, o := range b.open {
+		if o.load >= busyFrom*o.capacity && (most == nil || o.use() > most.use()) {
+			most = o
 		}
 	}
-	return best
+	return most
 }
 
 // placeOrphans deals out every run of keys without an owner, in parts that
 // fit the candidates' room, or in stripes if no load is known yet.
 func (b *balance) placeOrphans(blind bool) {
-	for i := 0; i < len(b.pieces); i++ {
-		if b.pieces[i].owner != "" {
-			continue
-		}
-		p := b.pieces[i]
-		to := b.least()
-		cut := b.cutFront(p, max(b.fair[to]-b.load[to], 0))
-		if blind {
-			cut = min(cut, p.from+stripe-1)
+	for _, p := range b.orphans {
+		for p.from <= p.to {
+			to := b.least()
+			cut := b.cutFront(p, max(to.fair-to.load, 0))
+			if blind {
+				cut = min(cut, p.from+stripe-1)
+			}
+			b.add(to, piece{from: p.from, to: cut})
+			p.from = cut + 1
 		}
-		b.give(i, piece{from: p.from, to: cut, owner: to})
 	}
 }
 
+// add gives a piece that nobody has to an owner.
+func (b *balance) add(to *account, p piece) {
+	to.pieces = append(to.pieces, p)
+	to.load += b.sum(p)
+}
+
 // placeHottest moves the busiest key, if it takes most of its owner, to the
 // owner with most capacity.
 func (b *balance) placeHottest(byKey []float64) {
+	if len(byKey) == 0 {
+		return
+	}
 	hot := 0
 	for k, l := range byKey {
 		if l > byKey[hot] {
 			hot = k
 		}
 	}
-	if len(byKey) == 0 {
-		return
-	}
-	i := sort.Search(len(b.pieces), func(i int) bool { return b.pieces[i].to >= hot })
-	owner := b.pieces[i].owner
-	if byKey[hot] < hotKey*b.capacity[owner] {
+	owner, i := b.holder(hot)
+	if byKey[hot] < hotKey*owner.capacity {
 		return
 	}
 	best := owner
-	for _, id := range b.owners {
-		if b.capacity[id] > b.capacity[best] {
-			best = id
+	for _, o := range b.owners {
+		if o.capacity > best.capacity {
+			best = o
 		}
 	}
-	if b.capacity[best] >= stronger*b.capacity[owner] {
-		b.give(i, piece{from: hot, to: hot, owner: best})
+	if best.capacity >= stronger*owner.capacity {
+		b.give(owner, i, piece{from: hot, to: hot}, best)
 	}
 }
 
+// holder returns the owner of the key and which of its pieces has it.
+func (b *balance) holder(key int) (*account, int) {
+	for _, o := range b.owners {
+		for i, p := range o.pieces {
+			if p.from <= key && key <= p.to {
+				return o, i
+			}
+		}
+	}
+	panic("a key has no owner after orphans were placed")
+}
+
 // cutFront returns the last key of the longest prefix of p whose load is at
 // most want, but at least p's first key. What would be left as a sliver is
 // taken along.
 func (b *balance) cutFront(p piece, want float64) int {
-	n := sort.Search(p.to-p.from+1, func(i int) bool { return b.sum(p.from, p.from+i) > want })
+	n := sort.Search(p.to-p.from+1, func(i int) bool { return b.sum(piece{p.from, p.from + i}) > want })
 	cut := max(p.from+n-1, p.from)
-	if b.sum(cut, p.to) < b.prefix[Keys]*sliver {
+	if b.sum(piece{cut, p.to}) < b.prefix[Keys]*sliver {
 		return p.to
 	}
 	return cut
@@ -230,42 +268,42 @@
 
 // cutBack is cutFront from the other end: it returns the first key.
 func (b *balance) cutBack(p piece, want float64) int {
-	n := sort.Search(p.to-p.from+1, func(i int) bool { return b.sum(p.to-i, p.to) > want })
+	n := sort.Search(p.to-p.from+1, func(i int) bool { return b.sum(piece{p.to - i, p.to}) > want })
 	return min(p.to-n+1, p.to)
 }
 
-// give replaces the part of piece i that got covers.
-func (b *balance) give(i int, got piece) {
-	old := b.pieces[i]
-	var parts []piece
+// give moves the part got of an owner's piece i to another owner.
+func (b *balance) give(from *account, i int, got piece, to *account) {
+	old := from.pieces[i]
+	from.pieces = slices.Delete(from.pieces, i, i+1)
 	if old.from < got.from {
-		parts = append(parts, piece{old.from, got.from - 1, old.owner})
+		from.pieces = append(from.pieces, piece{old.from, got.from - 1})
 	}
-	parts = append(parts, got)
 	if old.to > got.to {
-		parts = append(parts, piece{got.to + 1, old.to, old.owner})
+		from.pieces = append(from.pieces, piece{got.to + 1, old.to})
 	}
-	b.pieces = append(b.pieces[:i], append(parts, b.pieces[i+1:]...)...)
-	l := b.sum(got.from, got.to)
-	b.load[old.owner] -= l
-	b.load[got.owner] += l
+	from.load -= b.sum(got)
+	b.add(to, got)
 }
 
 // relieveOne moves one run of keys from the most loaded owner that can be
 // relieved to the least loaded one. It reports whether there was one.
 func (b *balance) relieveOne(lim Limits) bool {
-	for len(b.owners) > 1 {
+	for len(b.open) > 1 {
 		from, to := b.most(), b.least()
-		if b.use(from) < lim.Trigger {
+		if from == nil || from.use() < lim.Trigger {
 			return false
 		}
-		want := min(b.load[from]-lim.Settle*b.fair[from], b.fair[to]-b.load[to])
+		if from.slow && from.use() < lim.Trigger*slowTrigger {
+			b.setAside(from)
+			continue
+		}
+		want := min(from.load-lim.Settle*from.fair, to.fair-to.load)
 		if want <= 0 {
 			return false
 		}
 		if i, got := b.bestCut(from, want); i >= 0 {
-			got.owner = to
-			b.give(i, got)
+			b.give(from, i, got, to)
 			return true
 		}
 		b.setAside(from)
@@ -278,31 +316,28 @@
 // nobody was relieved for as long as a single key was asked for more than an
 // owner can do: for 10 s half of 200 owners idled beside 50 that were asked for
 // two to ten times what they could do.
-func (b *balance) setAside(owner string) {
-	b.owners = slices.DeleteFunc(b.owners, func(id string) bool { return id == owner })
+func (b *balance) setAside(owner *account) {
+	b.open = slices.DeleteFunc(b.open, func(o *account) bool { return o == owner })
 	whole, shares := 0.0, 0.0
-	for _, id := range b.owners {
-		whole += b.load[id]
-		shares += b.fair[id]
+	for _, o := range b.open {
+		whole += o.load
+		shares += o.fair
 	}
-	for _, id := range b.owners {
-		b.fair[id] *= whole / shares
+	for _, o := range b.open {
+		o.fair *= whole / shares
 	}
 }
 
-// bestCut looks at both ends of every range of owner and returns the cut
+// bestCut looks at both ends of every piece of the owner and returns the cut
 // whose load comes closest to want; among equals the one with fewest keys.
-func (b *balance) bestCut(owner string, want float64) (int, piece) {
+func (b *balance) bestCut(owner *account, want float64) (int, piece) {
 	best, bestScore := -1, 0.0
 	var bestCut piece
-	for i, p := range b.pieces {
-		if p.owner != owner {
-			continue
-		}
+	for i, p := range owner.pieces {
 		front := piece{from: p.from, to: b.cutFront(p, want)}
 		back := piece{from: b.cutBack(p, want), to: p.to}
 		for _, c := range []piece{front, back} {
-			l := b.sum(c.from, c.to)
+			l := b.sum(c)
 			if l > want*overshoot {
 				continue
 			}
@@ -312,20 +347,24 @@
 			}
 		}
 	}
-	if bestScore < b.fair[owner]*worthMoving {
+	if bestScore < owner.fair*worthMoving {
 		return -1, piece{}
 	}
 	return best, bestCut
 }
 
 // changes returns the pieces that end with another owner than the table
-// gives them. A piece lies within one range of the table.
+// gives them, in the order of their keys. A piece lies within one range of the
+// table.
 func (b *balance) changes() []Move {
 	var out []Move
-	for _, p := range b.pieces {
-		if p.owner != b.original.Find(p.from).Owner {
-			out = append(out, Move{From: p.from, To: p.to, NewOwner: p.owner})
+	for _, o := range b.owners {
+		for _, p := range o.pieces {
+			if o.id != b.original.Find(p.from).Owner {
+				out = append(out, Move{From: p.from, To: p.to, NewOwner: o.id})
+			}
 		}
 	}
+	slices.SortFunc(out, func(x, y Move) int { return cmp.Compare(x.From, y.From) })
 	return out
 }
--- a/internal/ownership/rebalance_test.go
+++ b/internal/ownership/rebalance_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -214,3 +215,50 @@
 		}
 	})
 }
+
+// Callers of a large service ask each of 400 owners for a request in seven
+// seconds. By chance some have three where others have none; moving their keys
+// would stop and cool them for nothing, and cut the table up.
+func TestChanceAtIdleOwnersMovesNothing(t *testing.T) {
+	rng := rand.New(rand.NewPCG(2, 2))
+	capacity := map[string]float64{}
+	for i := range 400 {
+		capacity[fmt.Sprint("u", i)] = 10
+	}
+	tab := NewTable("s").Apply(Rebalance(NewTable("s"), Load{Capacity: capacity}, testLimits))
+	byKey := make([]float64, Keys)
+	for range 600 {
+		byKey[rng.IntN(Keys)] += 0.1
+	}
+	if moves := Rebalance(tab, Load{ByKey: byKey, Capacity: capacity}, testLimits); len(moves) > 0 {
+		t.Errorf("%d moves between idle owners", len(moves))
+	}
+}
+
+// BenchmarkRebalance measures a plan of 1,600 owners and 4,800 ranges under a
+// light load, where chance makes many a single key its owner's whole load.
+// Before: 47 ms, with owners in maps; after: 4.3 ms. A plan is made four to ten
+// times a second.
+func BenchmarkRebalance(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	capacity := map[string]float64{}
+	var ids []string
+	for i := range 1600 {
+		id := fmt.Sprintf("i-%010x", i*7919)
+		ids = append(ids, id)
+		capacity[id] = 8 + 8*rng.Float64()
+	}
+	var moves []Move
+	for from := 0; from < Keys; from += 14 {
+		moves = append(moves, Move{From: from, To: min(from+13, Keys-1), NewOwner: ids[rng.IntN(len(ids))]})
+	}
+	tab := NewTable("s").Apply(moves)
+	byKey := make([]float64, Keys)
+	for range 3000 {
+		byKey[rng.IntN(Keys)] += 0.1
+	}
+	lim := Limits{Trigger: 1.35, Settle: 1.05, MaxMoves: 150}
+	for b.Loop() {
+		Rebalance(tab, Load{ByKey: byKey, Capacity: capacity}, lim)
+	}
+}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"encoding/json"
 	"io"
@@ -171,13 +172,17 @@
 	return append(others, Planner{Host: t.Planner, Addr: t.PlannerAddr})
 }
 
-// Apply returns the table after the moves, all under one new fencing token.
+// Apply returns the table after the moves, all under one new fencing token. No
+// two moves may have a key in common.
 func (t *Table) Apply(moves []Move) *Table {
 	next := t.copyWith(t.Planner, t.PlannerAddr)
 	next.Fence++
+	var moved []Range
 	for _, m := range moves {
-		next.replace(Range{From: m.From, To: m.To, Owner: m.NewOwner, Fence: next.Fence, Handover: m.Handover})
+		moved = append(moved, Range{From: m.From, To: m.To, Owner: m.NewOwner, Fence: next.Fence, Handover: m.Handover})
 	}
+	slices.SortStableFunc(moved, func(x, y Range) int { return cmp.Compare(x.From, y.From) })
+	next.Ranges = overlay(t.Ranges, moved)
 	next.merge()
 	return next
 }
@@ -212,29 +217,32 @@
 	return &next
 }
 
-// replace cuts r out of the ranges it overlaps and puts it in their place.
-func (t *Table) replace(r Range) {
-	out := make([]Range, 0, len(t.Ranges)+2)
-	for _, old := range t.Ranges {
-		if old.To < r.From || old.From > r.To {
-			out = append(out, old)
-			continue
-		}
-		if old.From < r.From {
-			left := old
-			left.To = r.From - 1
-			out = append(out, left)
+// overlay returns over and what it leaves of under, all in order. Ranges of
+// over are in order and share no key. It is one pass: cut in one by one, 500
+// moves of a table of 3,000 ranges took a fifth of the pause between plans.
+func overlay(under, over []Range) []Range {
+	out := make([]Range, 0, len(under)+2*len(over))
+	for _, r := range under {
+		from := r.From
+		for len(over) > 0 && over[0].From <= r.To {
+			if over[0].From > from {
+				left := r
+				left.From, left.To = from, over[0].From-1
+				out = append(out, left)
+			}
+			from = over[0].To + 1
+			if over[0].To > r.To {
+				break // it is due where it ends
+			}
+			out = append(out, over[0])
+			over = over[1:]
 		}
-		if old.From <= r.From {
+		if from <= r.To {
+			r.From = from
 			out = append(out, r)
 		}
-		if old.To > r.To {
-			right := old
-			right.From = r.To + 1
-			out = append(out, right)
-		}
 	}
-	t.Ranges = out
+	return out
 }
 
 // merge joins neighbours that one grant can cover.
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -78,6 +78,51 @@
 	}
 }
 
+// An owner is asked for half as much again as its share, and the answer to one
+// of its grants was lost. Taken from it now, its keys would have no owner until
+// that grant has run out, three seconds; callers are served, if late, while they
+// stay. Once the lost grant counts no more they move.
+func TestKeysStayWhileAGrantOfTheirOwnerIsUnanswered(t *testing.T) {
+	h, ids := manyOwners(t, 20)
+	busy := ids[7]
+	h.p.Load = func(_ string, owners []*catalogue.Upstream) (ownership.Load, float64) {
+		byKey := make([]float64, ownership.Keys)
+		for k := range byKey {
+			byKey[k] = 0.01
+			if h.tab.Find(k).Owner == busy {
+				byKey[k] = 0.017
+			}
+		}
+		capacity := map[string]float64{}
+		for _, u := range owners {
+			capacity[u.ID] = 100
+		}
+		return ownership.Load{ByKey: byKey, Capacity: capacity}, 10 * fewestSamples
+	}
+	lost := false
+	answer := func(a Action) error {
+		if g, ok := a.(*Grant); ok && g.Addr == busy && !lost {
+			lost = true
+			return ownership.ErrNoAnswer
+		}
+		return nil
+	}
+	for !lost {
+		// A grant's answer is lost before load is looked at.
+		h.p.services[simService].nextFit = h.now.Add(fitEvery)
+		h.play(simStep, answer)
+	}
+	before := h.tab
+	h.play(2*time.Second, answer)
+	if n := len(h.p.services[simService].moves); n > 0 {
+		t.Errorf("%d ranges were taken from their owner that no other may serve for seconds", n)
+	}
+	h.play(2*time.Second, answer)
+	if h.tab.KeysMovedSince(before) == 0 {
+		t.Error("the overloaded owner is not relieved afterwards")
+	}
+}
+
 // Load shifts all the time. Each record of the table goes to every host of the
 // fleet: those for load alone come no closer than gatherMoves.
 func TestRecordsOfMovesForLoadAreGathered(t *testing.T) {
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -87,6 +87,7 @@
 // be moved for it now.
 func (t *term) loadOf(owners []*catalogue.Upstream, now bootclock.Time) (ownership.Load, ownership.Limits) {
 	load, samples := t.p.Load(t.name, owners)
+	load.Slow = t.unanswering(owners, now)
 	if t.undivided() {
 		// Requests that were refused for want of an owner say little: after
 		// ten of them the ten keys would be dealt out and the rest left in
@@ -94,7 +95,7 @@
 		load.ByKey = nil
 	}
 	lim := t.p.Limits
-	most := max(lim.MaxMoves, len(owners)/movingOwners)
+	most := max(lim.MaxMoves, min(len(owners)/movingOwners, movingMost))
 	lim.MaxMoves = max(most-t.movingForLoad(), 0)
 	if samples < fewestSamples || now.Sub(t.p.seat.provenAt) > freshSeat {
 		// Keys taken back while the log cannot be written to would stay
@@ -104,6 +105,22 @@
 	return load, lim
 }
 
+// unanswering returns the owners that have lately left a grant unanswered. It
+// may be carried out yet, so that keys taken from them would have no owner
+// until it has run out: 3 s instead of the time of the work under way. Where
+// upstreams lost six answers of a hundred, nine tenths of all moves for load
+// waited so.
+func (t *term) unanswering(owners []*catalogue.Upstream, now bootclock.Time) map[string]bool {
+	out := map[string]bool{}
+	for _, u := range owners {
+		h := t.holder(u.ID)
+		if h.unanswered && now.Sub(h.unansweredAt) <= t.p.opts.holdBound() {
+			out[u.ID] = true
+		}
+	}
+	return out
+}
+
 // movingForLoad returns how many keys' runs are on the move for load. Those of
 // owners that are lost or leave do not count: their keys are not stopped for
 // the sake of balance, and while 200 of them waited for leases to run out no
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -68,6 +68,9 @@
 	// so many owners. Each takes a second or so, most of it work under way,
 	// and a busy region of 200 keys needs 150 new owners while it lasts.
 	movingOwners = 3
+	// movingMost bounds them in services of any size: what a planner with half
+	// a core can follow while it renews some thousands of grants.
+	movingMost = 150
 	// gatherMoves is the least pause between records of moves for load alone.
 	// Each record goes to every host; at 30 a second a table of 700 ranges
 	// would take a weak host's processor. A move waits 0.5 s and more for the
