Each send that breaks off is logged with a digest of what was asked

Cause: lines of requests that ended servers named the route and the key only, and of two failed sends the last one only. On-call could not tell one request that ends its servers from bystanders of servers that end by themselves. Ruled out: logging targets and bodies, which are the callers' own matters. Change: event 803 for each send that broke off, with the content's digest and the error; counter papayatide_sends_broken_total. A streamed body is told by its length and its first 4 KB, read ahead. No decision changed.

--- /dev/null
+++ b/internal/crashes/content.go
@@ -0,0 +1,43 @@
+package crashes
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+	"strconv"
+)
+
+// contentBytes is how much of a digest is kept: among the requests of a day
+// two that differ never share 128 bits.
+const contentBytes = 16
+
+// Content identifies what a request asks: the hex digest of its method, its
+// target, its key and its body. It leaves out what differs each time a caller
+// asks for the same, such as the request's ID and its time limit.
+type Content string
+
+// Ask is what a request's content is made of.
+type Ask struct {
+	Method, Host string
+	// URI is the request target as the caller sent it.
+	URI string
+	// Key is -1 for services that are not keyed.
+	Key int
+	// Body is the whole body, or the beginning of one that is streamed. Length
+	// is that of the whole body; -1 if it is not known.
+	Body   []byte
+	Length int64
+}
+
+// Content returns the digest.
+func (a Ask) Content() Content {
+	h := sha256.New()
+	for _, part := range []string{a.Method, a.Host, a.URI, strconv.Itoa(a.Key), strconv.FormatInt(a.Length, 10)} {
+		// Each part's length goes first, so that no two asks write the same.
+		_ = binary.Write(h, binary.BigEndian, uint32(len(part))) // a hash never fails
+		_, _ = io.WriteString(h, part)
+	}
+	_, _ = h.Write(a.Body)
+	return Content(hex.EncodeToString(h.Sum(nil)[:contentBytes]))
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,8 +60,10 @@
 	stop    *stopper
 	// fleet is how many hosts there are, this one included.
 	fleet atomic.Int64
-	// Ended is told of every request's end.
-	Ended func(*End)
+	// Ended is told of every request's end, BrokeOff of every send that ended
+	// without an answer while its caller still waited.
+	Ended    func(*End)
+	BrokeOff func(*Broken)
 }
 
 // End describes how a request ended, for logs, metrics and load reports.
@@ -95,7 +97,8 @@
 // New returns a dispatcher for callers in the data centre home.
 func New(h protocol.Headers, home string, views *view.Holder, client *upstream.Client, board *balance.Board, bud *budget.Budget) *Dispatcher {
 	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud,
-		splits: newSplitter(), unheld: newUnheld(), stop: newStopper(), Ended: func(*End) {}}
+		splits: newSplitter(), unheld: newUnheld(), stop: newStopper(),
+		Ended: func(*End) {}, BrokeOff: func(*Broken) {}}
 	d.SetFleet(1)
 	return d
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/peek"
@@ -31,7 +32,11 @@
 	// caller is the connection it came on; nil if that is not known.
 	caller net.Conn
 	// key is -1 for services that are not keyed.
-	key      int
+	key int
+	// head is the body, or the beginning of one that is streamed; length is
+	// that of the whole, -1 if the caller did not tell.
+	head     []byte
+	length   int64
 	arrived  time.Time
 	deadline time.Time
 	// Progress.
@@ -43,6 +48,17 @@
 	lastErr    error
 	lastSeen   int64
 	waited     time.Duration
+	// known is the content once it was asked for.
+	known crashes.Content
+}
+
+// content identifies what the request asks. It is worked out when it is first
+// needed, as nearly all requests end without.
+func (q *request) content() crashes.Content {
+	if q.known == "" {
+		q.known = crashes.Ask{Method: q.up.Method, Host: q.up.Host, URI: q.up.URI, Key: q.key, Body: q.head, Length: q.length}.Content()
+	}
+	return q.known
 }
 
 // callerKey is the context's key of the connection that a request came on.
@@ -93,25 +109,35 @@
 	}
 	q.up = &upstream.Request{ID: r.Header.Get(d.headers.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: endToEnd(r.Header)}
-	if err := readBody(q.up, r); err != nil {
+	if err := q.readBody(r); err != nil {
 		return nil, failed(CauseBadRequest, http.StatusBadRequest)
 	}
 	return q, nil
 }
 
+// headBytes is how much of a streamed body tells it apart from others.
+const headBytes = 4 << 10
+
 // readBody keeps a body of up to keptBody bytes and streams a larger one.
-func readBody(up *upstream.Request, r *http.Request) error {
+func (q *request) readBody(r *http.Request) error {
+	up := q.up
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
+	q.length = r.ContentLength
 	if r.ContentLength > keptBody {
-		up.Stream, up.Length = r.Body, r.ContentLength
+		q.head = make([]byte, headBytes)
+		if _, err := io.ReadFull(r.Body, q.head); err != nil {
+			return err
+		}
+		up.Stream, up.Length = io.MultiReader(bytes.NewReader(q.head), r.Body), r.ContentLength
 		return nil
 	}
 	head, err := io.ReadAll(io.LimitReader(r.Body, keptBody))
 	if err != nil {
 		return err
 	}
+	q.head = head
 	var next [1]byte
 	n, err := r.Body.Read(next[:])
 	switch {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/upstream"
 )
 
@@ -28,9 +30,31 @@
 	if res.Outcome == upstream.Unknown || res.Outcome == upstream.Answered {
 		q.mayHaveRun = true
 	}
+	if brokeOff(ctx, res) {
+		d.BrokeOff(&Broken{ID: q.up.ID, Service: q.service.Name, Upstream: u.ID, Key: q.key, Fence: q.lastSeen,
+			Content: q.content(), AtUpstream: took, Err: res.Err})
+	}
 	return res, took
 }
 
+// Broken describes a send that broke off, for logs.
+type Broken struct {
+	ID, Service, Upstream string
+	// Key is -1 for services that are not keyed.
+	Key   int
+	Fence int64
+	// Content tells whether other requests ask the same.
+	Content    crashes.Content
+	AtUpstream time.Duration
+	Err        error
+}
+
+// brokeOff reports whether the upstream ended the exchange: no answer came,
+// and neither the caller nor the time limit had put an end to it.
+func brokeOff(ctx context.Context, res *upstream.Result) bool {
+	return res.Outcome == upstream.Unknown && ctx.Err() == nil && !errors.Is(res.Err, os.ErrDeadlineExceeded)
+}
+
 // judge says what a send shows of its upstream.
 func judge(ctx context.Context, res *upstream.Result) balance.Outcome {
 	switch {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -126,7 +126,7 @@
 		eager: cfg.CPUShare >= eagerCPU && cfg.LinkMbps >= eagerLink,
 		peers: peer.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}})}
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget)
-	h.dispatch.Ended = h.ended
+	h.dispatch.Ended, h.dispatch.BrokeOff = h.ended, h.brokeOff
 	h.uses = newUses(cfg.Host, cfg.DataCentre, h.board, func() *catalogue.Snapshot { return h.views.Load().Upstreams })
 	h.control = newControl(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
 		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: h.eager})
--- a/internal/entryhost/requestlog.go
+++ b/internal/entryhost/requestlog.go
@@ -20,6 +20,7 @@
 	totalLatency = metrics.NewHistogram(`papayatide_request_duration_seconds{stage="total"}`)
 	waitLatency  = metrics.NewHistogram(`papayatide_request_duration_seconds{stage="admission"}`)
 	connLatency  = metrics.NewHistogram(`papayatide_request_duration_seconds{stage="connect"}`)
+	brokenSends  = metrics.NewCounter(`papayatide_sends_broken_total`)
 	upLatency    = metrics.NewHistogram(`papayatide_request_duration_seconds{stage="upstream"}`)
 )
 
@@ -53,6 +54,17 @@
 	}
 }
 
+// brokeOff logs and counts a send that ended without an answer.
+func (h *host) brokeOff(b *dispatch.Broken) {
+	brokenSends.Inc()
+	f := []zap.Field{zap.Int("event", events.SendBrokeOff), zap.String("request", b.ID), zap.String("service", b.Service),
+		zap.String("peer", b.Upstream), zap.String("content", string(b.Content)), zap.Duration("at_upstream", b.AtUpstream), ErrorField(b.Err)}
+	if b.Key >= 0 {
+		f = append(f, zap.Int("key", b.Key), zap.Int64("fence", b.Fence))
+	}
+	h.zl.Info("send broke off", f...)
+}
+
 func (h *host) endFields(e *dispatch.End, event int) []zap.Field {
 	f := []zap.Field{zap.Int("event", event), zap.String("request", e.ID), zap.String("route", e.Route), zap.String("service", e.Service),
 		zap.Int64("version", e.Version), zap.Duration("view_age", e.ViewAge), zap.Int("status", e.Status), zap.Int("sends", e.Sends),
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -73,4 +73,5 @@
 	RequestServed  = 800
 	RequestRefused = 801
 	RequestFailed  = 802
+	SendBrokeOff   = 803
 )
