--- /dev/null
+++ b/internal/entryhost/crash_test.go
@@ -0,0 +1,105 @@
+package entryhost
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// settled is how long after a change hosts that nothing disturbs may take
+	// to act on it.
+	settled = 3 * time.Second
+	// lastTries is how often a request that has ended three servers may be sent
+	// after that.
+	lastTries = 3
+	// watched is how long such a request is asked for after that. Its keys have
+	// a new owner within handover each time that theirs is ended.
+	watched = 5 * handover
+	// askEvery is the pause between its callers' asks.
+	askEvery = 50 * time.Millisecond
+	fatalKey = 28264
+)
+
+// Callers of a range of keys were refused for seconds, again and again. One
+// request ended the server that ran it. Its callers asked again, each time on
+// another host and under a new request ID; by then the key had another owner,
+// which it ended too: seven when the alarm was raised, four of them after three
+// had ended. No host remembered what a request had done to its servers. The
+// evidence: the broken sends of every server that ended so have one content in
+// common, under IDs that all differ, one send each.
+func TestRequestThatEndsItsServersIsSentToFew(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ service, route string }{{"sheets", "read.example"}, {"plain", plainRoute}} {
+		t.Run(c.service, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 3, 0)
+			for i := range 5 {
+				f.addTo(c.service, fmt.Sprint(c.service, i))
+			}
+			f.answers(c.route, "/x", startup)
+			stop := f.askForTheFatal(c.route)
+			third := f.crashed(3, 6*handover)
+			time.Sleep(time.Until(third.Add(settled)))
+			before := f.crashCount()
+			time.Sleep(watched)
+			if more := f.crashCount() - before; more > lastTries {
+				t.Errorf("it ended %d more servers, from %v after the third on; at most %d may be tried", more, settled, lastTries)
+			}
+			stop()
+			f.answers(c.route, "/x", handover)
+		})
+	}
+}
+
+// askForTheFatal has callers ask for the request that ends its servers, on all
+// hosts in turn, until the returned function is called.
+func (f *testFleet) askForTheFatal(route string) (stop func()) {
+	var stopped atomic.Bool
+	f.later.Go(func() {
+		for n := 0; !stopped.Load() && f.sleep(askEvery); n++ {
+			f.hosts[n%len(f.hosts)].callPath("GET", route, fatalPath, fmt.Sprint("fatal-", n), fatalKey)
+		}
+	})
+	return func() { stopped.Store(true) }
+}
+
+// answers waits until a request is answered through every host.
+func (f *testFleet) answers(route, path string, within time.Duration) {
+	f.t.Helper()
+	start := time.Now()
+	for _, h := range f.hosts {
+		for n := 0; ; n++ {
+			status, body := h.callPath("GET", route, path, fmt.Sprint(h.cfg.Host, "-", start.UnixNano(), "-", n), fatalKey)
+			if status == http.StatusOK {
+				break
+			}
+			if time.Since(start) > within {
+				f.t.Fatalf("%s is not answered through %s after %v: %d %s", path, h.cfg.Host, time.Since(start), status, body)
+			}
+			time.Sleep(askEvery)
+		}
+	}
+}
+
+func (f *testFleet) crashCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashes)
+}
+
+// crashed waits until the n-th server was ended by a request and returns when
+// that was.
+func (f *testFleet) crashed(n int, within time.Duration) time.Time {
+	f.t.Helper()
+	for end := time.Now().Add(within); f.crashCount() < n; time.Sleep(askEvery) {
+		if time.Now().After(end) {
+			f.t.Fatalf("%d servers ended within %v, want %d", f.crashCount(), within, n)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes[n-1]
+}
--- a/internal/standin/ranged/ranged.go
+++ b/internal/standin/ranged/ranged.go
@@ -26,6 +26,9 @@
 	work    time.Duration
 	ln      net.Listener
 	srv     *http.Server
+	// Fatal, if set, is asked as each request begins to run; true means that
+	// it has ended the upstream.
+	Fatal func(*http.Request) bool
 
 	mu    sync.Mutex
 	holds []hold
@@ -158,6 +161,9 @@
 	u.mu.Lock()
 	u.runs[id]++
 	u.mu.Unlock()
+	if u.Fatal != nil && u.Fatal(r) {
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(u.work)
 	w.Header().Set(u.headers.Signature, "signed by "+u.ID)
 	_, _ = w.Write([]byte(u.ID + " ran " + id))
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,7 +14,12 @@
 fi
 go vet ./...
 go run "$staticcheck" ./...
-go test -race -count=1 ./...
+# Tests of faults that are not mended yet are passed over and printed.
+known_red=$(awk -F ' [|] ' 'NF > 1 { print $1 }' KNOWN-RED.txt | paste -sd '|')
+if [ -n "$known_red" ]; then
+  echo "known red, passed over:"; cat KNOWN-RED.txt
+fi
+go test -race -count=1 ${known_red:+-skip "^($known_red)\$"} ./...
 for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream internal/settings:FuzzParseEntry internal/dispatch:FuzzRequest; do
   go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime "$fuzz_time" "./${target%:*}"
 done
