A request that has ended three servers is refused, on every host

Cause (class: state about a request kept by its ID only, on one host only): a request that ends its servers comes back under new IDs on other hosts, and each send, first or repeated, reached the key's next owner or any other server. Ruled out: fewer repeats (the keyed ends were first sends), longer Retry-After (callers ask again after 502 as they like), memory on one host (callers come back on any host, and hosts are replaced). Change: a send that broke off asks at once whether its server still listens; if not, the end is entered by the request's content. Ends are appended to a stream of their own in the log service, which the planner's copy carries to every host. A content with three ends is refused before any send, repeats too, as not run. A content that any host sees answered is no longer suspected.

--- /dev/null
+++ b/internal/crashes/ledger.go
@@ -0,0 +1,222 @@
+package crashes
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// Limit is how many servers may end under a content before it is refused.
+	// One and two are still likely to be chance: a server that ends takes all
+	// that it runs with it, and a caller's next try may meet a second end. Each
+	// server that ends leaves its keys unserved until its lease has run out,
+	// some three seconds, so that more would cost every other caller.
+	Limit = 3
+	// KeepFor is how long an end counts. A content is tried again a day later:
+	// by then the servers may run a version that survives it, and at worst it
+	// ends Limit of them a day.
+	KeepFor = 24 * time.Hour
+)
+
+// End is the end of a server while it ran a request.
+type End struct {
+	Content Content
+	// Server is the ID of the life that ended.
+	Server string
+	// At is when it was seen, by the clock of the host that saw it.
+	At time.Time
+}
+
+// Change is an end to be told to the other hosts, or one to be forgotten.
+type Change struct {
+	End
+	// Forget is set if the end no longer counts.
+	Forget bool
+}
+
+type endKey struct {
+	content Content
+	server  string
+}
+
+// Ledger is what one host knows of ends, its own and those that other hosts
+// have written. It holds no more than servers can end: some fifteen contents
+// an end. It is safe for concurrent use.
+type Ledger struct {
+	mu sync.Mutex
+	// ends are by content, then by server.
+	ends map[Content]map[string]time.Time
+	// pending are this host's changes that are not written yet.
+	pending map[endKey]Change
+	wake    chan struct{}
+}
+
+// NewLedger returns a ledger that knows of no ends.
+func NewLedger() *Ledger {
+	return &Ledger{ends: map[Content]map[string]time.Time{}, pending: map[endKey]Change{}, wake: make(chan struct{}, 1)}
+}
+
+// Saw takes in an end that this host saw itself. It returns how many servers
+// have ended under the content, and whether this end was news.
+func (l *Ledger) Saw(e End) (ends int, news bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if news = l.add(e); news {
+		l.change(Change{End: e})
+	}
+	return len(l.ends[e.Content]), news
+}
+
+// Survived takes note that a server ran the content and answered: what ended
+// with others was beside it by chance. A page that many callers read, at the
+// owner of the same keys as a request that ends its servers, was otherwise
+// refused with it. It reports whether ends were forgotten.
+func (l *Ledger) Survived(c Content) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := l.ends[c]
+	for server, at := range ends {
+		l.change(Change{End: End{c, server, at}, Forget: true})
+	}
+	delete(l.ends, c)
+	return len(ends) > 0
+}
+
+// Any reports whether there are ends at all. While there are none, requests
+// need not be looked at.
+func (l *Ledger) Any() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.ends) > 0
+}
+
+// Refused returns for how much longer a content is refused; zero if it is not.
+func (l *Ledger) Refused(c Content, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := make([]time.Time, 0, len(l.ends[c]))
+	for _, at := range l.ends[c] {
+		ends = append(ends, at)
+	}
+	if len(ends) < Limit {
+		return 0
+	}
+	// It is refused until the last but two of its ends no longer counts.
+	slices.SortFunc(ends, func(a, b time.Time) int { return cmp.Compare(b.UnixNano(), a.UnixNano()) })
+	return max(ends[Limit-1].Add(KeepFor).Sub(now), 0)
+}
+
+// Servers returns those that have ended under the content, in order.
+func (l *Ledger) Servers(c Content) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for server := range l.ends[c] {
+		out = append(out, server)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Take takes in a change that was read, this host's own or another's. It
+// returns how many servers have ended under the content, and whether an end
+// was news.
+func (l *Ledger) Take(c Change) (ends int, news bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.Forget {
+		l.remove(c.Content, c.Server)
+	} else if !l.pending[endKey{c.Content, c.Server}].Forget {
+		news = l.add(c.End)
+	}
+	return len(l.ends[c.Content]), news
+}
+
+// Replace takes the given ends in place of all that were read before. What
+// this host has not written yet stays.
+func (l *Ledger) Replace(ends []End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.ends)
+	for _, e := range ends {
+		l.add(e)
+	}
+	for k, c := range l.pending {
+		if c.Forget {
+			l.remove(k.content, k.server)
+		} else {
+			l.add(c.End)
+		}
+	}
+}
+
+// Expire forgets ends that no longer count. If told is set the other hosts and
+// the log service are to forget them too.
+func (l *Ledger) Expire(now time.Time, told bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for content, ends := range l.ends {
+		for server, at := range ends {
+			if now.Sub(at) < KeepFor {
+				continue
+			}
+			l.remove(content, server)
+			if told {
+				l.change(Change{End: End{content, server, at}, Forget: true})
+			}
+		}
+	}
+}
+
+// Pending returns the changes that are not written yet.
+func (l *Ledger) Pending() []Change {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Change, 0, len(l.pending))
+	for _, c := range l.pending {
+		out = append(out, c)
+	}
+	return out
+}
+
+// Wake returns a channel that gets a value when there is something to write.
+func (l *Ledger) Wake() <-chan struct{} { return l.wake }
+
+// Written takes note that the changes have been written.
+func (l *Ledger) Written(changes []Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range changes {
+		k := endKey{c.Content, c.Server}
+		if l.pending[k] == c {
+			delete(l.pending, k)
+		}
+	}
+}
+
+// add reports whether the end was not known yet.
+func (l *Ledger) add(e End) bool {
+	if l.ends[e.Content] == nil {
+		l.ends[e.Content] = map[string]time.Time{}
+	}
+	_, known := l.ends[e.Content][e.Server]
+	l.ends[e.Content][e.Server] = e.At
+	return !known
+}
+
+func (l *Ledger) remove(c Content, server string) {
+	delete(l.ends[c], server)
+	if len(l.ends[c]) == 0 {
+		delete(l.ends, c)
+	}
+}
+
+func (l *Ledger) change(c Change) {
+	l.pending[endKey{c.Content, c.Server}] = c
+	select {
+	case l.wake <- struct{}{}:
+	default: // the writer has been woken already
+	}
+}
--- /dev/null
+++ b/internal/crashes/ledger_test.go
@@ -0,0 +1,202 @@
+package crashes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var noon = time.UnixMilli(1_700_000_000_000)
+
+func content(i int) Content {
+	return Ask{Method: "GET", Host: "a.example", URI: fmt.Sprint("/", i), Key: -1}.Content()
+}
+
+// fleet is a few hosts' ledgers over one stream of records.
+type fleet struct {
+	t       *testing.T
+	hosts   []*Ledger
+	records map[string][]byte
+}
+
+func newFleet(t *testing.T, hosts int) *fleet {
+	f := &fleet{t: t, records: map[string][]byte{}}
+	for range hosts {
+		f.hosts = append(f.hosts, NewLedger())
+	}
+	return f
+}
+
+// write writes what the host has pending, and lets every host read it.
+func (f *fleet) write(host int) {
+	f.t.Helper()
+	changes := f.hosts[host].Pending()
+	for _, c := range changes {
+		key, data, err := c.Encode()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.records[key] = data
+		got, err := Decode(key, data)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, l := range f.hosts {
+			l.Take(got)
+		}
+	}
+	f.hosts[host].Written(changes)
+}
+
+// newest lets a host read the newest record of each key.
+func (f *fleet) newest(l *Ledger) {
+	f.t.Helper()
+	var ends []End
+	for key, data := range f.records {
+		c, err := Decode(key, data)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if !c.Forget {
+			ends = append(ends, c.End)
+		}
+	}
+	l.Replace(ends)
+}
+
+// Three servers end under one request, each seen by another host. Once what
+// they saw is written every host refuses it, one that has just started too, and
+// other requests are served.
+func TestEndsSeenByDifferentHostsAddUp(t *testing.T) {
+	f := newFleet(t, 4)
+	for i := range Limit {
+		if f.hosts[3].Refused(content(1), noon) > 0 {
+			t.Fatalf("refused after %d ends", i)
+		}
+		f.hosts[i].Saw(End{content(1), fmt.Sprint("s", i), noon})
+		f.write(i)
+	}
+	late := NewLedger()
+	f.newest(late)
+	for i, l := range append(f.hosts, late) {
+		if got := l.Refused(content(1), noon.Add(time.Hour)); got != KeepFor-time.Hour {
+			t.Errorf("host %d refuses it for %v more", i, got)
+		}
+		if l.Refused(content(2), noon) > 0 {
+			t.Errorf("host %d refuses a request that has ended nothing", i)
+		}
+	}
+}
+
+// Many hosts' requests break off as one server ends; that is one end. The host
+// that sees the third end refuses before anybody has written anything.
+func TestOneServersEndCountsOnce(t *testing.T) {
+	l := NewLedger()
+	for range 10 {
+		l.Saw(End{content(1), "s1", noon})
+	}
+	if n, _ := l.Saw(End{content(1), "s2", noon}); n != 2 || l.Refused(content(1), noon) > 0 {
+		t.Errorf("two servers ended, counted as %d", n)
+	}
+	if l.Saw(End{content(1), "s3", noon}); l.Refused(content(1), noon) != KeepFor {
+		t.Error("not refused by the host that saw the third end")
+	}
+}
+
+// A page that many read is at the owner of the keys of a request that ends its
+// servers, time after time. It is answered in between, by another host, and
+// never refused, whatever order the hosts' records come in.
+func TestBystanderThatIsAnsweredIsNotRefused(t *testing.T) {
+	f := newFleet(t, 2)
+	for i := range 3 * Limit {
+		f.hosts[0].Saw(End{content(1), fmt.Sprint("s", i), noon})
+		f.write(0)
+		if i%2 == 1 {
+			if !f.hosts[1].Survived(content(1)) {
+				t.Fatal("the other host does not know of the ends")
+			}
+			f.write(1)
+		}
+		for h, l := range f.hosts {
+			if l.Refused(content(1), noon) > 0 {
+				t.Fatalf("host %d refuses a page that is answered", h)
+			}
+		}
+	}
+}
+
+// The log service is away while servers end. What this host saw counts here at
+// once, outlives a reading of the newest records, and is written later.
+func TestEndsAreKeptWhileTheyCannotBeWritten(t *testing.T) {
+	f := newFleet(t, 2)
+	for i := range Limit {
+		f.hosts[0].Saw(End{content(1), fmt.Sprint("s", i), noon})
+	}
+	f.newest(f.hosts[0])
+	if f.hosts[0].Refused(content(1), noon) == 0 {
+		t.Error("what was not written yet is forgotten with the newest records")
+	}
+	f.write(0)
+	if f.hosts[1].Refused(content(1), noon) == 0 || len(f.hosts[0].Pending()) > 0 {
+		t.Errorf("not written later: %d changes left", len(f.hosts[0].Pending()))
+	}
+}
+
+// A day later the content is tried again; the planner's host has the records
+// deleted, the others only forget.
+func TestEndsExpire(t *testing.T) {
+	f := newFleet(t, 2)
+	for i := range Limit {
+		f.hosts[0].Saw(End{content(1), fmt.Sprint("s", i), noon})
+	}
+	f.write(0)
+	for h, l := range f.hosts {
+		l.Expire(noon.Add(KeepFor-time.Second), h == 0)
+		if l.Refused(content(1), noon.Add(KeepFor-time.Second)) != time.Second || len(l.Pending()) > 0 {
+			t.Errorf("host %d forgets early", h)
+		}
+		l.Expire(noon.Add(KeepFor), h == 0)
+		if l.Any() || l.Refused(content(1), noon.Add(KeepFor)) > 0 {
+			t.Errorf("host %d still knows of it a day later", h)
+		}
+	}
+	if a, b := len(f.hosts[0].Pending()), len(f.hosts[1].Pending()); a != Limit || b != 0 {
+		t.Errorf("%d and %d records are to be deleted", a, b)
+	}
+	f.write(0)
+	for key, data := range f.records {
+		if data != nil {
+			t.Errorf("record %s is left", key)
+		}
+	}
+}
+
+// A record that another writer left, or that cannot be read, is refused; one
+// that was written is read back as it was.
+func TestRecords(t *testing.T) {
+	p := gopter.NewProperties(nil)
+	p.Property("read back", prop.ForAll(func(server string, ms int64, forget bool) bool {
+		in := Change{End{content(1), "s/" + server, time.UnixMilli(ms)}, forget}
+		key, data, err := in.Encode()
+		if err != nil {
+			return false
+		}
+		out, err := Decode(key, data)
+		if forget {
+			in.At = time.Time{}
+		}
+		return err == nil && out.Content == in.Content && out.Server == in.Server && out.Forget == forget && out.At.Equal(in.At)
+	}, gen.AnyString(), gen.Int64Range(1, 1<<45), gen.Bool()))
+	p.TestingRun(t)
+	good := string(content(1)) + "/s"
+	for key, data := range map[string]string{"": "{}", "s": `{"at_ms":1}`, "abc/s": `{"at_ms":1}`, string(content(1)) + "/": `{"at_ms":1}`,
+		good: "{}", good + "1": `{"at_ms":"1"}`, good + "2": `{"at_ms":-1}`, good + "3": "\xff"} {
+		if c, err := Decode(key, []byte(data)); err == nil {
+			t.Errorf("%q %q is taken for %+v", key, data, c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/crashes/record.go
@@ -0,0 +1,52 @@
+package crashes
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// keyMark stands between content and server in a record's key.
+const keyMark = "/"
+
+// value is the value of an end's record.
+type value struct {
+	// AtMs is when the end was seen, in Unix milliseconds.
+	AtMs int64 `json:"at_ms"`
+}
+
+// Encode returns the record of a change: its key, which names content and
+// server, and its value; nil for an end to be forgotten. Each end has a key of
+// its own, so that hosts that see ends at the same moment need not read before
+// they write.
+func (c Change) Encode() (key string, data []byte, err error) {
+	key = string(c.Content) + keyMark + c.Server
+	if c.Forget {
+		return key, nil, nil
+	}
+	data, err = json.Marshal(value{c.At.UnixMilli()})
+	return key, data, eris.Wrapf(err, "end of %s", c.Server)
+}
+
+// Decode reads a record; data is nil if its key was deleted.
+func Decode(key string, data []byte) (Change, error) {
+	content, server, ok := strings.Cut(key, keyMark)
+	if !ok || len(content) != 2*contentBytes || server == "" {
+		return Change{}, eris.Errorf("record of an end: key %q", key)
+	}
+	c := Change{End: End{Content: Content(content), Server: server}, Forget: data == nil}
+	if c.Forget {
+		return c, nil
+	}
+	var v value
+	if err := json.Unmarshal(data, &v); err != nil {
+		return Change{}, eris.Wrapf(err, "record of the end of %s", server)
+	}
+	if v.AtMs <= 0 {
+		return Change{}, eris.Errorf("record of the end of %s: no time", server)
+	}
+	c.At = time.UnixMilli(v.AtMs)
+	return c, nil
+}
--- /dev/null
+++ b/internal/dispatch/broken.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/crashes"
+	"github.com/papayatide/papayatide/internal/upstream"
+)
+
+// Broken describes a send that broke off, for logs.
+type Broken struct {
+	ID, Service, Upstream string
+	// Key is -1 for services that are not keyed.
+	Key   int
+	Fence int64
+	// Content tells whether other requests ask the same.
+	Content    crashes.Content
+	AtUpstream time.Duration
+	Err        error
+	// Ended is set if the upstream itself has ended. Ends is how many have
+	// ended under this content, as far as this host knows; News is set if this
+	// end adds one.
+	Ended bool
+	Ends  int
+	News  bool
+}
+
+// brokeOff reports whether the upstream ended the exchange: no answer came,
+// and neither the caller nor the time limit had put an end to it.
+func brokeOff(ctx context.Context, res *upstream.Result) bool {
+	return res.Outcome == upstream.Unknown && ctx.Err() == nil && !errors.Is(res.Err, os.ErrDeadlineExceeded)
+}
+
+// askWhetherEnded bounds the question whether an upstream has ended. It is
+// answered in a millisecond or two: a listener that is gone refuses at once.
+// It keeps the caller waiting for its next try.
+const askWhetherEnded = 100 * time.Millisecond
+
+// noteBroken takes note of a send that broke off. Whether the upstream ended
+// under it is asked at once, before the request may be sent again: answers
+// break off for many reasons, and a server that has ended is back, at the same
+// address, in a second or so.
+func (d *Dispatcher) noteBroken(ctx context.Context, q *request, u *catalogue.Upstream, took time.Duration) {
+	b := &Broken{ID: q.up.ID, Service: q.service.Name, Upstream: u.ID, Key: q.key, Fence: q.lastSeen,
+		Content: q.content(), AtUpstream: took, Err: q.lastErr}
+	ctx, cancel := context.WithTimeout(ctx, askWhetherEnded)
+	defer cancel()
+	b.Ended = d.client.Refuses(ctx, upstream.Target{ID: u.ID, Addr: u.Addr})
+	if b.Ended {
+		b.Ends, b.News = d.crashes.Saw(crashes.End{Content: b.Content, Server: u.ID, At: time.Now()})
+	}
+	d.BrokeOff(b)
+}
+
+// noteSurvived takes note that an upstream ran the request and answered.
+func (d *Dispatcher) noteSurvived(q *request) {
+	if d.crashes.Any() {
+		d.crashes.Survived(q.content())
+	}
+}
+
+// fatal returns for how much longer requests like q are refused; zero if they
+// are not. It is asked before every send, a repeat too: a request under which
+// servers have ended, three at this host or others, would end the next one.
+// Without it a request that is asked for all the time ended eleven owners of
+// its key in 12.5 s, and 60 servers of a service that is not divided by key;
+// each end leaves a range of keys unserved until the lease has run out.
+func (d *Dispatcher) fatal(q *request) time.Duration {
+	if !d.crashes.Any() {
+		return 0
+	}
+	return d.crashes.Refused(q.content(), time.Now())
+}
--- /dev/null
+++ b/internal/dispatch/broken_test.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/crashes"
+)
+
+// ending returns n upstreams, each of which ends as it begins to run a request
+// whose ID begins with "fatal".
+func ending(t *testing.T, n int) (ups []*catalogue.Upstream, fakes []*fakeUpstream) {
+	t.Helper()
+	for i := range n {
+		var f *fakeUpstream
+		f = startUpstream(t, func(w io.Writer, c net.Conn, r *http.Request, m int64) bool {
+			if len(r.Header.Get("X-Id")) > 4 && r.Header.Get("X-Id")[:5] == "fatal" {
+				_ = f.ln.Close()
+				return false
+			}
+			return echo(w, c, r, m)
+		})
+		fakes = append(fakes, f)
+		ups = append(ups, up(fmt.Sprint("u", i), "plain", f))
+	}
+	return ups, fakes
+}
+
+// living returns the upstreams that have not run a request yet.
+func living(ups []*catalogue.Upstream, fakes []*fakeUpstream) (out []*catalogue.Upstream) {
+	for i, f := range fakes {
+		if f.runs.Load() == 0 {
+			out = append(out, ups[i])
+		}
+	}
+	return out
+}
+
+func sends(fakes []*fakeUpstream) int64 {
+	n := int64(0)
+	for _, f := range fakes {
+		n += f.runs.Load()
+	}
+	return n
+}
+
+// A booking ends the server that runs it. Its caller, told that it may have
+// run, sends it again; three servers end. From then on it is refused at once
+// as not run, with the time after which it is tried again, and reaches none.
+func TestBookingThatEndsItsServersIsRefused(t *testing.T) {
+	ups, fakes := ending(t, 5)
+	g := newRig(t, ups...)
+	for i := range crashes.Limit {
+		g.fatalBooking(i).want(t, 502, "")
+	}
+	if n := sends(fakes); n != crashes.Limit {
+		t.Fatalf("%d sends for %d asks", n, crashes.Limit)
+	}
+	for i := range 10 {
+		began := time.Now()
+		a := g.fatalBooking(i)
+		a.want(t, 503, string(CauseFatal)+"\n")
+		if took := time.Since(began); took > testObjective/4 || a.header.Get("Retry-After") == "" {
+			t.Errorf("refused after %v, to come back after %q", took, a.header.Get("Retry-After"))
+		}
+	}
+	if n := sends(fakes); n != crashes.Limit {
+		t.Errorf("sent %d times more", n-crashes.Limit)
+	}
+	g.list(living(ups, fakes)...)
+	g.post("charge.example", "another").want(t, 200, "answer to another")
+}
+
+// fatalBooking asks for one and the same booking under a new ID.
+func (g *rig) fatalBooking(i int) answer {
+	return g.call(context.Background(), "POST", "charge.example", fmt.Sprint("fatal-", i), "the same booking")
+}
+
+// A lookup has ended two servers already. It ends a third, and is not sent
+// again at once, as a lookup whose answer broke off is otherwise: the host's
+// own repeat would have ended a fourth.
+func TestRepeatIsNotSentAfterTheLastEnd(t *testing.T) {
+	ups, fakes := ending(t, 5)
+	g := newRig(t, ups...)
+	g.get("read.example", "fatal-1").want(t, 502, "")
+	if n := sends(fakes); n != 2 {
+		t.Fatalf("the first lookup was sent %d times", n)
+	}
+	g.get("read.example", "fatal-2").want(t, 502, "")
+	if n := sends(fakes); n != crashes.Limit {
+		t.Errorf("sent %d times, want %d", n, crashes.Limit)
+	}
+	g.get("read.example", "fatal-3").want(t, 503, string(CauseFatal)+"\n")
+}
+
+// Answers break off again and again, but their servers go on: connections are
+// reset, or answers are cut short. Nothing is refused for it.
+func TestBrokenAnswersOfLivingServersCountForNothing(t *testing.T) {
+	f := startUpstream(t, func(_ io.Writer, _ net.Conn, _ *http.Request, _ int64) bool { return false })
+	g := newRig(t, up("u1", "plain", f))
+	for i := range 3 * crashes.Limit {
+		g.post("charge.example", fmt.Sprint("r", i)).want(t, 502, "")
+	}
+	if g.d.crashes.Any() {
+		t.Error("ends are counted though no server has ended")
+	}
+}
+
+// Two servers end while they run a page that is harmless; then it is answered.
+// Two more end under it later, and it is served still.
+func TestAnsweredPageIsNotRefused(t *testing.T) {
+	f := startUpstream(t, echo)
+	g := newRig(t, up("u1", "plain", f))
+	page := crashes.Ask{Method: "GET", Host: "read.example", URI: "/a//b?q=%2f", Key: -1}.Content()
+	for i := range 3 * crashes.Limit {
+		g.d.crashes.Saw(crashes.End{Content: page, Server: fmt.Sprint("s", i), At: time.Now()})
+		if i%2 == 1 {
+			g.get("read.example", fmt.Sprint("r", i)).want(t, 200, "")
+		}
+	}
+}
+
+// A large upload is streamed and cannot be read whole before it is sent. Its
+// beginning and its length tell it apart: one that ends its servers is refused
+// after three, another of the same length is not.
+func TestUploadThatEndsItsServersIsRefused(t *testing.T) {
+	ups, fakes := ending(t, 5)
+	g := newRig(t, ups...)
+	upload := func(id, begin string) answer {
+		return g.call(t.Context(), "POST", "charge.example", id, begin+string(make([]byte, keptBody+1)))
+	}
+	for i := range crashes.Limit {
+		upload(fmt.Sprint("fatal-", i), "x").want(t, 502, "")
+	}
+	upload("fatal-9", "x").want(t, 503, string(CauseFatal)+"\n")
+	g.list(living(ups, fakes)...)
+	upload("other", "y").want(t, 200, "answer to other")
+	if n := sends(fakes); n != crashes.Limit+1 {
+		t.Errorf("%d sends", n)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/budget"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/upstream"
@@ -58,6 +59,7 @@
 	splits  *splitter
 	unheld  *unheld
 	stop    *stopper
+	crashes *crashes.Ledger
 	// fleet is how many hosts there are, this one included.
 	fleet atomic.Int64
 	// Ended is told of every request's end, BrokeOff of every send that ended
@@ -94,9 +96,11 @@
 	Crowd admission.State
 }
 
-// New returns a dispatcher for callers in the data centre home.
-func New(h protocol.Headers, home string, views *view.Holder, client *upstream.Client, board *balance.Board, bud *budget.Budget) *Dispatcher {
-	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud,
+// New returns a dispatcher for callers in the data centre home. Requests that
+// ledger refuses are not sent.
+func New(h protocol.Headers, home string, views *view.Holder, client *upstream.Client, board *balance.Board, bud *budget.Budget,
+	ledger *crashes.Ledger) *Dispatcher {
+	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud, crashes: ledger,
 		splits: newSplitter(), unheld: newUnheld(), stop: newStopper(),
 		Ended: func(*End) {}, BrokeOff: func(*Broken) {}}
 	d.SetFleet(1)
@@ -156,6 +160,9 @@
 		if ctx.Err() != nil {
 			return nil, d.outOfTime(ctx, q)
 		}
+		if left := d.fatal(q); left > 0 {
+			return nil, q.endUnsent(CauseFatal, left)
+		}
 		u, ref := d.choose(ctx, q)
 		if ref != nil {
 			return nil, ref
@@ -172,7 +179,7 @@
 			ticket.Done(admission.NoSign, 0)
 			return nil, failed(CauseGone, http.StatusBadGateway)
 		}
-		if d.overtaken(q, u) {
+		if d.overtaken(q, u) || d.fatal(q) > 0 {
 			ticket.Done(admission.NoSign, 0)
 			continue
 		}
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -23,6 +23,7 @@
 	CauseTimeoutNever Cause = "time ran out before the request could be sent"
 	CauseTimeout      Cause = "time ran out at the upstream"
 	CauseBroken       Cause = "upstream broke off; the outcome is unknown"
+	CauseFatal        Cause = "servers ended while they ran this request"
 	CauseStopping     Cause = "this host stops"
 	CauseGone         Cause = "caller left"
 )
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -4,13 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
-	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/upstream"
 )
 
@@ -31,30 +29,14 @@
 		q.mayHaveRun = true
 	}
 	if brokeOff(ctx, res) {
-		d.BrokeOff(&Broken{ID: q.up.ID, Service: q.service.Name, Upstream: u.ID, Key: q.key, Fence: q.lastSeen,
-			Content: q.content(), AtUpstream: took, Err: res.Err})
+		d.noteBroken(ctx, q, u, took)
+	}
+	if res.Outcome == upstream.Answered && res.Status < http.StatusInternalServerError {
+		d.noteSurvived(q)
 	}
 	return res, took
 }
 
-// Broken describes a send that broke off, for logs.
-type Broken struct {
-	ID, Service, Upstream string
-	// Key is -1 for services that are not keyed.
-	Key   int
-	Fence int64
-	// Content tells whether other requests ask the same.
-	Content    crashes.Content
-	AtUpstream time.Duration
-	Err        error
-}
-
-// brokeOff reports whether the upstream ended the exchange: no answer came,
-// and neither the caller nor the time limit had put an end to it.
-func brokeOff(ctx context.Context, res *upstream.Result) bool {
-	return res.Outcome == upstream.Unknown && ctx.Err() == nil && !errors.Is(res.Err, os.ErrDeadlineExceeded)
-}
-
 // judge says what a send shows of its upstream.
 func judge(ctx context.Context, res *upstream.Result) balance.Outcome {
 	switch {
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -75,6 +75,8 @@
 
 	inbox  chan func()
 	roster *roster
+	// crashes is handed what is read of servers' ends.
+	crashes *crashLog
 	// broken holds since when each stream of the log service is lost, backAt
 	// when the first of them was regained.
 	broken map[metastore.Stream]time.Time
@@ -208,12 +210,24 @@
 	atOnce := func() time.Duration { return 0 }
 	own = mk(metastore.StreamOwnership, atOnce)
 	own.idle = c.soleWriter.Load
+	ends := mk(metastore.StreamCrashes, atOnce)
+	ends.delay = c.beforeCrashes
 	return own, []*follower{
 		mk(metastore.StreamDesired, atOnce),
 		mk(metastore.StreamUpstreams, c.gatherUpstreams),
+		ends,
 	}
 }
 
+// beforeCrashes is the pause before servers' ends are read from the log service
+// itself. The planner, whose copy carries them to the others, waits for nothing.
+func (c *control) beforeCrashes() time.Duration {
+	if c.planning.Load() {
+		return 0
+	}
+	return startAlone
+}
+
 // gatherUpstreams is the pause after a read that returned upstreams' records.
 func (c *control) gatherUpstreams() time.Duration {
 	if c.planning.Load() {
@@ -226,8 +240,8 @@
 // planner's copy is never known to be older than planningWait, also where it
 // was older when the seat came here.
 func (c *control) readWait(s metastore.Stream) time.Duration {
-	if !c.planning.Load() {
-		return directWait
+	if !c.planning.Load() || s == metastore.StreamCrashes {
+		return directWait // the age of the planner's copy does not count it
 	}
 	return min(max(planningWait-c.copy.StreamAge(s, time.Now()), 0), planningWait)
 }
--- a/internal/entryhost/crash_test.go
+++ b/internal/entryhost/crash_test.go
@@ -49,6 +49,7 @@
 				t.Errorf("it ended %d more servers, from %v after the third on; at most %d may be tried", more, settled, lastTries)
 			}
 			stop()
+			t.Logf("%d servers ended in all", f.crashCount())
 			f.answers(c.route, "/x", handover)
 		})
 	}
@@ -58,12 +59,17 @@
 // hosts in turn, until the returned function is called.
 func (f *testFleet) askForTheFatal(route string) (stop func()) {
 	var stopped atomic.Bool
+	done := make(chan struct{})
 	f.later.Go(func() {
+		defer close(done)
 		for n := 0; !stopped.Load() && f.sleep(askEvery); n++ {
 			f.hosts[n%len(f.hosts)].callPath("GET", route, fatalPath, fmt.Sprint("fatal-", n), fatalKey)
 		}
 	})
-	return func() { stopped.Store(true) }
+	return func() {
+		stopped.Store(true)
+		<-done
+	}
 }
 
 // answers waits until a request is answered through every host.
@@ -103,3 +109,35 @@
 	defer f.mu.Unlock()
 	return f.crashes[n-1]
 }
+
+// Three servers have ended under one request. Then every host is stopped and
+// others start, which have seen none of it; callers still ask. What the hosts
+// knew is in the log service: the new ones refuse the request within the time
+// that they are given to settle, and answer others.
+func TestNewHostsKnowWhichRequestsEndTheirServers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 0)
+	for i := range 5 {
+		f.addTo("plain", fmt.Sprint("plain", i))
+	}
+	f.answers(plainRoute, "/x", startup)
+	stop := f.askForTheFatal(plainRoute)
+	f.crashed(3, handover)
+	time.Sleep(settled)
+	stop()
+	f.stopHosts()
+	for i := range 2 {
+		f.startHost(fmt.Sprint("new", i))
+	}
+	f.answers(plainRoute, "/x", startup)
+	time.Sleep(settled)
+	before := f.crashCount()
+	for n := range 20 {
+		if status, body := f.hosts[n%2].callPath("GET", plainRoute, fatalPath, fmt.Sprint("again-", n), fatalKey); status != http.StatusServiceUnavailable {
+			t.Errorf("%d %s", status, body)
+		}
+	}
+	if more := f.crashCount() - before; more > 0 {
+		t.Errorf("hosts that started later ended %d more servers", more)
+	}
+}
--- /dev/null
+++ b/internal/entryhost/crashlog.go
@@ -0,0 +1,121 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/crashes"
+	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/metastore"
+)
+
+const (
+	// gatherEnds is the pause before ends are written, so that those of one
+	// server cost one call: it takes all that it runs with it, at the same
+	// moment, and the question whether it has ended takes up to 100 ms.
+	gatherEnds = 30 * time.Millisecond
+	// Pauses after a write that failed. Hosts have three seconds after the end
+	// of an outage to act on what they know.
+	retryEndsFirst = 200 * time.Millisecond
+	retryEndsMost  = time.Second
+	// expireEvery is how often ends that no longer count are looked for. They
+	// count for a day.
+	expireEvery = time.Minute
+)
+
+// crashLog shares with the other hosts which requests end their servers. Each
+// host sees a few of the ends only, as callers come back on any host, and a
+// host that starts has seen none; so they are kept in the log service, where
+// the planner's copy of it carries them to every host.
+type crashLog struct {
+	zl     *zap.Logger
+	store  metastore.Store
+	ledger *crashes.Ledger
+	// planning reports whether this host has records deleted that no longer
+	// count.
+	planning func() bool
+}
+
+// run writes what this host saw until ctx ends.
+func (l *crashLog) run(ctx context.Context) {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			l.ledger.Expire(now, l.planning())
+		case <-l.ledger.Wake():
+			pause(ctx, gatherEnds)
+			l.write(ctx)
+		}
+	}
+}
+
+// write writes all that is pending, however long that takes. A write without an
+// answer may take effect all the same, or later: an end that is written twice
+// is one end.
+func (l *crashLog) write(ctx context.Context) {
+	backoff := retryEndsFirst
+	for ctx.Err() == nil {
+		changes := l.ledger.Pending()
+		if len(changes) == 0 {
+			return
+		}
+		err := l.append(ctx, changes)
+		if err == nil {
+			l.ledger.Written(changes)
+			continue
+		}
+		l.zl.Warn("servers' ends not written; tried again", zap.Int("event", events.CrashesNotWritten), zap.Int("records", len(changes)), ErrorField(err))
+		pause(ctx, backoff)
+		backoff = min(backoff*2, retryEndsMost)
+	}
+}
+
+func (l *crashLog) append(ctx context.Context, changes []crashes.Change) error {
+	recs := make([]metastore.Record, 0, len(changes))
+	for _, c := range changes {
+		key, value, err := c.Encode()
+		if err != nil {
+			return err
+		}
+		recs = append(recs, metastore.Record{Key: key, Value: value})
+	}
+	return l.store.Append(ctx, metastore.StreamCrashes, recs)
+}
+
+// apply takes in records that were read. After a reset they are all there are.
+func (l *crashLog) apply(recs []metastore.Record, reset bool) {
+	var ends []crashes.End
+	for _, rec := range recs {
+		c, err := crashes.Decode(rec.Key, rec.Value)
+		if err != nil {
+			l.zl.Error("record of a server's end refused", zap.Int("event", events.CrashRefused), zap.Int64("offset", rec.Offset), ErrorField(err))
+			continue
+		}
+		if reset {
+			ends = append(ends, c.End)
+			continue
+		}
+		n, news := l.ledger.Take(c)
+		l.took(c.Content, n, news)
+	}
+	if reset {
+		l.ledger.Replace(ends)
+		l.zl.Info("servers' ends read", zap.Int("event", events.CrashesRead), zap.Int("records", len(ends)))
+	}
+}
+
+// took logs that a content is refused from now on, if an end that was news makes
+// it so.
+func (l *crashLog) took(c crashes.Content, ends int, news bool) {
+	if ends != crashes.Limit || !news {
+		return
+	}
+	l.zl.Warn("requests like this end their servers; they are refused", zap.Int("event", events.ContentRefused), zap.String("content", string(c)),
+		zap.Strings("peers", l.ledger.Servers(c)), zap.Duration("refused_for", l.ledger.Refused(c, time.Now())))
+}
--- a/internal/entryhost/fleet_test.go
+++ b/internal/entryhost/fleet_test.go
@@ -119,7 +119,7 @@
 	return f
 }
 
-// stopAll stops every host and waits for them.
+// stopAll stops everything.
 func (f *testFleet) stopAll() {
 	close(f.over)
 	f.later.Wait()
@@ -128,6 +128,11 @@
 		u.Kill()
 	}
 	f.mu.Unlock()
+	f.stopHosts()
+}
+
+// stopHosts stops every host and waits for them.
+func (f *testFleet) stopHosts() {
 	for _, h := range f.hosts {
 		h.stop()
 	}
@@ -141,6 +146,7 @@
 			f.t.Errorf("%s does not stop", h.cfg.Host)
 		}
 	}
+	f.hosts = nil
 }
 
 func (f *testFleet) addUpstream(id string) *ranged.Upstream { return f.addTo("sheets", id) }
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -43,6 +43,8 @@
 type follower struct {
 	store  metastore.Store
 	stream metastore.Stream
+	// delay, if set, says how long to pause before the first read.
+	delay func() time.Duration
 	// gather says how long to pause after a read that returned records.
 	gather func() time.Duration
 	copy   *relay.Copy
@@ -99,6 +101,9 @@
 
 // run follows the stream until ctx ends.
 func (f *follower) run(ctx context.Context) {
+	if f.delay != nil {
+		pause(ctx, f.delay())
+	}
 	backoff := retryReadFirst
 	next := f.copy.Next(f.stream)
 	for ctx.Err() == nil {
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -45,6 +45,8 @@
 	case metastore.StreamOwnership:
 		c.plan.StreamEnd(fresh.Next)
 		c.applyOwnership(fresh.Records)
+	case metastore.StreamCrashes:
+		c.crashes.apply(fresh.Records, fresh.Reset)
 	}
 }
 
--- a/internal/entryhost/requestlog.go
+++ b/internal/entryhost/requestlog.go
@@ -58,11 +58,13 @@
 func (h *host) brokeOff(b *dispatch.Broken) {
 	brokenSends.Inc()
 	f := []zap.Field{zap.Int("event", events.SendBrokeOff), zap.String("request", b.ID), zap.String("service", b.Service),
-		zap.String("peer", b.Upstream), zap.String("content", string(b.Content)), zap.Duration("at_upstream", b.AtUpstream), ErrorField(b.Err)}
+		zap.String("peer", b.Upstream), zap.String("content", string(b.Content)), zap.Duration("at_upstream", b.AtUpstream),
+		zap.Bool("ended", b.Ended), zap.Int("ends", b.Ends), ErrorField(b.Err)}
 	if b.Key >= 0 {
 		f = append(f, zap.Int("key", b.Key), zap.Int64("fence", b.Fence))
 	}
 	h.zl.Info("send broke off", f...)
+	h.control.crashes.took(b.Content, b.Ends, b.News)
 }
 
 func (h *host) endFields(e *dispatch.End, event int) []zap.Field {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -55,6 +55,10 @@
 	OwnershipAdopted       = 640
 	OwnershipRefused       = 641
 	OwnershipChangeRefused = 642
+	ContentRefused         = 650
+	CrashRefused           = 651
+	CrashesRead            = 652
+	CrashesNotWritten      = 653
 	LinesDropped           = 660
 
 	// 7xx: the planner.
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -9,12 +9,14 @@
 // Stream names one of the log's streams that papayatide reads.
 type Stream string
 
-// The streams. Operators write the first, upstreams the second; only
-// papayatide's planner writes the third.
+// The streams. Operators write the first, upstreams the second, only
+// papayatide's planner the third, and each of its hosts the fourth: servers'
+// ends under requests, see package crashes.
 const (
 	StreamDesired   Stream = "desired"
 	StreamUpstreams Stream = "upstreams"
 	StreamOwnership Stream = "ownership"
+	StreamCrashes   Stream = "crashes"
 )
 
 var (
@@ -70,6 +72,9 @@
 	// AppendAt appends one record if the stream ends at offset at, and
 	// returns the stream's new end.
 	AppendAt(ctx context.Context, s Stream, key string, value []byte, at int64) (int64, error)
+	// Append appends records, all or none, wherever the stream ends. A nil
+	// value deletes its key; offsets are ignored.
+	Append(ctx context.Context, s Stream, recs []Record) error
 	// Join takes part in the election of the planner, or stays in it. A
 	// member that has not joined for ttl loses its seat.
 	Join(ctx context.Context, member string, ttl time.Duration, generation int64) (Seat, error)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,7 @@
 const kept = 512
 
 // Streams are the streams that are relayed.
-var Streams = []metastore.Stream{metastore.StreamDesired, metastore.StreamUpstreams, metastore.StreamOwnership}
+var Streams = []metastore.Stream{metastore.StreamDesired, metastore.StreamUpstreams, metastore.StreamOwnership, metastore.StreamCrashes}
 
 type stream struct {
 	known  bool
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -164,6 +164,19 @@
 	return l.put(s, key, value), nil
 }
 
+// Append implements metastore.Store.
+func (l *Log) Append(_ context.Context, s metastore.Stream, recs []metastore.Record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.enter("append"); err != nil {
+		return err
+	}
+	for _, r := range recs {
+		l.put(s, r.Key, r.Value)
+	}
+	return nil
+}
+
 // Join implements metastore.Store.
 func (l *Log) Join(_ context.Context, member string, ttl time.Duration, _ int64) (metastore.Seat, error) {
 	l.mu.Lock()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -145,6 +146,18 @@
 	return res
 }
 
+// Refuses reports whether nobody listens at t any more: the process that did
+// has ended. A connection that opens is kept for the next request.
+func (c *Client) Refuses(ctx context.Context, t Target) bool {
+	cn, err := dial(ctx, t.Addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	cn.idleUntil = time.Now().Add(defaultIdle)
+	c.pool(t).put(cn)
+	return false
+}
+
 // exchange writes the request and reads its answer. It reports whether the
 // connection can be used again.
 func (c *Client) exchange(ctx context.Context, cn *conn, t Target, req *Request) (*Result, bool) {
