A server's end shows by its entry too, where something goes on to listen

Cause: a send that broke off counted only if the address refused connections. Behind a balancer or a proxy it never does, and a server may be back at once. Ruled out: counting every broken answer (answers are cut short by servers that go on); counting sends that ran out of time (a cut server has not ended). Change: such a break is kept for 5 s; if the upstream's entry goes meanwhile, or another life takes its place, without a word of leaving, it was an end. The ledger tells of each refused content once, whoever saw its ends.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -19,6 +19,8 @@
 	Slots int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// Unlisted is set while an upstream is remembered though its entry went.
+	Unlisted bool
 	// SlowUntil is when its cold start is over.
 	SlowUntil time.Time
 }
--- a/internal/crashes/ledger.go
+++ b/internal/crashes/ledger.go
@@ -45,6 +45,9 @@
 // have written. It holds no more than servers can end: some fifteen contents
 // an end. It is safe for concurrent use.
 type Ledger struct {
+	// refusing is told of each content that is refused from now on.
+	refusing func(Content)
+
 	mu sync.Mutex
 	// ends are by content, then by server.
 	ends map[Content]map[string]time.Time
@@ -53,20 +56,32 @@
 	wake    chan struct{}
 }
 
-// NewLedger returns a ledger that knows of no ends.
-func NewLedger() *Ledger {
-	return &Ledger{ends: map[Content]map[string]time.Time{}, pending: map[endKey]Change{}, wake: make(chan struct{}, 1)}
+// NewLedger returns a ledger that knows of no ends. It calls refusing, unless
+// nil, for each content that is refused from now on, as this host saw or read.
+func NewLedger(refusing func(Content)) *Ledger {
+	if refusing == nil {
+		refusing = func(Content) {}
+	}
+	return &Ledger{refusing: refusing, ends: map[Content]map[string]time.Time{}, pending: map[endKey]Change{}, wake: make(chan struct{}, 1)}
 }
 
 // Saw takes in an end that this host saw itself. It returns how many servers
-// have ended under the content, and whether this end was news.
-func (l *Ledger) Saw(e End) (ends int, news bool) {
+// have ended under the content.
+func (l *Ledger) Saw(e End) int {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if news = l.add(e); news {
+	ends, news := l.add(e)
+	if news {
 		l.change(Change{End: e})
 	}
-	return len(l.ends[e.Content]), news
+	l.mu.Unlock()
+	l.tell(e.Content, ends, news)
+	return ends
+}
+
+func (l *Ledger) tell(c Content, ends int, news bool) {
+	if news && ends == Limit {
+		l.refusing(c)
+	}
 }
 
 // Survived takes note that a server ran the content and answered: what ended
@@ -120,18 +135,17 @@
 	return out
 }
 
-// Take takes in a change that was read, this host's own or another's. It
-// returns how many servers have ended under the content, and whether an end
-// was news.
-func (l *Ledger) Take(c Change) (ends int, news bool) {
+// Take takes in a change that was read, this host's own or another's.
+func (l *Ledger) Take(c Change) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	ends, news := 0, false
 	if c.Forget {
 		l.remove(c.Content, c.Server)
 	} else if !l.pending[endKey{c.Content, c.Server}].Forget {
-		news = l.add(c.End)
+		ends, news = l.add(c.End)
 	}
-	return len(l.ends[c.Content]), news
+	l.mu.Unlock()
+	l.tell(c.Content, ends, news)
 }
 
 // Replace takes the given ends in place of all that were read before. What
@@ -196,14 +210,15 @@
 	}
 }
 
-// add reports whether the end was not known yet.
-func (l *Ledger) add(e End) bool {
+// add returns how many servers have ended under the content, and whether this
+// end was not known yet.
+func (l *Ledger) add(e End) (ends int, news bool) {
 	if l.ends[e.Content] == nil {
 		l.ends[e.Content] = map[string]time.Time{}
 	}
 	_, known := l.ends[e.Content][e.Server]
 	l.ends[e.Content][e.Server] = e.At
-	return !known
+	return len(l.ends[e.Content]), !known
 }
 
 func (l *Ledger) remove(c Content, server string) {
--- a/internal/crashes/ledger_test.go
+++ b/internal/crashes/ledger_test.go
@@ -26,7 +26,7 @@
 func newFleet(t *testing.T, hosts int) *fleet {
 	f := &fleet{t: t, records: map[string][]byte{}}
 	for range hosts {
-		f.hosts = append(f.hosts, NewLedger())
+		f.hosts = append(f.hosts, NewLedger(nil))
 	}
 	return f
 }
@@ -80,7 +80,7 @@
 		f.hosts[i].Saw(End{content(1), fmt.Sprint("s", i), noon})
 		f.write(i)
 	}
-	late := NewLedger()
+	late := NewLedger(nil)
 	f.newest(late)
 	for i, l := range append(f.hosts, late) {
 		if got := l.Refused(content(1), noon.Add(time.Hour)); got != KeepFor-time.Hour {
@@ -95,11 +95,11 @@
 // Many hosts' requests break off as one server ends; that is one end. The host
 // that sees the third end refuses before anybody has written anything.
 func TestOneServersEndCountsOnce(t *testing.T) {
-	l := NewLedger()
+	l := NewLedger(nil)
 	for range 10 {
 		l.Saw(End{content(1), "s1", noon})
 	}
-	if n, _ := l.Saw(End{content(1), "s2", noon}); n != 2 || l.Refused(content(1), noon) > 0 {
+	if n := l.Saw(End{content(1), "s2", noon}); n != 2 || l.Refused(content(1), noon) > 0 {
 		t.Errorf("two servers ended, counted as %d", n)
 	}
 	if l.Saw(End{content(1), "s3", noon}); l.Refused(content(1), noon) != KeepFor {
@@ -107,6 +107,22 @@
 	}
 }
 
+// On-call is told once of each request that is refused, whoever saw its ends.
+func TestEachRefusedContentIsToldOnce(t *testing.T) {
+	told := map[Content]int{}
+	l := NewLedger(func(c Content) { told[c]++ })
+	for round := range 3 {
+		for i := range Limit + round {
+			l.Saw(End{content(1), fmt.Sprint("s", i), noon})
+			l.Take(Change{End: End{content(2), fmt.Sprint("s", i), noon}})
+		}
+	}
+	l.Saw(End{content(3), "s1", noon})
+	if len(told) != 2 || told[content(1)] != 1 || told[content(2)] != 1 {
+		t.Errorf("told %v", told)
+	}
+}
+
 // A page that many read is at the owner of the keys of a request that ends its
 // servers, time after time. It is answered in between, by another host, and
 // never refused, whatever order the hosts' records come in.
--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
@@ -21,12 +23,10 @@
 	Content    crashes.Content
 	AtUpstream time.Duration
 	Err        error
-	// Ended is set if the upstream itself has ended. Ends is how many have
-	// ended under this content, as far as this host knows; News is set if this
-	// end adds one.
+	// Ended is set if the upstream itself had ended. Ends is how many have
+	// ended under this content, as far as this host knows.
 	Ended bool
 	Ends  int
-	News  bool
 }
 
 // brokeOff reports whether the upstream ended the exchange: no answer came,
@@ -43,19 +43,65 @@
 // noteBroken takes note of a send that broke off. Whether the upstream ended
 // under it is asked at once, before the request may be sent again: answers
 // break off for many reasons, and a server that has ended is back, at the same
-// address, in a second or so.
+// address, in a second or so. If somebody listens there it is left open; see
+// unsure.
 func (d *Dispatcher) noteBroken(ctx context.Context, q *request, u *catalogue.Upstream, took time.Duration) {
 	b := &Broken{ID: q.up.ID, Service: q.service.Name, Upstream: u.ID, Key: q.key, Fence: q.lastSeen,
 		Content: q.content(), AtUpstream: took, Err: q.lastErr}
 	ctx, cancel := context.WithTimeout(ctx, askWhetherEnded)
 	defer cancel()
+	now := time.Now()
 	b.Ended = d.client.Refuses(ctx, upstream.Target{ID: u.ID, Addr: u.Addr})
 	if b.Ended {
-		b.Ends, b.News = d.crashes.Saw(crashes.End{Content: b.Content, Server: u.ID, At: time.Now()})
+		b.Ends = d.crashes.Saw(crashes.End{Content: b.Content, Server: u.ID, At: now})
+	} else if !u.Leaving {
+		d.unsure.add(crashes.End{Content: b.Content, Server: u.ID, At: now})
 	}
 	d.BrokeOff(b)
 }
 
+const (
+	// lapses is how long after a server's end its entry may go: three missed
+	// heartbeats of some 0.9 s, and the way to this host.
+	lapses = 5 * time.Second
+	// unsureMost bounds the breaks that are kept meanwhile. Upstreams that cut
+	// answers short break off some ten a second at a host at most.
+	unsureMost = 256
+)
+
+// unsure keeps the breaks of which it is not known yet whether the upstream
+// ended. Where a proxy or a balancer stands before the servers it goes on to
+// listen, and a server may be back at once: then the entry of the upstream's
+// life shows its end, by going, or by another life's taking its place.
+type unsure struct {
+	mu     sync.Mutex
+	breaks []crashes.End
+}
+
+func (s *unsure) add(e crashes.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.breaks) < unsureMost {
+		s.breaks = append(s.breaks, e)
+	}
+}
+
+// settle returns the breaks whose upstream has ended meanwhile, and drops those
+// whose upstream is leaving as planned, or has gone on for long enough.
+func (s *unsure) settle(ups *catalogue.Snapshot, now time.Time) (ended []crashes.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breaks = slices.DeleteFunc(s.breaks, func(e crashes.End) bool {
+		u := ups.ByID[e.Server]
+		if u == nil || u.Unlisted {
+			ended = append(ended, e)
+			return true
+		}
+		return u.Leaving || now.Sub(e.At) > lapses
+	})
+	return ended
+}
+
 // noteSurvived takes note that an upstream ran the request and answered.
 func (d *Dispatcher) noteSurvived(q *request) {
 	if d.crashes.Any() {
--- a/internal/dispatch/broken_test.go
+++ b/internal/dispatch/broken_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -112,6 +113,63 @@
 	}
 }
 
+// A balancer stands before the servers: where one has ended it still takes
+// connections, and closes them. That the servers ended shows by their entries,
+// which go two seconds later.
+func TestEndsBehindABalancerShowByTheirEntries(t *testing.T) {
+	f := startUpstream(t, func(_ io.Writer, _ net.Conn, _ *http.Request, _ int64) bool { return false })
+	g := newRig(t)
+	for i := range crashes.Limit {
+		u := up(fmt.Sprint("u", i), "plain", f)
+		g.list(u)
+		g.fatalBooking(i).want(t, 502, "")
+		g.d.Prune()
+		gone := *u
+		gone.Leaving, gone.Unlisted = true, true
+		g.list(&gone)
+		g.d.Prune()
+	}
+	g.list(up("u9", "plain", f))
+	g.fatalBooking(9).want(t, 503, string(CauseFatal)+"\n")
+}
+
+// Of the upstreams under which a request broke off while they went on to
+// listen, those whose entries go, or whose servers have another life, have
+// ended; those that leave as planned or are still there after the time in
+// which entries go have not.
+func TestUpstreamsThatGoOnOrLeaveHaveNotEnded(t *testing.T) {
+	now := time.Now()
+	var s unsure
+	for _, server := range []string{"on", "leaving", "unlisted", "replaced", "on later gone"} {
+		s.add(crashes.End{Content: "c", Server: server, At: now})
+	}
+	settle := func(after time.Duration, ups ...*catalogue.Upstream) (ended []string) {
+		all := map[string]*catalogue.Upstream{}
+		for _, u := range ups {
+			all[u.ID] = u
+		}
+		for _, e := range s.settle(catalogue.NewSnapshot(all), now.Add(after)) {
+			ended = append(ended, e.Server)
+		}
+		return ended
+	}
+	on := &catalogue.Upstream{ID: "on"}
+	got := settle(time.Second, on, &catalogue.Upstream{ID: "on later gone"}, &catalogue.Upstream{ID: "leaving", Leaving: true},
+		&catalogue.Upstream{ID: "unlisted", Leaving: true, Unlisted: true})
+	if !slices.Equal(got, []string{"unlisted", "replaced"}) {
+		t.Errorf("ended: %v", got)
+	}
+	if got = settle(lapses, on, &catalogue.Upstream{ID: "on later gone"}); got != nil {
+		t.Errorf("ended: %v", got)
+	}
+	if got = settle(lapses+time.Second, on, &catalogue.Upstream{ID: "on later gone"}); got != nil {
+		t.Errorf("ended: %v", got)
+	}
+	if got = settle(lapses + 2*time.Second); got != nil {
+		t.Errorf("ended after the time in which entries go: %v", got)
+	}
+}
+
 // Two servers end while they run a page that is harmless; then it is answered.
 // Two more end under it later, and it is served still.
 func TestAnsweredPageIsNotRefused(t *testing.T) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,6 +60,7 @@
 	unheld  *unheld
 	stop    *stopper
 	crashes *crashes.Ledger
+	unsure  unsure
 	// fleet is how many hosts there are, this one included.
 	fleet atomic.Int64
 	// Ended is told of every request's end, BrokeOff of every send that ended
@@ -343,7 +344,11 @@
 	return failed(sent, http.StatusGatewayTimeout)
 }
 
-// Prune forgets what no longer matters.
+// Prune forgets what no longer matters, and takes in which upstreams have ended.
 func (d *Dispatcher) Prune() {
-	d.unheld.prune(time.Now())
+	now := time.Now()
+	d.unheld.prune(now)
+	for _, e := range d.unsure.settle(d.views.Load().Upstreams, now) {
+		d.crashes.Saw(e)
+	}
 }
--- a/internal/entryhost/crashlog.go
+++ b/internal/entryhost/crashlog.go
@@ -38,6 +38,12 @@
 	planning func() bool
 }
 
+func newCrashLog(zl *zap.Logger, store metastore.Store, planning func() bool) *crashLog {
+	l := &crashLog{zl: zl, store: store, planning: planning}
+	l.ledger = crashes.NewLedger(l.refusing)
+	return l
+}
+
 // run writes what this host saw until ctx ends.
 func (l *crashLog) run(ctx context.Context) {
 	t := time.NewTicker(expireEvery)
@@ -101,8 +107,7 @@
 			ends = append(ends, c.End)
 			continue
 		}
-		n, news := l.ledger.Take(c)
-		l.took(c.Content, n, news)
+		l.ledger.Take(c)
 	}
 	if reset {
 		l.ledger.Replace(ends)
@@ -110,12 +115,8 @@
 	}
 }
 
-// took logs that a content is refused from now on, if an end that was news makes
-// it so.
-func (l *crashLog) took(c crashes.Content, ends int, news bool) {
-	if ends != crashes.Limit || !news {
-		return
-	}
+// refusing logs that a content is refused from now on.
+func (l *crashLog) refusing(c crashes.Content) {
 	l.zl.Warn("requests like this end their servers; they are refused", zap.Int("event", events.ContentRefused), zap.String("content", string(c)),
 		zap.Strings("peers", l.ledger.Servers(c)), zap.Duration("refused_for", l.ledger.Refused(c, time.Now())))
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -17,7 +17,6 @@
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/budget"
 	"github.com/papayatide/papayatide/internal/catalogue"
-	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/dispatch"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/fleet"
@@ -127,13 +126,12 @@
 		budget: budget.New(shareOfBudget(cfg, 1), time.Now()), reporter: newReporter(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		eager: cfg.CPUShare >= eagerCPU && cfg.LinkMbps >= eagerLink,
 		peers: peer.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}})}
-	ledger := crashes.NewLedger()
-	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, ledger)
-	h.dispatch.Ended, h.dispatch.BrokeOff = h.ended, h.brokeOff
 	h.uses = newUses(cfg.Host, cfg.DataCentre, h.board, func() *catalogue.Snapshot { return h.views.Load().Upstreams })
 	h.control = newControl(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
 		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: h.eager})
-	h.control.crashes = &crashLog{zl: zl, store: plat.Store, ledger: ledger, planning: h.control.planning.Load}
+	h.control.crashes = newCrashLog(zl, plat.Store, h.control.planning.Load)
+	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, h.control.crashes.ledger)
+	h.dispatch.Ended, h.dispatch.BrokeOff = h.ended, h.brokeOff
 	h.control.retirer = h.peers
 	h.control.seats.hosts = func() int { return h.fleet.Size(time.Now()) }
 	h.control.eagerAlive = func() bool { return h.fleet.EagerAlive(time.Now()) }
--- a/internal/entryhost/requestlog.go
+++ b/internal/entryhost/requestlog.go
@@ -64,7 +64,6 @@
 		f = append(f, zap.Int("key", b.Key), zap.Int64("fence", b.Fence))
 	}
 	h.zl.Info("send broke off", f...)
-	h.control.crashes.took(b.Content, b.Ends, b.News)
 }
 
 func (h *host) endFields(e *dispatch.End, event int) []zap.Field {
--- a/internal/entryhost/roster.go
+++ b/internal/entryhost/roster.go
@@ -101,7 +101,7 @@
 
 func (r *roster) unlist(id string, now time.Time) {
 	u := *r.ups[id]
-	u.Leaving = true
+	u.Leaving, u.Unlisted = true, true
 	r.ups[id] = &u
 	r.unlisted[id] = now
 	r.zl.Info("upstream is no longer listed", zap.Int("event", events.UpstreamUnlisted), zap.String("peer", id), zap.String("service", u.Service))
