--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -31,6 +31,9 @@
 	// CrossAnswers makes the target answer each request with the answer
 	// it gave the request before, as a confused middlebox would.
 	CrossAnswers bool
+	// Fatal, if set, is asked as the named target begins to run work on a key;
+	// true means that it has ended the target.
+	Fatal func(name, key string) bool
 }
 
 // Answer is the JSON body a target returns for work.
@@ -242,6 +245,9 @@
 		return
 	}
 	defer s.inflight.Add(-1)
+	if s.opts.Fatal != nil && s.opts.Fatal(s.opts.Name, key) {
+		panic(http.ErrAbortHandler)
+	}
 	if !s.work(r) {
 		return // cancelled: the caller is gone, nothing ran
 	}
