Requests that end their targets are refused on the project's own interface too

Cause: as on entry hosts, and two sends that nobody counted: net/http sends a request without a body again by itself when a pooled connection breaks off. Ruled out: sharing what hosts saw through this interface's log; it belongs with the two ways of routing becoming one, and each host refuses after three here. Change: a send that broke off asks whether its target still listens; the router enters the end by content and refuses after three. The client's resend over a broken pooled connection is its own now, and is left out if the target ended.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -24,8 +24,9 @@
 	HostListFailed    = 309
 
 	// 4xx: traffic.
-	ForwardFailed = 400
-	CrossedAnswer = 401
+	ForwardFailed      = 400
+	CrossedAnswer      = 401
+	ContentEndsTargets = 402
 
 	// 5xx: the log service.
 	LogUnreachable = 500
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -25,6 +25,8 @@
 	OutcomeUnknown   Code = "OUTCOME_UNKNOWN"
 	CrossedAnswer    Code = "CROSSED_ANSWER"
 	NotReady         Code = "NOT_READY"
+	// EndsTargets refuses requests under which targets have ended.
+	EndsTargets Code = "ENDS_TARGETS"
 )
 
 // Outcome says what happened to the caller's work.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/burn"
+	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/refusal"
 	"github.com/papayatide/papayatide/internal/routing"
@@ -60,12 +61,16 @@
 	Refused func(upstream string)
 	// Burns counts requests for the service-level burn report.
 	Burns *burn.Recorder
+	// crashes are the targets that ended under requests, as this host saw.
+	crashes *crashes.Ledger
 }
 
 // New returns a router reading tables from table.
 func New(opts Options, table func() *routing.Table, targets *target.Client, log *zap.Logger) *Router {
-	return &Router{opts: opts, table: table, targets: targets, log: log, Refused: func(string) {},
+	rt := &Router{opts: opts, table: table, targets: targets, log: log, Refused: func(string) {},
 		Burns: burn.NewRecorder(opts.LatencyObjective)}
+	rt.crashes = crashes.NewLedger(rt.refusing)
+	return rt
 }
 
 // unknownLabel stands for every service name not in the manifest in
@@ -125,7 +130,11 @@
 		return nil, ref
 	}
 	req.Shard, req.FencingToken = route.Shard, route.FencingToken
+	if left := rt.fatal(req, now); left > 0 {
+		return nil, refusal.New(refusal.EndsTargets, StepForward, "", refusal.NotRun, left, "targets ended while they ran this request")
+	}
 	resp, err := rt.targets.Forward(r.Context(), route.Upstream, req)
+	rt.noteEnd(resp, err, req, route, time.Now())
 	if err != nil {
 		return nil, rt.forwardRefusal(err, req, route)
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,6 +31,10 @@
 // target may have run it, so a non-idempotent one must not be retried.
 var ErrNoAnswer = errors.New("target: sent, no answer")
 
+// ErrEnded is wrapped besides ErrNoAnswer where the target itself has ended:
+// nobody listens at its address any more.
+var ErrEnded = errors.New("target: ended")
+
 // Request is one caller request bound for a target.
 type Request struct {
 	Method         string
@@ -92,11 +98,13 @@
 // AttemptTimeout is sent once more on a new connection. This is the remedy
 // for pooled connections that went silent for good (something between the
 // two ends lost track of them): without it such a request waits out the
-// caller's whole deadline although new connections work. Non-idempotent
-// work is never sent twice.
+// caller's whole deadline although new connections work. So is one
+// whose pooled connection broke off, unless the target has ended.
+// Non-idempotent work is never sent twice.
 func (c *Client) Forward(ctx context.Context, u *manifest.Upstream, req *Request) (*Response, error) {
 	if c.AttemptTimeout <= 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
-		return c.attempt(ctx, c.pool(u), u, req, req.Deadline)
+		resp, err := c.attempt(ctx, c.pool(u), u, req, req.Deadline)
+		return resp, c.sayEnded(ctx, u, err)
 	}
 	first := time.Now().Add(c.AttemptTimeout)
 	if !req.Deadline.IsZero() && req.Deadline.Before(first) {
@@ -104,11 +112,37 @@
 	}
 	resp, err := c.attempt(ctx, c.pool(u), u, req, first)
 	now := time.Now()
-	timedOut := err != nil && ctx.Err() == nil && !now.Before(first)
-	if !timedOut || (!req.Deadline.IsZero() && !now.Before(req.Deadline)) {
+	if err == nil || ctx.Err() != nil || (!req.Deadline.IsZero() && !now.Before(req.Deadline)) {
 		return resp, err
 	}
-	return c.attempt(ctx, c.fresh, u, req, req.Deadline)
+	timedOut := !now.Before(first)
+	if err = c.sayEnded(ctx, u, err); !timedOut && (errors.Is(err, ErrEnded) || !errors.Is(err, ErrNoAnswer)) {
+		return nil, err
+	}
+	resp, err = c.attempt(ctx, c.fresh, u, req, req.Deadline)
+	return resp, c.sayEnded(ctx, u, err)
+}
+
+// askWhetherEnded bounds the question whether a target has ended; a listener
+// that is gone refuses in a millisecond.
+const askWhetherEnded = 100 * time.Millisecond
+
+// sayEnded wraps ErrEnded into the error of a request that was sent and broke
+// off, if the target has ended.
+func (c *Client) sayEnded(ctx context.Context, u *manifest.Upstream, err error) error {
+	if !errors.Is(err, ErrNoAnswer) || errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+		return err
+	}
+	d := net.Dialer{Timeout: askWhetherEnded}
+	conn, dialErr := d.DialContext(ctx, "tcp", u.Addr)
+	if dialErr == nil {
+		_ = conn.Close() // nothing was sent on it
+		return err
+	}
+	if !errors.Is(dialErr, syscall.ECONNREFUSED) {
+		return err
+	}
+	return errors.Join(ErrEnded, err)
 }
 
 func (c *Client) attempt(ctx context.Context, hc *http.Client, u *manifest.Upstream, req *Request, deadline time.Time) (*Response, error) {
@@ -121,10 +155,14 @@
 		defer cancel()
 	}
 	url := "http://" + u.Addr + PathWork + req.Service + "/" + req.Key
-	hr, err := http.NewRequestWithContext(ctx, req.Method, url, bytes.NewReader(req.Body))
+	// A body of no type that net/http knows keeps it from sending the request
+	// again by itself, unseen, when a pooled connection breaks off: it would
+	// reach the target's next life.
+	hr, err := http.NewRequestWithContext(ctx, req.Method, url, io.NopCloser(bytes.NewReader(req.Body)))
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "forward to %s: build request", u.Name)
 	}
+	hr.ContentLength = int64(len(req.Body))
 	hr.Header.Set(HeaderShard, strconv.Itoa(req.Shard))
 	hr.Header.Set(HeaderFencingToken, strconv.FormatInt(req.FencingToken, 10))
 	hr.Header.Set(HeaderRequestID, req.RequestID)
