A body sent in chunks and one sent with its length have one content

Cause: the digest took the body's length from the caller's headers, and of large bodies beginnings of two sizes; a caller that sends the same upload now with its length and now in chunks would have ended three servers with each. Change: the length is left out; large bodies are told by their first 64 KB either way.

--- a/internal/crashes/content.go
+++ b/internal/crashes/content.go
@@ -24,16 +24,14 @@
 	URI string
 	// Key is -1 for services that are not keyed.
 	Key int
-	// Body is the whole body, or the beginning of one that is streamed. Length
-	// is that of the whole body; -1 if it is not known.
-	Body   []byte
-	Length int64
+	// Body is the whole body, or the beginning of one that is streamed.
+	Body []byte
 }
 
 // Content returns the digest.
 func (a Ask) Content() Content {
 	h := sha256.New()
-	for _, part := range []string{a.Method, a.Host, a.URI, strconv.Itoa(a.Key), strconv.FormatInt(a.Length, 10)} {
+	for _, part := range []string{a.Method, a.Host, a.URI, strconv.Itoa(a.Key)} {
 		// Each part's length goes first, so that no two asks write the same.
 		_ = binary.Write(h, binary.BigEndian, uint32(len(part))) // a hash never fails
 		_, _ = io.WriteString(h, part)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,6 +83,9 @@
 	Sends int
 	Fence int64
 	Err   error
+	// Content tells which requests asked the same; empty unless servers' ends
+	// made it matter.
+	Content crashes.Content
 	// Version is the desired state's, ViewAge the age of the view used.
 	Version int64
 	ViewAge time.Duration
@@ -141,7 +144,7 @@
 	e.Route, e.Service, e.Key = q.route.Name, q.service.Name, q.key
 	e.Upstream = cmp.Or(e.Upstream, q.lastUp)
 	e.Sends, e.Err, e.Fence = q.sends, q.lastErr, q.lastSeen
-	e.Left = time.Until(q.deadline)
+	e.Left, e.Content = time.Until(q.deadline), q.known
 }
 
 // answer passes an upstream's answer on.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -33,10 +33,9 @@
 	caller net.Conn
 	// key is -1 for services that are not keyed.
 	key int
-	// head is the body, or the beginning of one that is streamed; length is
-	// that of the whole, -1 if the caller did not tell.
+	// head is what of the body tells its content apart: all of it, or the first
+	// headBytes of one that is streamed.
 	head     []byte
-	length   int64
 	arrived  time.Time
 	deadline time.Time
 	// Progress.
@@ -56,7 +55,7 @@
 // needed, as nearly all requests end without.
 func (q *request) content() crashes.Content {
 	if q.known == "" {
-		q.known = crashes.Ask{Method: q.up.Method, Host: q.up.Host, URI: q.up.URI, Key: q.key, Body: q.head, Length: q.length}.Content()
+		q.known = crashes.Ask{Method: q.up.Method, Host: q.up.Host, URI: q.up.URI, Key: q.key, Body: q.head}.Content()
 	}
 	return q.known
 }
@@ -115,8 +114,9 @@
 	return q, nil
 }
 
-// headBytes is how much of a streamed body tells it apart from others.
-const headBytes = 4 << 10
+// headBytes is how much of a streamed body tells it apart from others. Its
+// length is no part of that: a caller tells it one time and not the next.
+const headBytes = 64 << 10
 
 // readBody keeps a body of up to keptBody bytes and streams a larger one.
 func (q *request) readBody(r *http.Request) error {
@@ -124,7 +124,6 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
-	q.length = r.ContentLength
 	if r.ContentLength > keptBody {
 		q.head = make([]byte, headBytes)
 		if _, err := io.ReadFull(r.Body, q.head); err != nil {
@@ -142,6 +141,7 @@
 	n, err := r.Body.Read(next[:])
 	switch {
 	case n > 0:
+		q.head = head[:headBytes]
 		up.Stream, up.Length = io.MultiReader(bytes.NewReader(head), bytes.NewReader(next[:n]), r.Body), -1
 	case err == nil || errors.Is(err, io.EOF):
 		up.Body = head
--- a/internal/entryhost/requestlog.go
+++ b/internal/entryhost/requestlog.go
@@ -80,6 +80,9 @@
 		f = append(f, zap.Float64("limit", e.Crowd.Limit), zap.Int("under_way", e.Crowd.UnderWay), zap.Int("waiting", e.Crowd.Waiting),
 			zap.Duration("latency", e.Crowd.Latency))
 	}
+	if e.Refusal != nil && e.Refusal.Cause == dispatch.CauseFatal {
+		f = append(f, zap.String("content", string(e.Content)))
+	}
 	if e.Refusal != nil {
 		f = append(f, zap.String("cause", string(e.Refusal.Cause)), zap.Duration("retry_after", e.Refusal.RetryAfter))
 	}
--- a/internal/router/fatal.go
+++ b/internal/router/fatal.go
@@ -16,7 +16,7 @@
 
 // content identifies what a request asks, whichever request it is.
 func content(req *target.Request) crashes.Content {
-	return crashes.Ask{Method: req.Method, Host: req.Service, URI: req.Key, Key: -1, Body: req.Body, Length: int64(len(req.Body))}.Content()
+	return crashes.Ask{Method: req.Method, Host: req.Service, URI: req.Key, Key: -1, Body: req.Body}.Content()
 }
 
 // fatal returns for how much longer requests like req are refused; zero if they
