--- a/internal/bootclock/timeofday_test.go
+++ b/internal/bootclock/timeofday_test.go
@@ -17,9 +17,10 @@
 
 // mayRead are the places that may, and why.
 var mayRead = map[string]string{
-	"internal/target/client.go": "targets of the own interface are told deadlines as times of day",
-	"internal/standin":          "stand-ins, not the product",
-	"internal/soak":             "the harness, not the product",
+	"internal/crashes/record.go": "an end counts for a day, also at hosts that start later; a jump of seconds is nothing to that",
+	"internal/target/client.go":  "targets of the own interface are told deadlines as times of day",
+	"internal/standin":           "stand-ins, not the product",
+	"internal/soak":              "the harness, not the product",
 }
 
 // The time of day jumps by seconds, either way. A repeat budget that was counted
--- a/internal/crashes/ledger.go
+++ b/internal/crashes/ledger.go
@@ -1,7 +1,6 @@
 package crashes
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -25,7 +24,7 @@
 	Content Content
 	// Server is the ID of the life that ended.
 	Server string
-	// At is when it was seen, by the clock of the host that saw it.
+	// At is when it was seen.
 	At time.Time
 }
 
@@ -119,7 +118,7 @@
 		return 0
 	}
 	// It is refused until the last but two of its ends no longer counts.
-	slices.SortFunc(ends, func(a, b time.Time) int { return cmp.Compare(b.UnixNano(), a.UnixNano()) })
+	slices.SortFunc(ends, func(a, b time.Time) int { return b.Compare(a) })
 	return max(ends[Limit-1].Add(KeepFor).Sub(now), 0)
 }
 
--- a/internal/crashes/record.go
+++ b/internal/crashes/record.go
@@ -17,21 +17,24 @@
 	AtMs int64 `json:"at_ms"`
 }
 
-// Encode returns the record of a change: its key, which names content and
-// server, and its value; nil for an end to be forgotten. Each end has a key of
-// its own, so that hosts that see ends at the same moment need not read before
-// they write.
-func (c Change) Encode() (key string, data []byte, err error) {
+// Encode returns the record of a change at the time now: its key, which names
+// content and server, and its value; nil for an end to be forgotten. Each end has
+// a key of its own, so that hosts that see ends at the same moment need not read
+// before they write.
+//
+// Records tell times of day, as hosts that start later read them too. Only here
+// and in Decode are they read: in a host ends are compared by the steady clock.
+func (c Change) Encode(now time.Time) (key string, data []byte, err error) {
 	key = string(c.Content) + keyMark + c.Server
 	if c.Forget {
 		return key, nil, nil
 	}
-	data, err = json.Marshal(value{c.At.UnixMilli()})
+	data, err = json.Marshal(value{now.Add(-now.Sub(c.At)).UnixMilli()})
 	return key, data, eris.Wrapf(err, "end of %s", c.Server)
 }
 
-// Decode reads a record; data is nil if its key was deleted.
-func Decode(key string, data []byte) (Change, error) {
+// Decode reads a record at the time now; data is nil if its key was deleted.
+func Decode(key string, data []byte, now time.Time) (Change, error) {
 	content, server, ok := strings.Cut(key, keyMark)
 	if !ok || len(content) != 2*contentBytes || server == "" {
 		return Change{}, eris.Errorf("record of an end: key %q", key)
@@ -47,6 +50,7 @@
 	if v.AtMs <= 0 {
 		return Change{}, eris.Errorf("record of the end of %s: no time", server)
 	}
-	c.At = time.UnixMilli(v.AtMs)
+	age := time.Duration(now.UnixMilli()-v.AtMs) * time.Millisecond
+	c.At = now.Add(-max(age, 0)) // the writer's clock may be ahead of this host's
 	return c, nil
 }
--- a/internal/entryhost/crashlog.go
+++ b/internal/entryhost/crashlog.go
@@ -84,8 +84,9 @@
 
 func (l *crashLog) append(ctx context.Context, changes []crashes.Change) error {
 	recs := make([]metastore.Record, 0, len(changes))
+	now := time.Now()
 	for _, c := range changes {
-		key, value, err := c.Encode()
+		key, value, err := c.Encode(now)
 		if err != nil {
 			return err
 		}
@@ -98,7 +99,7 @@
 func (l *crashLog) apply(recs []metastore.Record, reset bool) {
 	var ends []crashes.End
 	for _, rec := range recs {
-		c, err := crashes.Decode(rec.Key, rec.Value)
+		c, err := crashes.Decode(rec.Key, rec.Value, time.Now())
 		if err != nil {
 			l.zl.Error("record of a server's end refused", zap.Int("event", events.CrashRefused), zap.Int64("offset", rec.Offset), ErrorField(err))
 			continue
--- a/internal/router/fatal.go
+++ b/internal/router/fatal.go
@@ -38,7 +38,7 @@
 func (rt *Router) noteEnd(resp *target.Response, err error, req *target.Request, route routing.Route, now time.Time) {
 	switch {
 	case errors.Is(err, target.ErrEnded):
-		life := fmt.Sprint(route.Upstream.Name, "@", now.Truncate(oneEnd).UnixMilli())
+		life := fmt.Sprint(route.Upstream.Name, "@", int64(now.Sub(rt.started)/oneEnd))
 		rt.crashes.Saw(crashes.End{Content: content(req), Server: life, At: now})
 	case err == nil && ran(resp) && rt.crashes.Any():
 		rt.crashes.Survived(content(req))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,11 +63,12 @@
 	Burns *burn.Recorder
 	// crashes are the targets that ended under requests, as this host saw.
 	crashes *crashes.Ledger
+	started time.Time
 }
 
 // New returns a router reading tables from table.
 func New(opts Options, table func() *routing.Table, targets *target.Client, log *zap.Logger) *Router {
-	rt := &Router{opts: opts, table: table, targets: targets, log: log, Refused: func(string) {},
+	rt := &Router{started: time.Now(), opts: opts, table: table, targets: targets, log: log, Refused: func(string) {},
 		Burns: burn.NewRecorder(opts.LatencyObjective)}
 	rt.crashes = crashes.NewLedger(rt.refusing)
 	return rt
