An end whose record cannot be made keeps no other from being written

Cause: found reading the change anew: a key is 255 bytes at most, and a server with a long ID would have made every write of its host fail from then on. Change: such an end stays its host's own, with a line in the log.

--- a/internal/crashes/ledger_test.go
+++ b/internal/crashes/ledger_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/papayatide/papayatide/internal/metastore"
 )
 
 var noon = time.UnixMilli(1_700_000_000_000)
@@ -228,8 +231,8 @@
 	p.Property("read back", prop.ForAll(func(server string, ms int64, forget bool) bool {
 		in := Change{End{content(1), "s/" + server, time.UnixMilli(ms)}, forget}
 		key, data, err := in.Encode(noon)
-		if err != nil {
-			return false
+		if tooLong := 2*contentBytes+len("/s/")+len(server) > metastore.MaxKey; tooLong || err != nil {
+			return tooLong && err != nil
 		}
 		out, err := Decode(key, data, noon)
 		if forget {
@@ -238,6 +241,10 @@
 		return err == nil && out.Content == in.Content && out.Server == in.Server && out.Forget == forget && out.At.Equal(in.At)
 	}, gen.AnyString(), gen.Int64Range(1, noon.UnixMilli()), gen.Bool()))
 	p.TestingRun(t)
+	long := Change{End: End{content(1), strings.Repeat("s", metastore.MaxKey), noon}}
+	if key, _, err := long.Encode(noon); err == nil {
+		t.Errorf("a key of %d bytes is written", len(key))
+	}
 	good := string(content(1)) + "/s"
 	for key, data := range map[string]string{"": "{}", "s": `{"at_ms":1}`, "abc/s": `{"at_ms":1}`, string(content(1)) + "/": `{"at_ms":1}`,
 		good: "{}", good + "1": `{"at_ms":"1"}`, good + "2": `{"at_ms":-1}`, good + "3": "\xff"} {
--- a/internal/crashes/record.go
+++ b/internal/crashes/record.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/papayatide/papayatide/internal/metastore"
 )
 
 // keyMark stands between content and server in a record's key.
@@ -26,6 +28,9 @@
 // and in Decode are they read: in a host ends are compared by the steady clock.
 func (c Change) Encode(now time.Time) (key string, data []byte, err error) {
 	key = string(c.Content) + keyMark + c.Server
+	if len(key) > metastore.MaxKey {
+		return "", nil, eris.Errorf("end of %s: key of %d bytes", c.Server, len(key))
+	}
 	if c.Forget {
 		return key, nil, nil
 	}
--- a/internal/entryhost/crashlog.go
+++ b/internal/entryhost/crashlog.go
@@ -82,16 +82,22 @@
 	}
 }
 
+// append writes the changes in one call. One that has no record stays this
+// host's own: refused with the others, it would keep them from being written.
 func (l *crashLog) append(ctx context.Context, changes []crashes.Change) error {
 	recs := make([]metastore.Record, 0, len(changes))
 	now := time.Now()
 	for _, c := range changes {
 		key, value, err := c.Encode(now)
 		if err != nil {
-			return err
+			l.zl.Error("record of a server's end refused", zap.Int("event", events.CrashRefused), ErrorField(err))
+			continue
 		}
 		recs = append(recs, metastore.Record{Key: key, Value: value})
 	}
+	if len(recs) == 0 {
+		return nil
+	}
 	return l.store.Append(ctx, metastore.StreamCrashes, recs)
 }
 
--- /dev/null
+++ b/internal/entryhost/rig_test.go
@@ -0,0 +1,295 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/protocol"
+	"github.com/papayatide/papayatide/internal/settings"
+	"github.com/papayatide/papayatide/internal/standin/memstore"
+	"github.com/papayatide/papayatide/internal/standin/ports"
+	"github.com/papayatide/papayatide/internal/standin/ranged"
+)
+
+var names = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
+	NotRun: "X-Not-Run", Key: "X-Key"}
+
+// fleet is a few entry hosts, a log and upstreams on loopback.
+type testFleet struct {
+	t     *testing.T
+	log   *memstore.Log
+	hosts []*testHost
+	mu    sync.Mutex
+	ups   map[string]*ranged.Upstream
+	// crashes are the times at which upstreams were ended by a request.
+	crashes []time.Time
+	// over is closed at the test's end, later waits for what is due until then.
+	over  chan struct{}
+	later sync.WaitGroup
+}
+
+type testHost struct {
+	cfg  *settings.Entry
+	stop context.CancelFunc
+	done chan error
+}
+
+// plainRoute leads to a service that is not divided by key.
+const plainRoute = "plain.example"
+
+// decoder reads the test's records: JSON of the product's own types.
+type decoder struct{}
+
+func (decoder) Desired(_ string, data []byte) (*desired.State, error) {
+	version, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	route := func(host string, idempotent bool) *desired.Route {
+		return &desired.Route{Name: host, Host: host, Prefix: "/", Idempotent: idempotent, Timeout: time.Second,
+			Objective: 600 * time.Millisecond, MaxAttempts: 2, Shares: []desired.Share{{Service: "sheets", Weight: 1}}}
+	}
+	plain := route(plainRoute, true)
+	plain.Shares = []desired.Share{{Service: "plain", Weight: 1}}
+	return desired.New(version, []*desired.Route{route("read.example", true), route("charge.example", false), plain},
+		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true}, "plain": {Name: "plain"}}, desired.Limits{}), nil
+}
+
+func (decoder) Upstream(_ string, data []byte, _ time.Time) (*catalogue.Upstream, error) {
+	var u catalogue.Upstream
+	return &u, json.Unmarshal(data, &u)
+}
+
+// granter reaches the stand-ins without a network.
+type granter struct{ f *testFleet }
+
+func (g granter) at(addr string) *ranged.Upstream {
+	g.f.mu.Lock()
+	defer g.f.mu.Unlock()
+	return g.f.ups[addr]
+}
+
+func (g granter) Grant(_ context.Context, addr string, r ownership.Range, d time.Duration, _ bool) error {
+	if u := g.at(addr); u != nil {
+		return u.Grant(r, d)
+	}
+	return ownership.ErrNotSent
+}
+
+func (g granter) Release(_ context.Context, addr string, r ownership.Range) (string, error) {
+	if u := g.at(addr); u != nil {
+		return u.Release(r), nil
+	}
+	return "", ownership.ErrNotSent
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	addr, err := ports.Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
+func newFleet(t *testing.T, hosts, upstreams int) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, log: memstore.New(), ups: map[string]*ranged.Upstream{}, over: make(chan struct{})}
+	f.log.Put(metastore.StreamDesired, "state", []byte("1"))
+	for i := range upstreams {
+		f.addUpstream(fmt.Sprint("u", i))
+	}
+	t.Cleanup(f.stopAll)
+	for i := range hosts {
+		f.startHost(fmt.Sprint("host", i))
+	}
+	return f
+}
+
+// stopAll stops everything.
+func (f *testFleet) stopAll() {
+	close(f.over)
+	f.later.Wait()
+	f.mu.Lock()
+	for _, u := range f.ups {
+		u.Kill()
+	}
+	f.mu.Unlock()
+	f.stopHosts()
+}
+
+// stopHosts stops every host and waits for them.
+func (f *testFleet) stopHosts() {
+	for _, h := range f.hosts {
+		h.stop()
+	}
+	for _, h := range f.hosts {
+		select {
+		case err := <-h.done:
+			if err != nil {
+				f.t.Errorf("%s ended with %v", h.cfg.Host, err)
+			}
+		case <-time.After(10 * time.Second):
+			f.t.Errorf("%s does not stop", h.cfg.Host)
+		}
+	}
+	f.hosts = nil
+}
+
+func (f *testFleet) addUpstream(id string) *ranged.Upstream { return f.addTo("sheets", id) }
+
+// addTo starts an upstream of a service, which a request to fatalPath ends.
+func (f *testFleet) addTo(service, id string) *ranged.Upstream {
+	u, err := ranged.Start(id, names, 20*time.Millisecond)
+	if err != nil {
+		f.t.Error(err)
+		return nil
+	}
+	u.Fatal = func(r *http.Request) bool {
+		if r.URL.Path == fatalPath {
+			f.crash(service, u)
+		}
+		return r.URL.Path == fatalPath
+	}
+	f.mu.Lock()
+	f.ups[u.Addr()] = u
+	f.mu.Unlock()
+	f.listAs(service, u, false)
+	return u
+}
+
+const (
+	// fatalPath is the target of the request that ends its servers.
+	fatalPath = "/fatal"
+	// lapse is how long after its end an upstream's entry goes, returns how
+	// long after it the server is back, with a new ID.
+	lapse   = 500 * time.Millisecond
+	returns = time.Second
+)
+
+// crash ends an upstream, whose server is back some time later.
+func (f *testFleet) crash(service string, u *ranged.Upstream) {
+	f.cut(u)
+	f.mu.Lock()
+	f.crashes = append(f.crashes, time.Now())
+	n := len(f.crashes)
+	f.mu.Unlock()
+	f.later.Go(func() {
+		if f.sleep(lapse) {
+			f.log.Put(metastore.StreamUpstreams, u.ID, nil)
+		}
+		if f.sleep(returns - lapse) {
+			f.addTo(service, fmt.Sprint(service, "-again-", n))
+		}
+	})
+}
+
+// sleep reports false if the test ended meanwhile.
+func (f *testFleet) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-f.over:
+		return false
+	}
+}
+
+func (f *testFleet) list(u *ranged.Upstream, leaving bool) { f.listAs("sheets", u, leaving) }
+
+func (f *testFleet) listAs(service string, u *ranged.Upstream, leaving bool) {
+	data, err := json.Marshal(catalogue.Upstream{ID: u.ID, Service: service, Addr: u.Addr(), DataCentre: "dc", Slots: 3, Leaving: leaving})
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	f.log.Put(metastore.StreamUpstreams, u.ID, data)
+}
+
+// cut makes an upstream unreachable for orders and requests.
+func (f *testFleet) cut(u *ranged.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.ups, u.Addr())
+	u.Kill()
+}
+
+func (f *testFleet) startHost(name string) *testHost {
+	cfg := &settings.Entry{Host: name, DataCentre: "dc", Listen: freeAddr(f.t), ReadyListen: freeAddr(f.t), PeerListen: freeAddr(f.t),
+		MetricsListen: freeAddr(f.t), LogLevel: "info", MemoryMB: 284, CPUShare: 1, LinkMbps: 1000, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
+		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second, Hold: time.Second, ViewAge: 2 * time.Second}
+	ctx, stop := context.WithCancel(context.Background())
+	h := &testHost{cfg: cfg, stop: stop, done: make(chan error, 1)}
+	plat := Platform{Store: f.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready", LogDropped: func() int64 { return 0 }}
+	go func() { h.done <- Run(ctx, cfg, plat, nil, zap.NewNop()) }()
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+func (h *testHost) ready() bool {
+	resp, err := http.Get("http://" + h.cfg.ReadyListen + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// call sends one request and returns the status and the body.
+func (h *testHost) call(method, host, id string, key int) (int, string) {
+	return h.callPath(method, host, "/x", id, key)
+}
+
+func (h *testHost) callPath(method, host, path, id string, key int) (int, string) {
+	req, err := http.NewRequest(method, "http://"+h.cfg.Listen+path, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = host
+	req.Header.Set("X-Id", id)
+	if host != plainRoute {
+		req.Header.Set("X-Key", strconv.Itoa(key))
+	}
+	req.Header.Set("X-Timeout-Ms", "2000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// served waits until every tenth of the keys is served by the host, and
+// returns how long that took.
+func (f *testFleet) served(h *testHost, within time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for k := 0; k < 10; {
+		status, body := h.call("GET", "read.example", fmt.Sprint("probe-", time.Now().UnixNano()), k*6553)
+		if status == http.StatusOK {
+			k++
+			continue
+		}
+		if time.Since(start) > within {
+			f.t.Fatalf("key %d is not served after %v: %d %s", k*6553, time.Since(start), status, body)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start)
+}
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -34,8 +34,12 @@
 	ErrTrimmed = errors.New("records are no longer kept")
 )
 
+// MaxKey is the longest key of a record, in bytes.
+const MaxKey = 255
+
 // Record is one keyed record.
 type Record struct {
+	// Key has up to MaxKey bytes.
 	Key string
 	// Value is nil where the key was deleted.
 	Value []byte
