--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -48,7 +48,7 @@
 	in.ended = append(in.ended, ended{now, r.Header.Get(platform.Headers.RequestID), r.Host})
 	f := &fault{from: now, what: "request ends upstream " + l.place.proxy.Addr()}
 	in.faults = append(in.faults, f)
-	down := downLeast + rand.N(downMost-downLeast)
+	down := downLeast + time.Duration(in.downs.Int64N(int64(downMost-downLeast)))
 	time.AfterFunc(down/2, func() { in.world.unlist(l) })
 	in.wg.Go(func() {
 		time.Sleep(down)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -30,6 +30,9 @@
 	faults []*fault
 	// over is set once no more faults begin.
 	over bool
+	// downs draws how long upstreams that a request ended are down, apart from
+	// the other faults.
+	downs *rand.Rand
 	// ended are the ends of upstreams under requests, in order.
 	ended []ended
 	// busy holds what a fault is under way on, so that two do not undo each
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -89,7 +89,8 @@
 	for i := range opts.Callers {
 		wg.Go(func() { c.run(cctx, opts.Seed*1000+uint64(i)) })
 	}
-	in := &injector{world: w, hosts: hosts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), forgeSeed: opts.Seed, busy: map[any]bool{}}
+	in := &injector{world: w, hosts: hosts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), forgeSeed: opts.Seed,
+		downs: rand.New(rand.NewPCG(opts.Seed, 3)), busy: map[any]bool{}}
 	fctx, cancel := context.WithTimeout(ctx, opts.Faults)
 	if opts.Fatal {
 		// They are faults too: what they end is down while they are asked for.
