--- a/internal/entryhost/crash_test.go
+++ b/internal/entryhost/crash_test.go
@@ -34,23 +34,24 @@
 	t.Parallel()
 	for _, c := range []struct{ service, route string }{{"sheets", "read.example"}, {"plain", plainRoute}} {
 		t.Run(c.service, func(t *testing.T) {
-			t.Parallel()
-			f := newFleet(t, 3, 0)
-			for i := range 5 {
-				f.addTo(c.service, fmt.Sprint(c.service, i))
-			}
-			f.answers(c.route, "/x", startup)
-			stop := f.askForTheFatal(c.route)
-			third := f.crashed(3, 6*handover)
-			time.Sleep(time.Until(third.Add(settled)))
-			before := f.crashCount()
-			time.Sleep(watched)
-			if more := f.crashCount() - before; more > lastTries {
-				t.Errorf("it ended %d more servers, from %v after the third on; at most %d may be tried", more, settled, lastTries)
-			}
-			stop()
-			t.Logf("%d servers ended in all", f.crashCount())
-			f.answers(c.route, "/x", handover)
+			fleetTest(t, func(t *testing.T) {
+				f := newFleet(t, 3, 0)
+				for i := range 5 {
+					f.addTo(c.service, fmt.Sprint(c.service, i))
+				}
+				f.answers(c.route, "/x", startup)
+				stop := f.askForTheFatal(c.route)
+				third := f.crashed(3, 6*handover)
+				time.Sleep(time.Until(third.Add(settled)))
+				before := f.crashCount()
+				time.Sleep(watched)
+				if more := f.crashCount() - before; more > lastTries {
+					t.Errorf("it ended %d more servers, from %v after the third on; at most %d may be tried", more, settled, lastTries)
+				}
+				stop()
+				t.Logf("%d servers ended in all", f.crashCount())
+				f.answers(c.route, "/x", handover)
+			})
 		})
 	}
 }
@@ -115,29 +116,30 @@
 // knew is in the log service: the new ones refuse the request within the time
 // that they are given to settle, and answer others.
 func TestNewHostsKnowWhichRequestsEndTheirServers(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t, 2, 0)
-	for i := range 5 {
-		f.addTo("plain", fmt.Sprint("plain", i))
-	}
-	f.answers(plainRoute, "/x", startup)
-	stop := f.askForTheFatal(plainRoute)
-	f.crashed(3, handover)
-	time.Sleep(settled)
-	stop()
-	f.stopHosts()
-	for i := range 2 {
-		f.startHost(fmt.Sprint("new", i))
-	}
-	f.answers(plainRoute, "/x", startup)
-	time.Sleep(settled)
-	before := f.crashCount()
-	for n := range 20 {
-		if status, body := f.hosts[n%2].callPath("GET", plainRoute, fatalPath, fmt.Sprint("again-", n), fatalKey); status != http.StatusServiceUnavailable {
-			t.Errorf("%d %s", status, body)
+	fleetTest(t, func(t *testing.T) {
+		f := newFleet(t, 2, 0)
+		for i := range 5 {
+			f.addTo("plain", fmt.Sprint("plain", i))
 		}
-	}
-	if more := f.crashCount() - before; more > 0 {
-		t.Errorf("hosts that started later ended %d more servers", more)
-	}
+		f.answers(plainRoute, "/x", startup)
+		stop := f.askForTheFatal(plainRoute)
+		f.crashed(3, handover)
+		time.Sleep(settled)
+		stop()
+		f.stopHosts()
+		for i := range 2 {
+			f.startHost(fmt.Sprint("new", i))
+		}
+		f.answers(plainRoute, "/x", startup)
+		time.Sleep(settled)
+		before := f.crashCount()
+		for n := range 20 {
+			if status, body := f.hosts[n%2].callPath("GET", plainRoute, fatalPath, fmt.Sprint("again-", n), fatalKey); status != http.StatusServiceUnavailable {
+				t.Errorf("%d %s", status, body)
+			}
+		}
+		if more := f.crashCount() - before; more > 0 {
+			t.Errorf("hosts that started later ended %d more servers", more)
+		}
+	})
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/budget"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/dispatch"
@@ -39,6 +40,34 @@
 	ReadyPath string
 	// LogDropped returns how many log lines were dropped so far.
 	LogDropped func() int64
+	// Net opens the host's sockets and Clock bounds its leases. Without them
+	// they are the kernel's; tests of whole fleets bring their own, as order and
+	// outcome must not depend on how busy the machine is.
+	Net   Network
+	Clock bootclock.Clock
+}
+
+// Network opens sockets.
+type Network interface {
+	Listen(addr string) (net.Listener, error)
+	Dial(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// listenOn opens a listener at addr (host:port).
+func (p *Platform) listenOn(addr string) (net.Listener, error) {
+	if p.Net != nil {
+		return p.Net.Listen(addr)
+	}
+	return net.Listen("tcp4", addr)
+}
+
+// peerTransport carries calls to other entry hosts.
+func (p *Platform) peerTransport() *http.Transport {
+	t := &http.Transport{MaxIdleConnsPerHost: 2}
+	if p.Net != nil {
+		t.DialContext = p.Net.Dial
+	}
+	return t
 }
 
 const (
@@ -125,10 +154,16 @@
 	h := &host{cfg: cfg, zl: zl, views: view.NewHolder(), client: upstream.NewClient(plat.Headers), board: balance.NewBoard(),
 		budget: budget.New(shareOfBudget(cfg, 1), time.Now()), reporter: newReporter(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		eager: cfg.CPUShare >= eagerCPU && cfg.LinkMbps >= eagerLink,
-		peers: peer.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}})}
+		peers: peer.NewClient(&http.Client{Transport: plat.peerTransport()})}
+	if plat.Net != nil {
+		h.client.Dial = plat.Net.Dial
+	}
 	h.uses = newUses(cfg.Host, cfg.DataCentre, h.board, func() *catalogue.Snapshot { return h.views.Load().Upstreams })
 	h.control = newControl(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
 		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: h.eager})
+	if plat.Clock != nil {
+		h.control.clock = plat.Clock
+	}
 	h.control.crashes = newCrashLog(zl, plat.Store, h.control.planning.Load)
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, h.control.crashes.ledger)
 	h.dispatch.Ended, h.dispatch.BrokeOff = h.ended, h.brokeOff
@@ -155,19 +190,19 @@
 func (h *host) listen(work context.Context, g *run.Group) error {
 	h.front = &http.Server{Handler: http.HandlerFunc(h.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
 		ConnContext: dispatch.WithCaller}
-	if err := addServer(work, g, h.cfg.Listen, h.front); err != nil {
+	if err := h.addServer(work, g, h.cfg.Listen, h.front); err != nil {
 		return err
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+h.plat.ReadyPath, h.serveReady)
-	if err := addServer(work, g, h.cfg.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}); err != nil {
+	if err := h.addServer(work, g, h.cfg.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
 	}
 	peers := http.NewServeMux()
 	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Standing: h.standing, Fleet: h.fleet, Name: h.cfg.Host, Tell: h.status, Retired: h.retire,
 		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }, Uses: h.uses.take, Others: h.uses.others})
 	peers.Handle(ps.PathPrefix(), ps)
-	if err := addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
+	if err := h.addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
 	}
 	page := http.NewServeMux()
@@ -175,11 +210,11 @@
 		metrics.WritePrometheus(w, true)
 		h.writeGauges(w, time.Now())
 	})
-	return addServer(work, g, h.cfg.MetricsListen, &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout})
+	return h.addServer(work, g, h.cfg.MetricsListen, &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout})
 }
 
-func addServer(work context.Context, g *run.Group, addr string, srv *http.Server) error {
-	ln, err := net.Listen("tcp4", addr)
+func (h *host) addServer(work context.Context, g *run.Group, addr string, srv *http.Server) error {
+	ln, err := h.plat.listenOn(addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen %s", addr)
 	}
--- a/internal/entryhost/rig_test.go
+++ b/internal/entryhost/rig_test.go
@@ -9,10 +9,12 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/metastore"
@@ -20,17 +22,21 @@
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/standin/memstore"
-	"github.com/papayatide/papayatide/internal/standin/ports"
+	"github.com/papayatide/papayatide/internal/standin/pipenet"
 	"github.com/papayatide/papayatide/internal/standin/ranged"
 )
 
 var names = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
 	NotRun: "X-Not-Run", Key: "X-Key"}
 
-// fleet is a few entry hosts, a log and upstreams on loopback.
+// testFleet is a few entry hosts, a log and upstreams, on a network in memory and
+// a clock of their own: what they do in which order, and within what time, does
+// not depend on how busy the machine is.
 type testFleet struct {
 	t     *testing.T
 	log   *memstore.Log
+	net   *pipenet.Network
+	http  *http.Client
 	hosts []*testHost
 	mu    sync.Mutex
 	ups   map[string]*ranged.Upstream
@@ -43,6 +49,7 @@
 
 type testHost struct {
 	cfg  *settings.Entry
+	http *http.Client
 	stop context.CancelFunc
 	done chan error
 }
@@ -96,18 +103,20 @@
 	return "", ownership.ErrNotSent
 }
 
-func freeAddr(t *testing.T) string {
+// fleetTest runs a test of a fleet on a clock of its own.
+func fleetTest(t *testing.T, test func(t *testing.T)) {
 	t.Helper()
-	addr, err := ports.Free()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return addr
+	t.Parallel()
+	synctest.Test(t, test)
 }
 
+// now is the fleet's clock.
+func now() bootclock.Time { return bootclock.Time(time.Now().UnixNano()) }
+
 func newFleet(t *testing.T, hosts, upstreams int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, log: memstore.New(), ups: map[string]*ranged.Upstream{}, over: make(chan struct{})}
+	f := &testFleet{t: t, log: memstore.New(), net: pipenet.New(), ups: map[string]*ranged.Upstream{}, over: make(chan struct{})}
+	f.http = &http.Client{Transport: &http.Transport{DialContext: f.net.Dial}}
 	f.log.Put(metastore.StreamDesired, "state", []byte("1"))
 	for i := range upstreams {
 		f.addUpstream(fmt.Sprint("u", i))
@@ -129,6 +138,7 @@
 	}
 	f.mu.Unlock()
 	f.stopHosts()
+	f.http.CloseIdleConnections()
 }
 
 // stopHosts stops every host and waits for them.
@@ -153,11 +163,12 @@
 
 // addTo starts an upstream of a service, which a request to fatalPath ends.
 func (f *testFleet) addTo(service, id string) *ranged.Upstream {
-	u, err := ranged.Start(id, names, 20*time.Millisecond)
+	ln, err := f.net.Listen(id + ":80")
 	if err != nil {
 		f.t.Error(err)
 		return nil
 	}
+	u := ranged.StartOn(ln, id, names, 20*time.Millisecond)
 	u.Fatal = func(r *http.Request) bool {
 		if r.URL.Path == fatalPath {
 			f.crash(service, u)
@@ -227,19 +238,20 @@
 }
 
 func (f *testFleet) startHost(name string) *testHost {
-	cfg := &settings.Entry{Host: name, DataCentre: "dc", Listen: freeAddr(f.t), ReadyListen: freeAddr(f.t), PeerListen: freeAddr(f.t),
-		MetricsListen: freeAddr(f.t), LogLevel: "info", MemoryMB: 284, CPUShare: 1, LinkMbps: 1000, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
+	cfg := &settings.Entry{Host: name, DataCentre: "dc", Listen: name + ".front:80", ReadyListen: name + ".ready:80", PeerListen: name + ".peer:80",
+		MetricsListen: name + ".metrics:80", LogLevel: "info", MemoryMB: 284, CPUShare: 1, LinkMbps: 1000, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
 		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second, Hold: time.Second, ViewAge: 2 * time.Second}
 	ctx, stop := context.WithCancel(context.Background())
-	h := &testHost{cfg: cfg, stop: stop, done: make(chan error, 1)}
-	plat := Platform{Store: f.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready", LogDropped: func() int64 { return 0 }}
+	h := &testHost{cfg: cfg, http: f.http, stop: stop, done: make(chan error, 1)}
+	plat := Platform{Store: f.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready", LogDropped: func() int64 { return 0 },
+		Net: f.net, Clock: now}
 	go func() { h.done <- Run(ctx, cfg, plat, nil, zap.NewNop()) }()
 	f.hosts = append(f.hosts, h)
 	return h
 }
 
 func (h *testHost) ready() bool {
-	resp, err := http.Get("http://" + h.cfg.ReadyListen + "/ready")
+	resp, err := h.http.Get("http://" + h.cfg.ReadyListen + "/ready")
 	if err != nil {
 		return false
 	}
@@ -263,7 +275,7 @@
 		req.Header.Set("X-Key", strconv.Itoa(key))
 	}
 	req.Header.Set("X-Timeout-Ms", "2000")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := h.http.Do(req)
 	if err != nil {
 		return 0, err.Error()
 	}
--- /dev/null
+++ b/internal/standin/pipenet/pipenet.go
@@ -0,0 +1,88 @@
+// Package pipenet is a network in memory, for tests that run whole hosts on a
+// clock of their own (testing/synctest), which knows when nobody has anything to
+// do only while no socket of the kernel is waited for.
+package pipenet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// Network connects the listeners that it has opened.
+type Network struct {
+	mu sync.Mutex
+	by map[string]*listener
+}
+
+// New returns a network without listeners.
+func New() *Network { return &Network{by: map[string]*listener{}} }
+
+// Listen opens a listener at addr, any text that no other listener has.
+func (n *Network) Listen(addr string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.by[addr] != nil {
+		return nil, syscall.EADDRINUSE
+	}
+	l := &listener{net: n, addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.by[addr] = l
+	return l, nil
+}
+
+// Dial connects to the listener at addr. Without one it fails as a connection
+// does that nobody listens for.
+func (n *Network) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.by[addr]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type listener struct {
+	net    *Network
+	addr   string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		defer l.net.mu.Unlock()
+		delete(l.net.by, l.addr)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.addr) }
+
+// address is a place in the network.
+type address string
+
+func (address) Network() string  { return "pipe" }
+func (a address) String() string { return string(a) }
--- a/internal/standin/ranged/ranged.go
+++ b/internal/standin/ranged/ranged.go
@@ -48,10 +48,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return StartOn(ln, id, h, work), nil
+}
+
+// StartOn starts an upstream that serves the connections of ln.
+func StartOn(ln net.Listener, id string, h protocol.Headers, work time.Duration) *Upstream {
 	u := New(id, h, work)
 	u.ln, u.srv = ln, &http.Server{Handler: u}
 	go func() { _ = u.srv.Serve(ln) }()
-	return u, nil
+	return u
 }
 
 // Addr returns its host:port.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -84,13 +85,17 @@
 // Client sends requests over kept connections.
 type Client struct {
 	headers protocol.Headers
-	mu      sync.Mutex
-	pools   map[Target]*pool
+	// Dial opens connections; TCP ones unless it is replaced before the first
+	// call.
+	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
+	mu    sync.Mutex
+	pools map[Target]*pool
 }
 
 // NewClient returns a client for upstreams that use the given header names.
 func NewClient(h protocol.Headers) *Client {
-	return &Client{headers: h, pools: map[Target]*pool{}}
+	d := &net.Dialer{Timeout: dialTimeout, Control: limitUnacked}
+	return &Client{headers: h, Dial: d.DialContext, pools: map[Target]*pool{}}
 }
 
 func (c *Client) pool(t Target) *pool {
@@ -128,7 +133,7 @@
 	began := time.Now()
 	if fresh {
 		var err error
-		if cn, err = dial(ctx, t.Addr); err != nil {
+		if cn, err = c.dial(ctx, t.Addr); err != nil {
 			return &Result{Outcome: NotSent, NewConn: true, Err: eris.Wrapf(err, "upstream %s: connect", t.ID)}
 		}
 	}
@@ -149,7 +154,7 @@
 // Refuses reports whether nobody listens at t any more: the process that did
 // has ended. A connection that opens is kept for the next request.
 func (c *Client) Refuses(ctx context.Context, t Target) bool {
-	cn, err := dial(ctx, t.Addr)
+	cn, err := c.dial(ctx, t.Addr)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -120,9 +120,9 @@
 	_ = c.Close()
 }
 
-func dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: limitUnacked}
-	nc, err := d.DialContext(ctx, "tcp4", addr)
+// dial opens a connection to addr (host:port).
+func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
+	nc, err := c.Dial(ctx, "tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
