--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -21,10 +21,24 @@
 	Leaving bool
 	// Unlisted is set while an upstream is remembered though its entry went.
 	Unlisted bool
-	// SlowUntil is when its cold start is over.
+	// SlowUntil is when its slow start is over.
 	SlowUntil time.Time
+	// LeaveBy is set while operators have its data centre evacuated: nothing
+	// may be sent to it from then on, and until then only requests for keys
+	// that it still owns.
+	LeaveBy time.Time
 }
 
+// Evacuated reports whether operators have its data centre evacuated.
+func (u *Upstream) Evacuated() bool { return !u.LeaveBy.IsZero() }
+
+// Retiring reports whether it is to lose what it owns and gets nothing that
+// another upstream could do.
+func (u *Upstream) Retiring() bool { return u.Leaving || u.Evacuated() }
+
+// Cold reports whether it is in its slow start.
+func (u *Upstream) Cold(now time.Time) bool { return now.Before(u.SlowUntil) }
+
 // Snapshot is an immutable set of upstreams.
 type Snapshot struct {
 	ByID      map[string]*Upstream
--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -44,6 +44,18 @@
 	WarmUp time.Duration
 	// MaxConns bounds an upstream's connections from all hosts together.
 	MaxConns int
+	// SlowStart is what its upstreams bear after their start.
+	SlowStart SlowStart
+}
+
+// SlowStart is the time after its start, or after a pause, in which an upstream
+// is cold: slower than usual, and easily overloaded.
+type SlowStart struct {
+	// Lasts is how long it takes.
+	Lasts time.Duration
+	// PerSecond is how many requests a second a cold upstream bears from all
+	// hosts together; 0 if no bound is known.
+	PerSecond float64
 }
 
 // Limits bound what callers may send.
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -24,6 +24,9 @@
 	// Desired returns nil for records that are not the desired state.
 	Desired(key string, data []byte) (*desired.State, error)
 	Upstream(id string, data []byte, now time.Time) (*catalogue.Upstream, error)
+	// Evacuated returns the data centre that a record of the desired state's
+	// stream with the given key evacuates, and whether it is such a record.
+	Evacuated(key string) (dataCentre string, ok bool)
 }
 
 // Granter gives keys to upstreams and takes them back. Errors wrap the
--- a/internal/entryhost/rig_test.go
+++ b/internal/entryhost/rig_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -54,13 +55,22 @@
 	done chan error
 }
 
+// Bounds of the fleet's sheet.
+const (
+	slowStartFactor, slowStartSlack = 1.5, 8
+	evacuateBound                   = 5 * time.Second
+)
+
 // plainRoute leads to a service that is not divided by key.
 const plainRoute = "plain.example"
 
 // decoder reads the test's records: JSON of the product's own types.
 type decoder struct{}
 
-func (decoder) Desired(_ string, data []byte) (*desired.State, error) {
+func (decoder) Desired(key string, data []byte) (*desired.State, error) {
+	if key != "state" {
+		return nil, nil
+	}
 	version, err := strconv.ParseInt(string(data), 10, 64)
 	if err != nil {
 		return nil, err
@@ -71,10 +81,14 @@
 	}
 	plain := route(plainRoute, true)
 	plain.Shares = []desired.Share{{Service: "plain", Weight: 1}}
+	slow := desired.SlowStart{Lasts: 3 * time.Second, PerSecond: 4}
 	return desired.New(version, []*desired.Route{route("read.example", true), route("charge.example", false), plain},
-		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true}, "plain": {Name: "plain"}}, desired.Limits{}), nil
+		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true, SlowStart: slow}, "plain": {Name: "plain", SlowStart: slow}},
+		desired.Limits{}), nil
 }
 
+func (decoder) Evacuated(key string) (string, bool) { return strings.CutPrefix(key, "evacuate/") }
+
 func (decoder) Upstream(_ string, data []byte, _ time.Time) (*catalogue.Upstream, error) {
 	var u catalogue.Upstream
 	return &u, json.Unmarshal(data, &u)
@@ -221,7 +235,13 @@
 func (f *testFleet) list(u *ranged.Upstream, leaving bool) { f.listAs("sheets", u, leaving) }
 
 func (f *testFleet) listAs(service string, u *ranged.Upstream, leaving bool) {
-	data, err := json.Marshal(catalogue.Upstream{ID: u.ID, Service: service, Addr: u.Addr(), DataCentre: "dc", Slots: 3, Leaving: leaving})
+	f.put(u, catalogue.Upstream{Service: service, DataCentre: "dc", Slots: 3, Leaving: leaving})
+}
+
+// put writes an upstream's entry.
+func (f *testFleet) put(u *ranged.Upstream, entry catalogue.Upstream) {
+	entry.ID, entry.Addr = u.ID, u.Addr()
+	data, err := json.Marshal(entry)
 	if err != nil {
 		f.t.Error(err)
 		return
@@ -240,7 +260,8 @@
 func (f *testFleet) startHost(name string) *testHost {
 	cfg := &settings.Entry{Host: name, DataCentre: "dc", Listen: name + ".front:80", ReadyListen: name + ".ready:80", PeerListen: name + ".peer:80",
 		MetricsListen: name + ".metrics:80", LogLevel: "info", MemoryMB: 284, CPUShare: 1, LinkMbps: 1000, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
-		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second, Hold: time.Second, ViewAge: 2 * time.Second}
+		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second,
+		SlowStartFactor: slowStartFactor, SlowStartSlack: slowStartSlack, Evacuate: evacuateBound, Hold: time.Second, ViewAge: 2 * time.Second}
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{cfg: cfg, http: f.http, stop: stop, done: make(chan error, 1)}
 	plat := Platform{Store: f.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready", LogDropped: func() int64 { return 0 },
--- /dev/null
+++ b/internal/entryhost/slowstart_test.go
@@ -0,0 +1,74 @@
+package entryhost
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/standin/ranged"
+)
+
+// slowStartMost is how many requests a cold upstream may get in a second.
+const slowStartMost = 4*slowStartFactor + slowStartSlack
+
+// startCold adds an upstream that is in its slow start for lasts.
+func (f *testFleet) startCold(service, id string, lasts time.Duration) *ranged.Upstream {
+	u := f.addTo(service, id)
+	f.put(u, catalogue.Upstream{Service: service, DataCentre: "dc", Slots: 3, SlowUntil: time.Now().Add(lasts)})
+	return u
+}
+
+// press has callers ask on every host at once, as fast as they are answered.
+func (f *testFleet) press(route string, d time.Duration) {
+	var wg sync.WaitGroup
+	for _, h := range f.hosts {
+		for c := range 4 {
+			wg.Go(func() {
+				for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
+					h.call("GET", route, fmt.Sprint(h.cfg.Host, "-", c, "-", n, "-", time.Now().UnixNano()), (n*4+c)*977%65536)
+					time.Sleep(time.Millisecond)
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
+
+// Upstreams come back from a restart one after the other, empty and idle, and so
+// look like the best choice to every host: callers' requests came to a cold one
+// at several times the rate that it bears, it ended again, and with it what it
+// was working on. All hosts together must keep to what it bears, for keys and
+// without, also where every upstream of the service is cold.
+func TestColdUpstreamGetsNoMoreThanItBears(t *testing.T) {
+	const cold = 3 * time.Second
+	for _, c := range []struct{ service, route string }{{"sheets", "read.example"}, {"plain", plainRoute}} {
+		for _, warm := range []int{3, 0} {
+			t.Run(fmt.Sprint(c.service, " beside ", warm), func(t *testing.T) {
+				fleetTest(t, func(t *testing.T) {
+					f := newFleet(t, 8, 0)
+					for i := range warm {
+						f.addTo(c.service, fmt.Sprint("warm", i))
+					}
+					if warm > 0 {
+						f.answers(c.route, "/x", startup)
+					}
+					time.Sleep(4 * time.Second)
+					var started []*ranged.Upstream
+					for i := range 2 {
+						started = append(started, f.startCold(c.service, fmt.Sprint("cold", i), cold))
+					}
+					f.press(c.route, cold)
+					for _, u := range started {
+						if n := u.MostInASecond(); n > int(slowStartMost) {
+							t.Errorf("%d requests came to a cold upstream within a second, it bears %v", n, slowStartMost)
+						}
+					}
+					time.Sleep(time.Second)
+					f.answers(c.route, "/x", handover)
+				})
+			})
+		}
+	}
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -33,6 +33,10 @@
 	RepeatRatio  float64       // repeat_ratio: repeats allowed for each request, over all hosts
 	RepeatSlack  float64       // repeat_slack: repeats allowed beside those, over all hosts
 	RepeatWindow time.Duration // repeat_window: the span over which both count
+	// slow_start_factor and slow_start_slack: in any second a cold upstream may
+	// get the requests that it bears times the factor, plus the slack.
+	SlowStartFactor, SlowStartSlack float64
+	Evacuate                        time.Duration // evacuate: from the order to evacuate a data centre to the last request there
 
 	// [ownership]
 	Hold    time.Duration // hold: how long a grant lasts
@@ -42,8 +46,9 @@
 var entrySchema = map[string]map[string]string{
 	"host": {"name": "", "data_centre": "", "listen": "", "ready_listen": "", "peer_listen": "", "metrics_listen": "",
 		"log_level": "info", "memory_mb": "284", "cpu_share": "1", "link_mbps": "1000"},
-	"log":       {"addr": "", "seat_min": "1s"},
-	"bounds":    {"hold_max": "10s", "grace": "6s", "repeat_ratio": "0.2", "repeat_slack": "0", "repeat_window": "10s"},
+	"log": {"addr": "", "seat_min": "1s"},
+	"bounds": {"hold_max": "10s", "grace": "6s", "repeat_ratio": "0.2", "repeat_slack": "0", "repeat_window": "10s",
+		"slow_start_factor": "1", "slow_start_slack": "0", "evacuate": "5s"},
 	"ownership": {"hold": "3s", "view_age": "6s"},
 }
 
@@ -72,25 +77,28 @@
 	}
 	r := &reader{f: f, schema: entrySchema}
 	e := &Entry{
-		Host:          r.str("host", "name"),
-		DataCentre:    r.str("host", "data_centre"),
-		Listen:        r.hostPort("host", "listen"),
-		ReadyListen:   r.hostPort("host", "ready_listen"),
-		PeerListen:    r.hostPort("host", "peer_listen"),
-		MetricsListen: r.hostPort("host", "metrics_listen"),
-		LogLevel:      r.str("host", "log_level"),
-		MemoryMB:      r.count("host", "memory_mb"),
-		CPUShare:      r.fraction("host", "cpu_share"),
-		LinkMbps:      r.fraction("host", "link_mbps"),
-		LogAddr:       r.hostPort("log", "addr"),
-		SeatMin:       r.duration("log", "seat_min"),
-		HoldMax:       r.duration("bounds", "hold_max"),
-		Grace:         r.duration("bounds", "grace"),
-		RepeatRatio:   r.fraction("bounds", "repeat_ratio"),
-		RepeatSlack:   r.fraction("bounds", "repeat_slack"),
-		RepeatWindow:  r.duration("bounds", "repeat_window"),
-		Hold:          r.duration("ownership", "hold"),
-		ViewAge:       r.duration("ownership", "view_age"),
+		Host:            r.str("host", "name"),
+		DataCentre:      r.str("host", "data_centre"),
+		Listen:          r.hostPort("host", "listen"),
+		ReadyListen:     r.hostPort("host", "ready_listen"),
+		PeerListen:      r.hostPort("host", "peer_listen"),
+		MetricsListen:   r.hostPort("host", "metrics_listen"),
+		LogLevel:        r.str("host", "log_level"),
+		MemoryMB:        r.count("host", "memory_mb"),
+		CPUShare:        r.fraction("host", "cpu_share"),
+		LinkMbps:        r.fraction("host", "link_mbps"),
+		LogAddr:         r.hostPort("log", "addr"),
+		SeatMin:         r.duration("log", "seat_min"),
+		HoldMax:         r.duration("bounds", "hold_max"),
+		Grace:           r.duration("bounds", "grace"),
+		RepeatRatio:     r.fraction("bounds", "repeat_ratio"),
+		RepeatSlack:     r.fraction("bounds", "repeat_slack"),
+		RepeatWindow:    r.duration("bounds", "repeat_window"),
+		SlowStartFactor: r.fraction("bounds", "slow_start_factor"),
+		SlowStartSlack:  r.fraction("bounds", "slow_start_slack"),
+		Evacuate:        r.duration("bounds", "evacuate"),
+		Hold:            r.duration("ownership", "hold"),
+		ViewAge:         r.duration("ownership", "view_age"),
 	}
 	if r.err != nil {
 		return nil, r.err
--- a/internal/standin/ranged/ranged.go
+++ b/internal/standin/ranged/ranged.go
@@ -34,6 +34,8 @@
 	holds []hold
 	seen  []hold
 	runs  map[string]int
+	// arrived are the times at which requests came that were not misdirected.
+	arrived []time.Time
 }
 
 // New returns an upstream whose requests take work. It serves them as an
@@ -76,6 +78,21 @@
 	return out
 }
 
+// MostInASecond returns the largest number of requests that came within a
+// second, those that were misdirected not counted.
+func (u *Upstream) MostInASecond() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range u.arrived {
+		for at.Sub(u.arrived[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // Fenced reports whether it has seen a higher token than r's on one of r's
 // keys, and refuses a grant of them.
 func (u *Upstream) Fenced(r ownership.Range) bool {
@@ -165,6 +182,7 @@
 	}
 	u.mu.Lock()
 	u.runs[id]++
+	u.arrived = append(u.arrived, time.Now())
 	u.mu.Unlock()
 	if u.Fatal != nil && u.Fatal(r) {
 		panic(http.ErrAbortHandler)
