Hosts that do not hear of each other keep to what a cold upstream bears

Cause: nothing acted on the slow start but a factor of two in the expected time of an answer. Upstreams that come back are idle, so every host chose them. Ways: (a) a fixed share of the allowance for each host (package warmup): a host's first request at a time that it draws, the next its gap later; (b) whoever places keys gives none to cold upstreams while half of the service's others are warm; (c) both. (a) alone would refuse most requests for a cold owner's keys, as the hosts with callers for them are not those whose turn it is; (b) alone does nothing for services without keys, nor where all are cold. Gates of 1 to 3,300 hosts by themselves: at most 14 in any second, over half of what upstreams bear is used.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/warmup"
 )
 
 // Outcome is how a send ended, as far as the choice is concerned.
@@ -62,6 +63,8 @@
 	// others is what the other hosts have there, as of learnedAt.
 	others    Others
 	learnedAt time.Time
+	// gate lets requests through while the upstream is cold.
+	gate warmup.Gate
 }
 
 // Board keeps one record of each upstream.
@@ -138,6 +141,9 @@
 	FarPenalty time.Duration
 	// Not lists upstreams that were tried already.
 	Not []string
+	// ColdShare returns this host's share of a cold upstream of the service;
+	// nil where that is not bounded. Those whose share is used up are no choice.
+	ColdShare func() warmup.Share
 }
 
 // Pick returns the upstream from which an answer is expected first, of some
@@ -150,10 +156,13 @@
 	near, far := 0, 0
 	for _, i := range rand.Perm(len(ups)) {
 		u := ups[i]
-		if u.Leaving || slices.Contains(c.Not, u.ID) {
+		if u.Retiring() || slices.Contains(c.Not, u.ID) {
 			continue
 		}
 		r := b.of(u.ID)
+		if c.ColdShare != nil && u.Cold(now) && !r.gate.Open(c.ColdShare(), u.SlowUntil, now) {
+			continue
+		}
 		seen, cost := &near, r.cost(u, now)
 		if u.DataCentre != c.Home {
 			seen = &far
@@ -177,6 +186,21 @@
 	return best.up
 }
 
+// ColdOpen reports whether the upstream is warm, or this host's share of it
+// allows a request now.
+func (b *Board) ColdOpen(u *catalogue.Upstream, share warmup.Share, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(u.ID).gate.Open(share, u.SlowUntil, now)
+}
+
+// ColdTake is ColdOpen for a request that is sent now, which it counts.
+func (b *Board) ColdTake(u *catalogue.Upstream, share warmup.Share, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(u.ID).gate.Take(share, u.SlowUntil, now)
+}
+
 // candidate is the best upstream seen so far.
 type candidate struct {
 	up   *catalogue.Upstream
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -7,6 +7,7 @@
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/view"
+	"github.com/papayatide/papayatide/internal/warmup"
 )
 
 // choose returns the upstream to send to next. A request whose answer would
@@ -20,16 +21,23 @@
 	}
 	v := d.views.Load()
 	c := balance.Choice{Home: d.home, FarPenalty: q.route.Objective / 4, Not: q.tried}
-	u := d.board.Pick(v.Upstreams.Of(q.service.Name), c, time.Now())
+	if q.service.SlowStart.PerSecond > 0 {
+		c.ColdShare = func() warmup.Share { return d.coldShare(q.service) }
+	}
+	ups := v.Upstreams.Of(q.service.Name)
+	u := d.board.Pick(ups, c, time.Now())
 	if u == nil && q.mayHaveRun {
 		// A broken answer says little of the next one; a refusal for want of
 		// room would only be repeated.
 		c.Not = nil
-		u = d.board.Pick(v.Upstreams.Of(q.service.Name), c, time.Now())
+		u = d.board.Pick(ups, c, time.Now())
 	}
 	if u == nil && len(q.tried) > 0 {
 		return nil, q.giveUp()
 	}
+	if cold := anyCold(ups, time.Now()); u == nil && cold != nil {
+		return nil, q.coldRefusal(cold, time.Now())
+	}
 	if u == nil {
 		return nil, q.endUnsent(CauseNoUpstream, retryNoOwner)
 	}
@@ -45,10 +53,13 @@
 		v := d.views.Load()
 		now := time.Now()
 		u, fence := v.Owner(q.service.Name, q.key)
-		if u != nil && !u.Leaving && !d.unheld.recent(q.service.Name, fence, u.ID, now) {
+		if u != nil && mayOwn(u, now) && !d.unheld.recent(q.service.Name, fence, u.ID, now) {
 			if d.board.Out(u.ID, now) {
 				return nil, q.endUnsent(CauseUnreachable, retryNoOwner)
 			}
+			if !d.board.ColdOpen(u, d.coldShare(q.service), now) {
+				return nil, q.coldRefusal(u, now)
+			}
 			q.lastSeen = fence
 			return u, nil
 		}
@@ -58,6 +69,13 @@
 	}
 }
 
+// mayOwn reports whether requests for the keys that the upstream owns may be sent
+// to it: it is not leaving, nor is the time over in which those of an evacuated
+// data centre hand their keys over.
+func mayOwn(u *catalogue.Upstream, now time.Time) bool {
+	return !u.Leaving && (!u.Evacuated() || now.Before(u.LeaveBy))
+}
+
 // waitForMove waits until the ownership table is newer than the one under
 // which the request was refused.
 func (d *Dispatcher) waitForMove(ctx context.Context, q *request) *Refusal {
--- /dev/null
+++ b/internal/dispatch/cold.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/warmup"
+)
+
+// coldShare is this host's share of a cold upstream of the service. A host that
+// does not know how many others there are has none: it might be one of
+// thousands.
+func (d *Dispatcher) coldShare(s *desired.Service) warmup.Share {
+	if s.SlowStart.PerSecond == 0 {
+		return warmup.Unbounded
+	}
+	if !d.fleetKnown.Load() {
+		return 0
+	}
+	return warmup.Share(d.SlowStart.Rate(s.SlowStart.PerSecond) / float64(d.fleet.Load()))
+}
+
+// coldRefusal ends a request for which only an upstream in its slow start is
+// left, and this host's share of it is used up.
+func (q *request) coldRefusal(u *catalogue.Upstream, now time.Time) *Refusal {
+	return q.endUnsent(CauseCold, min(u.SlowUntil.Sub(now), retryNoOwner))
+}
+
+// anyCold returns one of the upstreams that is in its slow start and may be used
+// once it is through, nil if there is none.
+func anyCold(ups []*catalogue.Upstream, now time.Time) *catalogue.Upstream {
+	for _, u := range ups {
+		if u.Cold(now) && !u.Retiring() {
+			return u
+		}
+	}
+	return nil
+}
--- a/internal/dispatch/connections_test.go
+++ b/internal/dispatch/connections_test.go
@@ -36,7 +36,7 @@
 		d.Services = map[string]*desired.Service{"plain": {Name: "plain", MaxConns: 8}}
 		v.Desired = &d
 	})
-	g.d.SetFleet(8)
+	g.d.SetFleet(8, true)
 	var wg sync.WaitGroup
 	for i := range 10 {
 		wg.Go(func() {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
+	"github.com/papayatide/papayatide/internal/warmup"
 )
 
 // Times told to callers that are refused. They are spread by spread so that
@@ -61,8 +62,12 @@
 	stop    *stopper
 	crashes *crashes.Ledger
 	unsure  unsure
-	// fleet is how many hosts there are, this one included.
-	fleet atomic.Int64
+	// fleet is how many hosts there are, this one included, and fleetKnown
+	// whether that rests on anybody's word.
+	fleet      atomic.Int64
+	fleetKnown atomic.Bool
+	// SlowStart is the sheet's bound on what a cold upstream may get.
+	SlowStart warmup.Bounds
 	// Ended is told of every request's end, BrokeOff of every send that ended
 	// without an answer while its caller still waited.
 	Ended    func(*End)
@@ -107,7 +112,7 @@
 	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud, crashes: ledger,
 		splits: newSplitter(), unheld: newUnheld(), stop: newStopper(),
 		Ended: func(*End) {}, BrokeOff: func(*Broken) {}}
-	d.SetFleet(1)
+	d.SetFleet(1, false)
 	return d
 }
 
@@ -187,6 +192,13 @@
 			ticket.Done(admission.NoSign, 0)
 			continue
 		}
+		if !d.board.ColdTake(u, d.coldShare(q.service), time.Now()) {
+			ticket.Done(admission.NoSign, 0)
+			if q.key >= 0 {
+				return nil, q.coldRefusal(u, time.Now())
+			}
+			continue
+		}
 		if q.sends > 0 && !d.budget.Repeat(q.service.Name, q.urgent, time.Now()) {
 			ticket.Done(admission.NoSign, 0)
 			return nil, q.giveUp()
@@ -207,10 +219,10 @@
 	v := d.views.Load()
 	if q.key >= 0 {
 		owner, fence := v.Owner(q.service.Name, q.key)
-		return owner == nil || owner.ID != u.ID || fence != q.lastSeen || owner.Leaving
+		return owner == nil || owner.ID != u.ID || fence != q.lastSeen || !mayOwn(owner, time.Now())
 	}
 	now := v.Upstreams.ByID[u.ID]
-	return now == nil || now.Leaving
+	return now == nil || now.Retiring()
 }
 
 // after decides what follows a send: another one, the answer (neither), or
@@ -264,8 +276,11 @@
 	return admission.ShareOf(u.Slots, s.MaxConns, int(d.fleet.Load()))
 }
 
-// SetFleet tells how many hosts share the upstreams.
-func (d *Dispatcher) SetFleet(hosts int) { d.fleet.Store(int64(hosts)) }
+// SetFleet tells how many hosts share the upstreams, and whether that is known.
+func (d *Dispatcher) SetFleet(hosts int, known bool) {
+	d.fleet.Store(int64(hosts))
+	d.fleetKnown.Store(known)
+}
 
 // patience is how long the request may wait for its turn: what is left of
 // its latency objective less the time the upstream needs.
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -19,6 +19,7 @@
 	CauseNoOwner      Cause = "nobody owns the key at the moment"
 	CauseFull         Cause = "upstreams have no room"
 	CauseMoved        Cause = "the key is changing hands"
+	CauseCold         Cause = "upstream has just started and can bear no more yet"
 	CauseUnreachable  Cause = "upstream could not be reached"
 	CauseTimeoutNever Cause = "time ran out before the request could be sent"
 	CauseTimeout      Cause = "time ran out at the upstream"
--- a/internal/dispatch/waiting_test.go
+++ b/internal/dispatch/waiting_test.go
@@ -18,7 +18,7 @@
 		d.Services = map[string]*desired.Service{"plain": {Name: "plain", MaxConns: 1}, "keyed": {Name: "keyed", Keyed: true, MaxConns: 1}}
 		v.Desired = &d
 	})
-	g.d.SetFleet(2)
+	g.d.SetFleet(2, true)
 }
 
 // slow answers after half of what a request may wait for its turn.
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -109,10 +109,21 @@
 		return c.loads.Load(service, owners, time.Now())
 	}
 	c.plan.Note = c.notePlanner
+	c.plan.Cold = c.cold
 	c.eagerAlive = func() bool { return false }
 	return c
 }
 
+// cold reports whether an upstream is in its slow start and bears only so many
+// requests meanwhile.
+func (c *control) cold(u *catalogue.Upstream) bool {
+	st := c.views.Load().Desired
+	if st == nil || st.Services[u.Service] == nil {
+		return false
+	}
+	return st.Services[u.Service].SlowStart.PerSecond > 0 && u.Cold(time.Now())
+}
+
 // post hands a function to the control goroutine.
 func (c *control) post(ctx context.Context, f func()) {
 	select {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -28,6 +28,7 @@
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
+	"github.com/papayatide/papayatide/internal/warmup"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
 
@@ -167,6 +168,7 @@
 	h.control.crashes = newCrashLog(zl, plat.Store, h.control.planning.Load)
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, h.control.crashes.ledger)
 	h.dispatch.Ended, h.dispatch.BrokeOff = h.ended, h.brokeOff
+	h.dispatch.SlowStart = warmup.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack}
 	h.control.retirer = h.peers
 	h.control.seats.hosts = func() int { return h.fleet.Size(time.Now()) }
 	h.control.eagerAlive = func() bool { return h.fleet.EagerAlive(time.Now()) }
@@ -286,7 +288,7 @@
 		case now := <-t.C:
 			h.noteDropped()
 			hosts := h.fleet.Size(now)
-			h.dispatch.SetFleet(hosts)
+			h.dispatch.SetFleet(hosts, h.fleetKnown(now))
 			h.budget.SetLimits(shareOfBudget(current, hosts))
 			keep := known(h.views.Load().Upstreams)
 			h.client.Prune(now, keep)
@@ -296,6 +298,16 @@
 	}
 }
 
+// fleetKnown reports whether the fleet's size rests on the planner's word, or,
+// on a planner, on the calls of the others, who have had time to find it.
+func (h *host) fleetKnown(now time.Time) bool {
+	return h.fleet.WasTold() || (h.control.planning.Load() && now.Sub(h.feed.started) > gatherFleet)
+}
+
+// gatherFleet is how long after its start a planner that nobody told how many
+// hosts there are waits for them to call.
+const gatherFleet = 3 * time.Second
+
 // noteDropped logs that log lines were dropped since it last looked.
 func (h *host) noteDropped() {
 	total := h.plat.LogDropped()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,6 +77,13 @@
 	f.told = size
 }
 
+// WasTold reports whether another host has said how many there are.
+func (f *Fleet) WasTold() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told > 0
+}
+
 // Size returns how many hosts there are, this one included, as the planner
 // or this host itself knows, whichever is more.
 func (f *Fleet) Size(now time.Time) int {
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -35,6 +35,8 @@
 	causeRestarted = "owner restarted"
 	causeGone      = "owner gone"
 	causeLeaving   = "owner leaving"
+	causeEvacuated = "data centre evacuated"
+	causeCold      = "owner in its slow start"
 	causeLost      = "owner lost"
 	causeLoad      = "load"
 )
@@ -143,7 +145,7 @@
 func (t *term) moveToSuccessors(now bootclock.Time) bool {
 	found := false
 	for _, r := range t.table.Ranges {
-		if u := t.successor(r.Owner); u != nil && !u.Leaving && !t.shunned(u.ID, now) {
+		if u := t.successor(r.Owner); u != nil && !t.closed(u) && !t.shunned(u.ID, now) {
 			t.startMove(ownership.Move{From: r.From, To: r.To, NewOwner: u.ID}, now)
 			found = true
 		}
@@ -175,7 +177,7 @@
 func (t *term) needsOwner(now bootclock.Time) bool {
 	for _, r := range t.table.Ranges {
 		u := t.ups[r.Owner]
-		if u != nil && !u.Leaving && !t.shunned(r.Owner, now) {
+		if u != nil && !t.closed(u) && !t.shunned(r.Owner, now) {
 			continue
 		}
 		if len(t.withoutMoves(span{r.From, r.To})) > 0 {
@@ -260,8 +262,12 @@
 		return causeGone
 	case u.Leaving:
 		return causeLeaving
+	case u.Evacuated():
+		return causeEvacuated
 	case t.shunned(owner, now):
 		return causeLost
+	case t.closed(u):
+		return causeCold
 	}
 	return causeLoad
 }
@@ -323,7 +329,7 @@
 	t.moves = slices.DeleteFunc(t.moves, func(m *move) bool {
 		u := t.ups[m.old.Owner]
 		wasUnlisted := m.cause == causeLeaving || m.cause == causeGone
-		if !m.failed || m.release != nil || u == nil || u.Leaving || (!m.released && !wasUnlisted) {
+		if !m.failed || m.release != nil || u == nil || t.closed(u) || (!m.released && !wasUnlisted) {
 			return false
 		}
 		h := t.holder(u.ID)
@@ -339,7 +345,7 @@
 // release is still under way go on. It reports whether it did.
 func (t *term) comeBack(id string, now bootclock.Time) bool {
 	h, u := t.holder(id), t.ups[id]
-	if !h.lost || u == nil || u.Leaving || t.appending != nil {
+	if !h.lost || u == nil || t.closed(u) || t.appending != nil {
 		return false
 	}
 	h.lost = false
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,6 +22,9 @@
 	Limits ownership.Limits
 	// Note is told of each change of the planner's belief.
 	Note func(Event)
+	// Cold reports whether an upstream is in its slow start and bears only so
+	// many requests meanwhile.
+	Cold func(*catalogue.Upstream) bool
 
 	seat     seat
 	resigned bool
@@ -95,7 +98,7 @@
 		Load: func(_ string, owners []*catalogue.Upstream) (ownership.Load, float64) {
 			return ownership.Load{Capacity: slotsOf(owners)}, 0
 		},
-		Note: func(Event) {}}
+		Note: func(Event) {}, Cold: func(*catalogue.Upstream) bool { return false }}
 }
 
 func slotsOf(ups []*catalogue.Upstream) map[string]float64 {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -70,7 +70,7 @@
 		if !t.free(m, now) {
 			continue
 		}
-		if u := t.ups[m.dest]; u == nil || u.Leaving || t.shunned(m.dest, now) {
+		if u := t.ups[m.dest]; u == nil || t.closed(u) || t.shunned(m.dest, now) {
 			t.redirect(m, now)
 		}
 		ready = append(ready, ownership.Move{From: m.from, To: m.to, NewOwner: m.dest, Handover: m.handover})
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -49,6 +49,8 @@
 	// ups are the lives that are listed, byServer the same by their servers.
 	ups      map[string]*catalogue.Upstream
 	byServer map[string]*catalogue.Upstream
+	// sparing is set while those in their slow start get no keys.
+	sparing bool
 	// holders are by server.
 	holders map[string]*holder
 	leases  map[span]*lease
@@ -185,13 +187,39 @@
 			h.succeeded(u.ID, now)
 		}
 	}
+	t.sparing = t.enoughWarm()
+}
+
+// enoughWarm reports whether at least half of the upstreams that may own keys
+// are through with their slow start. A cold one is asked for what its keys are
+// asked for, which hosts that do not hear of each other cannot divide among
+// them as they do requests that any upstream serves: they could only refuse
+// most. So keys wait with others until it is warm.
+func (t *term) enoughWarm() bool {
+	warm, cold := 0, 0
+	for _, u := range t.ups {
+		switch {
+		case u.Retiring():
+		case t.p.Cold(u):
+			cold++
+		default:
+			warm++
+		}
+	}
+	return warm >= cold
+}
+
+// closed reports whether an upstream that is listed may own no keys now, however
+// well it answers.
+func (t *term) closed(u *catalogue.Upstream) bool {
+	return u.Retiring() || (t.sparing && t.p.Cold(u))
 }
 
 // candidates returns the upstreams that may own keys.
 func (t *term) candidates(now bootclock.Time) []*catalogue.Upstream {
 	var out []*catalogue.Upstream
 	for _, u := range t.ups {
-		if !u.Leaving && !t.shunned(u.ID, now) {
+		if !t.closed(u) && !t.shunned(u.ID, now) {
 			out = append(out, u)
 		}
 	}
--- /dev/null
+++ b/internal/warmup/warmup_test.go
@@ -0,0 +1,87 @@
+package warmup
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// A data centre's upstreams come back cold and all hosts have callers waiting.
+// None hears of another. However many hosts there are, and whether each sends to
+// a cold upstream as often as it may or each has a caller there from the first
+// moment, no upstream gets more in a second than the sheet allows, and each
+// serves about what it bears.
+func TestHostsThatDoNotHearOfEachOther(t *testing.T) {
+	const (
+		upstreams = 40
+		perSecond = 4.4
+		lasts     = 3 * time.Second
+		step      = 5 * time.Millisecond
+	)
+	b := Bounds{Factor: 1.5, Slack: 8}
+	most := int(perSecond*b.Factor + b.Slack)
+	for _, hosts := range []int{1, 12, 79, 300, 3300} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			served := 0
+			for range upstreams {
+				start := time.Now()
+				gates := make([]Gate, hosts)
+				share := Share(b.Rate(perSecond) / float64(hosts))
+				var sent []time.Time
+				for now := start; now.Before(start.Add(lasts)); now = now.Add(step) {
+					for i := range gates {
+						if gates[i].Take(share, start.Add(lasts), now) {
+							sent = append(sent, now)
+						}
+					}
+				}
+				served += len(sent)
+				first := 0
+				for i, at := range sent {
+					for at.Sub(sent[first]) >= time.Second {
+						first++
+					}
+					if n := i - first + 1; n > most {
+						t.Errorf("%d requests within a second, %d allowed", n, most)
+					}
+				}
+			}
+			bears := perSecond * lasts.Seconds() * upstreams
+			if got := float64(served); got < bears/2 || got > bears*1.1 {
+				t.Errorf("%v requests served in all, the upstreams bear %v", got, bears)
+			}
+		})
+	}
+}
+
+// A gate is shut for a host that has no share, and open where nothing is cold or
+// nothing bounds it.
+func TestGate(t *testing.T) {
+	now := time.Now()
+	cold := now.Add(time.Second)
+	for _, c := range []struct {
+		share Share
+		until time.Time
+		want  bool
+	}{{0, cold, false}, {0, now, true}, {Unbounded, cold, true}} {
+		var g Gate
+		if got := g.Take(c.share, c.until, now); got != c.want {
+			t.Errorf("share %v, cold for %v: %v", c.share, c.until.Sub(now), got)
+		}
+	}
+}
+
+// The rate leaves room for chance, and is never over what the upstream bears.
+func TestRate(t *testing.T) {
+	for _, c := range []struct {
+		bounds    Bounds
+		perSecond float64
+	}{{Bounds{1.5, 8}, 4.4}, {Bounds{1, 0}, 4}, {Bounds{1, 0}, 0.5}, {Bounds{2, 100}, 10}} {
+		rate := c.bounds.Rate(c.perSecond)
+		tail := poissonTail(rate, int(c.perSecond*c.bounds.Factor+c.bounds.Slack))
+		if rate > c.perSecond || tail > tooMany || math.IsNaN(rate) {
+			t.Errorf("%+v at %v a second: rate %v, chance of too many %v", c.bounds, c.perSecond, rate, tail)
+		}
+	}
+}
