A common loss refuses nothing for long: ends of one moment count for nothing, refused contents are tried again

Cause: every end counted against whatever its server was running. Ways: ends at a moment when sends break off at four servers or more, at most half of them under the content, count for nothing (a); a refused content is tried again by one host after 10 s, then ever more seldom, and an answer clears it (b). Ends are written after a second, together, and read after a pause.

--- /dev/null
+++ b/internal/crashes/crowd.go
@@ -0,0 +1,54 @@
+package crashes
+
+import "time"
+
+const (
+	// together is how far apart breaks may lie that are taken for one event.
+	together = time.Second
+	// crowdFrom is from how many servers on breaks at one moment make a crowd.
+	// Answers that are lost by chance break off at fewer servers a second.
+	crowdFrom = 4
+	// breaksKept bounds the breaks that are remembered; a cut of a data centre
+	// breaks off some hundreds at a host.
+	breaksKept = 2048
+	// breakMemory is how long they are remembered: until the entries of servers
+	// that ended with them have gone.
+	breakMemory = 10 * time.Second
+)
+
+// crowd remembers at which servers sends broke off, and under which content.
+//
+// A cut, the loss of a data centre or a release that ends everything breaks off
+// what many servers are doing at one moment. Each of their ends counted against
+// what it was doing: a page that all callers read was refused for a day after
+// three of them, and a data centre's cut cost some thousands of calls of the log
+// service to write and read what told nothing. A request that ends its servers
+// ends them one by one, while those without it live.
+type crowd struct{ breaks []End }
+
+// add takes note of a break.
+func (c *crowd) add(e End) {
+	for len(c.breaks) > 0 && (len(c.breaks) >= breaksKept || e.At.Sub(c.breaks[0].At) > breakMemory) {
+		c.breaks = c.breaks[1:]
+	}
+	c.breaks = append(c.breaks, e)
+}
+
+// explains reports whether the end has a cause that it shares with others: at
+// its moment sends broke off at many servers, at most of them without one of its
+// content.
+func (c *crowd) explains(e End) bool {
+	with := map[string]bool{}
+	for _, b := range c.breaks {
+		if apart := b.At.Sub(e.At); apart <= together && apart >= -together {
+			with[b.Server] = with[b.Server] || b.Content == e.Content
+		}
+	}
+	under := 0
+	for _, same := range with {
+		if same {
+			under++
+		}
+	}
+	return len(with) >= crowdFrom && 2*under <= len(with)
+}
--- /dev/null
+++ b/internal/crashes/crowd_test.go
@@ -0,0 +1,86 @@
+package crashes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A data centre's links are reset: what a host has at many servers breaks off at
+// one moment, and the servers' entries lapse, as they cannot heartbeat. One page
+// is read by a third of all callers. Nothing is counted for it, nor told.
+func TestACutIsNotTakenForEnds(t *testing.T) {
+	l := NewLedger(nil)
+	for i := range 30 {
+		e := End{content(i % 3), fmt.Sprint("s", i), noon.Add(time.Duration(i) * 10 * time.Millisecond)}
+		if i%2 == 0 {
+			l.Broke(e)
+		}
+		l.Saw(e)
+	}
+	if changes := l.Pending(); len(changes) > 0 || l.Any() {
+		t.Errorf("%d ends are told, any left: %v", len(changes), l.Any())
+	}
+}
+
+// One request ends its servers, one by one, while answers of others are lost by
+// chance at a few other servers a second. It is refused after the third end all
+// the same, and so it is where it ends four servers at once and nothing else
+// breaks off.
+func TestARequestAmongLostAnswersIsStillRefused(t *testing.T) {
+	l := NewLedger(nil)
+	for i := range Limit {
+		at := noon.Add(time.Duration(i) * 2 * time.Second)
+		for n := range crowdFrom - 2 {
+			l.Broke(End{content(9), fmt.Sprint("other", n), at})
+		}
+		l.Saw(End{content(1), fmt.Sprint("s", i), at})
+		l.Pending()
+	}
+	if l.Refused(content(1), noon) == 0 {
+		t.Error("not refused after three ends, one by one")
+	}
+	l = NewLedger(nil)
+	for i := range crowdFrom {
+		l.Saw(End{content(1), fmt.Sprint("s", i), noon})
+	}
+	if l.Pending(); l.Refused(content(1), noon) == 0 {
+		t.Error("not refused after ends at once that are all its own")
+	}
+}
+
+// A content is refused though its servers would answer it: they ended together.
+// The host that tries sends one request of it some seconds later, the others
+// none. While it still ends its servers it is tried ever more seldom; once it is
+// answered it is refused nowhere.
+func TestARefusedContentIsTriedAgain(t *testing.T) {
+	f := newFleet(t, 2)
+	f.hosts[0].TryIf(func() bool { return true })
+	for i := range Limit {
+		f.hosts[1].Saw(End{content(1), fmt.Sprint("s", i), noon})
+	}
+	f.write(1)
+	tries, last := 0, noon
+	for now := noon; now.Before(noon.Add(time.Hour)); now = now.Add(100 * time.Millisecond) {
+		if f.hosts[1].Try(content(1), now) {
+			t.Fatal("another host tries too")
+		}
+		if !f.hosts[0].Try(content(1), now) {
+			continue
+		}
+		if tries++; now.Sub(last) < tryFirst {
+			t.Errorf("tried %v after the try before", now.Sub(last))
+		}
+		last = now
+		f.hosts[0].Saw(End{content(1), fmt.Sprint("again", tries), now})
+		f.write(0)
+	}
+	if tries < 5 || tries > 10 {
+		t.Errorf("%d tries in an hour", tries)
+	}
+	f.hosts[0].Survived(content(1))
+	f.write(0)
+	if f.hosts[0].Refused(content(1), last)+f.hosts[1].Refused(content(1), last) > 0 {
+		t.Error("still refused after an answer")
+	}
+}
--- a/internal/crashes/ledger.go
+++ b/internal/crashes/ledger.go
@@ -53,6 +53,11 @@
 	// pending are this host's changes that are not written yet.
 	pending map[endKey]Change
 	wake    chan struct{}
+	// crowd tells ends with a common cause.
+	crowd crowd
+	// trier reports whether this host tries refused contents, trials are when.
+	trier  func() bool
+	trials map[Content]trial
 }
 
 // NewLedger returns a ledger that knows of no ends. It calls refusing, unless
@@ -61,13 +66,15 @@
 	if refusing == nil {
 		refusing = func(Content) {}
 	}
-	return &Ledger{refusing: refusing, ends: map[Content]map[string]time.Time{}, pending: map[endKey]Change{}, wake: make(chan struct{}, 1)}
+	return &Ledger{refusing: refusing, ends: map[Content]map[string]time.Time{}, pending: map[endKey]Change{}, wake: make(chan struct{}, 1),
+		trials: map[Content]trial{}}
 }
 
 // Saw takes in an end that this host saw itself. It returns how many servers
 // have ended under the content.
 func (l *Ledger) Saw(e End) int {
 	l.mu.Lock()
+	l.crowd.add(e)
 	ends, news := l.add(e)
 	if news {
 		l.change(Change{End: e})
@@ -77,6 +84,14 @@
 	return ends
 }
 
+// Broke takes note of a send that broke off while its server, as far as is known
+// yet, goes on.
+func (l *Ledger) Broke(e End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crowd.add(e)
+}
+
 func (l *Ledger) tell(c Content, ends int, news bool) {
 	if news && ends == Limit {
 		l.refusing(c)
@@ -95,6 +110,7 @@
 		l.change(Change{End: End{c, server, at}, Forget: true})
 	}
 	delete(l.ends, c)
+	delete(l.trials, c)
 	return len(ends) > 0
 }
 
@@ -196,12 +212,19 @@
 	}
 }
 
-// Pending returns the changes that are not written yet.
+// Pending returns the changes that are not written yet. Ends that have turned
+// out to have a common cause are forgotten, so it is best asked once the others
+// of their moment are known.
 func (l *Ledger) Pending() []Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make([]Change, 0, len(l.pending))
-	for _, c := range l.pending {
+	for k, c := range l.pending {
+		if !c.Forget && l.crowd.explains(c.End) {
+			delete(l.pending, k)
+			l.remove(k.content, k.server)
+			continue
+		}
 		out = append(out, c)
 	}
 	return out
--- /dev/null
+++ b/internal/crashes/retry.go
@@ -0,0 +1,49 @@
+package crashes
+
+import "time"
+
+const (
+	// tryFirst is how long after the last end under a refused content it is
+	// tried again: after a common loss its servers are back by then. The pause
+	// doubles with each try.
+	tryFirst = 10 * time.Second
+	tryMost  = 2 * time.Hour
+)
+
+// trial is when a refused content is tried next, and the pause after that.
+type trial struct {
+	next  time.Time
+	pause time.Duration
+}
+
+// Try reports whether one request of a refused content may be sent now, to see
+// whether it still ends its servers: an answer to it clears the content on every
+// host. Without it a content that was refused for what it had not done stayed so
+// for a day, since nothing was sent any more that could have been answered. Of
+// all hosts that share what they see one tries, so that a content that does end
+// its servers ends a dozen more in a day.
+func (l *Ledger) Try(c Content, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.trier == nil || !l.trier() {
+		return false
+	}
+	t, tried := l.trials[c]
+	if !tried {
+		for _, at := range l.ends[c] {
+			if due := at.Add(tryFirst); due.After(t.next) {
+				t.next = due
+			}
+		}
+		t.pause = 2 * tryFirst
+	}
+	if now.Before(t.next) {
+		return false
+	}
+	l.trials[c] = trial{now.Add(t.pause), min(2*t.pause, tryMost)}
+	return true
+}
+
+// TryIf has this host try refused contents while allowed says so. It must be
+// called before the ledger is used.
+func (l *Ledger) TryIf(allowed func() bool) { l.trier = allowed }
--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -55,7 +55,9 @@
 	if b.Ended {
 		b.Ends = d.crashes.Saw(crashes.End{Content: b.Content, Server: u.ID, At: now})
 	} else if !u.Leaving {
-		d.unsure.add(crashes.End{Content: b.Content, Server: u.ID, At: now})
+		e := crashes.End{Content: b.Content, Server: u.ID, At: now}
+		d.crashes.Broke(e)
+		d.unsure.add(e)
 	}
 	d.BrokeOff(b)
 }
@@ -119,5 +121,13 @@
 	if !d.crashes.Any() {
 		return 0
 	}
-	return d.crashes.Refused(q.content(), time.Now())
+	now := time.Now()
+	left := d.crashes.Refused(q.content(), now)
+	if left > 0 && !q.trial {
+		q.trial = d.crashes.Try(q.content(), now)
+	}
+	if q.trial {
+		return 0
+	}
+	return left
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -47,6 +47,9 @@
 	lastErr    error
 	lastSeen   int64
 	waited     time.Duration
+	// trial is set if the request's next send shows whether its content, which is
+	// refused, still ends servers.
+	trial bool
 	// known is the content once it was asked for.
 	known crashes.Content
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -21,6 +21,7 @@
 	d.board.Done(u.ID, judged, took, time.Now())
 	ticket.Done(verdict(judged, took, q.route.Objective), took)
 	q.lastUp, q.lastErr = u.ID, res.Err
+	q.trial = false
 	q.tried = append(q.tried, u.ID)
 	if res.Outcome != upstream.NotSent {
 		q.sends++
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -227,7 +227,7 @@
 	atOnce := func() time.Duration { return 0 }
 	own = mk(metastore.StreamOwnership, atOnce)
 	own.idle = c.soleWriter.Load
-	ends := mk(metastore.StreamCrashes, atOnce)
+	ends := mk(metastore.StreamCrashes, c.gatherEnds)
 	ends.delay = c.beforeCrashes
 	return own, []*follower{
 		mk(metastore.StreamDesired, atOnce),
@@ -246,6 +246,16 @@
 	return startAlone
 }
 
+// gatherEnds is the pause after a read that returned servers' ends. One record
+// of them is acted on within seconds, and while many servers end every host
+// writes some: read one by one, a cut cost each host hundreds of calls.
+func (c *control) gatherEnds() time.Duration {
+	if c.planning.Load() {
+		return gatherEndsPlanning
+	}
+	return gatherEndsDirect
+}
+
 // gatherUpstreams is the pause after a read that returned upstreams' records.
 func (c *control) gatherUpstreams() time.Duration {
 	if c.planning.Load() {
--- a/internal/entryhost/crash_test.go
+++ b/internal/entryhost/crash_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/papayatide/papayatide/internal/standin/ranged"
 )
 
 const (
@@ -111,6 +113,45 @@
 	return f.crashes[n-1]
 }
 
+// Every server of a service loses power at one moment, while each runs a page
+// that most callers read. All are back a second later. Callers of that page were
+// refused from then on for a day: three ends stood against it, and nothing was
+// sent any more that could have been answered. They are served again within
+// seconds, through every host.
+func TestPopularPageIsServedAfterACommonLoss(t *testing.T) {
+	fleetTest(t, func(t *testing.T) {
+		f := newFleet(t, 3, 0)
+		var ups []*ranged.Upstream
+		for i := range 8 {
+			ups = append(ups, f.addTo("plain", fmt.Sprint("plain", i)))
+		}
+		f.answers(plainRoute, "/popular", startup)
+		for _, h := range f.hosts {
+			for c := range 8 {
+				f.later.Go(func() {
+					for n := 0; f.sleep(time.Millisecond); n++ {
+						path := "/popular"
+						if n%10 == 0 {
+							path = fmt.Sprint("/", c, n)
+						}
+						h.callPath("GET", plainRoute, path, fmt.Sprint(h.cfg.Host, "-", c, "-", n), fatalKey)
+					}
+				})
+			}
+		}
+		time.Sleep(time.Second)
+		for _, u := range ups {
+			f.crash("plain", u)
+		}
+		time.Sleep(lapse + returns + backAfterLoss)
+		f.answers(plainRoute, "/popular", 0)
+	})
+}
+
+// backAfterLoss is how long after a loss callers are served again at the latest:
+// a page that is refused for it is tried again once in ten seconds.
+const backAfterLoss = 12 * time.Second
+
 // Three servers have ended under one request. Then every host is stopped and
 // others start, which have seen none of it; callers still ask. What the hosts
 // knew is in the log service: the new ones refuse the request within the time
--- a/internal/entryhost/crashlog.go
+++ b/internal/entryhost/crashlog.go
@@ -13,9 +13,8 @@
 
 const (
 	// gatherEnds is the pause before ends are written, so that those of one
-	// server cost one call: it takes all that it runs with it, at the same
-	// moment, and the question whether it has ended takes up to 100 ms.
-	gatherEnds = 30 * time.Millisecond
+	// moment cost one call, and it is known whether they have a common cause.
+	gatherEnds = time.Second
 	// Pauses after a write that failed. Hosts have three seconds after the end
 	// of an outage to act on what they know.
 	retryEndsFirst = 200 * time.Millisecond
@@ -41,6 +40,7 @@
 func newCrashLog(zl *zap.Logger, store metastore.Store, planning func() bool) *crashLog {
 	l := &crashLog{zl: zl, store: store, planning: planning}
 	l.ledger = crashes.NewLedger(l.refusing)
+	l.ledger.TryIf(planning)
 	return l
 }
 
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -37,6 +37,9 @@
 	// seconds with the short pause.
 	gatherPlanning = 150 * time.Millisecond
 	gatherDirect   = 600 * time.Millisecond
+	// The same after a read of servers' ends.
+	gatherEndsPlanning = 300 * time.Millisecond
+	gatherEndsDirect   = 2 * time.Second
 )
 
 // follower reads one stream from the log service itself.
--- a/internal/router/fatal.go
+++ b/internal/router/fatal.go
@@ -26,7 +26,11 @@
 	if !rt.crashes.Any() {
 		return 0
 	}
-	return rt.crashes.Refused(content(req), now)
+	c := content(req)
+	if left := rt.crashes.Refused(c, now); left > 0 && !rt.crashes.Try(c, now) {
+		return left
+	}
+	return 0
 }
 
 // oneEnd is the time within which ends of a target are one end: several
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,7 @@
 	rt := &Router{started: time.Now(), opts: opts, table: table, targets: targets, log: log, Refused: func(string) {},
 		Burns: burn.NewRecorder(opts.LatencyObjective)}
 	rt.crashes = crashes.NewLedger(rt.refusing)
+	rt.crashes.TryIf(func() bool { return true }) // no other host shares what it sees
 	return rt
 }
 
