Few hosts ask a log service that fails, and a lost planner costs few calls

Cause: whenever the planner's copy was too old, every host read every stream of the log itself: at each change of planner (five calls a host), and all through an outage (each stream again every 0.1 to 0.3 s). Change: a strong host that loses the planner reads the log at once, without a wait for records, and goes on to answer those behind it; weak hosts that are answered, if with an old copy, ask once themselves and then ten times a second all together; whoever is served goes on reading. The first read after one that failed does not wait for a record: the service's return was seen up to 1.5 s late. Costs elsewhere: a strong host without a planner reads each 0.7 s.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -93,6 +93,8 @@
 	refusedUntold int
 	// changes are the last changes of ownership.
 	changes changes
+	// eager hosts are strong enough to plan and to relay.
+	eager bool
 	// planning tells other goroutines whether this host is the planner.
 	planning atomic.Bool
 	// soleWriter tells them whether it is the only one that writes the
@@ -105,7 +107,7 @@
 
 func newControl(zl *zap.Logger, store metastore.Store, dec Decoder, granter Granter, views *view.Holder, opts planner.Options,
 	evacuateBound time.Duration) *control {
-	c := &control{zl: zl, store: store, decoder: dec, granter: granter, views: views, plan: planner.New(opts),
+	c := &control{zl: zl, store: store, decoder: dec, granter: granter, views: views, plan: planner.New(opts), eager: opts.Eager,
 		seats: newSeatSeeker(store, opts.Host), loads: loadmap.New(), clock: bootclock.Now, inbox: make(chan func(), 256),
 		roster: newRoster(zl), evacuations: newEvacuations(evacuateBound), broken: map[metastore.Stream]time.Time{}, copy: relay.NewCopy()}
 	c.plan.Load = func(service string, owners []*catalogue.Upstream) (ownership.Load, float64) {
@@ -264,11 +266,12 @@
 	return gatherDirect
 }
 
-// readWait is how long the next read of a stream may wait for a record. The
-// planner's copy is never known to be older than planningWait, also where it
-// was older when the seat came here.
+// readWait is how long the next read of a stream may wait for a record. The copy
+// of the planner, and of the strong hosts that others go on to follow when it is
+// lost, is never known to be older than planningWait, also where it was older
+// when the seat came here.
 func (c *control) readWait(s metastore.Stream) time.Duration {
-	if !c.planning.Load() || s == metastore.StreamCrashes {
+	if !(c.planning.Load() || c.eager) || s == metastore.StreamCrashes {
 		return directWait // the age of the planner's copy does not count it
 	}
 	return min(max(planningWait-c.copy.StreamAge(s, time.Now()), 0), planningWait)
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,12 @@
 	// seekPlanner is the pause between calls while the planner is unknown,
 	// this host itself, or does not answer.
 	seekPlanner = 150 * time.Millisecond
+	// While the host that is followed answers, but with too old a copy, the log
+	// service mostly fails all of them. A weak host asks it once then, as it may
+	// be the only one that is served; if it fails, all weak hosts together ask
+	// triesPerSecond times a second from then on, each at least every tryMost.
+	triesPerSecond = 10
+	tryMost        = 2500 * time.Millisecond
 )
 
 // feed keeps the copy of the log current: from the planner's copy, or that
@@ -76,13 +83,19 @@
 	// good is told that a call to the planner was good, and for how long
 	// the planner has reached the log service.
 	good func(steady time.Duration)
-	// lost is told of a call that failed.
-	lost func()
-	zl   *zap.Logger
+	// lost is told of a call that failed, seen of a strong host that answers
+	// without a young copy.
+	lost, seen func()
+	zl         *zap.Logger
 
 	// started is when run began, failed whether the last call failed.
 	started time.Time
 	failed  bool
+	// oldCopy is set while the host that is followed answers with a copy that is
+	// too old, or that it has none.
+	oldCopy bool
+	// tries are this host's own reads while oldCopy is set.
+	tries tries
 	// wasPlanning is planning as of the last look.
 	wasPlanning bool
 	// directCtx is that of the readers at work, nil while there are none;
@@ -90,6 +103,9 @@
 	directCtx  context.Context
 	stopDirect context.CancelFunc
 	restAtWork bool
+	// directAt is when they began, reading whether there are any.
+	directAt time.Time
+	reading  atomic.Bool
 	// following holds the address of the host whose copy is relied on, a
 	// string; empty or nil if there is none.
 	following atomic.Value
@@ -115,12 +131,34 @@
 			f.indirect()
 			continue
 		}
-		f.direct(ctx)
+		f.readItself(ctx)
 		pause(ctx, seekPlanner)
 	}
 	f.indirect()
 }
 
+// readItself has this host read the log service, if it is one of those that
+// should.
+func (f *feed) readItself(ctx context.Context) {
+	if f.self().Eager || f.planning() || !f.oldCopy || f.copy.Next(metastore.StreamDesired) < 0 {
+		f.direct(ctx)
+		return
+	}
+	if f.directCtx != nil {
+		if f.tries.failedSince(f.directAt) {
+			f.indirect()
+		}
+		return
+	}
+	f.seen() // a host that is strong enough to plan answers, if without a copy
+	switch f.tries.next(time.Now(), f.fleet.Size(time.Now())) {
+	case tryNow:
+		go f.tries.made(f.rest[tryStream].try(ctx))
+	case tryServed:
+		f.direct(ctx)
+	}
+}
+
 // follow makes one call to the planner, or to the relay of its copy, and
 // reports whether the answer can be relied on.
 func (f *feed) follow(ctx context.Context) bool {
@@ -159,6 +197,7 @@
 	got, err := f.peers.Follow(ctx, addr, q)
 	f.failed = err != nil
 	if err != nil {
+		f.oldCopy = errors.Is(err, peer.ErrNoCopy)
 		f.lost()
 		f.note("", 0, err)
 		return false
@@ -177,25 +216,30 @@
 	if !relays {
 		f.board.Learn(got.Others, time.Now())
 	}
-	if got.Age > oldest {
+	if f.oldCopy = got.Age > oldest; f.oldCopy {
 		f.note("", got.Age, nil)
 		return false
 	}
 	f.note(addr, got.Age, nil)
+	f.tries.end()
 	f.good(got.Steady)
 	return true
 }
 
 // standing is the standing of this host's copy where it follows the planner
-// itself. The planner's steadiness is passed on as it was, without the time
+// itself, or reads the log service: a relay whose planner was lost goes on with
+// what it reads, and those behind it need not read it all themselves. The planner's steadiness is passed on as it was, without the time
 // since: that it reached the log service then says nothing of now.
 func (f *feed) standing(now time.Time) (peer.Standing, bool) {
-	h := f.last.Load()
-	if h == nil {
-		return peer.Standing{}, false
+	if h := f.last.Load(); h != nil {
+		if age := h.age + now.Sub(h.at); age <= relayedAge {
+			return peer.Standing{Age: age, Steady: h.steady}, true
+		}
+	}
+	if age := f.copy.Age(now); f.reading.Load() && age <= relayedAge {
+		return peer.Standing{Age: age, Steady: f.copy.Steady(now)}, true
 	}
-	age := h.age + now.Sub(h.at)
-	return peer.Standing{Age: age, Steady: h.steady}, age <= relayedAge
+	return peer.Standing{}, false
 }
 
 // followed returns the address of the host whose copy is relied on, if any.
@@ -235,6 +279,8 @@
 func (f *feed) direct(ctx context.Context) {
 	if f.directCtx == nil {
 		f.directCtx, f.stopDirect = context.WithCancel(ctx)
+		f.directAt = time.Now()
+		f.reading.Store(true)
 		go f.ownership.run(f.directCtx)
 	}
 	if f.restAtWork || !f.needRest(time.Now()) {
@@ -251,10 +297,10 @@
 // have to: a change costs one or two calls a host instead of six.
 func (f *feed) needRest(now time.Time) bool {
 	switch {
-	case f.planning():
-		return true
+	case f.planning() || f.self().Eager:
+		return true // others follow it, or will
 	case f.copy.Next(metastore.StreamDesired) < 0:
-		return f.self().Eager || f.failed || now.Sub(f.started) > startAlone
+		return f.failed || now.Sub(f.started) > startAlone
 	}
 	return f.copy.Age(now) > restAge
 }
@@ -264,5 +310,6 @@
 	if f.directCtx != nil {
 		f.stopDirect()
 		f.directCtx, f.restAtWork = nil, false
+		f.reading.Store(false)
 	}
 }
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -59,6 +59,9 @@
 	failed func(error)
 	// idle, if set, says that the stream need not be read at present.
 	idle func() bool
+	// prompt readers do not wait for a record the first time: others follow this
+	// host's copy, and until a read has returned it is as old as it was.
+	prompt bool
 	// lead is the reader that tries while the service fails.
 	lead   bool
 	health *health
@@ -109,15 +112,21 @@
 	}
 	backoff := retryReadFirst
 	next := f.copy.Next(f.stream)
+	noWait := f.prompt
 	for ctx.Err() == nil {
 		if f.idle != nil && f.idle() {
 			pause(ctx, idlePause)
 			continue
 		}
-		at, err := f.read(ctx, max(next, f.copy.Next(f.stream)))
+		wait := f.wait()
+		if noWait {
+			wait = 0
+		}
+		at, err := f.read(ctx, max(next, f.copy.Next(f.stream)), wait)
 		if ctx.Err() != nil {
 			return
 		}
+		noWait = err != nil // waiting for a record would keep the service's return unseen
 		f.failed(err)
 		if f.lead {
 			f.health.set(err == nil)
@@ -138,11 +147,21 @@
 	}
 }
 
-// read makes one read from offset next, or of the newest records if next is
-// negative or no longer kept, and returns the offset to go on from.
-func (f *follower) read(ctx context.Context, next int64) (int64, error) {
+// try makes one read, as run does, and returns why it failed.
+func (f *follower) try(ctx context.Context) error {
+	_, err := f.read(ctx, f.copy.Next(f.stream), 0)
+	if ctx.Err() == nil {
+		f.failed(err)
+	}
+	return err
+}
+
+// read makes one read from offset next, which may wait so long for a record, or
+// of the newest records if next is negative or no longer kept, and returns the
+// offset to go on from.
+func (f *follower) read(ctx context.Context, next int64, wait time.Duration) (int64, error) {
 	if next >= 0 {
-		b, err := f.store.Read(ctx, f.stream, next, f.wait())
+		b, err := f.store.Read(ctx, f.stream, next, wait)
 		if err == nil {
 			f.copy.Current(f.stream, time.Now())
 			if len(b.Records) > 0 {
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -11,6 +11,9 @@
 // page. Labels are services, of which the desired state has a few.
 func (h *host) writeGauges(w io.Writer, now time.Time) {
 	metrics.WriteGaugeUint64(w, "papayatide_in_flight_requests", uint64(h.inFlight.Load()))
+	if st := h.views.Load().Desired; st != nil {
+		metrics.WriteGaugeUint64(w, "papayatide_desired_version", uint64(st.Version))
+	}
 	metrics.WriteGaugeFloat64(w, "papayatide_view_age_seconds", h.control.copy.Age(now).Seconds())
 	metrics.WriteGaugeUint64(w, "papayatide_hosts", uint64(h.fleet.Size(now)))
 	metrics.WriteGaugeUint64(w, "papayatide_planning", asNumber(h.control.planning.Load()))
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -139,10 +139,22 @@
 // newFeed returns the feed of the host's copy of the log.
 func (h *host) newFeed(ctx context.Context) *feed {
 	own, rest := h.control.followers(ctx)
-	return &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, ownership: own, rest: rest, planner: h.plannerAddr, planning: h.control.planning.Load,
+	f := &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, ownership: own, rest: rest, planner: h.plannerAddr, planning: h.control.planning.Load,
 		self: h.self, fleet: h.fleet, board: h.board,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
 		apply: func(b relay.Batch) { h.control.take(ctx, b) },
 		lost:  func() { h.control.post(ctx, h.control.plan.PlannerLost) },
+		seen:  func() { h.control.post(ctx, func() { h.control.plan.PlannerSeen(h.control.clock()) }) },
 		good:  func(steady time.Duration) { h.control.post(ctx, func() { h.control.followedPlanner(steady) }) }}
+	for _, fl := range append(rest, own) {
+		fl.prompt = h.eager
+		told := fl.failed
+		fl.failed = func(err error) {
+			told(err)
+			if err != nil {
+				f.tries.failed()
+			}
+		}
+	}
+	return f
 }
--- a/internal/entryhost/rig_test.go
+++ b/internal/entryhost/rig_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,8 @@
 type testHost struct {
 	cfg  *settings.Entry
 	http *http.Client
+	// log is its way to the log service.
+	log  *lostStore
 	stop context.CancelFunc
 	done chan error
 }
@@ -257,20 +260,69 @@
 	u.Kill()
 }
 
-func (f *testFleet) startHost(name string) *testHost {
+// weakCPU is the processor share of a host that is too weak to plan or relay.
+const weakCPU = eagerCPU / 2
+
+func (f *testFleet) startHost(name string) *testHost { return f.startHostWith(name, 1) }
+
+// startHostWith starts a host with so much of a core.
+func (f *testFleet) startHostWith(name string, cpu float64) *testHost {
 	cfg := &settings.Entry{Host: name, DataCentre: "dc", Listen: name + ".front:80", ReadyListen: name + ".ready:80", PeerListen: name + ".peer:80",
-		MetricsListen: name + ".metrics:80", LogLevel: "info", MemoryMB: 284, CPUShare: 1, LinkMbps: 1000, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
+		MetricsListen: name + ".metrics:80", LogLevel: "info", MemoryMB: 284, CPUShare: cpu, LinkMbps: 1000, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
 		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second,
 		SlowStartFactor: slowStartFactor, SlowStartSlack: slowStartSlack, Evacuate: evacuateBound, Hold: time.Second, ViewAge: 2 * time.Second}
 	ctx, stop := context.WithCancel(context.Background())
-	h := &testHost{cfg: cfg, http: f.http, stop: stop, done: make(chan error, 1)}
-	plat := Platform{Store: f.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready", LogDropped: func() int64 { return 0 },
+	h := &testHost{cfg: cfg, http: f.http, log: &lostStore{Log: f.log}, stop: stop, done: make(chan error, 1)}
+	plat := Platform{Store: h.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready", LogDropped: func() int64 { return 0 },
 		Net: f.net, Clock: now}
 	go func() { h.done <- Run(ctx, cfg, plat, nil, zap.NewNop()) }()
 	f.hosts = append(f.hosts, h)
 	return h
 }
 
+// lose ends a host as far as all others can tell: nobody reaches it, and it
+// reaches no log service.
+func (f *testFleet) lose(h *testHost) {
+	h.log.lost.Store(true)
+	for _, addr := range []string{h.cfg.Listen, h.cfg.ReadyListen, h.cfg.PeerListen, h.cfg.MetricsListen} {
+		f.net.Kill(addr)
+	}
+}
+
+// lostStore is one host's way to the log service, which may be lost.
+type lostStore struct {
+	*memstore.Log
+	lost atomic.Bool
+}
+
+func (s *lostStore) Newest(ctx context.Context, st metastore.Stream) ([]metastore.Record, int64, error) {
+	if s.lost.Load() {
+		return nil, 0, metastore.ErrNoAnswer
+	}
+	return s.Log.Newest(ctx, st)
+}
+
+func (s *lostStore) Read(ctx context.Context, st metastore.Stream, from int64, wait time.Duration) (metastore.Batch, error) {
+	if s.lost.Load() {
+		return metastore.Batch{}, metastore.ErrNoAnswer
+	}
+	return s.Log.Read(ctx, st, from, wait)
+}
+
+func (s *lostStore) AppendAt(ctx context.Context, st metastore.Stream, key string, value []byte, at int64) (int64, error) {
+	if s.lost.Load() {
+		return 0, metastore.ErrNoAnswer
+	}
+	return s.Log.AppendAt(ctx, st, key, value, at)
+}
+
+func (s *lostStore) Join(ctx context.Context, member string, ttl time.Duration, generation int64) (metastore.Seat, error) {
+	if s.lost.Load() {
+		return metastore.Seat{}, metastore.ErrNoAnswer
+	}
+	return s.Log.Join(ctx, member, ttl, generation)
+}
+
 func (h *testHost) ready() bool {
 	resp, err := h.http.Get("http://" + h.cfg.ReadyListen + "/ready")
 	if err != nil {
--- /dev/null
+++ b/internal/entryhost/tries.go
@@ -0,0 +1,80 @@
+package entryhost
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// tryStream is the place of the upstreams' stream, which is tried, among those
+// that followers returns.
+const tryStream = 1
+
+// whatNext is what a host does that waits for the log service to serve it.
+type whatNext int
+
+const (
+	tryLater whatNext = iota
+	tryNow
+	tryServed
+)
+
+// tries are a host's single reads of the log service while it waits for others
+// to have a young copy again. It is safe for concurrent use.
+type tries struct {
+	mu sync.Mutex
+	// underWay is set while a read is, served once one was answered.
+	underWay, served bool
+	// due is when the next one is made; zero before the first.
+	due time.Time
+	// failedAt is when a read last failed, one of the readers at work too.
+	failedAt time.Time
+}
+
+// next returns what to do now, in a fleet of so many hosts.
+func (t *tries) next(now time.Time, hosts int) whatNext {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.served:
+		t.served = false
+		return tryServed
+	case t.underWay || now.Before(t.due):
+		return tryLater
+	}
+	pace := min(time.Duration(hosts)*time.Second/triesPerSecond, tryMost)
+	t.due = now.Add(pace/2 + rand.N(pace+1))
+	t.underWay = true
+	return tryNow
+}
+
+// made takes a read's outcome.
+func (t *tries) made(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.underWay, t.served = false, err == nil
+	if err != nil {
+		t.failedAt = time.Now()
+	}
+}
+
+// failed takes note that a reader at work failed.
+func (t *tries) failed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failedAt = time.Now()
+}
+
+// failedSince reports whether a read failed after the given time.
+func (t *tries) failedSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failedAt.After(at)
+}
+
+// end takes note that another host's copy is young again.
+func (t *tries) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.served, t.due = false, time.Time{}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -64,6 +65,10 @@
 	Others []balance.Others
 }
 
+// ErrNoCopy means that a host answered that it has no copy of the log that could
+// be followed: it reaches neither the planner nor the log service.
+var ErrNoCopy = errors.New("no copy of the log to follow")
+
 // Follow hands loads to the host at addr (host:port), the planner or a relay,
 // and returns what this host lacks of the log.
 func (c *Client) Follow(ctx context.Context, addr string, q Question) (*Answer, error) {
@@ -81,6 +86,10 @@
 	}
 	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Follow(ctx, msg)
 	if err != nil {
+		var told twirp.Error
+		if errors.As(err, &told) && told.Code() == twirp.Unavailable {
+			err = errors.Join(ErrNoCopy, err)
+		}
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
 	out := &Answer{Age: time.Duration(reply.AgeMs) * time.Millisecond, Steady: time.Duration(reply.SteadyMs) * time.Millisecond,
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -92,6 +92,24 @@
 	return l.calls[name]
 }
 
+// joinPrice is what a join counts beside other calls.
+const joinPrice = 0.1
+
+// Priced returns how many calls were made, as the service counts them.
+func (l *Log) Priced() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := 0.0
+	for name, n := range l.calls {
+		if name == "join" {
+			sum += joinPrice * float64(n)
+			continue
+		}
+		sum += float64(n)
+	}
+	return sum
+}
+
 // enter counts a call and reports whether the service is up.
 func (l *Log) enter(name string) error {
 	l.calls[name]++
--- a/internal/standin/pipenet/pipenet.go
+++ b/internal/standin/pipenet/pipenet.go
@@ -43,6 +43,9 @@
 	near, far := net.Pipe()
 	select {
 	case l.conns <- far:
+		n.mu.Lock()
+		l.open = append(l.open, far)
+		n.mu.Unlock()
 		return near, nil
 	case <-l.closed:
 		return nil, syscall.ECONNREFUSED
@@ -51,12 +54,30 @@
 	}
 }
 
+// Kill has nobody reach the listener at addr any more and closes every connection
+// that it has taken, as the end of its process would. The process itself, which
+// is not killed, sees neither.
+func (n *Network) Kill(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.by[addr]
+	if l == nil {
+		return
+	}
+	delete(n.by, addr)
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+}
+
 type listener struct {
 	net    *Network
 	addr   string
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
+	// open are the connections that it has taken.
+	open []net.Conn
 }
 
 func (l *listener) Accept() (net.Conn, error) {
