Hosts use a part of a service's upstreams, and are told of those only

Cause: a relay told each of its followers, three times a second, what the others have at every upstream of the fleet, by name: it grows with hosts times upstreams. And each choice shuffled and looked at every upstream. Change: a host uses 24 upstreams of a service in its data centre and 12 in others, by rendezvous hashing; it names them once, and answers carry two numbers for each. Where none of them will do, any other is used. Figures: BenchmarkPick 1.8, 25 and 296 us with 10, 100 and 1,000 upstreams before, 1.4, 1.4 and 1.6 after, no allocation.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -69,12 +69,18 @@
 
 // Board keeps one record of each upstream.
 type Board struct {
-	mu sync.Mutex
-	by map[string]*record
+	// host is this host's name.
+	host string
+	mu   sync.Mutex
+	by   map[string]*record
+	// sets are what this host uses of each service's upstreams.
+	sets map[string]*set
 }
 
-// NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{by: map[string]*record{}} }
+// NewBoard returns the empty board of a host.
+func NewBoard(host string) *Board {
+	return &Board{host: host, by: map[string]*record{}, sets: map[string]*set{}}
+}
 
 func (b *Board) of(id string) *record {
 	r := b.by[id]
@@ -152,10 +158,32 @@
 func (b *Board) Pick(ups []*catalogue.Upstream, c Choice, now time.Time) *catalogue.Upstream {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var best, last candidate
-	near, far := 0, 0
-	for _, i := range rand.Perm(len(ups)) {
-		u := ups[i]
+	s := b.setOf(ups, c.Home)
+	best, last := b.draw(s.near, c, now)
+	far, lastFar := b.draw(s.far, c, now)
+	best.orBetter(far)
+	last.orBetter(lastFar)
+	if best.up == nil {
+		// None of those that this host uses will do: any other may.
+		best, _ = b.draw(ups, c, now)
+	}
+	if best.up == nil {
+		best = last
+	}
+	if best.up != nil {
+		b.of(best.up.ID).chosen = true
+	}
+	return best.up
+}
+
+// draw looks at upstreams in a random order until it has found drawn that will
+// do, and returns the best of them. If there are none it returns the best of
+// those that fail or are full.
+func (b *Board) draw(ups []*catalogue.Upstream, c Choice, now time.Time) (best, last candidate) {
+	found := 0
+	order := newOrder(len(ups))
+	for range ups {
+		u := ups[order.next()]
 		if u.Retiring() || slices.Contains(c.Not, u.ID) {
 			continue
 		}
@@ -163,27 +191,49 @@
 		if c.ColdShare != nil && u.Cold(now) && !r.gate.Open(c.ColdShare(), u.SlowUntil, now) {
 			continue
 		}
-		seen, cost := &near, r.cost(u, now)
+		cost := r.cost(u, now)
 		if u.DataCentre != c.Home {
-			seen = &far
 			cost += c.FarPenalty
 		}
 		if now.Before(r.outUntil) || now.Before(r.fullTill) {
 			last.take(u, cost)
 			continue
 		}
-		if *seen < drawn {
-			*seen++
-			best.take(u, cost)
+		best.take(u, cost)
+		if found++; found == drawn {
+			break
 		}
 	}
-	if best.up == nil {
-		best = last
+	return best, last
+}
+
+// order walks over n places, each once, from a random one on in random steps. A
+// shuffle of all would cost as much as there are upstreams.
+type order struct{ at, step, n int }
+
+func newOrder(n int) order {
+	if n < 2 {
+		return order{n: n}
 	}
-	if best.up != nil {
-		b.of(best.up.ID).chosen = true
+	step := 1 + rand.IntN(n-1)
+	for !coprime(step, n) {
+		step = 1 + rand.IntN(n-1)
 	}
-	return best.up
+	return order{rand.IntN(n), step, n}
+}
+
+// next returns the next place.
+func (o *order) next() int {
+	at := o.at
+	o.at = (o.at + o.step) % o.n
+	return at
+}
+
+func coprime(a, b int) bool {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a == 1
 }
 
 // ColdOpen reports whether the upstream is warm, or this host's share of it
@@ -207,6 +257,13 @@
 	cost time.Duration
 }
 
+// orBetter puts the other in the candidate's place if it costs less.
+func (c *candidate) orBetter(o candidate) {
+	if o.up != nil {
+		c.take(o.up, o.cost)
+	}
+}
+
 // take puts the upstream in the candidate's place if it costs less.
 func (c *candidate) take(u *catalogue.Upstream, cost time.Duration) {
 	if c.up == nil || cost < c.cost {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 // A host's limit at one of two upstreams is spent, though nothing is under way
 // there. Callers are sent to the other one instead of being refused.
 func TestUpstreamWithoutATurnIsNotChosen(t *testing.T) {
-	b, ups := NewBoard(), two()
+	b, ups := NewBoard("h"), two()
 	share := admission.ShareOf(3, 0, 100)
 	for range 40 {
 		if tk := b.Limiter("a").Acquire(context.Background(), 0, share); tk != nil {
@@ -36,7 +37,7 @@
 // the bytes between data centres cost; failing and leaving ones are last.
 func TestPick(t *testing.T) {
 	now := time.Now()
-	b, ups := NewBoard(), two()
+	b, ups := NewBoard("h"), two()
 	ups[0].DataCentre = "far"
 	c := Choice{Home: "dc", FarPenalty: 100 * time.Millisecond}
 	if u := b.Pick(ups, c, now); u.ID != "b" {
@@ -60,3 +61,23 @@
 		t.Errorf("%s is chosen though it was tried", u.ID)
 	}
 }
+
+// BenchmarkPick chooses among the upstreams of a service. Before, each was looked
+// at, in the order of a shuffle: 1.8 µs with 10 upstreams, 25 with 100, 296 with
+// 1,000, and one allocation of up to 8 KB; now 1.4, 1.4 and 1.6 µs and none.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			board, ups := NewBoard("h"), make([]*catalogue.Upstream, n)
+			for i := range ups {
+				ups[i] = &catalogue.Upstream{ID: fmt.Sprint("u", i), Service: "s", Slots: 3, DataCentre: fmt.Sprint("dc", i%3)}
+			}
+			c := Choice{Home: "dc0", FarPenalty: 100 * time.Millisecond}
+			now := time.Now()
+			b.ReportAllocs()
+			for b.Loop() {
+				board.Pick(ups, c, now)
+			}
+		})
+	}
+}
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -45,11 +45,14 @@
 }
 
 // Learn takes in what the other hosts of this data centre have at each
-// upstream.
+// upstream. Entries without an ID say nothing.
 func (b *Board) Learn(others []Others, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, o := range others {
+		if o.ID == "" {
+			continue
+		}
 		r := b.of(o.ID)
 		r.others, r.learnedAt = o, now
 	}
--- /dev/null
+++ b/internal/balance/subset.go
@@ -0,0 +1,103 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+)
+
+const (
+	// nearSubset and farSubset are how many upstreams of a service a host uses
+	// in its own data centre and in the others. What a host keeps open and is
+	// told of grows with them and not with the fleet, and it sees each often
+	// enough to learn of it.
+	nearSubset = 24
+	farSubset  = 12
+)
+
+// set is what a host uses of a service's upstreams.
+type set struct {
+	// of are all of the service's, from which it was made.
+	of        []*catalogue.Upstream
+	near, far []*catalogue.Upstream
+}
+
+// madeOf reports whether the set was made from the list. Lists are never changed.
+func (s *set) madeOf(ups []*catalogue.Upstream) bool {
+	return len(s.of) == len(ups) && (len(ups) == 0 || &s.of[0] == &ups[0])
+}
+
+// setOf returns the host's set of a service's upstreams.
+func (b *Board) setOf(ups []*catalogue.Upstream, home string) *set {
+	if len(ups) == 0 {
+		return &set{}
+	}
+	service := ups[0].Service
+	if s := b.sets[service]; s != nil && s.madeOf(ups) {
+		return s
+	}
+	s := &set{of: ups}
+	for _, u := range ups {
+		switch {
+		case u.Retiring():
+		case u.DataCentre == home:
+			s.near = append(s.near, u)
+		default:
+			s.far = append(s.far, u)
+		}
+	}
+	s.near, s.far = subset(b.host, s.near, nearSubset), subset(b.host, s.far, farSubset)
+	b.sets[service] = s
+	return s
+}
+
+// Using is a list of upstreams, and a number that stands for it.
+type Using struct {
+	IDs   []string
+	Token uint64
+}
+
+// Using returns the upstreams that this host uses of all services for which it
+// has chosen one.
+func (b *Board) Using() Using {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var u Using
+	for _, s := range b.sets {
+		for _, list := range [][]*catalogue.Upstream{s.near, s.far} {
+			for _, up := range list {
+				u.IDs = append(u.IDs, up.ID)
+			}
+		}
+	}
+	slices.Sort(u.IDs)
+	u.Token = xxhash.Sum64String(strings.Join(u.IDs, " "))
+	return u
+}
+
+// subset returns the n upstreams with the highest rendezvous score for the host.
+// An upstream that comes or goes changes one of them at most, and all hosts
+// together use each about equally often.
+func subset(host string, ups []*catalogue.Upstream, n int) []*catalogue.Upstream {
+	if len(ups) <= n {
+		return ups
+	}
+	type scored struct {
+		score uint64
+		up    *catalogue.Upstream
+	}
+	all := make([]scored, len(ups))
+	for i, u := range ups {
+		all[i] = scored{xxhash.Sum64String(host + " " + u.ID), u}
+	}
+	slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	out := make([]*catalogue.Upstream, n)
+	for i := range out {
+		out[i] = all[i].up
+	}
+	return out
+}
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -111,7 +111,7 @@
 	t.Helper()
 	g := &rig{views: view.NewHolder()}
 	bud := budget.New(budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute))
-	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard(), bud, crashes.NewLedger(nil))
+	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard("h"), bud, crashes.NewLedger(nil))
 	g.d.Ended = func(e *End) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -187,7 +187,7 @@
 	if relays {
 		q.Wait = relayWait
 	} else {
-		q.Uses = f.board.Report() // a relay's own are in its own sum
+		q.Uses, q.Using = f.board.Report(), f.board.Using() // a relay's own are in its own sum
 	}
 	for _, s := range relay.Streams {
 		q.Positions[s] = f.copy.Position(s)
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -152,7 +152,7 @@
 }
 
 func newHost(cfg *settings.Entry, plat Platform, zl *zap.Logger) *host {
-	h := &host{cfg: cfg, zl: zl, views: view.NewHolder(), client: upstream.NewClient(plat.Headers), board: balance.NewBoard(),
+	h := &host{cfg: cfg, zl: zl, views: view.NewHolder(), client: upstream.NewClient(plat.Headers), board: balance.NewBoard(cfg.Host),
 		budget: budget.New(shareOfBudget(cfg, 1), time.Now()), reporter: newReporter(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		eager: cfg.CPUShare >= eagerCPU && cfg.LinkMbps >= eagerLink,
 		peers: peer.NewClient(&http.Client{Transport: plat.peerTransport()})}
--- a/internal/entryhost/uses.go
+++ b/internal/entryhost/uses.go
@@ -38,7 +38,7 @@
 	u.sum.Report(caller.Name, its, now)
 	if u.ownDue(now) {
 		u.sum.Report(u.name, u.board.Report(), now)
-		u.board.Learn(u.sum.Others(u.name, now), now)
+		u.board.Learn(u.sum.Others(u.name, u.board.Using().IDs, now), now)
 	}
 }
 
@@ -52,11 +52,11 @@
 	return true
 }
 
-// others returns what the hosts of the caller's data centre have but itself,
-// if that is this host's too.
-func (u *uses) others(caller fleet.Host) []balance.Others {
+// others returns what the hosts of the caller's data centre have but itself at
+// each of the upstreams, if that is this host's too.
+func (u *uses) others(caller fleet.Host, ids []string) []balance.Others {
 	if caller.DataCentre != u.home {
 		return nil
 	}
-	return u.sum.Others(caller.Name, time.Now())
+	return u.sum.Others(caller.Name, ids, time.Now())
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,10 +30,14 @@
 // Client calls other entry hosts.
 type Client struct {
 	http *http.Client
+	mu   sync.Mutex
+	// told holds the token of the list of upstreams that the host at each address
+	// knows of this one.
+	told map[string]uint64
 }
 
 // NewClient returns a client that calls over hc.
-func NewClient(hc *http.Client) *Client { return &Client{http: hc} }
+func NewClient(hc *http.Client) *Client { return &Client{http: hc, told: map[string]uint64{}} }
 
 // Question is what a host says when it calls Follow.
 type Question struct {
@@ -43,6 +48,8 @@
 	Loads []ServiceLoad
 	// Uses are what it has at upstreams that any host may choose.
 	Uses []balance.Use
+	// Using are the upstreams of which it wants to know what others have there.
+	Using balance.Using
 	// Wait is how long the call may wait for something new.
 	Wait time.Duration
 }
@@ -60,8 +67,8 @@
 	// Relay is where to call from now on (host:port); empty for the same
 	// host again.
 	Relay string
-	// Others is what the other hosts of the data centre have at upstreams;
-	// empty if the host asked is in another one.
+	// Others is what the other hosts of the data centre have at the upstreams
+	// asked for; empty if the host asked is in another one.
 	Others []balance.Others
 }
 
@@ -84,6 +91,10 @@
 		msg.Uses = append(msg.Uses, &peerpb.UpstreamUse{Id: u.ID, UnderWay: uint32(u.UnderWay), Answered: uint32(u.Answered),
 			LatencyMs: uint32(u.Latency.Milliseconds())})
 	}
+	msg.UsingToken = q.Using.Token
+	if c.listTold(addr) != q.Using.Token {
+		msg.Using = q.Using.IDs
+	}
 	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Follow(ctx, msg)
 	if err != nil {
 		var told twirp.Error
@@ -97,12 +108,45 @@
 	for _, b := range reply.Batches {
 		out.Batches = append(out.Batches, decodeBatch(b))
 	}
-	for _, o := range reply.Others {
-		out.Others = append(out.Others, balance.Others{ID: o.Id, UnderWay: int(o.UnderWay), Work: time.Duration(o.WorkMs) * time.Millisecond})
+	c.tellList(addr, reply.UsingToken)
+	if reply.UsingToken == q.Using.Token {
+		out.Others = decodeOthers(q.Using.IDs, reply)
 	}
 	return out, nil
 }
 
+// decodeOthers returns what the reply says of the upstreams, where it does.
+func decodeOthers(ids []string, reply *peerpb.FollowReply) []balance.Others {
+	var out []balance.Others
+	for i, id := range ids {
+		if i < len(reply.UnderWay) && i < len(reply.WorkMs) && reply.WorkMs[i] > 0 {
+			out = append(out, balance.Others{ID: id, UnderWay: int(reply.UnderWay[i]), Work: time.Duration(reply.WorkMs[i]) * time.Millisecond})
+		}
+	}
+	return out
+}
+
+// listTold returns the token of the list of upstreams that the host at addr
+// knows of this one; 0 if it knows none.
+func (c *Client) listTold(addr string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told[addr]
+}
+
+// tellList notes which list the host at addr knows. Only a few are followed.
+func (c *Client) tellList(addr string, token uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.told) >= maxTold {
+		clear(c.told)
+	}
+	c.told[addr] = token
+}
+
+// maxTold bounds the hosts of which is remembered what they were told.
+const maxTold = 16
+
 // Retire asks the host at addr (host:port) to send no more grants of terms
 // before the given one. It returns that host's name and whether it sends none.
 func (c *Client) Retire(ctx context.Context, addr, service string, term int64) (host string, retired bool, err error) {
@@ -191,9 +235,9 @@
 	// Loads is handed each report.
 	Loads func([]ServiceLoad)
 	// Uses is handed what the caller has at upstreams, Others returns what the
-	// other hosts of its data centre have.
+	// other hosts of its data centre have at each of those with the given IDs.
 	Uses   func(caller fleet.Host, uses []balance.Use)
-	Others func(caller fleet.Host) []balance.Others
+	Others func(caller fleet.Host, ids []string) []balance.Others
 	// Name is this host's.
 	Name string
 	// Retired stops what this host plans of a service in terms before the
@@ -201,6 +245,10 @@
 	Retired func(ctx context.Context, service string, term int64) bool
 	// Tell describes this host.
 	Tell func(context.Context) *peerpb.StatusReply
+
+	mu sync.Mutex
+	// lists are the upstreams that each caller is told of, by its name.
+	lists map[string]balance.Using
 }
 
 // Retire implements peerpb.Peer.
@@ -237,12 +285,36 @@
 	for _, b := range s.Copy.Since(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
-	for _, o := range s.Others(caller) {
-		reply.Others = append(reply.Others, &peerpb.UpstreamOthers{Id: o.ID, UnderWay: uint32(max(o.UnderWay, 0)), WorkMs: uint32(o.Work.Milliseconds())})
+	using := s.listOf(m)
+	reply.UsingToken = using.Token
+	for _, o := range s.Others(caller, using.IDs) {
+		reply.UnderWay = append(reply.UnderWay, uint32(max(o.UnderWay, 0)))
+		reply.WorkMs = append(reply.WorkMs, uint32(o.Work.Milliseconds()))
 	}
 	return reply, s.describe(reply, caller)
 }
 
+// maxLists bounds the lists that are kept: far over the hosts that follow one.
+const maxLists = 1024
+
+// listOf returns the upstreams that the caller is to be told of: those that it
+// names now, or the last ones if it means the same. Without it each call and each
+// answer would name a hundred upstreams.
+func (s *Server) listOf(m *peerpb.FollowRequest) balance.Using {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(m.Using) > 0 {
+		if s.lists == nil || len(s.lists) >= maxLists {
+			s.lists = map[string]balance.Using{}
+		}
+		s.lists[m.Host] = balance.Using{IDs: m.Using, Token: m.UsingToken}
+	}
+	if known := s.lists[m.Host]; known.Token == m.UsingToken {
+		return known
+	}
+	return balance.Using{}
+}
+
 // describe says in the reply how far it can be relied on and whom the caller
 // calls next.
 func (s *Server) describe(reply *peerpb.FollowReply, caller fleet.Host) error {
--- a/internal/usage/play_test.go
+++ b/internal/usage/play_test.go
@@ -93,7 +93,7 @@
 	}
 	boards := make([]*balance.Board, w.hosts)
 	for i := range boards {
-		boards[i] = balance.NewBoard()
+		boards[i] = balance.NewBoard(fmt.Sprint("host", i))
 	}
 	done := make(chan struct{})
 	defer close(done)
@@ -156,7 +156,7 @@
 			}
 			name := fmt.Sprint(i)
 			sum.Report(name, b.Report(), time.Now())
-			b.Learn(sum.Others(name, time.Now()), time.Now())
+			b.Learn(sum.Others(name, b.Using().IDs, time.Now()), time.Now())
 		}
 	}
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -71,9 +71,9 @@
 	s.hosts[host] = next
 }
 
-// Others returns what the hosts but the given one have at the upstreams that
-// have been used.
-func (s *Sum) Others(host string, now time.Time) []balance.Others {
+// Others returns what the hosts but the given one have at each of the upstreams
+// with the given IDs; the zero value where nothing is known.
+func (s *Sum) Others(host string, ids []string, now time.Time) []balance.Others {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.update(now)
@@ -81,9 +81,11 @@
 	for _, u := range s.hosts[host].uses {
 		own[u.ID] = u.UnderWay
 	}
-	out := make([]balance.Others, 0, len(s.work))
-	for id, work := range s.work {
-		out = append(out, balance.Others{ID: id, UnderWay: s.underWay[id] - own[id], Work: work})
+	out := make([]balance.Others, len(ids))
+	for i, id := range ids {
+		if work, known := s.work[id]; known {
+			out[i] = balance.Others{ID: id, UnderWay: s.underWay[id] - own[id], Work: work}
+		}
 	}
 	return out
 }
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -10,12 +10,7 @@
 
 // others returns what the sum tells a host of an upstream.
 func others(s *Sum, host, id string, now time.Time) balance.Others {
-	for _, o := range s.Others(host, now) {
-		if o.ID == id {
-			return o
-		}
-	}
-	return balance.Others{}
+	return s.Others(host, []string{id}, now)[0]
 }
 
 // Each host is told what the others have, without what it has itself, by each
--- a/scripts/gen.sh
+++ b/scripts/gen.sh
@@ -2,7 +2,7 @@
 # Regenerates the committed protobuf and twirp code. Needs protoc (Debian's
 # protobuf-compiler) and protoc-gen-go / protoc-gen-twirp on PATH:
 #   go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
-#   go install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3
+#   go install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
 set -euo pipefail
 cd "$(dirname "$0")/.."
 for p in logsvc admin peer; do
