A connection that is reset before anything was sent on it is a refusal, not a doubt

Change: a new connection is watched for 2.5 ms before its first request. One that ends in that time has carried nothing: the request goes on elsewhere or is refused as not run. The upstream counts as full, not as failing. Ruled out: saying so of a request that was written; it may have run. Figures: TestRequestOnAConnectionThatIsResetAtOnceHasNotRun 502 before, 503 after. Costs 2.5 ms on a new connection.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -47,7 +47,7 @@
 		return balance.Served
 	case res.Outcome == upstream.NotRun && res.Misdirected():
 		return balance.Abandoned
-	case res.Outcome == upstream.NotRun:
+	case res.Outcome == upstream.NotRun || res.TurnedAway:
 		return balance.Full
 	}
 	return balance.Failed
--- /dev/null
+++ b/internal/dispatch/turned_away_test.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// resetting listens as an upstream with too many connections does: it takes each
+// one and resets it a little later.
+func resetting(t *testing.T, after time.Duration) *fakeUpstream {
+	t.Helper()
+	f := startUpstream(t, echo)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	f.ln = ln
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			time.AfterFunc(after, func() {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			})
+		}
+	}()
+	return f
+}
+
+// An upstream has too many connections and resets new ones a moment after it took
+// them. Callers' bookings were on their way by then: they were told that the
+// outcome is unknown, and could not come back. Nothing had been sent that could
+// have run, so they are told that it has not, and when to return. The upstream is
+// full, not gone: it is not left alone for seconds.
+func TestRequestOnAConnectionThatIsResetAtOnceHasNotRun(t *testing.T) {
+	f := resetting(t, 0)
+	g := newRig(t, up("u1", "keyed", f), up("u2", "plain", f))
+	g.own("u1", 1)
+	for _, host := range []string{"keyed.example", "charge.example"} {
+		for range 3 {
+			a := g.post(host, "r1")
+			a.want(t, http.StatusServiceUnavailable, "")
+			if a.header.Get("Retry-After") == "" {
+				t.Errorf("%s: no time to come back", host)
+			}
+		}
+	}
+	if g.d.board.Out("u1", time.Now()) {
+		t.Error("the upstream counts as gone")
+	}
+}
+
+// The connection is reset after the head, or after the whole of a booking was
+// read. It may have run, and its caller is not told otherwise.
+func TestRequestThatWasReadMayHaveRun(t *testing.T) {
+	f := startUpstream(t, func(_ io.Writer, c net.Conn, _ *http.Request, _ int64) bool {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	g := newRig(t, up("u1", "plain", f))
+	g.post("charge.example", "r1").want(t, http.StatusBadGateway, "")
+	if n := f.runs.Load(); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+	g = newRig(t, up("u1", "plain", resetting(t, 20*time.Millisecond)))
+	g.post("charge.example", "r2").want(t, http.StatusBadGateway, "")
+}
+
+// A connection that opens and stays quiet is used.
+func TestNewConnectionIsWatchedBriefly(t *testing.T) {
+	f := startUpstream(t, echo)
+	g := newRig(t, up("u1", "plain", f))
+	start := time.Now()
+	g.post("charge.example", "r1").want(t, http.StatusOK, "")
+	if took := time.Since(start); took > testObjective/4 {
+		t.Errorf("took %v", took)
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,6 +74,9 @@
 	NewConn bool
 	// Connect is how long opening it took.
 	Connect time.Duration
+	// TurnedAway is set if the upstream took the connection and ended it before
+	// anything was sent: it has too many.
+	TurnedAway bool
 	// Err says why there is no answer.
 	Err error
 }
@@ -136,6 +139,11 @@
 		if cn, err = c.dial(ctx, t.Addr); err != nil {
 			return &Result{Outcome: NotSent, NewConn: true, Err: eris.Wrapf(err, "upstream %s: connect", t.ID)}
 		}
+		if err := cn.settle(); err != nil {
+			cn.abort()
+			return &Result{Outcome: NotSent, NewConn: true, TurnedAway: true, Connect: time.Since(began),
+				Err: eris.Wrapf(err, "upstream %s: new connection", t.ID)}
+		}
 	}
 	connect := time.Since(began)
 	stop := context.AfterFunc(ctx, cn.abort)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -109,6 +111,31 @@
 	return state == peek.Quiet || state == peek.Unknown
 }
 
+// settleTime is how long after it is open a new connection is watched before the
+// first request: an upstream with too many resets it some two milliseconds later.
+const settleTime = 2500 * time.Microsecond
+
+// settle reports why a new connection cannot be used, nil if it can. An upstream
+// with too many connections resets those beyond; a request that was written
+// meanwhile may have run, as far as this host could tell, and callers with work
+// that must not repeat were left with that. Before anything is sent it certainly
+// has not.
+func (c *conn) settle() error {
+	if err := c.SetReadDeadline(time.Now().Add(settleTime)); err != nil {
+		return err
+	}
+	_, err := c.br.Peek(1)
+	switch {
+	case err == nil:
+		return errUnasked
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+var errUnasked = errors.New("bytes that answer nothing")
+
 // abort resets the connection. An orderly close would let the kernel go on
 // sending a request that is still queued behind a cut link, and it would run
 // long after its caller was told how it ended.
