Hosts that start again read the log after 0.3 s without a planner, at the first start after 3 s

Cause: weak hosts waited 1 s for a planner before they read for themselves. After a loss of power of all hosts callers were refused that long (some 2,300 requests a second for want of a desired state from the hosts' start to 0.9 s later); at the first start nobody calls yet, and reading cost 79 hosts some 240 calls. Change: a setting, first_start, which the platform fills in.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -245,7 +245,7 @@
 	if c.planning.Load() || c.copy.Next(metastore.StreamCrashes) >= 0 {
 		return 0
 	}
-	return startAlone
+	return firstStartAlone
 }
 
 // gatherEnds is the pause after a read that returned servers' ends. One record
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -41,10 +41,13 @@
 	// every stream itself, if it does not find the planner again; it leaves
 	// 0.5 s for that.
 	restAge = 1500 * time.Millisecond
-	// startAlone is how long a weak host that knows nothing looks for a
-	// planner before it reads every stream itself. A strong one does so at
-	// once: it may have to plan.
-	startAlone = time.Second
+	// startAlone is how long a weak host that knows nothing looks for a planner
+	// before it reads every stream itself: one that plans already answers within
+	// a tenth of a second, and without one callers wait. At the first start of
+	// the fleet there are no callers yet, and a planner takes a second or two. A
+	// strong host reads at once: it may have to plan.
+	startAlone      = 300 * time.Millisecond
+	firstStartAlone = 3 * time.Second
 	// seekPlanner is the pause between calls while the planner is unknown,
 	// this host itself, or does not answer.
 	seekPlanner = 150 * time.Millisecond
@@ -88,6 +91,8 @@
 	lost, seen func()
 	zl         *zap.Logger
 
+	// alone is for how long a weak host looks for a planner first.
+	alone time.Duration
 	// started is when run began, failed whether the last call failed.
 	started time.Time
 	failed  bool
@@ -300,7 +305,7 @@
 	case f.planning() || f.self().Eager:
 		return true // others follow it, or will
 	case f.copy.Next(metastore.StreamDesired) < 0:
-		return f.failed || now.Sub(f.started) > startAlone
+		return f.failed || now.Sub(f.started) > f.alone
 	}
 	return f.copy.Age(now) > restAge
 }
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -139,7 +139,11 @@
 // newFeed returns the feed of the host's copy of the log.
 func (h *host) newFeed(ctx context.Context) *feed {
 	own, rest := h.control.followers(ctx)
-	f := &feed{zl: h.zl, peers: h.peers, copy: h.control.copy, ownership: own, rest: rest, planner: h.plannerAddr, planning: h.control.planning.Load,
+	alone := startAlone
+	if h.cfg.FirstStart {
+		alone = firstStartAlone
+	}
+	f := &feed{alone: alone, zl: h.zl, peers: h.peers, copy: h.control.copy, ownership: own, rest: rest, planner: h.plannerAddr, planning: h.control.planning.Load,
 		self: h.self, fleet: h.fleet, board: h.board,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
 		apply: func(b relay.Batch) { h.control.take(ctx, b) },
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -20,6 +20,7 @@
 	MetricsListen string // metrics_listen: host:port of the metrics page
 	LogLevel      string // log_level: debug, info, warn or error
 	MemoryMB      int    // memory_mb: what the host may use
+	FirstStart    bool   // first_start: the whole fleet starts for the first time
 	// cpu_share: its part of a core; link_mbps: its link's speed.
 	CPUShare, LinkMbps float64
 
@@ -45,7 +46,8 @@
 
 var entrySchema = map[string]map[string]string{
 	"host": {"name": "", "data_centre": "", "listen": "", "ready_listen": "", "peer_listen": "", "metrics_listen": "",
-		"log_level": "info", "memory_mb": "284", "cpu_share": "1", "link_mbps": "1000"},
+		"log_level": "info", "memory_mb": "284", "cpu_share": "1", "link_mbps": "1000",
+		"first_start": "false"},
 	"log": {"addr": "", "seat_min": "1s"},
 	"bounds": {"hold_max": "10s", "grace": "6s", "repeat_ratio": "0.2", "repeat_slack": "0", "repeat_window": "10s",
 		"slow_start_factor": "1", "slow_start_slack": "0", "evacuate": "5s"},
@@ -85,6 +87,7 @@
 		MetricsListen:   r.hostPort("host", "metrics_listen"),
 		LogLevel:        r.str("host", "log_level"),
 		MemoryMB:        r.count("host", "memory_mb"),
+		FirstStart:      r.boolean("host", "first_start"),
 		CPUShare:        r.fraction("host", "cpu_share"),
 		LinkMbps:        r.fraction("host", "link_mbps"),
 		LogAddr:         r.hostPort("log", "addr"),
@@ -112,6 +115,19 @@
 	return e, nil
 }
 
+// boolean reads true or false.
+func (r *reader) boolean(section, key string) bool {
+	v := r.str(section, key)
+	if r.err != nil {
+		return false
+	}
+	b, err := strconv.ParseBool(v)
+	if err != nil {
+		r.err = eris.Errorf("[%s] %s = %q: want true or false", section, key, v)
+	}
+	return b
+}
+
 // fraction reads a number of 0 or more.
 func (r *reader) fraction(section, key string) float64 {
 	v := r.str(section, key)
