Keys of many lost owners are placed as the others can bear

Cause: a cut of a data centre takes a third of the owners. Change: keys without a handover are placed up to a tenth of what the owners can do within the time in which they are slow; the rest follows, or stays with its owner if that is back first. Costs: keys of a data centre that is lost for good wait up to some 15 s for an owner.

--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -20,6 +20,8 @@
 	tab *ownership.Table
 	v   *view.Holder
 	end int64
+	// warmUp is how long keys are slow without a handover.
+	warmUp time.Duration
 }
 
 func newHarness(t *testing.T, ids ...string) *harness {
@@ -34,7 +36,7 @@
 
 func (h *harness) publish() {
 	h.v.Publish(func(v *view.View) {
-		v.Desired = desired.New(1, nil, map[string]*desired.Service{simService: {Name: simService, Keyed: true}}, desired.Limits{})
+		v.Desired = desired.New(1, nil, map[string]*desired.Service{simService: {Name: simService, Keyed: true, WarmUp: h.warmUp}}, desired.Limits{})
 		v.Upstreams = catalogue.NewSnapshot(h.ups)
 		if h.tab != nil {
 			v.Tables = map[string]*ownership.Table{simService: h.tab}
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -41,6 +41,12 @@
 	causeLoad      = "load"
 )
 
+// unreleased reports whether the move's keys come without a handover from an
+// owner that was lost or is gone.
+func (m *move) unreleased() bool {
+	return m.handover == "" && (m.cause == causeLost || m.cause == causeGone)
+}
+
 const (
 	// fitEvery is the pause between looks for load that is out of balance.
 	fitEvery = 250 * time.Millisecond
@@ -78,6 +84,7 @@
 		return // recorded first; load is looked at after that
 	}
 	load, lim := t.loadOf(owners, now)
+	t.pace.know(t.warmUp, load)
 	planned := t.table.Apply(t.pendingMoves())
 	for _, m := range ownership.Rebalance(planned, load, lim) {
 		t.startMove(m, now)
--- /dev/null
+++ b/internal/planner/pace.go
@@ -0,0 +1,59 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/bootclock"
+	"github.com/papayatide/papayatide/internal/ownership"
+)
+
+// coldShare is the part of what the owners can do that keys may be asked for
+// which are placed anew, without a handover, within the time in which such keys
+// are slow. Work on them takes some five times as long, so that this much keeps
+// half of the owners' time busy.
+const coldShare = 0.1
+
+// pace holds the keys of lost owners back where too many are lost at once.
+//
+// Keys that come without a handover are slow for seconds. A cut takes a third of
+// the owners away: their keys, all placed on the others as soon as their leases
+// had run out, asked those for twice what they could do, and callers of all keys
+// were refused for as long as the cut lasted and some seconds more, also those
+// whose owners had never been lost. Placed as the others can bear it, some keys
+// wait longer, mostly until their owners are back.
+type pace struct {
+	// warmUp is how long such keys are slow; 0 if they are not.
+	warmUp time.Duration
+	// byKey is what the keys are asked for, capacity what the owners can do.
+	byKey    []float64
+	capacity float64
+	// placed is what was placed lately, as of at.
+	placed float64
+	at     bootclock.Time
+}
+
+// know takes in what is known of the load.
+func (p *pace) know(warmUp time.Duration, load ownership.Load) {
+	p.warmUp, p.byKey, p.capacity = warmUp, load.ByKey, 0
+	for _, c := range load.Capacity {
+		p.capacity += c
+	}
+}
+
+// admit reports whether the keys may be placed now, and counts them if so.
+func (p *pace) admit(s span, now bootclock.Time) bool {
+	if p.warmUp == 0 || len(p.byKey) == 0 {
+		return true
+	}
+	p.placed *= math.Exp(-now.Sub(p.at).Seconds() / p.warmUp.Seconds())
+	p.at = now
+	budget := p.capacity * coldShare
+	if p.placed >= budget {
+		return false
+	}
+	for k := s.from; k <= s.to; k++ {
+		p.placed += min(p.byKey[k], budget)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/planner/pace_test.go
@@ -0,0 +1,79 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/ownership"
+)
+
+// losing plays the loss of the first n of sixty owners, each asked for six tenths
+// of what it can do, for d, and returns the part of the lost owners' keys that have
+// another owner by then.
+func losing(t *testing.T, n int, d time.Duration) float64 {
+	t.Helper()
+	h, ids := manyOwners(t, 60)
+	h.warmUp = 5 * time.Second
+	h.publish()
+	h.p.Load = func(_ string, owners []*catalogue.Upstream) (ownership.Load, float64) {
+		byKey := make([]float64, ownership.Keys)
+		for k := range byKey {
+			byKey[k] = 0.6 * 60 * 12 / ownership.Keys
+		}
+		capacity := map[string]float64{}
+		for _, u := range owners {
+			capacity[u.ID] = 12
+		}
+		return ownership.Load{ByKey: byKey, Capacity: capacity}, 10 * fewestSamples
+	}
+	lost := map[string]bool{}
+	for _, id := range ids[:n] {
+		lost[id] = true
+	}
+	before := h.tab
+	h.play(d, func(a Action) error {
+		switch a := a.(type) {
+		case *Grant:
+			if lost[a.Addr] {
+				return ownership.ErrNotSent
+			}
+		case *Release:
+			if lost[before.Find(a.Range.From).Owner] {
+				return ownership.ErrNotSent
+			}
+		}
+		return nil
+	})
+	keys, moved := 0, 0
+	for _, r := range before.Ranges {
+		if !lost[r.Owner] {
+			continue
+		}
+		for k := r.From; k <= r.To; k++ {
+			keys++
+			if h.tab.Find(k).Owner != r.Owner {
+				moved++
+			}
+		}
+	}
+	return float64(moved) / float64(keys)
+}
+
+// A cut takes a third of the owners away for some seconds. Their keys were placed
+// on the others at once, slow as keys are that come without a handover, and the
+// others were asked for twice what they could do. A part of the keys is placed
+// now, as much as the others can bear, and the rest within half a minute. The keys
+// of a few lost owners are all placed as soon as nobody can hold them.
+func TestKeysOfManyLostOwnersArePlacedAsTheOthersCanBear(t *testing.T) {
+	const free = 6 * time.Second
+	if placed := losing(t, 2, free); placed < 1 {
+		t.Errorf("%.2f of the keys of two lost owners have another after %v", placed, free)
+	}
+	if placed := losing(t, 20, free); placed < 0.1 || placed > 0.6 {
+		t.Errorf("%.2f of the keys of twenty lost owners have another after %v", placed, free)
+	}
+	if placed := losing(t, 20, 30*time.Second); placed < 1 {
+		t.Errorf("%.2f of them have another after 30 s", placed)
+	}
+}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -67,7 +67,7 @@
 	var ready []ownership.Move
 	cause, urgent := "", false
 	for _, m := range t.moves {
-		if !t.free(m, now) {
+		if !t.free(m, now) || (m.unreleased() && !t.pace.admit(m.span, now)) {
 			continue
 		}
 		if u := t.ups[m.dest]; u == nil || t.closed(u) || t.shunned(m.dest, now) {
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -49,11 +49,15 @@
 	// ups are the lives that are listed, byServer the same by their servers.
 	ups      map[string]*catalogue.Upstream
 	byServer map[string]*catalogue.Upstream
+	// warmUp is how long keys are slow that come without a handover.
+	warmUp time.Duration
 	// sparing is set while those in their slow start get no keys.
 	sparing bool
 	// holders are by server.
 	holders map[string]*holder
 	leases  map[span]*lease
+	// pace holds the keys of lost owners back.
+	pace pace
 	// moves are under way, in the order of their keys.
 	moves []*move
 	// nextFit is when load is looked at next, nextUrgent keys without owners.
@@ -188,6 +192,7 @@
 		}
 	}
 	t.sparing = t.enoughWarm()
+	t.warmUp = v.Desired.Services[t.name].WarmUp
 }
 
 // enoughWarm reports whether at least half of the upstreams that may own keys
