A weak host's try of the log does not keep it from its calls; it reads every stream once it must

Found in reading the change: the arguments of a go statement are evaluated first, so that the try, which takes up to 1.5 s where the service is silent, held up the calls to the planner; and a weak host that was served began with the ownership stream and never looked again whether the others had become too old. Trials of a content go with its last end. Share of a cold upstream is worked out for cold ones only.

--- a/internal/crashes/ledger.go
+++ b/internal/crashes/ledger.go
@@ -260,6 +260,7 @@
 	delete(l.ends[c], server)
 	if len(l.ends[c]) == 0 {
 		delete(l.ends, c)
+		delete(l.trials, c)
 	}
 }
 
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -57,7 +57,7 @@
 			if d.board.Out(u.ID, now) {
 				return nil, q.endUnsent(CauseUnreachable, retryNoOwner)
 			}
-			if !d.board.ColdOpen(u, d.coldShare(q.service), now) {
+			if u.Cold(now) && !d.board.ColdOpen(u, d.coldShare(q.service), now) {
 				return nil, q.coldRefusal(u, now)
 			}
 			q.lastSeen = fence
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -192,10 +192,10 @@
 			ticket.Done(admission.NoSign, 0)
 			continue
 		}
-		if !d.board.ColdTake(u, d.coldShare(q.service), time.Now()) {
+		if now := time.Now(); u.Cold(now) && !d.board.ColdTake(u, d.coldShare(q.service), now) {
 			ticket.Done(admission.NoSign, 0)
 			if q.key >= 0 {
-				return nil, q.coldRefusal(u, time.Now())
+				return nil, q.coldRefusal(u, now)
 			}
 			continue
 		}
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -149,16 +149,18 @@
 		f.direct(ctx)
 		return
 	}
+	if f.directCtx != nil && f.tries.failedSince(f.directAt) {
+		f.indirect()
+		return
+	}
 	if f.directCtx != nil {
-		if f.tries.failedSince(f.directAt) {
-			f.indirect()
-		}
+		f.direct(ctx) // the streams that were young enough may not be any more
 		return
 	}
 	f.seen() // a host that is strong enough to plan answers, if without a copy
 	switch f.tries.next(time.Now(), f.fleet.Size(time.Now())) {
 	case tryNow:
-		go f.tries.made(f.rest[tryStream].try(ctx))
+		go func() { f.tries.made(f.rest[tryStream].try(ctx)) }()
 	case tryServed:
 		f.direct(ctx)
 	}
@@ -233,8 +235,9 @@
 
 // standing is the standing of this host's copy where it follows the planner
 // itself, or reads the log service: a relay whose planner was lost goes on with
-// what it reads, and those behind it need not read it all themselves. The planner's steadiness is passed on as it was, without the time
-// since: that it reached the log service then says nothing of now.
+// what it reads, and those behind it need not read it all themselves. The
+// planner's steadiness is passed on as it was, without the time since: that it
+// reached the log service then says nothing of now.
 func (f *feed) standing(now time.Time) (peer.Standing, bool) {
 	if h := f.last.Load(); h != nil {
 		if age := h.age + now.Sub(h.at); age <= relayedAge {
