--- a/internal/entryhost/slowstart_test.go
+++ b/internal/entryhost/slowstart_test.go
@@ -59,9 +59,10 @@
 					for i := range 2 {
 						started = append(started, f.startCold(c.service, fmt.Sprint("cold", i), cold))
 					}
+					from := time.Now()
 					f.press(c.route, cold)
 					for _, u := range started {
-						if n := u.MostInASecond(); n > int(slowStartMost) {
+						if n := u.MostInASecond(from, from.Add(cold)); n > int(slowStartMost) {
 							t.Errorf("%d requests came to a cold upstream within a second, it bears %v", n, slowStartMost)
 						}
 					}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -46,6 +46,9 @@
 addr = %s
 [bounds]
 repeat_slack = 200
+slow_start_factor = 1.5
+slow_start_slack = 8
+evacuate = 5s
 `
 
 func newHost(name, binary, dir, logAddr string) (*Host, error) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/ownership"
 )
 
@@ -25,6 +26,9 @@
 	Faults time.Duration
 	// Fatal has callers ask for requests that end the upstreams that run them.
 	Fatal bool
+	// Evacuate has the far data centre evacuated and taken back, cold, now and
+	// then, and upstreams that come back start slowly.
+	Evacuate bool
 	// Hosts, Keyed, Plain and Callers are how many there are of each.
 	Hosts, Keyed, Plain, Callers int
 }
@@ -56,7 +60,11 @@
 
 // Run makes one run.
 func Run(ctx context.Context, opts Options) (*Report, error) {
-	w, err := newWorld(opts.Keyed, opts.Plain)
+	slow := desired.SlowStart{}
+	if opts.Evacuate {
+		slow = slowStart
+	}
+	w, err := newWorld(opts.Keyed, opts.Plain, slow)
 	if err != nil {
 		return nil, err
 	}
@@ -97,6 +105,9 @@
 		w.setFatal(in.endUnder)
 		in.wg.Go(func() { c.askForFatal(fctx, opts.Seed) })
 	}
+	if opts.Evacuate {
+		in.wg.Go(func() { in.evacuations(fctx, opts.Seed) })
+	}
 	in.run(fctx)
 	cancel()
 	r := &Report{}
@@ -134,6 +145,8 @@
 	}
 	r.Breaches = append(r.Breaches, check(c.outcomes, w.runs(), in)...)
 	r.Breaches = append(r.Breaches, in.checkFatal(c.outcomes)...)
+	r.Breaches = append(r.Breaches, in.checkCold()...)
+	r.Breaches = append(r.Breaches, in.checkEvacuated(c.outcomes)...)
 	w.mu.Lock()
 	r.Breaches = append(r.Breaches, w.breaches...)
 	w.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,15 +23,17 @@
 
 // fixed are the seeds run in CI, with why each stays.
 var fixed = []run{
-	{seed: 1},              // a planner back from a cut took over on an old proof of its seat
-	{seed: 125},            // a host that slept through an outage took lapsed entries for gone
-	{seed: 7, fatal: true}, // requests that end their upstreams, under all the other faults
+	{seed: 1},                 // a planner back from a cut took over on an old proof of its seat
+	{seed: 125},               // a host that slept through an outage took lapsed entries for gone
+	{seed: 7, fatal: true},    // requests that end their upstreams, under all the other faults
+	{seed: 3, evacuate: true}, // a data centre evacuated and taken back cold, under them too
 }
 
-// run is one run of the soak. Fresh seeds have fatal requests where odd.
+// run is one run of the soak. Fresh seeds have fatal requests where odd, and
+// evacuations and slow starts in two of four.
 type run struct {
-	seed  uint64
-	fatal bool
+	seed            uint64
+	fatal, evacuate bool
 }
 
 func build(t *testing.T) string {
@@ -60,7 +62,7 @@
 		list = nil
 		for i := range *seeds {
 			seed := start + uint64(i)
-			list = append(list, run{seed, seed%2 == 1})
+			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2})
 		}
 	}
 	turn := make(chan struct{}, *beside)
@@ -82,7 +84,7 @@
 			t.Fatal(err)
 		}
 	}
-	r, err := Run(context.Background(), Options{Binary: binary, Dir: dir, Seed: this.seed, Fatal: this.fatal, Faults: *span, Hosts: 4, Keyed: 4, Plain: 2, Callers: 12})
+	r, err := Run(context.Background(), Options{Binary: binary, Dir: dir, Seed: this.seed, Fatal: this.fatal, Evacuate: this.evacuate, Faults: *span, Hosts: 4, Keyed: 4, Plain: 2, Callers: 12})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/standin/memstore"
@@ -19,6 +20,9 @@
 	"github.com/papayatide/papayatide/platform/standin"
 )
 
+// near is the hosts' data centre, far the other one.
+const near, far = "dc", "far"
+
 const (
 	keyedService, plainService = "keyed", "plain"
 	readHost, chargeHost       = "read.example", "charge.example"
@@ -39,9 +43,11 @@
 // another at the same address, every other one under the ID of the one before.
 type place struct {
 	service string
-	proxy   *Proxy
-	life    *life
-	lives   int
+	// dataCentre is near or far; hosts are near.
+	dataCentre string
+	proxy      *Proxy
+	life       *life
+	lives      int
 }
 
 // life is one upstream from its start to its end.
@@ -52,6 +58,8 @@
 	start int64
 	up    bool
 	srv   *http.Server
+	// coldFrom is when it last became cold; zero if it never did.
+	coldFrom time.Time
 }
 
 // World is the platform and the upstreams.
@@ -65,6 +73,8 @@
 	places  []*place
 	all     []*life
 	version int
+	// slow is the slow start of upstreams that start while callers ask.
+	slow desired.SlowStart
 	// fatal, if set, is asked as an upstream begins to run a request; true
 	// means that it has ended the upstream.
 	fatal    func(*life, *http.Request) bool
@@ -72,8 +82,8 @@
 	breaches []string
 }
 
-func newWorld(keyed, plain int) (*World, error) {
-	w := &World{log: memstore.New()}
+func newWorld(keyed, plain int, slow desired.SlowStart) (*World, error) {
+	w := &World{log: memstore.New(), slow: slow}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "log service")
@@ -98,7 +108,10 @@
 	if err != nil {
 		return err
 	}
-	p := &place{service: service}
+	p := &place{service: service, dataCentre: near}
+	if len(w.places)%2 == 1 {
+		p.dataCentre = far
+	}
 	if p.proxy, err = NewProxy(addr, ""); err != nil {
 		return err
 	}
@@ -127,7 +140,7 @@
 	defer w.mu.Unlock()
 	w.version++
 	doc, err := standin.DesiredRecord(w.version, []standin.Route{{Host: readHost, Service: keyedService, Idempotent: true},
-		{Host: chargeHost, Service: keyedService}, {Host: plainHost, Service: plainService}}, map[string]bool{keyedService: true}, routeTimeout)
+		{Host: chargeHost, Service: keyedService}, {Host: plainHost, Service: plainService}}, map[string]bool{keyedService: true}, routeTimeout, w.slow)
 	if err != nil {
 		return eris.Wrap(err, "desired state")
 	}
@@ -146,6 +159,9 @@
 	id := fmt.Sprintf("i-%s-%d", p.proxy.Addr(), p.lives/2)
 	u := ranged.New(id, platform.Headers, work)
 	l := &life{Upstream: u, place: p, start: int64(p.lives), up: true}
+	if p.lives > 1 {
+		l.coldFrom = time.Now()
+	}
 	u.Fatal = func(r *http.Request) bool { return w.endedBy(l, r) }
 	l.srv = &http.Server{Handler: standin.Orders(id, &audited{w, l}, u)}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -163,7 +179,7 @@
 // list writes the upstream's entry.
 func (w *World) list(l *life, leaving bool) {
 	w.log.Put(metastore.StreamUpstreams, l.ID, standin.UpstreamRecord(&catalogue.Upstream{ID: catalogue.LifeID(l.ID, l.start), Service: l.place.service,
-		Addr: l.place.proxy.Addr(), DataCentre: "dc", Slots: 6, Leaving: leaving}))
+		Addr: l.place.proxy.Addr(), DataCentre: l.place.dataCentre, Slots: 6, Leaving: leaving, SlowUntil: l.coldFrom.Add(w.slow.Lasts)}))
 }
 
 // kill ends the place's life at once; its entry lapses later.
--- a/internal/standin/ranged/ranged.go
+++ b/internal/standin/ranged/ranged.go
@@ -34,8 +34,14 @@
 	holds []hold
 	seen  []hold
 	runs  map[string]int
-	// arrived are the times at which requests came that were not misdirected.
-	arrived []time.Time
+	// arrived are the requests that were not misdirected, in order.
+	arrived []Arrival
+}
+
+// Arrival is a request's coming.
+type Arrival struct {
+	ID string
+	At time.Time
 }
 
 // New returns an upstream whose requests take work. It serves them as an
@@ -78,14 +84,27 @@
 	return out
 }
 
-// MostInASecond returns the largest number of requests that came within a
-// second, those that were misdirected not counted.
-func (u *Upstream) MostInASecond() int {
+// Arrivals returns the requests that came from one time to another, in order,
+// those that were misdirected not counted.
+func (u *Upstream) Arrivals(from, to time.Time) []Arrival {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	var out []Arrival
+	for _, a := range u.arrived {
+		if !a.At.Before(from) && a.At.Before(to) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// MostInASecond returns the largest number of requests that came within a
+// second, from one time to another.
+func (u *Upstream) MostInASecond(from, to time.Time) int {
+	all := u.Arrivals(from, to)
 	most, first := 0, 0
-	for i, at := range u.arrived {
-		for at.Sub(u.arrived[first]) >= time.Second {
+	for i, a := range all {
+		for a.At.Sub(all[first].At) >= time.Second {
 			first++
 		}
 		most = max(most, i-first+1)
@@ -182,7 +201,7 @@
 	}
 	u.mu.Lock()
 	u.runs[id]++
-	u.arrived = append(u.arrived, time.Now())
+	u.arrived = append(u.arrived, Arrival{id, time.Now()})
 	u.mu.Unlock()
 	if u.Fatal != nil && u.Fatal(r) {
 		panic(http.ErrAbortHandler)
