A grant that was held up by its host is not sent

The proofs bound the time from a decision to its arrival by 100 ms, and nothing checked it. Change: a grant that was decided on over 100 ms ago is not sent; one that goes out is given up 300 ms after the decision.

--- a/internal/entryhost/calls.go
+++ b/internal/entryhost/calls.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/planner"
 	"github.com/papayatide/papayatide/internal/relay"
 )
@@ -39,9 +41,7 @@
 		}()
 	case *planner.Grant:
 		go func() {
-			gctx, cancel := context.WithTimeout(ctx, grantTimeout)
-			err := c.granter.Grant(gctx, a.Addr, a.Range, a.Hold, a.KeptOnly)
-			cancel()
+			err := c.grant(ctx, a)
 			c.post(ctx, func() { c.plan.GrantDone(a, err, c.clock()) })
 		}()
 	case *planner.Release:
@@ -54,6 +54,17 @@
 	}
 }
 
+// grant sends a grant, unless it was decided on too long ago.
+func (c *control) grant(ctx context.Context, a *planner.Grant) error {
+	late := c.clock().Sub(a.SentAt)
+	if late > orderWithin {
+		return eris.Wrapf(ownership.ErrNotSent, "upstream %s: grant decided on %v ago", a.Addr, late)
+	}
+	gctx, cancel := context.WithTimeout(ctx, grantTimeout-late)
+	defer cancel()
+	return c.granter.Grant(gctx, a.Addr, a.Range, a.Hold, a.KeptOnly)
+}
+
 func (c *control) append(ctx context.Context, a *planner.Append) {
 	data, err := a.Table.Encode()
 	var end int64
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -46,6 +46,11 @@
 	tickLeast = 10 * time.Millisecond
 	// grantTimeout bounds a grant; an undisturbed answer takes 3 ms.
 	grantTimeout = 300 * time.Millisecond
+	// orderWithin is how long after it was decided on a grant may be sent. The
+	// proofs count on its arrival within that time: sent a second late by a host
+	// that had no processor, it kept keys at an owner whose lease was taken to have
+	// run out, while another had them already.
+	orderWithin = 100 * time.Millisecond
 	// retireTimeout bounds a question to the planner before.
 	retireTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds a release, which is answered when the work under
