--- a/internal/soak/evacuate.go
+++ b/internal/soak/evacuate.go
@@ -43,7 +43,7 @@
 		in.world.log.Put(metastore.StreamDesired, standin.EvacuationKey(far), []byte("{}"))
 		sleep(ctx, time.Duration(rng.Int64N(int64(evacuateMost))))
 		in.awaitLog(ctx)
-		in.world.takeBack(time.Since(from) > emptyWithin)
+		in.world.takeBack(time.Since(from) > emptyWithin && !in.world.log.Down())
 		in.mu.Lock()
 		in.empty = append(in.empty, emptySpan{from, time.Now()})
 		in.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -110,6 +110,9 @@
 	}
 	in.run(fctx)
 	cancel()
+	if opts.Evacuate {
+		sleep(ctx, slowStart.Lasts+beatEvery) // the last ones to come back are cold until then
+	}
 	r := &Report{}
 	took, key := awaitServed(hosts, recoverWithin)
 	r.Recovered = took
