--- /dev/null
+++ b/internal/dispatch/evacuated_test.go
@@ -0,0 +1,26 @@
+package dispatch
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// A data centre is evacuated. Callers of keys that its upstream still owns are
+// served there until the time is over, and refused as not run from then on; those
+// of a service without keys are not sent there at all, also if nothing else is left.
+func TestEvacuatedUpstreamServesItsKeysForAWhile(t *testing.T) {
+	f := startUpstream(t, echo)
+	owner, plain := up("u1", "keyed", f), up("u2", "plain", f)
+	owner.LeaveBy = time.Now().Add(time.Second)
+	plain.LeaveBy = owner.LeaveBy
+	g := newRig(t, owner, plain)
+	g.own("u1", 1)
+	g.get("keyed.example", "r1").want(t, http.StatusOK, "")
+	g.get("read.example", "r2").want(t, http.StatusServiceUnavailable, "")
+	time.Sleep(time.Until(owner.LeaveBy))
+	g.get("keyed.example", "r3").want(t, http.StatusServiceUnavailable, "")
+	if n := f.runs.Load(); n != 1 {
+		t.Errorf("%d requests reached the data centre, want 1", n)
+	}
+}
