The play of slow starts looks at the time in which upstreams are cold

The time looked at began after the entries were written, so that it ended some moments after the slow start did, when callers may press. It begins before now; the bound is as it was.

--- a/internal/entryhost/slowstart_test.go
+++ b/internal/entryhost/slowstart_test.go
@@ -55,11 +55,11 @@
 						f.answers(c.route, "/x", startup)
 					}
 					time.Sleep(4 * time.Second)
+					from := time.Now() // what starts now is cold until then and cold more
 					var started []*ranged.Upstream
 					for i := range 2 {
 						started = append(started, f.startCold(c.service, fmt.Sprint("cold", i), cold))
 					}
-					from := time.Now()
 					f.press(c.route, cold)
 					for _, u := range started {
 						if n := u.MostInASecond(from, from.Add(cold)); n > int(slowStartMost) {
