--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,7 +19,10 @@
 if [ -n "$known_red" ]; then
   echo "known red, passed over:"; cat KNOWN-RED.txt
 fi
-go test -race -count=1 ${known_red:+-skip "^($known_red)\$"} ./...
+# The race detector's runtime has ended itself under many fleets on fake clocks at
+# once, so that package runs few of its tests at a time.
+go test -race -count=1 ${known_red:+-skip "^($known_red)\$"} $(go list ./... | grep -v /internal/entryhost$)
+go test -race -count=1 -parallel 2 ${known_red:+-skip "^($known_red)\$"} ./internal/entryhost
 for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream internal/settings:FuzzParseEntry internal/dispatch:FuzzRequest; do
   go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime "$fuzz_time" "./${target%:*}"
 done
