Upstreams of the plays are listed as cold from their first entry

Found in reading the change: startCold listed an upstream as warm first, by addTo, and as cold a moment later. A host that reads the first entry pauses 150 to 600 ms before the next read, and rightly sends it all it likes; 194 and 200 requests in a second fit.

--- a/internal/entryhost/evacuate_test.go
+++ b/internal/entryhost/evacuate_test.go
@@ -16,7 +16,7 @@
 	var out []*ranged.Upstream
 	for i := range n {
 		for _, service := range []string{"sheets", "plain"} {
-			u := f.addTo(service, fmt.Sprint(dataCentre, "-", service, i))
+			u := f.start(service, fmt.Sprint(dataCentre, "-", service, i))
 			f.put(u, catalogue.Upstream{Service: service, DataCentre: dataCentre, Slots: 3})
 			out = append(out, u)
 		}
--- a/internal/entryhost/rig_test.go
+++ b/internal/entryhost/rig_test.go
@@ -180,6 +180,15 @@
 
 // addTo starts an upstream of a service, which a request to fatalPath ends.
 func (f *testFleet) addTo(service, id string) *ranged.Upstream {
+	u := f.start(service, id)
+	if u != nil {
+		f.listAs(service, u, false)
+	}
+	return u
+}
+
+// start starts an upstream of a service that is not listed yet.
+func (f *testFleet) start(service, id string) *ranged.Upstream {
 	ln, err := f.net.Listen(id + ":80")
 	if err != nil {
 		f.t.Error(err)
@@ -195,7 +204,6 @@
 	f.mu.Lock()
 	f.ups[u.Addr()] = u
 	f.mu.Unlock()
-	f.listAs(service, u, false)
 	return u
 }
 
--- a/internal/entryhost/slowstart_test.go
+++ b/internal/entryhost/slowstart_test.go
@@ -15,7 +15,7 @@
 
 // startCold adds an upstream that is in its slow start for lasts.
 func (f *testFleet) startCold(service, id string, lasts time.Duration) *ranged.Upstream {
-	u := f.addTo(service, id)
+	u := f.start(service, id)
 	f.put(u, catalogue.Upstream{Service: service, DataCentre: "dc", Slots: 3, SlowUntil: time.Now().Add(lasts)})
 	return u
 }
