feedback: record and log what upstreams report in their answers

Neither log nor metrics could show whether a host had received such an answer. Change: package feedback decodes the three headers once (names in platform/) and keeps them by upstream life; each change is event 635, gauges papayatide_upstreams_limited and papayatide_upstreams_reported_leaving. No decision reads it yet.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
@@ -62,6 +63,8 @@
 	stop    *stopper
 	crashes *crashes.Ledger
 	unsure  unsure
+	// feedback is what upstreams report of themselves.
+	feedback *feedback.Tracker
 	// fleet is how many hosts there are, this one included, and fleetKnown
 	// whether that rests on anybody's word.
 	fleet      atomic.Int64
@@ -108,8 +111,8 @@
 // New returns a dispatcher for callers in the data centre home. Requests that
 // ledger refuses are not sent.
 func New(h protocol.Headers, home string, views *view.Holder, client *upstream.Client, board *balance.Board, bud *budget.Budget,
-	ledger *crashes.Ledger) *Dispatcher {
-	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud, crashes: ledger,
+	ledger *crashes.Ledger, reports *feedback.Tracker) *Dispatcher {
+	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud, crashes: ledger, feedback: reports,
 		splits: newSplitter(), unheld: newUnheld(), stop: newStopper(),
 		Ended: func(*End) {}, BrokeOff: func(*Broken) {}}
 	d.SetFleet(1, false)
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -19,6 +19,7 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/upstream"
@@ -26,7 +27,7 @@
 )
 
 var names = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
-	NotRun: "X-Not-Run", Key: "X-Key"}
+	NotRun: "X-Not-Run", Key: "X-Key", RateLimit: "X-Limit", Leaving: "X-Leaving"}
 
 // fakeUpstream speaks HTTP by hand, so that it can misbehave. answer gets
 // each request and writes what it likes; false ends the connection.
@@ -111,7 +112,7 @@
 	t.Helper()
 	g := &rig{views: view.NewHolder()}
 	bud := budget.New(budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute))
-	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard("h"), bud, crashes.NewLedger(nil))
+	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard("h"), bud, crashes.NewLedger(nil), feedback.NewTracker())
 	g.d.Ended = func(e *End) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -18,7 +18,11 @@
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, q.up)
 	took := time.Since(start)
 	judged := judge(ctx, res)
-	d.board.Done(u.ID, judged, took, time.Now())
+	now := time.Now()
+	d.board.Done(u.ID, judged, took, now)
+	if res.Status != 0 && !res.Misdirected() {
+		d.feedback.Record(u.ID, res.Report, start, now)
+	}
 	ticket.Done(verdict(judged, took, q.route.Objective), took)
 	q.lastUp, q.lastErr = u.ID, res.Err
 	q.trial = false
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -33,6 +33,9 @@
 	known, refused := h.control.crashes.ledger.Counts()
 	metrics.WriteGaugeUint64(w, "papayatide_contents_with_ends", uint64(known))
 	metrics.WriteGaugeUint64(w, "papayatide_contents_refused", uint64(refused))
+	limited, leaving := h.feedback.Counts()
+	metrics.WriteGaugeUint64(w, "papayatide_upstreams_limited", uint64(limited))
+	metrics.WriteGaugeUint64(w, "papayatide_upstreams_reported_leaving", uint64(leaving))
 	for service, left := range h.budget.Left(now) {
 		metrics.WriteGaugeFloat64(w, `papayatide_repeats_left{service="`+service+`"}`, left)
 	}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -20,6 +20,7 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/dispatch"
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
@@ -106,6 +107,7 @@
 	client   *upstream.Client
 	board    *balance.Board
 	budget   *budget.Budget
+	feedback *feedback.Tracker
 	peers    *peer.Client
 	feed     *feed
 	fleet    *fleet.Fleet
@@ -153,7 +155,7 @@
 
 func newHost(cfg *settings.Entry, plat Platform, zl *zap.Logger) *host {
 	h := &host{cfg: cfg, zl: zl, views: view.NewHolder(), client: upstream.NewClient(plat.Headers), board: balance.NewBoard(cfg.Host),
-		budget: budget.New(shareOfBudget(cfg, 1), time.Now()), reporter: newReporter(), plat: plat, fleet: fleet.New(cfg.DataCentre),
+		budget: budget.New(shareOfBudget(cfg, 1), time.Now()), reporter: newReporter(), feedback: feedback.NewTracker(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		eager: cfg.CPUShare >= eagerCPU && cfg.LinkMbps >= eagerLink,
 		peers: peer.NewClient(&http.Client{Transport: plat.peerTransport()})}
 	if plat.Net != nil {
@@ -167,7 +169,8 @@
 		h.control.clock = plat.Clock
 	}
 	h.control.crashes = newCrashLog(zl, plat.Store, h.control.planning.Load)
-	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, h.control.crashes.ledger)
+	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, h.control.crashes.ledger, h.feedback)
+	h.feedback.Changed = h.reported
 	h.dispatch.Ended, h.dispatch.BrokeOff = h.ended, h.brokeOff
 	h.dispatch.SlowStart = warmup.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack}
 	h.control.retirer = h.peers
@@ -294,6 +297,7 @@
 			keep := known(h.views.Load().Upstreams)
 			h.client.Prune(now, keep)
 			h.board.Prune(keep)
+			h.feedback.Prune(keep, now)
 			h.dispatch.Prune()
 		}
 	}
--- a/internal/entryhost/rig_test.go
+++ b/internal/entryhost/rig_test.go
@@ -29,7 +29,7 @@
 )
 
 var names = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
-	NotRun: "X-Not-Run", Key: "X-Key"}
+	NotRun: "X-Not-Run", Key: "X-Key", RateLimit: "X-Limit", Leaving: "X-Leaving"}
 
 // testFleet is a few entry hosts, a log and upstreams, on a network in memory and
 // a clock of their own: what they do in which order, and within what time, does
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -55,6 +55,7 @@
 	UpstreamUnlisted       = 632
 	UpstreamRefused        = 633
 	UpstreamRestarted      = 634
+	UpstreamReported       = 635
 	OwnershipAdopted       = 640
 	OwnershipRefused       = 641
 	OwnershipChangeRefused = 642
--- /dev/null
+++ b/internal/feedback/report_test.go
@@ -0,0 +1,62 @@
+package feedback
+
+import (
+	"math"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/protocol"
+)
+
+var names = protocol.Headers{RateLimit: "X-Limit", Leaving: "X-Leaving"}
+
+// Malformed, repeated or out of range values must neither stop all requests to an
+// upstream nor lift what it asks for.
+func TestDecode(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status int
+		header http.Header
+		want   Report
+	}{
+		{"nothing", 200, http.Header{}, Report{}},
+		{"limit", 200, http.Header{"X-Limit": {"1.6"}}, Report{Limit: 1.6}},
+		{"limit with spaces", 200, http.Header{"X-Limit": {" 2 "}}, Report{Limit: 2}},
+		{"limit of zero", 200, http.Header{"X-Limit": {"0"}}, Report{Limit: leastLimit}},
+		{"huge limit", 200, http.Header{"X-Limit": {"1e300"}}, Report{Limit: mostLimit}},
+		{"negative limit", 200, http.Header{"X-Limit": {"-1"}}, Report{LimitUnreadable: true}},
+		{"infinite limit", 200, http.Header{"X-Limit": {"Inf"}}, Report{LimitUnreadable: true}},
+		{"limit that is no number", 200, http.Header{"X-Limit": {"few"}}, Report{LimitUnreadable: true}},
+		{"repeated limit", 200, http.Header{"X-Limit": {"3", "2", "x"}}, Report{Limit: 2, LimitUnreadable: true}},
+		{"leaving", 404, http.Header{"X-Leaving": {"1"}}, Report{Leaving: true}},
+		{"not leaving", 200, http.Header{"X-Leaving": {"0"}}, Report{}},
+		{"rest", 503, http.Header{"Retry-After": {"3"}}, Report{Rest: 3 * time.Second}},
+		{"rest with a fraction", 503, http.Header{"Retry-After": {"0.25"}}, Report{Rest: 250 * time.Millisecond}},
+		{"rest repeated", 503, http.Header{"Retry-After": {"1", "2"}}, Report{Rest: 2 * time.Second}},
+		{"rest of a day", 503, http.Header{"Retry-After": {"86400"}}, Report{Rest: mostRest}},
+		{"rest as a date", 503, http.Header{"Retry-After": {"Thu, 03 Dec 2026 08:00:00 GMT"}}, Report{}},
+		{"negative rest", 503, http.Header{"Retry-After": {"-3"}}, Report{}},
+		{"rest with another status", 429, http.Header{"Retry-After": {"3"}}, Report{}},
+	} {
+		if got := Decode(names, c.status, c.header); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
+
+// FuzzDecode checks that no header value makes a report out of range.
+func FuzzDecode(f *testing.F) {
+	f.Add("1.6", "1", "3")
+	f.Add("-0", "true", "NaN")
+	f.Add("0x1p-1074", "", "1e309")
+	f.Fuzz(func(t *testing.T, limit, leaving, rest string) {
+		r := Decode(names, http.StatusServiceUnavailable, http.Header{"X-Limit": {limit}, "X-Leaving": {leaving}, "Retry-After": {rest}})
+		if r.Limit != 0 && (r.Limit < leastLimit || r.Limit > mostLimit || math.IsNaN(r.Limit)) {
+			t.Errorf("limit %q: %v", limit, r.Limit)
+		}
+		if r.Rest < 0 || r.Rest > mostRest {
+			t.Errorf("rest %q: %v", rest, r.Rest)
+		}
+	})
+}
--- /dev/null
+++ b/internal/feedback/tracker.go
@@ -0,0 +1,231 @@
+package feedback
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// state is what is known of one upstream's life.
+type state struct {
+	// limit is in requests a second, 0 for none. limitAt is when the newest
+	// answer that says so was received, by this or another host.
+	limit   float64
+	limitAt time.Time
+	// leavingAt is when a host was first told that it leaves; zero if none was.
+	leavingAt time.Time
+	restUntil time.Time
+}
+
+// notable reports whether the state says more than that of an upstream that has
+// never reported anything.
+func (s *state) notable(now time.Time) bool {
+	return s.limit > 0 || !s.leavingAt.IsZero() || now.Before(s.restUntil) || now.Sub(s.limitAt) < endedFor
+}
+
+// endedFor is how long the end of a limit is remembered, so that older reports
+// of other hosts do not bring the limit back.
+const endedFor = 20 * time.Second
+
+// Change describes a change of what is known of an upstream.
+type Change struct {
+	Upstream string
+	// From is the host that received the answer; empty for this one.
+	From string
+	// Limit is the one in force, 0 for none, and Before the one until now.
+	Limit, Before float64
+	// Leaving is set if the upstream is now known to leave.
+	Leaving bool
+	// Rest is the rest that the upstream has asked this host for.
+	Rest time.Duration
+}
+
+// Tracker keeps the reports of all upstreams. It is safe for concurrent use.
+type Tracker struct {
+	// Changed is called, without the lock, for each change. It must be set
+	// before the first use.
+	Changed func(Change)
+
+	mu sync.Mutex
+	by map[string]*state
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker {
+	return &Tracker{Changed: func(Change) {}, by: map[string]*state{}}
+}
+
+// Record takes in the report of an answer that this host received at now to a
+// request that it had sent at sent. A limit ends with the first answer without one
+// to a request sent after the last answer that named it: earlier requests may have
+// been answered before the limit was set.
+func (t *Tracker) Record(id string, r Report, sent, now time.Time) {
+	t.mu.Lock()
+	s := t.by[id]
+	if s == nil {
+		if r == (Report{}) {
+			t.mu.Unlock()
+			return
+		}
+		s = &state{}
+		t.by[id] = s
+	}
+	c := Change{Upstream: id, Before: s.limit, Rest: r.Rest}
+	switch {
+	case r.Limit > 0:
+		s.limit, s.limitAt = r.Limit, now
+	case !r.LimitUnreadable && s.limit > 0 && sent.After(s.limitAt):
+		s.limit, s.limitAt = 0, now
+	}
+	if c.Limit = s.limit; r.Leaving && s.leavingAt.IsZero() {
+		s.leavingAt, c.Leaving = now, true
+	}
+	if until := now.Add(r.Rest); r.Rest > 0 && until.After(s.restUntil) {
+		s.restUntil = until
+	}
+	t.mu.Unlock()
+	t.tell(c)
+}
+
+func (t *Tracker) tell(c Change) {
+	if c.Limit != c.Before || c.Leaving || c.Rest > 0 {
+		t.Changed(c)
+	}
+}
+
+// Limit returns the upstream's limit in requests a second; 0 if it has none.
+func (t *Tracker) Limit(id string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.by[id]; s != nil {
+		return s.limit
+	}
+	return 0
+}
+
+// Rest returns for how much longer the upstream wants no requests from this host.
+func (t *Tracker) Rest(id string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.by[id]; s != nil {
+		return max(s.restUntil.Sub(now), 0)
+	}
+	return 0
+}
+
+// LeavingSince returns when a host was first told that the upstream leaves, and
+// whether one was.
+func (t *Tracker) LeavingSince(id string) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.by[id]; s != nil {
+		return s.leavingAt, !s.leavingAt.IsZero()
+	}
+	return time.Time{}, false
+}
+
+// Notice is what hosts tell each other of an upstream.
+type Notice struct {
+	Upstream string
+	// Limit is as in Report, LimitAge how long ago the newest answer that says
+	// so was received; negative if no answer ever named a limit.
+	Limit    float64
+	LimitAge time.Duration
+	// Leaving is set if the upstream leaves, LeavingAge how long that is known.
+	Leaving    bool
+	LeavingAge time.Duration
+}
+
+// maxNotices bounds the notices of one message.
+const maxNotices = 64
+
+// Notices returns what other hosts should know, the newest first where there are
+// more than fit in a message.
+func (t *Tracker) Notices(now time.Time) []Notice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Notice
+	for id, s := range t.by {
+		if s.limitAt.IsZero() && s.leavingAt.IsZero() {
+			continue
+		}
+		n := Notice{Upstream: id, Limit: s.limit, LimitAge: -1, Leaving: !s.leavingAt.IsZero()}
+		if !s.limitAt.IsZero() {
+			n.LimitAge = now.Sub(s.limitAt)
+		}
+		if n.Leaving {
+			n.LeavingAge = now.Sub(s.leavingAt)
+		}
+		out = append(out, n)
+	}
+	slices.SortFunc(out, func(x, y Notice) int { return strings.Compare(x.Upstream, y.Upstream) })
+	if len(out) > maxNotices {
+		slices.SortStableFunc(out, func(x, y Notice) int { return int(x.newest() - y.newest()) })
+		out = out[:maxNotices]
+	}
+	return out
+}
+
+// newest is the age of the newest thing that the notice says.
+func (n Notice) newest() time.Duration {
+	switch {
+	case n.LimitAge < 0:
+		return n.LeavingAge
+	case !n.Leaving:
+		return n.LimitAge
+	}
+	return min(n.LimitAge, n.LeavingAge)
+}
+
+// Learn takes in what another host knows.
+func (t *Tracker) Learn(from string, notices []Notice, now time.Time) {
+	for _, n := range notices {
+		t.tell(t.learn(from, n, now))
+	}
+}
+
+func (t *Tracker) learn(from string, n Notice, now time.Time) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.by[n.Upstream]
+	if s == nil {
+		s = &state{}
+		t.by[n.Upstream] = s
+	}
+	c := Change{Upstream: n.Upstream, From: from, Before: s.limit}
+	if at := now.Add(-n.LimitAge); n.LimitAge >= 0 && at.After(s.limitAt) {
+		s.limit, s.limitAt = n.Limit, at
+	}
+	if c.Limit = s.limit; n.Leaving && s.leavingAt.IsZero() {
+		s.leavingAt, c.Leaving = now.Add(-n.LeavingAge), true
+	}
+	return c
+}
+
+// Prune forgets upstreams that keep does not know, and those of which nothing is
+// known any more.
+func (t *Tracker) Prune(keep func(id string) bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.by {
+		if !keep(id) || !s.notable(now) {
+			delete(t.by, id)
+		}
+	}
+}
+
+// Counts returns how many upstreams have a limit, and how many leave.
+func (t *Tracker) Counts() (limited, leaving int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.by {
+		if s.limit > 0 {
+			limited++
+		}
+		if !s.leavingAt.IsZero() {
+			leaving++
+		}
+	}
+	return limited, leaving
+}
--- /dev/null
+++ b/internal/feedback/tracker_test.go
@@ -0,0 +1,87 @@
+package feedback
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// An answer to a request that was sent before the limit was named must not lift it.
+func TestLimitEndsWithALaterRequestOnly(t *testing.T) {
+	tr, now := NewTracker(), time.Unix(1000, 0)
+	tr.Record("u", Report{Limit: 2}, now, now.Add(time.Second))
+	tr.Record("u", Report{}, now.Add(500*time.Millisecond), now.Add(2*time.Second))
+	if got := tr.Limit("u"); got != 2 {
+		t.Errorf("limit %v after an answer to an earlier request, want 2", got)
+	}
+	tr.Record("u", Report{LimitUnreadable: true}, now.Add(2*time.Second), now.Add(3*time.Second))
+	if got := tr.Limit("u"); got != 2 {
+		t.Errorf("limit %v after one that is no number, want 2", got)
+	}
+	tr.Record("u", Report{}, now.Add(2*time.Second), now.Add(3*time.Second))
+	if got := tr.Limit("u"); got != 0 {
+		t.Errorf("limit %v after an answer without one, want none", got)
+	}
+}
+
+// Hosts that receive reports in different orders must agree on the newest one, and
+// a leave that one host received must not be lost by another's older knowledge.
+func TestNewestReportWins(t *testing.T) {
+	a, b, now := NewTracker(), NewTracker(), time.Unix(1000, 0)
+	a.Record("u", Report{Limit: 2, Leaving: true}, now, now)
+	b.Learn("a", a.Notices(now.Add(time.Second)), now.Add(time.Second))
+	if b.Limit("u") != 2 {
+		t.Errorf("limit %v learnt, want 2", b.Limit("u"))
+	}
+	if since, ok := b.LeavingSince("u"); !ok || !since.Equal(now) {
+		t.Errorf("leaving since %v, %v; want %v", since, ok, now)
+	}
+	b.Record("u", Report{}, now.Add(2*time.Second), now.Add(3*time.Second))
+	b.Learn("a", a.Notices(now.Add(4*time.Second)), now.Add(4*time.Second))
+	if b.Limit("u") != 0 {
+		t.Errorf("limit %v brought back by an older report", b.Limit("u"))
+	}
+	a.Learn("b", b.Notices(now.Add(5*time.Second)), now.Add(5*time.Second))
+	if a.Limit("u") != 0 {
+		t.Errorf("limit %v after its end was reported", a.Limit("u"))
+	}
+	if _, ok := a.LeavingSince("u"); !ok {
+		t.Error("the leave was forgotten")
+	}
+}
+
+// A rest that is asked for later must not shorten one under way, nor reach other hosts.
+func TestRestIsTheHostsOwn(t *testing.T) {
+	a, b, now := NewTracker(), NewTracker(), time.Unix(1000, 0)
+	a.Record("u", Report{Rest: 3 * time.Second}, now, now)
+	a.Record("u", Report{Rest: time.Second}, now, now.Add(time.Second))
+	if got := a.Rest("u", now.Add(time.Second)); got != 2*time.Second {
+		t.Errorf("rest of %v left, want 2s", got)
+	}
+	b.Learn("a", a.Notices(now), now)
+	if got := b.Rest("u", now); got != 0 {
+		t.Errorf("another host rests for %v", got)
+	}
+}
+
+// The number of upstreams kept and reported is bounded by those that are listed and
+// by the size of a message.
+func TestTrackerIsBounded(t *testing.T) {
+	tr, now := NewTracker(), time.Unix(1000, 0)
+	for i := range 3 * maxNotices {
+		tr.Record(fmt.Sprint("u", i), Report{Limit: 2}, now, now.Add(time.Duration(i)*time.Second))
+	}
+	got := tr.Notices(now.Add(time.Hour))
+	if len(got) != maxNotices || got[0].Upstream != fmt.Sprint("u", 3*maxNotices-1) {
+		t.Errorf("%d notices, first %+v", len(got), got[0])
+	}
+	tr.Prune(func(id string) bool { return id == "u1" }, now)
+	if limited, _ := tr.Counts(); limited != 1 {
+		t.Errorf("%d upstreams kept, want 1", limited)
+	}
+	tr.Record("u1", Report{}, now.Add(time.Hour), now.Add(time.Hour))
+	tr.Prune(func(string) bool { return true }, now.Add(time.Hour+2*endedFor))
+	if len(tr.by) != 0 {
+		t.Errorf("%d upstreams kept of which nothing is known", len(tr.by))
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -16,4 +16,9 @@
 	NotRun string
 	// Key is the key of a request to a keyed service.
 	Key string
+	// RateLimit is the number of requests a second that an upstream takes from
+	// all hosts together, as a decimal number.
+	RateLimit string
+	// Leaving is "1" in the answers of an upstream that is about to end.
+	Leaving string
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/protocol"
 )
 
@@ -77,6 +78,8 @@
 	// TurnedAway is set if the upstream took the connection and ended it before
 	// anything was sent: it has too many.
 	TurnedAway bool
+	// Report is what the answer says of the upstream.
+	Report feedback.Report
 	// Err says why there is no answer.
 	Err error
 }
@@ -204,6 +207,9 @@
 	if resp.Header.Get(c.headers.NotRun) != "" || res.Misdirected() {
 		res.Outcome = NotRun
 	}
+	if !res.Misdirected() { // it may be another server's answer
+		res.Report = feedback.Decode(c.headers, res.Status, res.Header)
+	}
 	// An answer that came before the whole body was sent leaves the rest of
 	// the body due on this connection; the next request would be read as
 	// that rest. Such a connection is not used again.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -23,6 +23,6 @@
 # once, so that package runs few of its tests at a time.
 go test -race -count=1 ${known_red:+-skip "^($known_red)\$"} $(go list ./... | grep -v /internal/entryhost$)
 go test -race -count=1 -parallel 2 ${known_red:+-skip "^($known_red)\$"} ./internal/entryhost
-for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream internal/settings:FuzzParseEntry internal/dispatch:FuzzRequest; do
+for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream internal/settings:FuzzParseEntry internal/dispatch:FuzzRequest internal/feedback:FuzzDecode; do
   go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime "$fuzz_time" "./${target%:*}"
 done
