LIMIT: hosts keep together to the rate limit that an upstream reports

Cause: the limit in an answer changed nothing. No host read it, and nobody divided it among the hosts. Change: package warmup becomes ratelimit, which divides an upstream's rate among hosts. The planner's Allocator gives leave request by request (a few at a time at higher rates) over a new call, Admit; a host that reaches no planner keeps to half an equal share, drawn so that hosts do not begin together. The limit is asked for at the send, after the wait for a turn, repeats too. Hosts share what they received over the calls that they make anyway (Follow). Owners with a limit count with it as their capacity, so that the planner moves keys to others. Refused callers are told when the next leave is due. Weighed: equal shares alone (at 300 hosts and 1 a second a request in five minutes), few hosts by rendezvous hashing (the same throughput).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -10,7 +10,7 @@
 
 	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/catalogue"
-	"github.com/papayatide/papayatide/internal/warmup"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 )
 
 // Outcome is how a send ended, as far as the choice is concerned.
@@ -64,7 +64,7 @@
 	others    Others
 	learnedAt time.Time
 	// gate lets requests through while the upstream is cold.
-	gate warmup.Gate
+	gate ratelimit.Gate
 }
 
 // Board keeps one record of each upstream.
@@ -149,7 +149,10 @@
 	Not []string
 	// ColdShare returns this host's share of a cold upstream of the service;
 	// nil where that is not bounded. Those whose share is used up are no choice.
-	ColdShare func() warmup.Share
+	ColdShare func() ratelimit.Share
+	// Closed, if set, reports whether an upstream takes no requests of this host
+	// at present. Such upstreams are no choice.
+	Closed func(id string) bool
 }
 
 // Pick returns the upstream from which an answer is expected first, of some
@@ -191,6 +194,9 @@
 		if c.ColdShare != nil && u.Cold(now) && !r.gate.Open(c.ColdShare(), u.SlowUntil, now) {
 			continue
 		}
+		if c.Closed != nil && c.Closed(u.ID) {
+			continue
+		}
 		cost := r.cost(u, now)
 		if u.DataCentre != c.Home {
 			cost += c.FarPenalty
@@ -238,14 +244,14 @@
 
 // ColdOpen reports whether the upstream is warm, or this host's share of it
 // allows a request now.
-func (b *Board) ColdOpen(u *catalogue.Upstream, share warmup.Share, now time.Time) bool {
+func (b *Board) ColdOpen(u *catalogue.Upstream, share ratelimit.Share, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.of(u.ID).gate.Open(share, u.SlowUntil, now)
 }
 
 // ColdTake is ColdOpen for a request that is sent now, which it counts.
-func (b *Board) ColdTake(u *catalogue.Upstream, share warmup.Share, now time.Time) bool {
+func (b *Board) ColdTake(u *catalogue.Upstream, share ratelimit.Share, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.of(u.ID).gate.Take(share, u.SlowUntil, now)
--- a/internal/cli/peers_test.go
+++ b/internal/cli/peers_test.go
@@ -21,6 +21,10 @@
 	return p.reply, nil
 }
 
+func (p peerStandin) Admit(context.Context, *peerpb.AdmitRequest) (*peerpb.AdmitReply, error) {
+	return &peerpb.AdmitReply{}, nil
+}
+
 func (p peerStandin) Retire(context.Context, *peerpb.RetireRequest) (*peerpb.RetireReply, error) {
 	return &peerpb.RetireReply{}, nil
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -6,8 +6,8 @@
 
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/view"
-	"github.com/papayatide/papayatide/internal/warmup"
 )
 
 // choose returns the upstream to send to next. A request whose answer would
@@ -22,8 +22,9 @@
 	v := d.views.Load()
 	c := balance.Choice{Home: d.home, FarPenalty: q.route.Objective / 4, Not: q.tried}
 	if q.service.SlowStart.PerSecond > 0 {
-		c.ColdShare = func() warmup.Share { return d.coldShare(q.service) }
+		c.ColdShare = func() ratelimit.Share { return d.coldShare(q.service) }
 	}
+	c.Closed = func(id string) bool { wait, _ := d.closed(id, time.Now()); return wait > 0 }
 	ups := v.Upstreams.Of(q.service.Name)
 	u := d.board.Pick(ups, c, time.Now())
 	if u == nil && q.mayHaveRun {
@@ -38,6 +39,9 @@
 	if cold := anyCold(ups, time.Now()); u == nil && cold != nil {
 		return nil, q.coldRefusal(cold, time.Now())
 	}
+	if wait, cause := d.soonestOpen(ups, time.Now()); u == nil && wait > 0 {
+		return nil, q.closedRefusal(wait, cause)
+	}
 	if u == nil {
 		return nil, q.endUnsent(CauseNoUpstream, retryNoOwner)
 	}
@@ -57,6 +61,9 @@
 			if d.board.Out(u.ID, now) {
 				return nil, q.endUnsent(CauseUnreachable, retryNoOwner)
 			}
+			if wait, cause := d.closed(u.ID, now); wait > 0 {
+				return nil, q.closedRefusal(wait, cause)
+			}
 			if u.Cold(now) && !d.board.ColdOpen(u, d.coldShare(q.service), now) {
 				return nil, q.coldRefusal(u, now)
 			}
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -5,20 +5,20 @@
 
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
-	"github.com/papayatide/papayatide/internal/warmup"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 )
 
 // coldShare is this host's share of a cold upstream of the service. A host that
 // does not know how many others there are has none: it might be one of
 // thousands.
-func (d *Dispatcher) coldShare(s *desired.Service) warmup.Share {
+func (d *Dispatcher) coldShare(s *desired.Service) ratelimit.Share {
 	if s.SlowStart.PerSecond == 0 {
-		return warmup.Unbounded
+		return ratelimit.Unbounded
 	}
 	if !d.fleetKnown.Load() {
 		return 0
 	}
-	return warmup.Share(d.SlowStart.Rate(s.SlowStart.PerSecond) / float64(d.fleet.Load()))
+	return ratelimit.Share(d.SlowStart.Rate(s.SlowStart.PerSecond) / float64(d.fleet.Load()))
 }
 
 // coldRefusal ends a request for which only an upstream in its slow start is
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,9 +19,9 @@
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/protocol"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
-	"github.com/papayatide/papayatide/internal/warmup"
 )
 
 // Times told to callers that are refused. They are spread by spread so that
@@ -63,14 +63,16 @@
 	stop    *stopper
 	crashes *crashes.Ledger
 	unsure  unsure
-	// feedback is what upstreams report of themselves.
+	// feedback is what upstreams report of themselves, limits keeps to the rate
+	// limits among it.
 	feedback *feedback.Tracker
+	limits   *ratelimit.Limiter
 	// fleet is how many hosts there are, this one included, and fleetKnown
 	// whether that rests on anybody's word.
 	fleet      atomic.Int64
 	fleetKnown atomic.Bool
 	// SlowStart is the sheet's bound on what a cold upstream may get.
-	SlowStart warmup.Bounds
+	SlowStart ratelimit.Bounds
 	// Ended is told of every request's end, BrokeOff of every send that ended
 	// without an answer while its caller still waited.
 	Ended    func(*End)
@@ -111,8 +113,8 @@
 // New returns a dispatcher for callers in the data centre home. Requests that
 // ledger refuses are not sent.
 func New(h protocol.Headers, home string, views *view.Holder, client *upstream.Client, board *balance.Board, bud *budget.Budget,
-	ledger *crashes.Ledger, reports *feedback.Tracker) *Dispatcher {
-	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud, crashes: ledger, feedback: reports,
+	ledger *crashes.Ledger, reports *feedback.Tracker, limits *ratelimit.Limiter) *Dispatcher {
+	d := &Dispatcher{headers: h, home: home, views: views, client: client, board: board, budget: bud, crashes: ledger, feedback: reports, limits: limits,
 		splits: newSplitter(), unheld: newUnheld(), stop: newStopper(),
 		Ended: func(*End) {}, BrokeOff: func(*Broken) {}}
 	d.SetFleet(1, false)
@@ -202,6 +204,13 @@
 			}
 			continue
 		}
+		if wait, cause := d.take(ctx, u.ID); wait > 0 {
+			ticket.Done(admission.NoSign, 0)
+			if q.key >= 0 {
+				return nil, q.closedRefusal(wait, cause)
+			}
+			continue
+		}
 		if q.sends > 0 && !d.budget.Repeat(q.service.Name, q.urgent, time.Now()) {
 			ticket.Done(admission.NoSign, 0)
 			return nil, q.giveUp()
@@ -283,6 +292,10 @@
 func (d *Dispatcher) SetFleet(hosts int, known bool) {
 	d.fleet.Store(int64(hosts))
 	d.fleetKnown.Store(known)
+	if !known {
+		hosts = 0
+	}
+	d.limits.SetHosts(hosts)
 }
 
 // patience is how long the request may wait for its turn: what is left of
@@ -369,6 +382,7 @@
 func (d *Dispatcher) Prune() {
 	now := time.Now()
 	d.unheld.prune(now)
+	d.limits.Prune(func(id string) bool { return d.feedback.Limit(id) > 0 })
 	for _, e := range d.unsure.settle(d.views.Load().Upstreams, now) {
 		d.crashes.Saw(e)
 	}
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/view"
 )
 
@@ -18,7 +19,7 @@
 	f.Add("GET", "keyed.example", "/a", "77", "500", "Close, X-Id", []byte("body"))
 	f.Add("POST", "charge.example:80", "/%2f//..", "-1", "99999999999999999999", ",", []byte{})
 	f.Add("GET", "", "*", "65536", "x", "Connection", []byte{0})
-	d := New(names, "dc1", view.NewHolder(), nil, nil, nil, nil, nil)
+	d := New(names, "dc1", view.NewHolder(), nil, nil, nil, nil, nil, ratelimit.NewLimiter(ratelimit.Bounds{}, nil))
 	route := &desired.Route{Name: "r", Host: "keyed.example", Prefix: "/", Timeout: testTimeout, Objective: testObjective, MaxAttempts: 1,
 		Shares: []desired.Share{{Service: "keyed", Weight: 1}}}
 	d.views.Publish(func(v *view.View) {
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -20,6 +20,7 @@
 	CauseFull         Cause = "upstreams have no room"
 	CauseMoved        Cause = "the key is changing hands"
 	CauseCold         Cause = "upstream has just started and can bear no more yet"
+	CauseLimited      Cause = "upstream has reached the rate limit that it reports"
 	CauseUnreachable  Cause = "upstream could not be reached"
 	CauseTimeoutNever Cause = "time ran out before the request could be sent"
 	CauseTimeout      Cause = "time ran out at the upstream"
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -22,6 +22,7 @@
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/protocol"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -112,7 +113,8 @@
 	t.Helper()
 	g := &rig{views: view.NewHolder()}
 	bud := budget.New(budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute))
-	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard("h"), bud, crashes.NewLedger(nil), feedback.NewTracker())
+	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard("h"), bud, crashes.NewLedger(nil), feedback.NewTracker(),
+		ratelimit.NewLimiter(ratelimit.Bounds{}, nil))
 	g.d.Ended = func(e *End) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -11,6 +11,7 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/loadmap"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
@@ -92,6 +93,8 @@
 	broken map[metastore.Stream]time.Time
 	backAt time.Time
 	copy   *relay.Copy
+	// feedback is what upstreams report of themselves.
+	feedback *feedback.Tracker
 	// refusedAt is when a refused upstream's record was last logged,
 	// refusedUntold how many were not since.
 	refusedAt     time.Time
@@ -114,9 +117,13 @@
 	evacuateBound time.Duration) *control {
 	c := &control{zl: zl, store: store, decoder: dec, granter: granter, views: views, plan: planner.New(opts), eager: opts.Eager,
 		seats: newSeatSeeker(store, opts.Host), loads: loadmap.New(), clock: bootclock.Now, inbox: make(chan func(), 256),
-		roster: newRoster(zl), evacuations: newEvacuations(evacuateBound), broken: map[metastore.Stream]time.Time{}, copy: relay.NewCopy()}
+		roster: newRoster(zl), evacuations: newEvacuations(evacuateBound), broken: map[metastore.Stream]time.Time{}, copy: relay.NewCopy(), feedback: feedback.NewTracker()}
 	c.plan.Load = func(service string, owners []*catalogue.Upstream) (ownership.Load, float64) {
-		return c.loads.Load(service, owners, time.Now())
+		load, samples := c.loads.Load(service, owners, time.Now())
+		if samples > 0 { // before, capacities are not in requests a second
+			withinLimits(&load, owners, c.feedback.Limit)
+		}
+		return load, samples
 	}
 	c.plan.Note = c.notePlanner
 	c.plan.Cold = c.cold
--- a/internal/entryhost/feed.go
+++ b/internal/entryhost/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
@@ -75,6 +76,8 @@
 	fleet *fleet.Fleet
 	// board reports what this host has at upstreams, and learns of the others.
 	board *balance.Board
+	// feedback is what upstreams report of themselves.
+	feedback *feedback.Tracker
 	// planner returns the planner's peer address; empty if there is none
 	// or it is this host.
 	planner func() string
@@ -189,7 +192,7 @@
 // ask makes one call and takes the answer in. It reports whether it can be
 // relied on: it must come within timeout and not be older than oldest.
 func (f *feed) ask(ctx context.Context, addr string, oldest, timeout time.Duration, loads []peer.ServiceLoad) bool {
-	q := peer.Question{Self: f.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Wait: followWait}
+	q := peer.Question{Self: f.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Notices: f.feedback.Notices(time.Now()), Wait: followWait}
 	relays := q.Self.Followers > 0
 	if relays {
 		q.Wait = relayWait
@@ -220,6 +223,7 @@
 		f.relay = got.Relay
 	}
 	f.fleet.Told(got.Hosts)
+	f.feedback.Learn(addr, got.Notices, time.Now())
 	if !relays {
 		f.board.Learn(got.Others, time.Now())
 	}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -26,10 +26,10 @@
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/planner"
 	"github.com/papayatide/papayatide/internal/protocol"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
-	"github.com/papayatide/papayatide/internal/warmup"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
 
@@ -108,9 +108,11 @@
 	board    *balance.Board
 	budget   *budget.Budget
 	feedback *feedback.Tracker
-	peers    *peer.Client
-	feed     *feed
-	fleet    *fleet.Fleet
+	// allocator divides upstreams' rate limits among the hosts while this one plans.
+	allocator *ratelimit.Allocator
+	peers     *peer.Client
+	feed      *feed
+	fleet     *fleet.Fleet
 	// eager hosts are strong enough to plan and to relay.
 	eager    bool
 	reporter *reporter
@@ -155,7 +157,7 @@
 
 func newHost(cfg *settings.Entry, plat Platform, zl *zap.Logger) *host {
 	h := &host{cfg: cfg, zl: zl, views: view.NewHolder(), client: upstream.NewClient(plat.Headers), board: balance.NewBoard(cfg.Host),
-		budget: budget.New(shareOfBudget(cfg, 1), time.Now()), reporter: newReporter(), feedback: feedback.NewTracker(), plat: plat, fleet: fleet.New(cfg.DataCentre),
+		budget: budget.New(shareOfBudget(cfg, 1), time.Now()), reporter: newReporter(), allocator: ratelimit.NewAllocator(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		eager: cfg.CPUShare >= eagerCPU && cfg.LinkMbps >= eagerLink,
 		peers: peer.NewClient(&http.Client{Transport: plat.peerTransport()})}
 	if plat.Net != nil {
@@ -165,14 +167,16 @@
 	h.control = newControl(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
 		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: h.eager},
 		cfg.Evacuate)
+	h.feedback = h.control.feedback
 	if plat.Clock != nil {
 		h.control.clock = plat.Clock
 	}
 	h.control.crashes = newCrashLog(zl, plat.Store, h.control.planning.Load)
-	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, h.control.crashes.ledger, h.feedback)
+	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, h.control.crashes.ledger, h.feedback,
+		ratelimit.NewLimiter(reportedLimit, h.askLeave))
 	h.feedback.Changed = h.reported
 	h.dispatch.Ended, h.dispatch.BrokeOff = h.ended, h.brokeOff
-	h.dispatch.SlowStart = warmup.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack}
+	h.dispatch.SlowStart = ratelimit.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack, Window: slowStartWindow}
 	h.control.retirer = h.peers
 	h.control.seats.hosts = func() int { return h.fleet.Size(time.Now()) }
 	h.control.eagerAlive = func() bool { return h.fleet.EagerAlive(time.Now()) }
@@ -206,7 +210,8 @@
 	}
 	peers := http.NewServeMux()
 	ps := peerpb.NewPeerServer(&peer.Server{Copy: h.control.copy, Standing: h.standing, Fleet: h.fleet, Name: h.cfg.Host, Tell: h.status, Retired: h.retire,
-		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }, Uses: h.uses.take, Others: h.uses.others})
+		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }, Uses: h.uses.take, Others: h.uses.others,
+		Feedback: h.feedback, Leave: h.leave})
 	peers.Handle(ps.PathPrefix(), ps)
 	if err := h.addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
--- a/internal/entryhost/report.go
+++ b/internal/entryhost/report.go
@@ -144,7 +144,7 @@
 		alone = firstStartAlone
 	}
 	f := &feed{alone: alone, zl: h.zl, peers: h.peers, copy: h.control.copy, ownership: own, rest: rest, planner: h.plannerAddr, planning: h.control.planning.Load,
-		self: h.self, fleet: h.fleet, board: h.board,
+		self: h.self, fleet: h.fleet, board: h.board, feedback: h.feedback,
 		takeLoads: h.reporter.take, localLoads: func(l []peer.ServiceLoad) { h.takeLoads(ctx, l) },
 		apply: func(b relay.Batch) { h.control.take(ctx, b) },
 		lost:  func() { h.control.post(ctx, h.control.plan.PlannerLost) },
--- a/internal/feedback/tracker.go
+++ b/internal/feedback/tracker.go
@@ -178,6 +178,19 @@
 	return min(n.LimitAge, n.LeavingAge)
 }
 
+// Unknown returns those of the notices that say more than what a host has told
+// itself.
+func Unknown(notices, told []Notice) []Notice {
+	by := make(map[string]Notice, len(told))
+	for _, n := range told {
+		by[n.Upstream] = n
+	}
+	return slices.DeleteFunc(notices, func(n Notice) bool {
+		its, ok := by[n.Upstream]
+		return ok && its.Limit == n.Limit && its.Leaving == n.Leaving
+	})
+}
+
 // Learn takes in what another host knows.
 func (t *Tracker) Learn(from string, notices []Notice, now time.Time) {
 	for _, n := range notices {
--- a/internal/ownership/rebalance.go
+++ b/internal/ownership/rebalance.go
@@ -25,6 +25,18 @@
 	Slow map[string]bool
 }
 
+// Cap lowers an owner's capacity, and its share with it, to at most the given one.
+func (l *Load) Cap(owner string, most float64) {
+	capacity := l.Capacity[owner]
+	if capacity <= most {
+		return
+	}
+	if l.Share != nil {
+		l.Share[owner] *= most / capacity
+	}
+	l.Capacity[owner] = most
+}
+
 // Limits shape a rebalance.
 type Limits struct {
 	// Trigger is how far above its fair share an owner's load must be
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,9 +12,11 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/loadmap"
 	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/relay"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
@@ -50,6 +52,8 @@
 	Uses []balance.Use
 	// Using are the upstreams of which it wants to know what others have there.
 	Using balance.Using
+	// Notices are what upstreams have reported of themselves.
+	Notices []feedback.Notice
 	// Wait is how long the call may wait for something new.
 	Wait time.Duration
 }
@@ -70,6 +74,8 @@
 	// Others is what the other hosts of the data centre have at the upstreams
 	// asked for; empty if the host asked is in another one.
 	Others []balance.Others
+	// Notices are what upstreams have reported of themselves to other hosts.
+	Notices []feedback.Notice
 }
 
 // ErrNoCopy means that a host answered that it has no copy of the log that could
@@ -91,6 +97,7 @@
 		msg.Uses = append(msg.Uses, &peerpb.UpstreamUse{Id: u.ID, UnderWay: uint32(u.UnderWay), Answered: uint32(u.Answered),
 			LatencyMs: uint32(u.Latency.Milliseconds())})
 	}
+	msg.Notices = encodeNotices(q.Notices)
 	msg.UsingToken = q.Using.Token
 	if c.listTold(addr) != q.Using.Token {
 		msg.Using = q.Using.IDs
@@ -104,7 +111,7 @@
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
 	out := &Answer{Age: time.Duration(reply.AgeMs) * time.Millisecond, Steady: time.Duration(reply.SteadyMs) * time.Millisecond,
-		Hosts: int(reply.Hosts), Relay: reply.Relay}
+		Hosts: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices)}
 	for _, b := range reply.Batches {
 		out.Batches = append(out.Batches, decodeBatch(b))
 	}
@@ -238,6 +245,11 @@
 	// other hosts of its data centre have at each of those with the given IDs.
 	Uses   func(caller fleet.Host, uses []balance.Use)
 	Others func(caller fleet.Host, ids []string) []balance.Others
+	// Feedback is what upstreams have reported of themselves.
+	Feedback *feedback.Tracker
+	// Leave gives leave to send to an upstream with a rate limit; false if this
+	// host does not plan.
+	Leave func(upstream string, perSecond float64, want int) (ratelimit.Grant, bool)
 	// Name is this host's.
 	Name string
 	// Retired stops what this host plans of a service in terms before the
@@ -281,10 +293,13 @@
 		positions[metastore.Stream(p.Stream)] = p.Next
 	}
 	s.Uses(caller, decodeUses(m.Uses))
+	told := decodeNotices(m.Notices)
+	s.Feedback.Learn(caller.Name, told, time.Now())
 	reply := &peerpb.FollowReply{}
 	for _, b := range s.Copy.Since(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
+	reply.Notices = encodeNotices(feedback.Unknown(s.Feedback.Notices(time.Now()), told))
 	using := s.listOf(m)
 	reply.UsingToken = using.Token
 	for _, o := range s.Others(caller, using.IDs) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/loadmap"
 	"github.com/papayatide/papayatide/internal/relay"
@@ -18,7 +19,7 @@
 // followed is a host that answers as one that can be followed.
 func followed(t *testing.T) (addr string, s *Server) {
 	t.Helper()
-	s = &Server{Copy: relay.NewCopy(), Fleet: fleet.New("dc"), Loads: func([]ServiceLoad) {}, Uses: func(fleet.Host, []balance.Use) {},
+	s = &Server{Copy: relay.NewCopy(), Feedback: feedback.NewTracker(), Fleet: fleet.New("dc"), Loads: func([]ServiceLoad) {}, Uses: func(fleet.Host, []balance.Use) {},
 		Standing: func(time.Time) (Standing, bool) { return Standing{Planning: true}, true },
 		Others: func(_ fleet.Host, ids []string) []balance.Others {
 			out := make([]balance.Others, len(ids))
--- /dev/null
+++ b/internal/ratelimit/gate.go
@@ -0,0 +1,56 @@
+package ratelimit
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Share is how many requests a second one host may send to an upstream.
+type Share float64
+
+// Unbounded is the share where upstreams take any number.
+var Unbounded = Share(math.Inf(1))
+
+// Gate lets one host's requests to one upstream through at its share. The first
+// may be sent at a random time within the first gap, so that hosts which do not
+// hear of each other do not begin together. Its zero value is of an upstream that
+// never had a limit.
+type Gate struct {
+	// until is the end of the limit that next was drawn for.
+	until, next time.Time
+}
+
+// Open reports whether a request may be sent at now to an upstream whose limit
+// holds until the given time.
+func (g *Gate) Open(share Share, until, now time.Time) bool {
+	if !now.Before(until) {
+		return true
+	}
+	if !now.Before(g.until) {
+		// Another limit. Its end may change a little with each report, which does
+		// not begin a new one.
+		g.next = now.Add(time.Duration(rand.Float64() * float64(share.gap())))
+	}
+	g.until = until
+	return !now.Before(g.next)
+}
+
+// Take counts a request that is sent now, and reports whether it may be.
+func (g *Gate) Take(share Share, until, now time.Time) bool {
+	if !g.Open(share, until, now) {
+		return false
+	}
+	if now.Before(until) {
+		g.next = now.Add(share.gap())
+	}
+	return true
+}
+
+// longest bounds the gap between a host's requests.
+const longest = time.Hour
+
+// gap is the least time between two requests.
+func (s Share) gap() time.Duration {
+	return time.Duration(min(float64(time.Second)/float64(s), float64(longest)))
+}
--- a/internal/warmup/warmup_test.go
+++ b/internal/ratelimit/gate_test.go
@@ -1,4 +1,4 @@
-package warmup
+package ratelimit
 
 import (
 	"fmt"
@@ -19,7 +19,7 @@
 		lasts     = 3 * time.Second
 		step      = 5 * time.Millisecond
 	)
-	b := Bounds{Factor: 1.5, Slack: 8}
+	b := Bounds{Factor: 1.5, Slack: 8, Window: time.Second}
 	most := int(perSecond*b.Factor + b.Slack)
 	for _, hosts := range []int{1, 12, 79, 300, 3300} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
@@ -77,10 +77,10 @@
 	for _, c := range []struct {
 		bounds    Bounds
 		perSecond float64
-	}{{Bounds{1.5, 8}, 4.4}, {Bounds{1, 0}, 4}, {Bounds{1, 0}, 0.5}, {Bounds{2, 100}, 10}} {
+	}{{Bounds{1.5, 8, time.Second}, 4.4}, {Bounds{1, 0, time.Second}, 4}, {Bounds{1, 0, time.Second}, 0.5}, {Bounds{2, 100, time.Second}, 10}} {
 		rate := c.bounds.Rate(c.perSecond)
 		tail := poissonTail(rate, int(c.perSecond*c.bounds.Factor+c.bounds.Slack))
-		if rate > c.perSecond || tail > tooMany || math.IsNaN(rate) {
+		if rate > c.perSecond || tail > maxOvershoot || math.IsNaN(rate) {
 			t.Errorf("%+v at %v a second: rate %v, chance of too many %v", c.bounds, c.perSecond, rate, tail)
 		}
 	}
