DRAIN: an upstream that reports that it leaves hands its keys over and gets nothing later

Change: the report marks the upstream's life at every host that hears of it, by its own answer or from other hosts: nothing that another could do is sent there, its keys are handed over, and what it still owns is sent until 0.3 s before the bound (setting drain, from the platform). An entry that still says ready does not undo it; a new life of the server has reported nothing.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -23,18 +23,20 @@
 	Unlisted bool
 	// SlowUntil is when its slow start is over.
 	SlowUntil time.Time
-	// LeaveBy is set while operators have its data centre evacuated: nothing
-	// may be sent to it from then on, and until then only requests for keys
-	// that it still owns.
+	// LeaveBy is set while operators have its data centre evacuated, and once it
+	// has reported in its answers that it leaves: nothing may be sent to it from
+	// then on, and until then only requests for keys that it still owns.
 	LeaveBy time.Time
+	// ReportedLeaving is set in the latter case.
+	ReportedLeaving bool
 }
 
-// Evacuated reports whether operators have its data centre evacuated.
-func (u *Upstream) Evacuated() bool { return !u.LeaveBy.IsZero() }
+// HandingOver reports whether it is to lose what it owns by LeaveBy.
+func (u *Upstream) HandingOver() bool { return !u.LeaveBy.IsZero() }
 
 // Retiring reports whether it is to lose what it owns and gets nothing that
 // another upstream could do.
-func (u *Upstream) Retiring() bool { return u.Leaving || u.Evacuated() }
+func (u *Upstream) Retiring() bool { return u.Leaving || u.HandingOver() }
 
 // Cold reports whether it is in its slow start.
 func (u *Upstream) Cold(now time.Time) bool { return now.Before(u.SlowUntil) }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -77,10 +77,9 @@
 }
 
 // mayOwn reports whether requests for the keys that the upstream owns may be sent
-// to it: it is not leaving, nor is the time over in which those of an evacuated
-// data centre hand their keys over.
+// to it: it is not leaving, nor is the time over in which it hands its keys over.
 func mayOwn(u *catalogue.Upstream, now time.Time) bool {
-	return !u.Leaving && (!u.Evacuated() || now.Before(u.LeaveBy))
+	return !u.Leaving && (!u.HandingOver() || now.Before(u.LeaveBy))
 }
 
 // waitForMove waits until the ownership table is newer than the one under
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -93,8 +93,10 @@
 	broken map[metastore.Stream]time.Time
 	backAt time.Time
 	copy   *relay.Copy
-	// feedback is what upstreams report of themselves.
+	// feedback is what upstreams report of themselves, drain the time from such a
+	// report of leaving to the last request.
 	feedback *feedback.Tracker
+	drain    time.Duration
 	// refusedAt is when a refused upstream's record was last logged,
 	// refusedUntold how many were not since.
 	refusedAt     time.Time
--- a/internal/entryhost/feedback.go
+++ b/internal/entryhost/feedback.go
@@ -27,12 +27,34 @@
 	leaveUnanswered = metrics.NewCounter(`papayatide_leave_unanswered_total`)
 )
 
-// reported logs a change of what an upstream reports of itself.
-func (h *host) reported(c feedback.Change) {
+// reported takes in a change of what an upstream reports of itself.
+func (h *host) reported(ctx context.Context, c feedback.Change) {
 	upstreamReports.Inc()
 	h.zl.Info("upstream reported its state", zap.Int("event", events.UpstreamReported), zap.String("peer", c.Upstream),
 		zap.Float64("limit", c.Limit), zap.Float64("limit_before", c.Before), zap.Bool("leaving", c.Leaving),
 		zap.Duration("rest", c.Rest), zap.String("from", c.From))
+	if c.Leaving {
+		h.control.post(ctx, h.control.publishUpstreams)
+	}
+}
+
+// leavingMargin is how much sooner than its bound the last request is sent to an
+// upstream that has reported that it leaves, for the way there.
+const leavingMargin = 300 * time.Millisecond
+
+// markLeaving returns the upstream with what its answers say of its leaving. What
+// the log says of it may be older.
+func (c *control) markLeaving(u *catalogue.Upstream) *catalogue.Upstream {
+	since, leaving := c.feedback.LeavingSince(u.ID)
+	if !leaving {
+		return u
+	}
+	marked := *u
+	marked.ReportedLeaving = true
+	if by := since.Add(max(c.drain-leavingMargin, 0)); marked.LeaveBy.IsZero() || by.Before(marked.LeaveBy) {
+		marked.LeaveBy = by
+	}
+	return &marked
 }
 
 // errNoPlanner means that this host knows of no planner.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -135,6 +135,7 @@
 	h := newHost(cfg, plat, zl)
 	var g run.Group
 	work, cancel := context.WithCancel(context.Background())
+	h.feedback.Changed = func(c feedback.Change) { h.reported(work, c) }
 	g.Add(func() error { h.control.run(work); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.control.crashes.run(work); return nil }, func(error) { cancel() })
 	h.feed = h.newFeed(work)
@@ -167,14 +168,13 @@
 	h.control = newControl(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
 		Hold: cfg.Hold, ViewAge: cfg.ViewAge, SeatTTL: max(cfg.SeatMin, seatTTL), Eager: h.eager},
 		cfg.Evacuate)
-	h.feedback = h.control.feedback
+	h.feedback, h.control.drain = h.control.feedback, cfg.Drain
 	if plat.Clock != nil {
 		h.control.clock = plat.Clock
 	}
 	h.control.crashes = newCrashLog(zl, plat.Store, h.control.planning.Load)
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.board, h.budget, h.control.crashes.ledger, h.feedback,
 		ratelimit.NewLimiter(reportedLimit, h.askLeave))
-	h.feedback.Changed = h.reported
 	h.dispatch.Ended, h.dispatch.BrokeOff = h.ended, h.brokeOff
 	h.dispatch.SlowStart = ratelimit.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack, Window: slowStartWindow}
 	h.control.retirer = h.peers
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
@@ -192,6 +193,6 @@
 }
 
 func (c *control) publishUpstreams() {
-	snap := c.roster.snapshot(c.evacuations.mark)
+	snap := c.roster.snapshot(func(u *catalogue.Upstream) *catalogue.Upstream { return c.markLeaving(c.evacuations.mark(u)) })
 	c.views.Publish(func(v *view.View) { v.Upstreams = snap })
 }
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -267,9 +267,9 @@
 		return causeRestarted
 	case u == nil:
 		return causeGone
-	case u.Leaving:
+	case u.Leaving || u.ReportedLeaving:
 		return causeLeaving
-	case u.Evacuated():
+	case u.HandingOver():
 		return causeEvacuated
 	case t.shunned(owner, now):
 		return causeLost
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -39,6 +39,8 @@
 	SlowStartFactor, SlowStartSlack float64
 	Evacuate                        time.Duration // evacuate: from the order to evacuate a data centre to the last request there
 
+	Drain time.Duration // drain: from an answer that says its upstream leaves to the last request there
+
 	// [ownership]
 	Hold    time.Duration // hold: how long a grant lasts
 	ViewAge time.Duration // view_age: how long grants are renewed without word from the log service
@@ -50,7 +52,7 @@
 		"first_start": "false"},
 	"log": {"addr": "", "seat_min": "1s"},
 	"bounds": {"hold_max": "10s", "grace": "6s", "repeat_ratio": "0.2", "repeat_slack": "0", "repeat_window": "10s",
-		"slow_start_factor": "1", "slow_start_slack": "0", "evacuate": "5s"},
+		"slow_start_factor": "1", "slow_start_slack": "0", "evacuate": "5s", "drain": "2s"},
 	"ownership": {"hold": "3s", "view_age": "6s"},
 }
 
@@ -100,6 +102,7 @@
 		SlowStartFactor: r.fraction("bounds", "slow_start_factor"),
 		SlowStartSlack:  r.fraction("bounds", "slow_start_slack"),
 		Evacuate:        r.duration("bounds", "evacuate"),
+		Drain:           r.duration("bounds", "drain"),
 		Hold:            r.duration("ownership", "hold"),
 		ViewAge:         r.duration("ownership", "view_age"),
 	}
