BUDGET: a host leaves an upstream alone for the rest that it asks for

Change: the rest is kept for each upstream and asked for where an upstream is chosen and again at the send. Requests that another upstream can serve go there; others are refused at once, with the rest that is left as Retry-After.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -33,17 +33,8 @@
 		c.Not = nil
 		u = d.board.Pick(ups, c, time.Now())
 	}
-	if u == nil && len(q.tried) > 0 {
-		return nil, q.giveUp()
-	}
-	if cold := anyCold(ups, time.Now()); u == nil && cold != nil {
-		return nil, q.coldRefusal(cold, time.Now())
-	}
-	if wait, cause := d.soonestOpen(ups, time.Now()); u == nil && wait > 0 {
-		return nil, q.closedRefusal(wait, cause)
-	}
 	if u == nil {
-		return nil, q.endUnsent(CauseNoUpstream, retryNoOwner)
+		return nil, d.noneLeft(q, ups, time.Now())
 	}
 	if q.sends == 0 && d.board.Expected(u, time.Now()) > q.route.Objective {
 		return nil, q.endUnsent(CauseFull, q.soon())
@@ -51,6 +42,20 @@
 	return u, nil
 }
 
+// noneLeft ends a request for which none of the upstreams is left.
+func (d *Dispatcher) noneLeft(q *request, ups []*catalogue.Upstream, now time.Time) *Refusal {
+	if wait, cause := d.soonestOpen(ups, now); wait > 0 {
+		return q.closedRefusal(wait, cause)
+	}
+	if len(q.tried) > 0 {
+		return q.giveUp()
+	}
+	if cold := anyCold(ups, now); cold != nil {
+		return q.coldRefusal(cold, now)
+	}
+	return q.endUnsent(CauseNoUpstream, retryNoOwner)
+}
+
 // owner returns the owner of the request's key, waiting a little for one.
 func (d *Dispatcher) owner(ctx context.Context, q *request) (*catalogue.Upstream, *Refusal) {
 	for {
--- a/internal/dispatch/closed.go
+++ b/internal/dispatch/closed.go
@@ -10,6 +10,9 @@
 // closed returns for how long the upstream takes no requests of this host, and
 // why; 0 if one may be tried.
 func (d *Dispatcher) closed(id string, now time.Time) (time.Duration, Cause) {
+	if rest := d.feedback.Rest(id, now); rest > 0 {
+		return rest, CauseResting
+	}
 	if d.feedback.Limit(id) == 0 {
 		return 0, ""
 	}
@@ -20,6 +23,9 @@
 // be, or else as closed does. Requests wait for their turn in between, so what was
 // true when the upstream was chosen is asked again.
 func (d *Dispatcher) take(ctx context.Context, id string) (time.Duration, Cause) {
+	if rest := d.feedback.Rest(id, time.Now()); rest > 0 {
+		return rest, CauseResting
+	}
 	limit := d.feedback.Limit(id)
 	if limit == 0 {
 		return 0, ""
--- /dev/null
+++ b/internal/dispatch/closed_test.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/ratelimit"
+)
+
+// says answers every request with the status and headers.
+func says(status int, extra ...string) func(io.Writer, net.Conn, *http.Request, int64) bool {
+	return func(w io.Writer, _ net.Conn, r *http.Request, _ int64) bool {
+		return whole(w, r, status, "said", extra...)
+	}
+}
+
+// retryAfter returns when the caller is told to come back.
+func (a answer) retryAfter(t *testing.T) time.Duration {
+	t.Helper()
+	seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	if err != nil {
+		t.Fatalf("Retry-After %q: %v", a.header.Get("Retry-After"), err)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// An upstream that asks for a rest must get nothing more, and callers that only it
+// could serve must be told so at once instead of waiting or being sent there.
+func TestRestingUpstreamIsLeftAlone(t *testing.T) {
+	f := startUpstream(t, says(http.StatusServiceUnavailable, "X-Not-Run: 1", "Retry-After: 30"))
+	other := startUpstream(t, echo)
+	g := newRig(t, up("u1", "plain", f), up("k1", "keyed", f), up("u2", "plain", other))
+	g.own("k1", 1)
+	g.get("keyed.example", "first").want(t, http.StatusServiceUnavailable, "")
+	for i := range 5 {
+		start := time.Now()
+		a := g.get("keyed.example", "later"+strconv.Itoa(i))
+		a.want(t, http.StatusServiceUnavailable, string(CauseResting)+"\n")
+		if took := time.Since(start); took > testObjective/2 {
+			t.Errorf("refused after %v", took)
+		}
+		if back := a.retryAfter(t); back < time.Second {
+			t.Errorf("told to come back after %v, in the rest of 30s", back)
+		}
+	}
+	if n := f.runs.Load(); n != 1 {
+		t.Errorf("%d requests reached the keys' owner, want 1", n)
+	}
+	for i := range 20 {
+		g.get("read.example", "plain"+strconv.Itoa(i)).want(t, http.StatusOK, "")
+	}
+	if n := f.runs.Load(); n > 2 {
+		t.Errorf("%d requests reached upstreams that rest, want 2 at most", n)
+	}
+}
+
+// A request that waited for its turn, or is sent again, while its upstream named a
+// limit must ask for leave as well.
+func TestLimitIsAskedForAtEachSend(t *testing.T) {
+	f := startUpstream(t, says(http.StatusInternalServerError, "X-Limit: 1"))
+	g := newRig(t, up("k1", "keyed", f))
+	asked := 0
+	g.d.limits = ratelimit.NewLimiter(ratelimit.Bounds{}, func(context.Context, string, float64, int) (ratelimit.Grant, error) {
+		asked++
+		return ratelimit.Grant{Wait: time.Second}, nil
+	})
+	g.own("k1", 1)
+	g.get("keyed.example", "r1")
+	if n := f.runs.Load(); n != 1 || asked != 1 {
+		t.Errorf("%d sends, leave asked for %d times; want 1 and 1 for the repeat", n, asked)
+	}
+	g.get("keyed.example", "r2").want(t, http.StatusServiceUnavailable, string(CauseLimited)+"\n")
+	if n := f.runs.Load(); n != 1 {
+		t.Errorf("%d sends without leave", n-1)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -353,6 +353,9 @@
 }
 
 func (q *request) refused(res *upstream.Result) *Refusal {
+	if res.Report.Rest > 0 && q.key >= 0 {
+		return q.closedRefusal(res.Report.Rest, CauseResting)
+	}
 	if res.Misdirected() {
 		return q.endUnsent(CauseMoved, retryMoved)
 	}
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -21,6 +21,7 @@
 	CauseMoved        Cause = "the key is changing hands"
 	CauseCold         Cause = "upstream has just started and can bear no more yet"
 	CauseLimited      Cause = "upstream has reached the rate limit that it reports"
+	CauseResting      Cause = "upstream asked this host to pause"
 	CauseUnreachable  Cause = "upstream could not be reached"
 	CauseTimeoutNever Cause = "time ran out before the request could be sent"
 	CauseTimeout      Cause = "time ran out at the upstream"
