--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -27,6 +27,7 @@
 	ForwardFailed      = 400
 	CrossedAnswer      = 401
 	ContentEndsTargets = 402
+	TargetReported     = 403
 
 	// 5xx: the log service.
 	LogUnreachable = 500
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/papayatide/papayatide/internal/burn"
 	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/refusal"
 	"github.com/papayatide/papayatide/internal/routing"
 	"github.com/papayatide/papayatide/internal/target"
@@ -63,13 +64,16 @@
 	Burns *burn.Recorder
 	// crashes are the targets that ended under requests, as this host saw.
 	crashes *crashes.Ledger
+	// reports are what targets report of themselves in their answers.
+	reports *feedback.Tracker
 	started time.Time
 }
 
 // New returns a router reading tables from table.
 func New(opts Options, table func() *routing.Table, targets *target.Client, log *zap.Logger) *Router {
 	rt := &Router{started: time.Now(), opts: opts, table: table, targets: targets, log: log, Refused: func(string) {},
-		Burns: burn.NewRecorder(opts.LatencyObjective)}
+		reports: feedback.NewTracker(), Burns: burn.NewRecorder(opts.LatencyObjective)}
+	rt.reports.Changed = rt.reported
 	rt.crashes = crashes.NewLedger(rt.refusing)
 	rt.crashes.TryIf(func() bool { return true }) // no other host shares what it sees
 	return rt
@@ -132,11 +136,15 @@
 		return nil, ref
 	}
 	req.Shard, req.FencingToken = route.Shard, route.FencingToken
+	if rest := rt.reports.Rest(route.Upstream.Name, now); rest > 0 {
+		return nil, refusal.New(refusal.Shed, StepForward, route.Upstream.Name, refusal.NotRun, rest, "the target asked for a rest")
+	}
 	if left := rt.fatal(req, now); left > 0 {
 		return nil, refusal.New(refusal.EndsTargets, StepForward, "", refusal.NotRun, left, "targets ended while they ran this request")
 	}
 	resp, err := rt.targets.Forward(r.Context(), route.Upstream, req)
 	rt.noteEnd(resp, err, req, route, time.Now())
+	rt.noteReport(resp, err, route, now, time.Now())
 	if err != nil {
 		return nil, rt.forwardRefusal(err, req, route)
 	}
@@ -196,7 +204,8 @@
 			rt.Refused(peer)
 			return nil, refusal.New(refusal.Fenced, StepForward, peer, refusal.NotRun, rt.opts.RetryAfter, string(resp.Body))
 		default:
-			return nil, refusal.New(refusal.Shed, StepForward, peer, refusal.NotRun, rt.opts.RetryAfter, string(resp.Body))
+			back := max(rt.opts.RetryAfter, rt.reports.Rest(peer, time.Now()))
+			return nil, refusal.New(refusal.Shed, StepForward, peer, refusal.NotRun, back, string(resp.Body))
 		}
 	}
 	if resp.Status < 300 && resp.Header.Get(target.HeaderRequestID) != req.RequestID {
