dispatch: deliver an upstream's failure if the repeat cannot be sent

Cause: an answer of 5xx to a request that may be repeated was dropped before the repeat; if that had no leave, no budget or no owner, the caller got 502 "outcome unknown" in place of the answer at hand. Change: the last answer is kept and delivered where nothing better follows.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -168,8 +168,18 @@
 	_, _ = w.Write(res.Body)
 }
 
-// forward sends the request until it is answered or must end.
+// forward sends the request until it is answered or must end. A failure that an
+// upstream has answered is the caller's answer if no better one came.
 func (d *Dispatcher) forward(ctx context.Context, q *request, end *End) (*upstream.Result, *Refusal) {
+	res, ref := d.exchange(ctx, q, end)
+	if ref != nil && q.answered != nil {
+		return q.answered, nil
+	}
+	return res, ref
+}
+
+// exchange sends the request until it is answered or must end.
+func (d *Dispatcher) exchange(ctx context.Context, q *request, end *End) (*upstream.Result, *Refusal) {
 	for {
 		if ctx.Err() != nil {
 			return nil, d.outOfTime(ctx, q)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -42,11 +42,14 @@
 	sends, unsent int
 	// mayHaveRun is set once a send ended without word that it did not run.
 	mayHaveRun bool
-	tried      []string
-	lastUp     string
-	lastErr    error
-	lastSeen   int64
-	waited     time.Duration
+	// answered is the last answer of an upstream that ran the request, a failure
+	// if the request is still on its way.
+	answered *upstream.Result
+	tried    []string
+	lastUp   string
+	lastErr  error
+	lastSeen int64
+	waited   time.Duration
 	// trial is set if the request's next send shows whether its content, which is
 	// refused, still ends servers.
 	trial bool
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -109,12 +109,17 @@
 	testObjective = 400 * time.Millisecond
 )
 
+// noLeave is an allocator that never gives leave.
+func noLeave(context.Context, string, float64, int) (ratelimit.Grant, error) {
+	return ratelimit.Grant{Wait: time.Second}, nil
+}
+
 func newRig(t *testing.T, ups ...*catalogue.Upstream) *rig {
 	t.Helper()
 	g := &rig{views: view.NewHolder()}
 	bud := budget.New(budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute))
 	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard("h"), bud, crashes.NewLedger(nil), feedback.NewTracker(),
-		ratelimit.NewLimiter(ratelimit.Bounds{}, nil))
+		ratelimit.NewLimiter(ratelimit.Bounds{}, noLeave))
 	g.d.Ended = func(e *End) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -33,6 +33,9 @@
 	if res.Outcome == upstream.Unknown || res.Outcome == upstream.Answered {
 		q.mayHaveRun = true
 	}
+	if res.Outcome == upstream.Answered {
+		q.answered = res
+	}
 	if brokeOff(ctx, res) {
 		d.noteBroken(ctx, q, u, took)
 	}
