--- a/internal/soak/evacuate.go
+++ b/internal/soak/evacuate.go
@@ -125,13 +125,5 @@
 
 // inTouch reports whether no fault touched the host or the log service.
 func (in *injector) inTouch(h *Host, from, to time.Time) bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for _, f := range in.faults {
-		over := !f.to.IsZero() && f.to.Before(from)
-		if !over && f.from.Before(to) && (f.host == h || strings.HasPrefix(f.what, "log service")) {
-			return false
-		}
-	}
-	return true
+	return !in.touched(from, to, func(f *fault) bool { return f.host == h || strings.HasPrefix(f.what, "log service") })
 }
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/papayatide/papayatide/platform"
@@ -99,7 +98,7 @@
 		}
 		third, late := ends[fatalLimit-1].at, 0
 		for _, e := range ends[fatalLimit:] {
-			if e.at.Sub(third) > settleSpan && in.undisturbed(through[e.id], e.at.Add(-settleSpan), e.at) {
+			if e.at.Sub(third) > settleSpan && in.inTouch(through[e.id], e.at.Add(-settleSpan), e.at) {
 				late++
 			}
 		}
@@ -109,14 +108,3 @@
 	}
 	return bad
 }
-
-// undisturbed reports whether no fault touched the host or the log service.
-func (in *injector) undisturbed(h *Host, from, to time.Time) bool {
-	for _, f := range in.faults {
-		over := !f.to.IsZero() && f.to.Before(from)
-		if !over && !f.from.After(to) && (f.host == h || strings.HasPrefix(f.what, "log service")) {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -35,6 +35,8 @@
 	downs *rand.Rand
 	// ended are the ends of upstreams under requests, in order.
 	ended []ended
+	// reports are what upstreams reported in their answers.
+	reports []report
 	// empty are the times for which the far data centre was evacuated.
 	empty []emptySpan
 	// busy holds what a fault is under way on, so that two do not undo each
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,8 @@
 	// Evacuate has the far data centre evacuated and taken back, cold, now and
 	// then, and upstreams that come back start slowly.
 	Evacuate bool
+	// Reports has upstreams report rate limits, rests and that they leave.
+	Reports bool
 	// Hosts, Keyed, Plain and Callers are how many there are of each.
 	Hosts, Keyed, Plain, Callers int
 }
@@ -108,6 +110,9 @@
 	if opts.Evacuate {
 		in.wg.Go(func() { in.evacuations(fctx, opts.Seed) })
 	}
+	if opts.Reports {
+		in.wg.Go(func() { in.report(fctx, opts.Seed) })
+	}
 	in.run(fctx)
 	cancel()
 	if opts.Evacuate {
@@ -149,6 +154,7 @@
 	r.Breaches = append(r.Breaches, check(c.outcomes, w.runs(), in)...)
 	r.Breaches = append(r.Breaches, in.checkFatal(c.outcomes)...)
 	r.Breaches = append(r.Breaches, in.checkCold()...)
+	r.Breaches = append(r.Breaches, in.checkReports(c.outcomes)...)
 	r.Breaches = append(r.Breaches, in.checkEvacuated(c.outcomes)...)
 	w.mu.Lock()
 	r.Breaches = append(r.Breaches, w.breaches...)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,16 +23,17 @@
 
 // fixed are the seeds run in CI, with why each stays.
 var fixed = []run{
-	{seed: 1},              // a planner back from a cut took over on an old proof of its seat
-	{seed: 125},            // a host that slept through an outage took lapsed entries for gone
-	{seed: 7, fatal: true}, // requests that end their upstreams, under all the other faults
+	{seed: 1},                // a planner back from a cut took over on an old proof of its seat
+	{seed: 125},              // a host that slept through an outage took lapsed entries for gone
+	{seed: 7, fatal: true},   // requests that end their upstreams, under all the other faults
+	{seed: 9, reports: true}, // upstreams report limits, rests and that they leave
 }
 
-// run is one run of the soak. Fresh seeds have fatal requests where odd, and
-// evacuations and slow starts in two of four.
+// run is one run of the soak. Fresh seeds have fatal requests where odd,
+// evacuations and slow starts in two of four, and reports in two of three.
 type run struct {
-	seed            uint64
-	fatal, evacuate bool
+	seed                     uint64
+	fatal, evacuate, reports bool
 }
 
 func build(t *testing.T) string {
@@ -61,7 +62,7 @@
 		list = nil
 		for i := range *seeds {
 			seed := start + uint64(i)
-			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2})
+			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0})
 		}
 	}
 	soakAll(t, binary, list)
@@ -96,7 +97,7 @@
 			t.Fatal(err)
 		}
 	}
-	r, err := Run(context.Background(), Options{Binary: binary, Dir: dir, Seed: this.seed, Fatal: this.fatal, Evacuate: this.evacuate, Faults: *span, Hosts: 4, Keyed: 4, Plain: 2, Callers: 12})
+	r, err := Run(context.Background(), Options{Binary: binary, Dir: dir, Seed: this.seed, Fatal: this.fatal, Evacuate: this.evacuate, Reports: this.reports, Faults: *span, Hosts: 4, Keyed: 4, Plain: 2, Callers: 12})
 	if err != nil {
 		t.Fatal(err)
 	}
