soak: a process that is told to stop before its first line may end by the signal

Traced: the harness started host-2 at 08:52:18.377 and drew its next stop for the same millisecond; the signal came before the process had installed its handler. It had opened no socket and written no line, so nobody's request was lost. Change: such an end is no failure if the process has written nothing at all. One that has written its first line must end with 0, as before.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -30,8 +30,10 @@
 	// gone is closed when the present process has ended.
 	gone chan struct{}
 	// told is set once the process was told to end, by any signal.
-	told     bool
-	paused   bool
+	told   bool
+	paused bool
+	// wrote is the size of output before the present process started.
+	wrote    int64
 	failures []string
 }
 
@@ -98,18 +100,29 @@
 	if err := cmd.Start(); err != nil {
 		return eris.Wrap(err, "start")
 	}
-	h.cmd, h.told, h.gone = cmd, false, make(chan struct{})
+	h.cmd, h.told, h.gone, h.wrote = cmd, false, make(chan struct{}), outputSize(out)
 	go h.wait(cmd, h.gone)
 	return nil
 }
 
-// wait notes how the process ends. One that was told to stop ends with 0, one
-// that was not told does not end.
+// outputSize returns how much has been written to the file, -1 if that is not known.
+func outputSize(f *os.File) int64 {
+	info, err := f.Stat()
+	if err != nil {
+		return -1
+	}
+	return info.Size()
+}
+
+// wait notes how the process ends. One that was told to stop ends with 0, or by the
+// signal if it came before the process wrote its first line; one that was not told
+// does not end.
 func (h *Host) wait(cmd *exec.Cmd, gone chan struct{}) {
 	err := cmd.Wait()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	killed := cmd.ProcessState.Sys().(syscall.WaitStatus).Signal() == syscall.SIGKILL
+	by := cmd.ProcessState.Sys().(syscall.WaitStatus).Signal()
+	killed := by == syscall.SIGKILL || (by == syscall.SIGTERM && h.wroteNothing())
 	if !h.told || (err != nil && !killed) {
 		h.failures = append(h.failures, fmt.Sprintf("%s ended: told %v, %v", h.Name, h.told, err))
 	}
@@ -117,6 +130,12 @@
 	close(gone)
 }
 
+// wroteNothing reports whether the process has written nothing since its start.
+func (h *Host) wroteNothing() bool {
+	info, err := os.Stat(h.output)
+	return err == nil && info.Size() == h.wrote
+}
+
 // signal sends a signal to the process if one runs.
 func (h *Host) signal(s syscall.Signal) {
 	h.mu.Lock()
