dispatch: refuse keys at once that are not handed over long after they should be

Cause: an owner that reported that it leaves and whose keys nobody could move, as the log service was away, had every caller wait half an objective before the refusal. Change: a second after its time such an owner counts as one that cannot hand over.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -75,12 +75,16 @@
 			q.lastSeen = fence
 			return u, nil
 		}
-		if !q.await(ctx, v) {
+		if (u != nil && u.HandingOver() && now.Sub(u.LeaveBy) > overdue) || !q.await(ctx, v) {
 			return nil, q.endUnsent(CauseNoOwner, retryNoOwner)
 		}
 	}
 }
 
+// overdue is how long after its time an upstream that still owns keys counts as one
+// that cannot hand them over at present: the log service cannot be written to.
+const overdue = time.Second
+
 // mayOwn reports whether requests for the keys that the upstream owns may be sent
 // to it: it is not leaving, nor is the time over in which it hands its keys over.
 func mayOwn(u *catalogue.Upstream, now time.Time) bool {
--- a/internal/dispatch/closed_test.go
+++ b/internal/dispatch/closed_test.go
@@ -79,3 +79,35 @@
 		t.Errorf("%d sends without leave", n-1)
 	}
 }
+
+// Keys of an upstream that should have handed them over long ago cannot be served
+// at present; callers must be told at once instead of waiting for a move.
+func TestKeysNeverHandedOverAreRefusedAtOnce(t *testing.T) {
+	f := startUpstream(t, echo)
+	for _, c := range []struct {
+		name string
+		left time.Duration
+		most time.Duration
+	}{
+		{"handing over", time.Second, testTimeout},
+		{"overdue", -2 * overdue, testObjective / 8},
+	} {
+		u := up("k1", "keyed", f)
+		u.LeaveBy = time.Now().Add(c.left)
+		g := newRig(t, u)
+		g.own("k1", 1)
+		start := time.Now()
+		a := g.get("keyed.example", "r1")
+		if took := time.Since(start); took > c.most {
+			t.Errorf("%s: answered after %v", c.name, took)
+		}
+		if c.left > 0 {
+			a.want(t, http.StatusOK, "")
+			continue
+		}
+		a.want(t, http.StatusServiceUnavailable, string(CauseNoOwner)+"\n")
+	}
+	if n := f.runs.Load(); n != 1 {
+		t.Errorf("%d requests reached the upstream, want 1", n)
+	}
+}
