--- a/internal/dispatch/closed.go
+++ b/internal/dispatch/closed.go
@@ -19,21 +19,19 @@
 	return d.limits.Closed(id, now), CauseLimited
 }
 
-// take asks leave for a request that is about to be sent. It returns 0 if it may
-// be, or else as closed does. Requests wait for their turn in between, so what was
-// true when the upstream was chosen is asked again.
-func (d *Dispatcher) take(ctx context.Context, id string) (time.Duration, Cause) {
+// take reports whether a request may be sent to the upstream now, and counts it. If
+// not, it returns for how long none may be, and why. Requests wait for their turn
+// after an upstream is chosen, so what was true then is asked again.
+func (d *Dispatcher) take(ctx context.Context, id string) (ok bool, wait time.Duration, cause Cause) {
 	if rest := d.feedback.Rest(id, time.Now()); rest > 0 {
-		return rest, CauseResting
+		return false, rest, CauseResting
 	}
 	limit := d.feedback.Limit(id)
 	if limit == 0 {
-		return 0, ""
-	}
-	if ok, wait := d.limits.Take(ctx, id, limit); !ok {
-		return max(wait, 1), CauseLimited
+		return true, 0, ""
 	}
-	return 0, ""
+	ok, wait = d.limits.Take(ctx, id, limit)
+	return ok, wait, CauseLimited
 }
 
 // soonestOpen returns how long it is until one of the upstreams takes a request
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -214,7 +214,7 @@
 			}
 			continue
 		}
-		if wait, cause := d.take(ctx, u.ID); wait > 0 {
+		if ok, wait, cause := d.take(ctx, u.ID); !ok {
 			ticket.Done(admission.NoSign, 0)
 			if q.key >= 0 {
 				return nil, q.closedRefusal(wait, cause)
