planner: keys of an owner that asks two hosts for a rest move to others

Change: hosts report the rests that they were asked for to the host that they follow; an owner that two hosts or more know of counts with next to no capacity while the rest lasts, unless a quarter of the owners rest at once: then the service lacks room and the others could not take the keys. Price: the owner's keys change hands once.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -123,7 +123,7 @@
 	c.plan.Load = func(service string, owners []*catalogue.Upstream) (ownership.Load, float64) {
 		load, samples := c.loads.Load(service, owners, time.Now())
 		if samples > 0 { // before, capacities are not in requests a second
-			withinLimits(&load, owners, c.feedback.Limit)
+			withinReports(&load, owners, c.feedback, time.Now())
 		}
 		return load, samples
 	}
--- a/internal/entryhost/feedback.go
+++ b/internal/entryhost/feedback.go
@@ -86,12 +86,35 @@
 	return h.allocator.Take(upstream, perSecond, want, time.Now()), true
 }
 
-// withinLimits lowers owners' capacities to the rate limits that they report, so
-// that keys move to owners with room.
-func withinLimits(load *ownership.Load, owners []*catalogue.Upstream, limit func(id string) float64) {
+const (
+	// restingHosts is how many hosts an owner must have asked for a rest for its
+	// keys to move; one alone may have sent it too much.
+	restingHosts = 2
+	// restingRate is the rate, in requests a second, that a resting owner counts
+	// with.
+	restingRate = 0.1
+	// restingMost is the part of the owners from which on resting ones keep their
+	// keys: the whole service lacks room, and the others could not take them.
+	restingMost = 0.25
+)
+
+// withinReports lowers owners' capacities to the rate limits that they report, and
+// those of owners that turn requests away to nearly nothing, so that keys move to
+// owners with room.
+func withinReports(load *ownership.Load, owners []*catalogue.Upstream, reports *feedback.Tracker, now time.Time) {
+	var resting []string
 	for _, u := range owners {
-		if most := limit(u.ID); most > 0 {
+		if most := reports.Limit(u.ID); most > 0 {
 			load.Cap(u.ID, most)
 		}
+		if reports.Resting(u.ID, now) >= restingHosts {
+			resting = append(resting, u.ID)
+		}
+	}
+	if float64(len(resting)) > restingMost*float64(len(owners)) {
+		return
+	}
+	for _, id := range resting {
+		load.Cap(id, restingRate)
 	}
 }
--- a/internal/entryhost/feedback_test.go
+++ b/internal/entryhost/feedback_test.go
@@ -195,7 +195,7 @@
 						}
 					}
 				}
-				if c.name == "plain" && got[http.StatusOK] < got.total()*9/10 {
+				if got[http.StatusOK] < got.total()*9/10 {
 					t.Errorf("answers %v while four of five upstreams have room", got)
 				}
 				ups[0].Say(ranged.Says{})
--- a/internal/feedback/tracker.go
+++ b/internal/feedback/tracker.go
@@ -15,13 +15,39 @@
 	limitAt time.Time
 	// leavingAt is when a host was first told that it leaves; zero if none was.
 	leavingAt time.Time
+	// restUntil is the end of the rest that this host was asked for, others are
+	// those that followers of this host reported, by follower.
 	restUntil time.Time
+	others    map[string]othersRest
+}
+
+// othersRest is a rest that a follower reports: its own, and of those that follow it.
+type othersRest struct {
+	hosts int
+	until time.Time
+}
+
+// resting returns how many hosts the upstream has asked for a rest that is not over,
+// and how long the longest of the rests lasts.
+func (s *state) resting(now time.Time) (hosts int, left time.Duration) {
+	if now.Before(s.restUntil) {
+		hosts, left = 1, s.restUntil.Sub(now)
+	}
+	for from, o := range s.others {
+		if !now.Before(o.until) {
+			delete(s.others, from)
+			continue
+		}
+		hosts, left = hosts+o.hosts, max(left, o.until.Sub(now))
+	}
+	return hosts, left
 }
 
 // notable reports whether the state says more than that of an upstream that has
 // never reported anything.
 func (s *state) notable(now time.Time) bool {
-	return s.limit > 0 || !s.leavingAt.IsZero() || now.Before(s.restUntil) || now.Sub(s.limitAt) < endedFor
+	hosts, _ := s.resting(now)
+	return s.limit > 0 || !s.leavingAt.IsZero() || hosts > 0 || now.Sub(s.limitAt) < endedFor
 }
 
 // endedFor is how long the end of a limit is remembered, so that older reports
@@ -114,6 +140,18 @@
 	return 0
 }
 
+// Resting returns how many hosts, of this one and its followers, the upstream has
+// asked for a rest that is not over.
+func (t *Tracker) Resting(id string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.by[id]; s != nil {
+		hosts, _ := s.resting(now)
+		return hosts
+	}
+	return 0
+}
+
 // LeavingSince returns when a host was first told that the upstream leaves, and
 // whether one was.
 func (t *Tracker) LeavingSince(id string) (time.Time, bool) {
@@ -135,6 +173,10 @@
 	// Leaving is set if the upstream leaves, LeavingAge how long that is known.
 	Leaving    bool
 	LeavingAge time.Duration
+	// RestHosts is how many hosts were asked for a rest, RestLeft how much of the
+	// longest is left. Only the hosts that one follows are told.
+	RestHosts int
+	RestLeft  time.Duration
 }
 
 // maxNotices bounds the notices of one message.
@@ -147,10 +189,10 @@
 	defer t.mu.Unlock()
 	var out []Notice
 	for id, s := range t.by {
-		if s.limitAt.IsZero() && s.leavingAt.IsZero() {
+		n := Notice{Upstream: id, Limit: s.limit, LimitAge: -1, Leaving: !s.leavingAt.IsZero()}
+		if n.RestHosts, n.RestLeft = s.resting(now); s.limitAt.IsZero() && !n.Leaving && n.RestHosts == 0 {
 			continue
 		}
-		n := Notice{Upstream: id, Limit: s.limit, LimitAge: -1, Leaving: !s.leavingAt.IsZero()}
 		if !s.limitAt.IsZero() {
 			n.LimitAge = now.Sub(s.limitAt)
 		}
@@ -170,6 +212,8 @@
 // newest is the age of the newest thing that the notice says.
 func (n Notice) newest() time.Duration {
 	switch {
+	case n.RestHosts > 0:
+		return 0
 	case n.LimitAge < 0:
 		return n.LeavingAge
 	case !n.Leaving:
@@ -178,20 +222,27 @@
 	return min(n.LimitAge, n.LeavingAge)
 }
 
-// Unknown returns those of the notices that say more than what a host has told
-// itself.
-func Unknown(notices, told []Notice) []Notice {
+// ForFollower returns what a follower that has told some notices itself does not
+// know. Rests are left out: they would come back and be counted twice.
+func ForFollower(notices, told []Notice) []Notice {
 	by := make(map[string]Notice, len(told))
 	for _, n := range told {
 		by[n.Upstream] = n
 	}
-	return slices.DeleteFunc(notices, func(n Notice) bool {
+	var out []Notice
+	for _, n := range notices {
 		its, ok := by[n.Upstream]
-		return ok && its.Limit == n.Limit && its.Leaving == n.Leaving
-	})
+		known := ok && its.Limit == n.Limit && its.Leaving == n.Leaving
+		if known || (n.LimitAge < 0 && !n.Leaving) {
+			continue
+		}
+		n.RestHosts, n.RestLeft = 0, 0
+		out = append(out, n)
+	}
+	return out
 }
 
-// Learn takes in what another host knows.
+// Learn takes in what another host knows. Rests are taken in from followers.
 func (t *Tracker) Learn(from string, notices []Notice, now time.Time) {
 	for _, n := range notices {
 		t.tell(t.learn(from, n, now))
@@ -213,6 +264,12 @@
 	if c.Limit = s.limit; n.Leaving && s.leavingAt.IsZero() {
 		s.leavingAt, c.Leaving = now.Add(-n.LeavingAge), true
 	}
+	if n.RestHosts > 0 {
+		if s.others == nil {
+			s.others = map[string]othersRest{}
+		}
+		s.others[from] = othersRest{n.RestHosts, now.Add(n.RestLeft)}
+	}
 	return c
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -299,7 +299,7 @@
 	for _, b := range s.Copy.Since(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
-	reply.Notices = encodeNotices(feedback.Unknown(s.Feedback.Notices(time.Now()), told))
+	reply.Notices = encodeNotices(feedback.ForFollower(s.Feedback.Notices(time.Now()), told))
 	using := s.listOf(m)
 	reply.UsingToken = using.Token
 	for _, o := range s.Others(caller, using.IDs) {
