FAILBACK: upstreams of a data centre taken back stay cold until their entries were read

Cause: they were taken for cold for 2 s, in which they write their entries; where the log service failed within that time the entries were not read and they got their usual share while cold. Change: the 2 s end only once all entries written within 1 s of the end were read; else they last the slow start longer. Where the log is not away nothing changes.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -136,11 +136,16 @@
 // cold reports whether an upstream is in its slow start and bears only so many
 // requests meanwhile.
 func (c *control) cold(u *catalogue.Upstream) bool {
+	return c.slowStart(u.Service).PerSecond > 0 && u.Cold(time.Now())
+}
+
+// slowStart returns that of a service's upstreams.
+func (c *control) slowStart(service string) desired.SlowStart {
 	st := c.views.Load().Desired
-	if st == nil || st.Services[u.Service] == nil {
-		return false
+	if st == nil || st.Services[service] == nil {
+		return desired.SlowStart{}
 	}
-	return st.Services[u.Service].SlowStart.PerSecond > 0 && u.Cold(time.Now())
+	return st.Services[service].SlowStart
 }
 
 // post hands a function to the control goroutine.
@@ -225,7 +230,9 @@
 	c.planning.Store(c.plan.Holding(now))
 	c.soleWriter.Store(c.plan.SoleWriter(now))
 	_, lost := c.broken[metastore.StreamUpstreams]
-	if c.roster.settle(lost, time.Now()) {
+	wall := time.Now()
+	settled := c.roster.settle(lost, wall)
+	if c.evacuations.confirm(wall.Add(-c.copy.StreamAge(metastore.StreamUpstreams, wall)), wall) || settled {
 		c.publishUpstreams()
 	}
 	for _, a := range c.plan.Tick(now, c.views.Load()) {
--- a/internal/entryhost/evacuate.go
+++ b/internal/entryhost/evacuate.go
@@ -19,6 +19,9 @@
 	// are taken for cold: they may have become so meanwhile, and write their
 	// entries once a heartbeat. Sent their usual share at once, they ended.
 	unsureAfter = 2 * time.Second
+	// writtenWithin is how long after it is taken back an upstream's entry tells
+	// at the latest whether it is cold.
+	writtenWithin = time.Second
 )
 
 // evacuations are the data centres that operators have evacuated. A data centre
@@ -29,10 +32,13 @@
 	// leaveBy is when the last request may be sent to an evacuated data centre,
 	// backAt when one was taken back.
 	leaveBy, backAt map[string]time.Time
+	// read are those that were taken back and whose upstreams' entries have been
+	// read since.
+	read map[string]bool
 }
 
 func newEvacuations(bound time.Duration) *evacuations {
-	return &evacuations{bound: bound, leaveBy: map[string]time.Time{}, backAt: map[string]time.Time{}}
+	return &evacuations{bound: bound, leaveBy: map[string]time.Time{}, backAt: map[string]time.Time{}, read: map[string]bool{}}
 }
 
 // begin takes note of an evacuation. A host that reads of it at its start, or
@@ -57,11 +63,24 @@
 	}
 	delete(e.leaveBy, dataCentre)
 	e.backAt[dataCentre] = now
+	delete(e.read, dataCentre)
 	return true
 }
 
-// mark returns the upstream as the evacuations make it.
-func (e *evacuations) mark(u *catalogue.Upstream) *catalogue.Upstream {
+// confirm takes note that all entries were read that upstreams had written by the
+// given time. It reports whether that says more of a data centre taken back.
+func (e *evacuations) confirm(written, now time.Time) (changed bool) {
+	for dc, back := range e.backAt {
+		if !e.read[dc] && now.Sub(back) >= unsureAfter && written.Sub(back) >= writtenWithin {
+			e.read[dc], changed = true, true
+		}
+	}
+	return changed
+}
+
+// mark returns the upstream, whose slow start lasts so long, as the evacuations make
+// it. While its entry cannot be read it may be cold for all of that time.
+func (e *evacuations) mark(u *catalogue.Upstream, slowStart time.Duration) *catalogue.Upstream {
 	by, evacuated := e.leaveBy[u.DataCentre]
 	back, was := e.backAt[u.DataCentre]
 	if !evacuated && !was {
@@ -69,7 +88,11 @@
 	}
 	marked := *u
 	marked.LeaveBy = by
-	if unsure := back.Add(unsureAfter); was && unsure.After(marked.SlowUntil) {
+	unsure := back.Add(unsureAfter)
+	if !e.read[u.DataCentre] {
+		unsure = unsure.Add(slowStart)
+	}
+	if was && unsure.After(marked.SlowUntil) {
 		marked.SlowUntil = unsure
 	}
 	return &marked
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -193,6 +193,8 @@
 }
 
 func (c *control) publishUpstreams() {
-	snap := c.roster.snapshot(func(u *catalogue.Upstream) *catalogue.Upstream { return c.markLeaving(c.evacuations.mark(u)) })
+	snap := c.roster.snapshot(func(u *catalogue.Upstream) *catalogue.Upstream {
+		return c.markLeaving(c.evacuations.mark(u, c.slowStart(u.Service).Lasts))
+	})
 	c.views.Publish(func(v *view.View) { v.Upstreams = snap })
 }
--- a/internal/entryhost/slowstart_test.go
+++ b/internal/entryhost/slowstart_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/standin/ranged"
 )
 
@@ -73,3 +74,36 @@
 		}
 	}
 }
+
+// A data centre that is taken back has become cold meanwhile, and the log service
+// fails before its upstreams have written so: they must not get their usual share.
+func TestDataCentreTakenBackIsColdWhileTheLogIsAway(t *testing.T) {
+	fleetTest(t, func(t *testing.T) {
+		const cold = 3 * time.Second
+		f := newFleet(t, 6, 0)
+		far := f.start("plain", "far")
+		entry := catalogue.Upstream{Service: "plain", DataCentre: "far", Slots: 30}
+		f.put(far, entry)
+		f.answers(plainRoute, "/x", startup)
+		time.Sleep(4 * time.Second)
+		f.log.Put(metastore.StreamDesired, "evacuate/far", []byte("{}"))
+		time.Sleep(evacuateBound + time.Second)
+		back := time.Now()
+		f.log.Put(metastore.StreamDesired, "evacuate/far", nil)
+		time.Sleep(500 * time.Millisecond)
+		f.log.SetDown(true)
+		entry.SlowUntil = back.Add(cold)
+		f.put(far, entry)
+		f.press(plainRoute, cold)
+		if n := far.MostInASecond(back, back.Add(cold)); n > int(slowStartMost) {
+			t.Errorf("%d requests came to a cold upstream within a second, it takes %v", n, slowStartMost)
+		}
+		f.log.SetDown(false)
+		time.Sleep(2 * time.Second)
+		before := time.Now()
+		f.press(plainRoute, 2*time.Second)
+		if n := len(far.Arrivals(before, time.Now())); n == 0 {
+			t.Error("it is not used once it is warm")
+		}
+	})
+}
