--- a/internal/entryhost/feedback_test.go
+++ b/internal/entryhost/feedback_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/feedback"
+	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/standin/ranged"
 )
 
@@ -18,10 +21,10 @@
 	limitFactor, limitSlack = 1.5, 5
 	// burst is how many requests more than a limit brings may come at once.
 	burst = 2
-	// heardAfter is how long after an answer a host is bound by what it said.
-	heardAfter = 500 * time.Millisecond
-	// drainBound is how long after a host heard of a leave the last request may be
-	// sent.
+	// boundAfter is how long after an answer a host is bound by what it said.
+	boundAfter = 500 * time.Millisecond
+	// drainBound is how long after a host received a report of leaving the last
+	// request may be sent.
 	drainBound = 2 * time.Second
 	// restSlack is how many requests may come within a rest.
 	restSlack = 2
@@ -72,18 +75,18 @@
 	return host
 }
 
-// afterHearing returns the arrivals from hosts that had received an answer which
+// afterReport returns the arrivals from hosts that had received an answer which
 // says so some time before.
-func afterHearing(all []ranged.Arrival, says func(ranged.Says) bool, later time.Duration) []ranged.Arrival {
-	heard := map[string]time.Time{}
+func afterReport(all []ranged.Arrival, says func(ranged.Says) bool, later time.Duration) []ranged.Arrival {
+	received := map[string]time.Time{}
 	var out []ranged.Arrival
 	for _, a := range all {
-		at, ok := heard[hostOf(a)]
+		at, ok := received[hostOf(a)]
 		if ok && a.At.Sub(at) > later {
 			out = append(out, a)
 		}
 		if !ok && says(a.Says) {
-			heard[hostOf(a)] = a.At
+			received[hostOf(a)] = a.At
 		}
 	}
 	return out
@@ -115,7 +118,7 @@
 					ups[0].Say(ranged.Says{Limit: limit})
 					got := f.ask(c.route, 12*time.Second, 6*time.Second)
 					all := ups[0].Arrivals(named, time.Now())
-					counted := afterHearing(all, func(s ranged.Says) bool { return s.Limit > 0 }, heardAfter)
+					counted := afterReport(all, func(s ranged.Says) bool { return s.Limit > 0 }, boundAfter)
 					if n, most := ranged.Most(counted, limitWindow), int(limit*limitWindow.Seconds()*limitFactor+limitSlack); n > most {
 						t.Errorf("%d requests within %v of an upstream that takes %v a second; at most %d", n, limitWindow, limit, most)
 					}
@@ -149,9 +152,9 @@
 					said := time.Now()
 					ups[0].Say(ranged.Says{Leaving: true})
 					got := f.ask(c.route, 5*time.Second, 2*time.Second)
-					late := afterHearing(ups[0].Arrivals(said, time.Now()), func(s ranged.Says) bool { return s.Leaving }, drainBound)
+					late := afterReport(ups[0].Arrivals(said, time.Now()), func(s ranged.Says) bool { return s.Leaving }, drainBound)
 					if len(late) > 0 {
-						t.Errorf("%d requests reached it more than %v after their host was told; first %+v", len(late), drainBound, late[0])
+						t.Errorf("%d requests reached it more than %v after their host received the report; first %+v", len(late), drainBound, late[0])
 					}
 					if !logLost && got[http.StatusOK] < got.total()*9/10 {
 						t.Errorf("answers %v while four of five upstreams stay", got)
@@ -185,7 +188,7 @@
 					for _, first := range all {
 						n := 0
 						for _, a := range all {
-							if since := a.At.Sub(first.At); since > heardAfter && since < rest {
+							if since := a.At.Sub(first.At); since > boundAfter && since < rest {
 								n++
 							}
 						}
@@ -205,3 +208,32 @@
 		})
 	}
 }
+
+// Keys must not move from owners that rest to others that are about to: where many
+// rest, the service lacks room.
+func TestRestingOwnersCountWithNoCapacityUnlessManyRest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct{ owners, resting, capped int }{{8, 1, 1}, {8, 2, 2}, {8, 3, 0}, {3, 1, 0}} {
+		load := ownership.Load{Capacity: map[string]float64{}}
+		reports := feedback.NewTracker()
+		var owners []*catalogue.Upstream
+		for i := range c.owners {
+			id := fmt.Sprint("u", i)
+			owners = append(owners, &catalogue.Upstream{ID: id})
+			load.Capacity[id] = 10
+			if i < c.resting {
+				reports.Learn("relay", []feedback.Notice{{Upstream: id, LimitAge: -1, RestHosts: restingHosts, RestLeft: time.Second}}, now)
+			}
+		}
+		withinReports(&load, owners, reports, now)
+		capped := 0
+		for _, capacity := range load.Capacity {
+			if capacity < 10 {
+				capped++
+			}
+		}
+		if capped != c.capped {
+			t.Errorf("%d of %d owners rest: %d count with less, want %d", c.resting, c.owners, capped, c.capped)
+		}
+	}
+}
--- a/internal/feedback/tracker.go
+++ b/internal/feedback/tracker.go
@@ -13,7 +13,7 @@
 	// answer that says so was received, by this or another host.
 	limit   float64
 	limitAt time.Time
-	// leavingAt is when a host was first told that it leaves; zero if none was.
+	// leavingAt is when a host first received a report that it leaves; zero if none did.
 	leavingAt time.Time
 	// restUntil is the end of the rest that this host was asked for, others are
 	// those that followers of this host reported, by follower.
@@ -111,10 +111,10 @@
 		s.restUntil = until
 	}
 	t.mu.Unlock()
-	t.tell(c)
+	t.notify(c)
 }
 
-func (t *Tracker) tell(c Change) {
+func (t *Tracker) notify(c Change) {
 	if c.Limit != c.Before || c.Leaving || c.Rest > 0 {
 		t.Changed(c)
 	}
@@ -152,8 +152,8 @@
 	return 0
 }
 
-// LeavingSince returns when a host was first told that the upstream leaves, and
-// whether one was.
+// LeavingSince returns when a host first received a report that the upstream leaves,
+// and whether one did.
 func (t *Tracker) LeavingSince(id string) (time.Time, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,7 +174,7 @@
 	Leaving    bool
 	LeavingAge time.Duration
 	// RestHosts is how many hosts were asked for a rest, RestLeft how much of the
-	// longest is left. Only the hosts that one follows are told.
+	// longest is left. They are sent only to the host that one follows.
 	RestHosts int
 	RestLeft  time.Duration
 }
@@ -222,11 +222,11 @@
 	return min(n.LimitAge, n.LeavingAge)
 }
 
-// ForFollower returns what a follower that has told some notices itself does not
-// know. Rests are left out: they would come back and be counted twice.
-func ForFollower(notices, told []Notice) []Notice {
-	by := make(map[string]Notice, len(told))
-	for _, n := range told {
+// ForFollower returns the notices that are new to a follower which has sent some
+// itself. Rests are left out: they would come back and be counted twice.
+func ForFollower(notices, sent []Notice) []Notice {
+	by := make(map[string]Notice, len(sent))
+	for _, n := range sent {
 		by[n.Upstream] = n
 	}
 	var out []Notice
@@ -245,7 +245,7 @@
 // Learn takes in what another host knows. Rests are taken in from followers.
 func (t *Tracker) Learn(from string, notices []Notice, now time.Time) {
 	for _, n := range notices {
-		t.tell(t.learn(from, n, now))
+		t.notify(t.learn(from, n, now))
 	}
 }
 
--- a/internal/feedback/tracker_test.go
+++ b/internal/feedback/tracker_test.go
@@ -66,7 +66,7 @@
 		t.Errorf("%d hosts known to rest, want 1", got)
 	}
 	if got := ForFollower(b.Notices(now), nil); len(got) != 0 {
-		t.Errorf("a follower is told of its own rest: %+v", got)
+		t.Errorf("a follower receives its own rest: %+v", got)
 	}
 	if got := b.Resting("u", now.Add(time.Hour)); got != 0 {
 		t.Errorf("%d hosts known to rest after the end, want none", got)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -293,13 +293,13 @@
 		positions[metastore.Stream(p.Stream)] = p.Next
 	}
 	s.Uses(caller, decodeUses(m.Uses))
-	told := decodeNotices(m.Notices)
-	s.Feedback.Learn(caller.Name, told, time.Now())
+	notices := decodeNotices(m.Notices)
+	s.Feedback.Learn(caller.Name, notices, time.Now())
 	reply := &peerpb.FollowReply{}
 	for _, b := range s.Copy.Since(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
-	reply.Notices = encodeNotices(feedback.ForFollower(s.Feedback.Notices(time.Now()), told))
+	reply.Notices = encodeNotices(feedback.ForFollower(s.Feedback.Notices(time.Now()), notices))
 	using := s.listOf(m)
 	reply.UsingToken = using.Token
 	for _, o := range s.Others(caller, using.IDs) {
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -23,7 +23,7 @@
 	// unusedFor is how long after its last use a bucket is kept. By then it is full
 	// again.
 	unusedFor = 30 * time.Second
-	// most is the most buckets that are kept.
+	// maxBuckets is how many buckets are kept at most.
 	maxBuckets = 4096
 )
 
--- a/internal/ratelimit/gate.go
+++ b/internal/ratelimit/gate.go
@@ -13,8 +13,8 @@
 var Unbounded = Share(math.Inf(1))
 
 // Gate lets one host's requests to one upstream through at its share. The first
-// may be sent at a random time within the first gap, so that hosts which do not
-// hear of each other do not begin together. Its zero value is of an upstream that
+// may be sent at a random time within the first gap, so that independent hosts do
+// not begin together. Its zero value is of an upstream that
 // never had a limit.
 type Gate struct {
 	// until is the end of the limit that next was drawn for.
