planner: one resting owner hands its keys over in a small service too

Cause: of three owners one is over a quarter, so that its keys stayed and their callers were refused. Change: one alone always counts.

--- a/internal/entryhost/feedback.go
+++ b/internal/entryhost/feedback.go
@@ -93,8 +93,9 @@
 	// restingRate is the rate, in requests a second, that a resting owner counts
 	// with.
 	restingRate = 0.1
-	// restingMost is the part of the owners from which on resting ones keep their
-	// keys: the whole service lacks room, and the others could not take them.
+	// restingMost is the part of the owners above which resting ones keep their
+	// keys, unless it is one alone: the whole service lacks room, and the others
+	// could not take them.
 	restingMost = 0.25
 )
 
@@ -111,7 +112,7 @@
 			resting = append(resting, u.ID)
 		}
 	}
-	if float64(len(resting)) > restingMost*float64(len(owners)) {
+	if float64(len(resting)) > max(1, restingMost*float64(len(owners))) {
 		return
 	}
 	for _, id := range resting {
