crashes: operators list and clear refused contents; the ledger is bounded

Cause: a content that is refused could only be cleared by an answer to it, tried by one host ever more seldom, and a flood of contents grew the ledger without end. Change: papayatide refused list and clear, on both interfaces (service Refused on the peer and the admin listener, event 654); at most 4,096 contents, of more the one with the fewest ends is dropped, the oldest first.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,7 +13,7 @@
 func Command() *cobra.Command {
 	root := &cobra.Command{Use: "papayatide", Short: "Operate papayatide entry hosts", SilenceUsage: true}
 	root.PersistentFlags().String("log", "http://127.0.0.1:7000", "base URL of the log service")
-	root.AddCommand(publishCommand(), statusCommand(), drainCommand(), burnCommand(), explainCommand())
+	root.AddCommand(publishCommand(), statusCommand(), drainCommand(), burnCommand(), explainCommand(), refusedCommand())
 	return root
 }
 
--- a/internal/crashes/ledger.go
+++ b/internal/crashes/ledger.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,9 @@
 	// by then the servers may run a version that survives it, and at worst it
 	// ends Limit of them a day.
 	KeepFor = 24 * time.Hour
+	// maxContents bounds the contents that are kept. Where more come, the one with
+	// the fewest ends is dropped first.
+	maxContents = 4096
 )
 
 // End is the end of a server while it ran a request.
@@ -41,8 +45,7 @@
 }
 
 // Ledger is what one host knows of ends, its own and those that other hosts
-// have written. It holds no more than servers can end: some fifteen contents
-// an end. It is safe for concurrent use.
+// have written. It is safe for concurrent use.
 type Ledger struct {
 	// refusing is told of each content that is refused from now on.
 	refusing func(Content)
@@ -138,6 +141,19 @@
 	return max(ends[Limit-1].Add(KeepFor).Sub(now), 0)
 }
 
+// RefusedContents returns the contents that are refused, in order.
+func (l *Ledger) RefusedContents(now time.Time) []Content {
+	l.mu.Lock()
+	var all []Content
+	for c := range l.ends {
+		all = append(all, c)
+	}
+	l.mu.Unlock()
+	all = slices.DeleteFunc(all, func(c Content) bool { return l.Refused(c, now) == 0 })
+	slices.Sort(all)
+	return all
+}
+
 // Counts returns how many contents servers have ended under, and how many of
 // them are refused.
 func (l *Ledger) Counts() (known, refused int) {
@@ -249,6 +265,9 @@
 // end was not known yet.
 func (l *Ledger) add(e End) (ends int, news bool) {
 	if l.ends[e.Content] == nil {
+		if len(l.ends) >= maxContents {
+			l.drop(l.leastTelling())
+		}
 		l.ends[e.Content] = map[string]time.Time{}
 	}
 	_, known := l.ends[e.Content][e.Server]
@@ -256,6 +275,29 @@
 	return len(l.ends[e.Content]), !known
 }
 
+// leastTelling returns the content with the fewest ends, of several the one whose
+// last end is the oldest.
+func (l *Ledger) leastTelling() (least Content) {
+	fewest, oldest := 0, time.Time{}
+	for c, ends := range l.ends {
+		last := slices.MaxFunc(slices.Collect(maps.Values(ends)), time.Time.Compare)
+		if least == "" || len(ends) < fewest || (len(ends) == fewest && last.Before(oldest)) {
+			least, fewest, oldest = c, len(ends), last
+		}
+	}
+	return least
+}
+
+// drop forgets a content. What this host saw of it and has not written is not
+// written; records of it stay until they expire.
+func (l *Ledger) drop(c Content) {
+	for server := range l.ends[c] {
+		delete(l.pending, endKey{c, server})
+	}
+	delete(l.ends, c)
+	delete(l.trials, c)
+}
+
 func (l *Ledger) remove(c Content, server string) {
 	delete(l.ends[c], server)
 	if len(l.ends[c]) == 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,10 +19,12 @@
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/hostlist"
 	"github.com/papayatide/papayatide/internal/logservice"
+	"github.com/papayatide/papayatide/internal/refused"
 	"github.com/papayatide/papayatide/internal/router"
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/target"
 	"github.com/papayatide/papayatide/rpc/adminpb"
+	"github.com/papayatide/papayatide/rpc/refusedpb"
 )
 
 // NewLogger returns a JSON zap logger at level ("debug", "info", ...).
@@ -63,6 +65,8 @@
 	adminMux := http.NewServeMux()
 	as := adminpb.NewAdminServer(&admin.Server{Host: cfg.Host, DataCentre: cfg.DataCentre, Table: loop.Table, Burns: rt.Burns})
 	adminMux.Handle(as.PathPrefix(), as)
+	rs := refusedpb.NewRefusedServer(&refused.Server{Host: cfg.Host, Ledger: rt.Crashes(), Log: zl})
+	adminMux.Handle(rs.PathPrefix(), rs)
 	adminMux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	adminMux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if stopping.Load() || loop.Table() == nil {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -27,10 +27,12 @@
 	"github.com/papayatide/papayatide/internal/planner"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/ratelimit"
+	"github.com/papayatide/papayatide/internal/refused"
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 	"github.com/papayatide/papayatide/rpc/peerpb"
+	"github.com/papayatide/papayatide/rpc/refusedpb"
 )
 
 // Platform is what an entry host needs of the platform it runs on.
@@ -213,6 +215,8 @@
 		Loads: func(l []peer.ServiceLoad) { h.loadsFrom(work, l) }, Uses: h.uses.take, Others: h.uses.others,
 		Feedback: h.feedback, Leave: h.leave})
 	peers.Handle(ps.PathPrefix(), ps)
+	rs := refusedpb.NewRefusedServer(&refused.Server{Host: h.cfg.Host, Ledger: h.control.crashes.ledger, Log: h.zl})
+	peers.Handle(rs.PathPrefix(), rs)
 	if err := h.addServer(work, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/entryhost/refused_test.go
@@ -0,0 +1,49 @@
+package entryhost
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/rpc/refusedpb"
+)
+
+// An operator clears a content at one host; it must not stay refused at the others,
+// which read of it from the log service.
+func TestContentClearedAtOneHostIsClearedAtAll(t *testing.T) {
+	fleetTest(t, func(t *testing.T) {
+		f := newFleet(t, 3, 0)
+		for i := range 5 {
+			f.addTo("plain", fmt.Sprint("plain", i))
+		}
+		f.answers(plainRoute, "/x", startup)
+		stop := f.askForTheFatal(plainRoute)
+		f.crashed(3, 6*handover)
+		stop()
+		time.Sleep(settled)
+		list := func(h *testHost) []*refusedpb.Content {
+			reply, err := refusedpb.NewRefusedProtobufClient("http://"+h.cfg.PeerListen, f.http).List(t.Context(), &refusedpb.ListRequest{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return reply.Contents
+		}
+		for _, h := range f.hosts {
+			if got := list(h); len(got) != 1 || len(got[0].Servers) < 3 {
+				t.Fatalf("%s refuses %v", h.cfg.Host, got)
+			}
+		}
+		content := list(f.hosts[0])[0].Content
+		reply, err := refusedpb.NewRefusedProtobufClient("http://"+f.hosts[0].cfg.PeerListen, f.http).Clear(t.Context(),
+			&refusedpb.ClearRequest{Content: content})
+		if err != nil || !reply.Known {
+			t.Fatalf("clear: %v, %v", reply, err)
+		}
+		time.Sleep(settled)
+		for _, h := range f.hosts {
+			if got := list(h); len(got) > 0 {
+				t.Errorf("%s still refuses %v", h.cfg.Host, got)
+			}
+		}
+	})
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -64,6 +64,7 @@
 	CrashRefused           = 651
 	CrashesRead            = 652
 	CrashesNotWritten      = 653
+	ContentCleared         = 654
 	LinesDropped           = 660
 
 	// 7xx: the planner.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,6 +79,9 @@
 	return rt
 }
 
+// Crashes returns the targets' ends that this host has seen.
+func (rt *Router) Crashes() *crashes.Ledger { return rt.crashes }
+
 // unknownLabel stands for every service name not in the manifest in
 // metrics and burn counts.
 const unknownLabel = "_unknown"
--- a/scripts/gen.sh
+++ b/scripts/gen.sh
@@ -5,7 +5,7 @@
 #   go install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for p in logsvc admin peer; do
+for p in logsvc admin peer refused; do
   protoc --go_out=. --go_opt=module=github.com/papayatide/papayatide \
     --twirp_out=. --twirp_opt=module=github.com/papayatide/papayatide \
     proto/$p/v1/*.proto
