LIMIT: owners are used again once their limit has ended

Cause: an owner with a limit counted with it as capacity, so that its share was the limit times the service's use, a few per cent where that is lightly used. With next to no requests it could not report the end of the limit; one after the other the owners of a service were lost so.

--- a/internal/entryhost/feedback.go
+++ b/internal/entryhost/feedback.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -99,23 +100,37 @@
 	restingMost = 0.25
 )
 
+// unconfirmed is how long after the last answer that named a limit an owner is
+// expected to do more again, as it may get too few requests to report the end: twice
+// the limit, four times after as long again, and so on.
+const unconfirmed = 2 * time.Second
+
+// expected returns the rate, in requests a second, that an owner with a limit is
+// expected to take.
+func expected(limit float64, age time.Duration) float64 {
+	return limit * math.Exp2(float64(age/unconfirmed))
+}
+
 // withinReports lowers owners' capacities to the rate limits that they report, and
 // those of owners that turn requests away to nearly nothing, so that keys move to
 // owners with room.
 func withinReports(load *ownership.Load, owners []*catalogue.Upstream, reports *feedback.Tracker, now time.Time) {
+	most := map[string]float64{}
 	var resting []string
 	for _, u := range owners {
-		if most := reports.Limit(u.ID); most > 0 {
-			load.Cap(u.ID, most)
+		if limit := reports.Limit(u.ID); limit > 0 {
+			most[u.ID] = expected(limit, reports.LimitAge(u.ID, now))
 		}
 		if reports.Resting(u.ID, now) >= restingHosts {
 			resting = append(resting, u.ID)
 		}
 	}
-	if float64(len(resting)) > max(1, restingMost*float64(len(owners))) {
-		return
+	if float64(len(resting)) <= max(1, restingMost*float64(len(owners))) {
+		for _, id := range resting {
+			most[id] = restingRate
+		}
 	}
-	for _, id := range resting {
-		load.Cap(id, restingRate)
+	if len(most) > 0 {
+		load.Within(most)
 	}
 }
--- a/internal/entryhost/feedback_test.go
+++ b/internal/entryhost/feedback_test.go
@@ -214,7 +214,7 @@
 func TestRestingOwnersCountWithNoCapacityUnlessManyRest(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, c := range []struct{ owners, resting, capped int }{{8, 1, 1}, {8, 2, 2}, {8, 3, 0}, {3, 1, 1}, {3, 2, 0}} {
-		load := ownership.Load{Capacity: map[string]float64{}}
+		load := ownership.Load{ByKey: []float64{1}, Capacity: map[string]float64{}}
 		reports := feedback.NewTracker()
 		var owners []*catalogue.Upstream
 		for i := range c.owners {
@@ -237,3 +237,33 @@
 		}
 	}
 }
+
+// Owners whose limit has ended must be asked again once the others are busy: one that
+// gets nothing cannot report the end, and each limit would cost the service an owner.
+func TestOwnersAreUsedAgainAfterTheirLimit(t *testing.T) {
+	fleetTest(t, func(t *testing.T) {
+		f := newFleet(t, 12, 0)
+		var ups []*ranged.Upstream
+		for i := range 5 {
+			u := f.start("sheets", fmt.Sprint("up", i))
+			f.put(u, catalogue.Upstream{Service: "sheets", DataCentre: "dc", Slots: 1})
+			ups = append(ups, u)
+		}
+		f.answers("read.example", "/x", startup)
+		time.Sleep(4 * time.Second)
+		f.ask("read.example", 3*time.Second, 0)
+		for _, u := range ups[:3] {
+			u.Say(ranged.Says{Limit: 1.2})
+			f.ask("read.example", 5*time.Second, 0)
+			u.Say(ranged.Says{})
+			f.ask("read.example", 12*time.Second, 0)
+		}
+		now := time.Now()
+		for _, u := range ups {
+			// An even share is a fifth of what is asked, some 36 a second.
+			if n := len(u.Arrivals(now.Add(-3*time.Second), now)); n < 3*36/4 {
+				t.Errorf("%d requests reached %s in the last 3s, under a quarter of an even share", n, u.ID)
+			}
+		}
+	})
+}
--- a/internal/feedback/tracker.go
+++ b/internal/feedback/tracker.go
@@ -130,6 +130,17 @@
 	return 0
 }
 
+// LimitAge returns how long ago the newest answer that says what the upstream's limit
+// is was received by a host, as far as this one knows.
+func (t *Tracker) LimitAge(id string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.by[id]; s != nil {
+		return now.Sub(s.limitAt)
+	}
+	return 0
+}
+
 // Rest returns for how much longer the upstream wants no requests from this host.
 func (t *Tracker) Rest(id string, now time.Time) time.Duration {
 	t.mu.Lock()
--- a/internal/ownership/rebalance.go
+++ b/internal/ownership/rebalance.go
@@ -25,18 +25,6 @@
 	Slow map[string]bool
 }
 
-// Cap lowers an owner's capacity, and its share with it, to at most the given one.
-func (l *Load) Cap(owner string, most float64) {
-	capacity := l.Capacity[owner]
-	if capacity <= most {
-		return
-	}
-	if l.Share != nil {
-		l.Share[owner] *= most / capacity
-	}
-	l.Capacity[owner] = most
-}
-
 // Limits shape a rebalance.
 type Limits struct {
 	// Trigger is how far above its fair share an owner's load must be
@@ -81,6 +69,11 @@
 	// mostly chance. Keys that changed hands for it were the largest price of
 	// a lightly loaded fleet of 30 hosts, whose worth rose from 0.63 to 0.87.
 	busyFrom = 0.35
+	// idleUse is the load, relative to its fair share, under which an owner is given
+	// keys of any that is above its own, whether or not that reaches the trigger, until
+	// it is at filledUse: so little is not chance, and owners that lost their keys for
+	// a while would stay without.
+	idleUse, filledUse = 0.15, 0.7
 	// slowTrigger is how much higher the trigger of slow owners is: their
 	// keys stay without an owner for some three seconds, which costs callers
 	// more than a moderate overload does that may be over by then.
@@ -128,8 +121,10 @@
 	// owners are the candidates, by ID for repeatable plans; open are those
 	// that are not set aside.
 	owners, open []*account
-	orphans      []piece
-	original     *Table
+	// idle is an owner that is being filled; nil if none is.
+	idle     *account
+	orphans  []piece
+	original *Table
 }
 
 func newBalance(t *Table, load Load) *balance {
@@ -301,8 +296,12 @@
 // relieved to the least loaded one. It reports whether there was one.
 func (b *balance) relieveOne(lim Limits) bool {
 	for len(b.open) > 1 {
-		from, to := b.most(), b.least()
-		if from == nil || from.use() < lim.Trigger {
+		from := b.most()
+		if from == nil {
+			return false
+		}
+		to := b.receiver(from, lim)
+		if to == nil {
 			return false
 		}
 		if from.slow && from.use() < lim.Trigger*slowTrigger {
@@ -322,6 +321,21 @@
 	return false
 }
 
+// receiver returns the owner that is given keys of from, nil if from keeps them.
+func (b *balance) receiver(from *account, lim Limits) *account {
+	least := b.least()
+	if b.idle == nil && least.use() < idleUse {
+		b.idle = least
+	}
+	switch {
+	case from.use() >= lim.Trigger:
+		return least
+	case b.idle != nil && b.idle.use() < filledUse:
+		return b.idle
+	}
+	return nil
+}
+
 // setAside takes an owner that cannot be relieved, as one key makes up its
 // load, out of the balance: the others share what is left. While it stayed in,
 // nobody was relieved for as long as a single key was asked for more than an
