--- a/internal/cli/refused.go
+++ b/internal/cli/refused.go
@@ -65,7 +65,7 @@
 			return err
 		}
 		for _, x := range reply.Contents {
-			left := (time.Duration(x.LeftMs) * time.Millisecond).Round(time.Second)
+			left := time.Duration(x.LeftMs/time.Second.Milliseconds()) * time.Second
 			fmt.Fprintf(w, "%s\t%s\t%v\t%s\n", reply.Host, x.Content, left, strings.Join(x.Servers, " "))
 		}
 		return nil
