--- a/internal/dispatch/ready_test.go
+++ b/internal/dispatch/ready_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/budget"
+	"github.com/papayatide/papayatide/internal/ratelimit"
 )
 
 // A failure that an upstream has answered must not be replaced by one of this host's
@@ -24,6 +25,7 @@
 			g := newRig(t, up("u1", "plain", failing), up("k1", "keyed", failing))
 			g.own("k1", 1)
 			g.d.budget.SetLimits(c.limits)
+			g.d.limits = ratelimit.NewLimiter(ratelimit.Bounds{}, noLeave)
 			for _, host := range []string{"read.example", "keyed.example"} {
 				a := g.get(host, "r-"+host)
 				a.want(t, http.StatusInternalServerError, "said")
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -109,6 +109,11 @@
 	testObjective = 400 * time.Millisecond
 )
 
+// anyLeave is an allocator that gives whatever leave is asked for.
+func anyLeave(_ context.Context, _ string, _ float64, want int) (ratelimit.Grant, error) {
+	return ratelimit.Grant{Requests: want}, nil
+}
+
 // noLeave is an allocator that never gives leave.
 func noLeave(context.Context, string, float64, int) (ratelimit.Grant, error) {
 	return ratelimit.Grant{Wait: time.Second}, nil
@@ -119,7 +124,7 @@
 	g := &rig{views: view.NewHolder()}
 	bud := budget.New(budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute))
 	g.d = New(names, "dc1", g.views, upstream.NewClient(names), balance.NewBoard("h"), bud, crashes.NewLedger(nil), feedback.NewTracker(),
-		ratelimit.NewLimiter(ratelimit.Bounds{}, noLeave))
+		ratelimit.NewLimiter(ratelimit.Bounds{}, anyLeave))
 	g.d.Ended = func(e *End) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
