dispatch: a connection reset while it opens says full, not gone

Reproduced: 24 processes of 400 runs each at once, 121 of 9,600 failed so; a print in the client showed 664 dials of 2,400 runs ending with ECONNRESET: the reset came before the host saw that the connection was open, and only a reset after that was taken for "too many connections". Ruled out: a refused connection (none seen).

Now a dial ended by ECONNRESET is a request turned away. New test: fails before ("counts as gone"), passes after.

--- a/internal/dispatch/turned_away_test.go
+++ b/internal/dispatch/turned_away_test.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -34,6 +37,23 @@
 	return f
 }
 
+// A connection is reset before the host sees that it opened, as one that waits in a
+// full upstream's backlog is. The upstream counted as gone after three of them.
+func TestUpstreamThatResetsConnectionsAsTheyOpenIsFull(t *testing.T) {
+	f := startUpstream(t, echo)
+	g := newRig(t, up("u1", "keyed", f))
+	g.own("u1", 1)
+	g.d.client.Dial = func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNRESET)}
+	}
+	for range 4 {
+		g.post("keyed.example", "r1").want(t, http.StatusServiceUnavailable, "")
+	}
+	if g.d.board.Out("u1", time.Now()) {
+		t.Error("the upstream counts as gone")
+	}
+}
+
 // An upstream has too many connections and resets new ones a moment after it took
 // them. Callers' bookings were on their way by then: they were told that the
 // outcome is unknown, and could not come back. Nothing had been sent that could
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -140,7 +140,8 @@
 	if fresh {
 		var err error
 		if cn, err = c.dial(ctx, t.Addr); err != nil {
-			return &Result{Outcome: NotSent, NewConn: true, Err: eris.Wrapf(err, "upstream %s: connect", t.ID)}
+			return &Result{Outcome: NotSent, NewConn: true, TurnedAway: errors.Is(err, syscall.ECONNRESET),
+				Err: eris.Wrapf(err, "upstream %s: connect", t.ID)}
 		}
 		if err := cn.settle(); err != nil {
 			cn.abort()
