dispatch: the test's resets come before its requests

One of the same 9,600 runs under 24 processes got 502: the stand-in's reset came after settleTime, the request was written, and its outcome was unknown, truthfully; the case has a test of its own (20 ms). The stand-in now resets before the dial returns, so the case meant is the case played. 24 processes of 200 runs of the four tests: none failed.

--- a/internal/dispatch/turned_away_test.go
+++ b/internal/dispatch/turned_away_test.go
@@ -12,9 +12,10 @@
 )
 
 // resetting listens as an upstream with too many connections does: it takes each
-// one and resets it a little later.
-func resetting(t *testing.T, after time.Duration) *fakeUpstream {
+// one and resets it a little later. The channel gets a value for every reset.
+func resetting(t *testing.T, after time.Duration) (*fakeUpstream, <-chan struct{}) {
 	t.Helper()
+	resets := make(chan struct{}, 64)
 	f := startUpstream(t, echo)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -31,10 +32,24 @@
 			time.AfterFunc(after, func() {
 				_ = c.(*net.TCPConn).SetLinger(0)
 				_ = c.Close()
+				resets <- struct{}{}
 			})
 		}
 	}()
-	return f
+	return f, resets
+}
+
+// dialUntilReset opens connections and returns each once it has been reset, so that
+// a busy machine does not put the reset after the request.
+func dialUntilReset(resets <-chan struct{}) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
+		select {
+		case <-resets:
+		case <-ctx.Done():
+		}
+		return c, err
+	}
 }
 
 // A connection is reset before the host sees that it opened, as one that waits in a
@@ -60,8 +75,9 @@
 // have run, so they are told that it has not, and when to return. The upstream is
 // full, not gone: it is not left alone for seconds.
 func TestRequestOnAConnectionThatIsResetAtOnceHasNotRun(t *testing.T) {
-	f := resetting(t, 0)
+	f, resets := resetting(t, 0)
 	g := newRig(t, up("u1", "keyed", f), up("u2", "plain", f))
+	g.d.client.Dial = dialUntilReset(resets)
 	g.own("u1", 1)
 	for _, host := range []string{"keyed.example", "charge.example"} {
 		for range 3 {
@@ -89,7 +105,8 @@
 	if n := f.runs.Load(); n != 1 {
 		t.Errorf("sent %d times", n)
 	}
-	g = newRig(t, up("u1", "plain", resetting(t, 20*time.Millisecond)))
+	f, _ = resetting(t, 20*time.Millisecond)
+	g = newRig(t, up("u1", "plain", f))
 	g.post("charge.example", "r2").want(t, http.StatusBadGateway, "")
 }
 
