--- a/internal/crashes/ledger.go
+++ b/internal/crashes/ledger.go
@@ -125,6 +125,14 @@
 	return len(l.ends) > 0
 }
 
+// Suspect reports whether a server has ended under the content, and none has
+// answered it since.
+func (l *Ledger) Suspect(c Content) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.ends[c]) > 0
+}
+
 // Refused returns for how much longer a content is refused; zero if it is not.
 func (l *Ledger) Refused(c Content, now time.Time) time.Duration {
 	l.mu.Lock()
--- a/internal/crashes/retry.go
+++ b/internal/crashes/retry.go
@@ -35,7 +35,7 @@
 				t.next = due
 			}
 		}
-		t.pause = 2 * tryFirst
+		t.pause = 3 * tryFirst
 	}
 	if now.Before(t.next) {
 		return false
--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -131,3 +131,17 @@
 	}
 	return left
 }
+
+// suspectRate is how many requests of a suspect content all hosts together send a
+// second. Sent as they come, several run on each server by the time it ends.
+const suspectRate = 2.0
+
+// takeSuspect reports whether a request like q may be sent now, and if not, how long
+// it is until one may be. Contents under which a server has ended are sent one at a
+// time until one is answered.
+func (d *Dispatcher) takeSuspect(ctx context.Context, q *request) (ok bool, wait time.Duration) {
+	if !d.crashes.Any() || q.trial || !d.crashes.Suspect(q.content()) {
+		return true, 0
+	}
+	return d.limits.Take(ctx, "content "+string(q.content()), suspectRate)
+}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -65,6 +65,10 @@
 			}
 			continue
 		}
+		if ok, wait := d.takeSuspect(ctx, q); !ok {
+			ticket.Done(admission.NoSign, 0)
+			return nil, q.endUnsent(CauseSuspect, max(wait, q.soon()))
+		}
 		if q.sends > 0 && !d.budget.Repeat(q.service.Name, q.urgent, time.Now()) {
 			ticket.Done(admission.NoSign, 0)
 			return nil, q.giveUp()
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -27,6 +27,7 @@
 	CauseTimeout      Cause = "time ran out at the upstream"
 	CauseBroken       Cause = "upstream broke off; the outcome is unknown"
 	CauseFatal        Cause = "servers ended while they ran this request"
+	CauseSuspect      Cause = "a server ended while it ran this request; one at a time is tried"
 	CauseStopping     Cause = "this host stops"
 	CauseGone         Cause = "caller left"
 )
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -16,7 +16,7 @@
 
 const (
 	// leastBurst is how many requests at least may be sent at once after a pause.
-	leastBurst = 2.0
+	leastBurst = 1.0
 	// burst is that number for higher rates, as the time in which the rate brings
 	// as many.
 	burst = 250 * time.Millisecond
