upstream: a kept connection that was closed meanwhile is replaced at once

Found by the new test of servers that come back under their ID: a request whose kept connection had been closed between the look at it and its use ended as not sent, counted as a failure of the upstream, and was not tried on a new connection; printed outcomes showed 12 of them ("set deadline: closed pipe") after one end of a server. Nothing had been written, so it is now sent on another connection. Only pipes have shown it so far; a TCP connection takes a deadline after its peer's end, and fails at the write.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -157,6 +157,9 @@
 	}
 	if !stop() || !reusable {
 		cn.abort()
+		if !fresh && res.Outcome == NotSent && ctx.Err() == nil {
+			return c.Do(ctx, t, req) // the kept connection had been closed
+		}
 		return res
 	}
 	p.put(cn)
