FAILBACK: an upstream that was seen to end is taken for cold until its entry is read

That they can see it end was not used. Now a refused connection, or two sends in a row that break off, has a host hold back as for a slow start, until the upstream has answered for that long or an entry written later was read. Timeouts do not count: a cut link says nothing of the server.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,8 +21,12 @@
 	Served Outcome = iota
 	// Full means the upstream refused for want of room.
 	Full
-	// Failed means it could not be reached or broke off.
+	// Failed means that it could not be reached, answered that it failed, or too late.
 	Failed
+	// Broken means that it broke off.
+	Broken
+	// Ended means that nobody listens there any more.
+	Ended
 	// Abandoned means the caller left; it says nothing of the upstream.
 	Abandoned
 )
@@ -36,6 +40,8 @@
 	// ejectFirst and ejectMost bound how long it stays out.
 	ejectFirst = 500 * time.Millisecond
 	ejectMost  = 2 * time.Second
+	// writtenWithin is how long after its start an upstream has written its entry.
+	writtenWithin = 2 * time.Second
 	// drawn is how many upstreams of the host's data centre, and how many of
 	// others, are compared for a request. Hosts of a large fleet know little of
 	// each upstream, and the same: if each took the best of all, they would
@@ -65,6 +71,24 @@
 	learnedAt time.Time
 	// gate lets requests through while the upstream is cold.
 	gate ratelimit.Gate
+	// endedAt is when it last seemed to have ended, backAt when it answered again;
+	// see slowUntil.
+	endedAt, backAt time.Time
+}
+
+// slowUntil is when the upstream's slow start is over: as its entry says, or, where
+// it seemed to have ended, so long after it answered again. What answers then may
+// have just started under the same ID, and its entry tells only once it is read.
+func (r *record) slowUntil(u *catalogue.Upstream, slowStart time.Duration, now time.Time) time.Time {
+	switch {
+	case r.endedAt.IsZero():
+		return u.SlowUntil
+	case r.backAt.Before(r.endedAt):
+		return now.Add(slowStart)
+	case r.backAt.Add(slowStart).After(u.SlowUntil):
+		return r.backAt.Add(slowStart)
+	}
+	return u.SlowUntil
 }
 
 // Board keeps one record of each upstream.
@@ -108,11 +132,17 @@
 		r.failures = 0
 		r.answered++
 		r.latency += took
+		if r.backAt.Before(r.endedAt) {
+			r.backAt = now
+		}
 	case Full:
 		r.failures = 0
 		r.fullTill = now.Add(fullPause)
-	case Failed:
+	case Failed, Broken, Ended:
 		r.failures++
+		if o == Ended || (o == Broken && r.failures >= ejectAfter) {
+			r.endedAt = now
+		}
 		if r.failures >= ejectAfter {
 			r.outUntil = now.Add(min(ejectFirst<<min(r.failures-ejectAfter, 4), ejectMost))
 		}
@@ -120,6 +150,25 @@
 	}
 }
 
+// NoteEnded takes note that nobody listens at the upstream any more.
+func (b *Board) NoteEnded(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(id).endedAt = now
+}
+
+// Confirm takes note that all entries were read that upstreams had written by the
+// given time: one that ended well before is listed as what it is now.
+func (b *Board) Confirm(written time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.by {
+		if written.Sub(r.endedAt) > writtenWithin {
+			r.endedAt, r.backAt = time.Time{}, time.Time{}
+		}
+	}
+}
+
 // Out reports whether the upstream fails so often that it is left alone for
 // now.
 func (b *Board) Out(id string, now time.Time) bool {
@@ -150,6 +199,8 @@
 	// ColdShare returns this host's share of a cold upstream of the service;
 	// nil where that is not bounded. Those whose share is used up are no choice.
 	ColdShare func() ratelimit.Share
+	// SlowStart is how long a slow start of the service's upstreams lasts.
+	SlowStart time.Duration
 	// Closed, if set, reports whether an upstream takes no requests of this host
 	// at present. Such upstreams are no choice.
 	Closed func(id string) bool
@@ -191,7 +242,7 @@
 			continue
 		}
 		r := b.of(u.ID)
-		if c.ColdShare != nil && u.Cold(now) && !r.gate.Open(c.ColdShare(), u.SlowUntil, now) {
+		if c.ColdShare != nil && !r.open(u, c.SlowStart, c.ColdShare, now) {
 			continue
 		}
 		if c.Closed != nil && c.Closed(u.ID) {
@@ -242,19 +293,26 @@
 	return a == 1
 }
 
-// ColdOpen reports whether the upstream is warm, or this host's share of it
-// allows a request now.
-func (b *Board) ColdOpen(u *catalogue.Upstream, share ratelimit.Share, now time.Time) bool {
+// ColdOpen reports whether the upstream, whose slow start lasts so long, is warm, or
+// this host's share of it allows a request now.
+func (b *Board) ColdOpen(u *catalogue.Upstream, slowStart time.Duration, share func() ratelimit.Share, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.of(u.ID).gate.Open(share, u.SlowUntil, now)
+	return b.of(u.ID).open(u, slowStart, share, now)
+}
+
+func (r *record) open(u *catalogue.Upstream, slowStart time.Duration, share func() ratelimit.Share, now time.Time) bool {
+	until := r.slowUntil(u, slowStart, now)
+	return !now.Before(until) || r.gate.Open(share(), until, now)
 }
 
 // ColdTake is ColdOpen for a request that is sent now, which it counts.
-func (b *Board) ColdTake(u *catalogue.Upstream, share ratelimit.Share, now time.Time) bool {
+func (b *Board) ColdTake(u *catalogue.Upstream, slowStart time.Duration, share func() ratelimit.Share, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.of(u.ID).gate.Take(share, u.SlowUntil, now)
+	r := b.of(u.ID)
+	until := r.slowUntil(u, slowStart, now)
+	return !now.Before(until) || r.gate.Take(share(), until, now)
 }
 
 // candidate is the best upstream seen so far.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -6,7 +6,6 @@
 
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
-	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/view"
 )
 
@@ -22,7 +21,8 @@
 	v := d.views.Load()
 	c := balance.Choice{Home: d.home, FarPenalty: q.route.Objective / 4, Not: q.tried}
 	if q.service.SlowStart.PerSecond > 0 {
-		c.ColdShare = func() ratelimit.Share { return d.coldShare(q.service) }
+		c.ColdShare = d.coldShare(q.service)
+		c.SlowStart = q.service.SlowStart.Lasts
 	}
 	c.Closed = func(id string) bool { wait, _ := d.closed(id, time.Now()); return wait > 0 }
 	ups := v.Upstreams.Of(q.service.Name)
@@ -69,7 +69,7 @@
 			if wait, cause := d.closed(u.ID, now); wait > 0 {
 				return nil, q.closedRefusal(wait, cause)
 			}
-			if u.Cold(now) && !d.board.ColdOpen(u, d.coldShare(q.service), now) {
+			if !d.board.ColdOpen(u, q.service.SlowStart.Lasts, d.coldShare(q.service), now) {
 				return nil, q.coldRefusal(u, now)
 			}
 			q.lastSeen = fence
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
@@ -56,6 +57,10 @@
 		return balance.Abandoned
 	case res.Outcome == upstream.NotRun || res.TurnedAway:
 		return balance.Full
+	case res.Outcome == upstream.NotSent && errors.Is(res.Err, syscall.ECONNREFUSED):
+		return balance.Ended
+	case brokeOff(ctx, res):
+		return balance.Broken
 	}
 	return balance.Failed
 }
--- a/internal/entryhost/slowstart_test.go
+++ b/internal/entryhost/slowstart_test.go
@@ -107,3 +107,38 @@
 		}
 	})
 }
+
+// A server ends while the log service is away and starts again under its ID, cold,
+// which nobody can read. It must not get what the life before it got.
+func TestServerBackUnderItsIDIsColdWhileTheLogIsAway(t *testing.T) {
+	for _, c := range []struct{ service, route string }{{"sheets", "read.example"}, {"plain", plainRoute}} {
+		t.Run(c.service, func(t *testing.T) {
+			fleetTest(t, func(t *testing.T) {
+				f := newFleet(t, 4, 0)
+				old := f.addTo(c.service, "server")
+				f.addTo(c.service, "other")
+				f.answers(c.route, "/x", startup)
+				f.press(c.route, 4*time.Second)
+				f.log.SetDown(true)
+				f.cut(old)
+				f.press(c.route, time.Second)
+				back := time.Now()
+				again := f.start(c.service, "server")
+				const cold = 3 * time.Second
+				f.press(c.route, cold)
+				if n := again.MostInASecond(back, back.Add(cold)); n > int(slowStartMost) {
+					t.Errorf("%d requests came to it within a second, it takes %v", n, slowStartMost)
+				}
+				f.log.SetDown(false)
+				f.listAs(c.service, again, false)
+				f.listAs(c.service, f.ups["other:80"], false)
+				time.Sleep(4 * time.Second)
+				before := time.Now()
+				f.press(c.route, 2*time.Second)
+				if n := len(again.Arrivals(before, time.Now())); n == 0 {
+					t.Error("it is not used once it is warm")
+				}
+			})
+		})
+	}
+}
