FAILBACK: hosts tell each other which upstreams they saw end

A host that sent nothing while a server was gone did not see it end, and sent its usual share to the new life while the log service was down. Ends that a host sees now go to the others with the reports of upstreams (UpstreamNotice), for 10 s, and have them hold back as if they had seen it. An end older than the entries that were read is ignored.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -97,6 +97,8 @@
 	host string
 	mu   sync.Mutex
 	by   map[string]*record
+	// written is the time up to which all entries that upstreams had written were read.
+	written time.Time
 	// sets are what this host uses of each service's upstreams.
 	sets map[string]*set
 }
@@ -122,8 +124,9 @@
 	return b.of(id).limiter
 }
 
-// Done takes in how a send to the upstream ended, and how long it took.
-func (b *Board) Done(id string, o Outcome, took time.Duration, now time.Time) {
+// Done takes in how a send to the upstream ended, and how long it took. It reports
+// whether the upstream seems to have ended.
+func (b *Board) Done(id string, o Outcome, took time.Duration, now time.Time) (ended bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.of(id)
@@ -140,7 +143,7 @@
 		r.fullTill = now.Add(fullPause)
 	case Failed, Broken, Ended:
 		r.failures++
-		if o == Ended || (o == Broken && r.failures >= ejectAfter) {
+		if ended = o == Ended || (o == Broken && r.failures >= ejectAfter); ended {
 			r.endedAt = now
 		}
 		if r.failures >= ejectAfter {
@@ -148,13 +151,16 @@
 		}
 	case Abandoned:
 	}
+	return ended
 }
 
-// NoteEnded takes note that nobody listens at the upstream any more.
-func (b *Board) NoteEnded(id string, now time.Time) {
+// NoteEnded takes note that the upstream was seen to end at the time.
+func (b *Board) NoteEnded(id string, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(id).endedAt = now
+	if r := b.of(id); at.After(r.endedAt) && b.written.Sub(at) <= writtenWithin {
+		r.endedAt = at
+	}
 }
 
 // Confirm takes note that all entries were read that upstreams had written by the
@@ -162,6 +168,7 @@
 func (b *Board) Confirm(written time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.written = written
 	for _, r := range b.by {
 		if written.Sub(r.endedAt) > writtenWithin {
 			r.endedAt, r.backAt = time.Time{}, time.Time{}
--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -54,6 +54,7 @@
 	b.Ended = d.client.Refuses(ctx, upstream.Target{ID: u.ID, Addr: u.Addr})
 	if b.Ended {
 		d.board.NoteEnded(u.ID, now)
+		d.feedback.NoteEnded(u.ID, now)
 		b.Ends = d.crashes.Saw(crashes.End{Content: b.Content, Server: u.ID, At: now})
 	} else if !u.Leaving {
 		e := crashes.End{Content: b.Content, Server: u.ID, At: now}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -20,7 +20,9 @@
 	took := time.Since(start)
 	judged := judge(ctx, res)
 	now := time.Now()
-	d.board.Done(u.ID, judged, took, now)
+	if d.board.Done(u.ID, judged, took, now) {
+		d.feedback.NoteEnded(u.ID, now)
+	}
 	if res.Status != 0 && !res.Misdirected() {
 		d.feedback.Record(u.ID, res.Report, start, now)
 	}
--- a/internal/entryhost/feedback.go
+++ b/internal/entryhost/feedback.go
@@ -33,7 +33,10 @@
 	upstreamReports.Inc()
 	h.zl.Info("upstream reported its state", zap.Int("event", events.UpstreamReported), zap.String("peer", c.Upstream),
 		zap.Float64("limit", c.Limit), zap.Float64("limit_before", c.Before), zap.Bool("leaving", c.Leaving),
-		zap.Duration("rest", c.Rest), zap.String("from", c.From))
+		zap.Duration("rest", c.Rest), zap.Bool("ended", !c.EndedAt.IsZero()), zap.String("from", c.From))
+	if !c.EndedAt.IsZero() {
+		h.board.NoteEnded(c.Upstream, c.EndedAt)
+	}
 	if c.Leaving {
 		h.control.post(ctx, h.control.publishUpstreams)
 	}
--- a/internal/entryhost/slowstart_test.go
+++ b/internal/entryhost/slowstart_test.go
@@ -22,9 +22,11 @@
 }
 
 // press has callers ask on every host at once, as fast as they are answered.
-func (f *testFleet) press(route string, d time.Duration) {
+func (f *testFleet) press(route string, d time.Duration) { f.pressOn(f.hosts, route, d) }
+
+func (f *testFleet) pressOn(hosts []*testHost, route string, d time.Duration) {
 	var wg sync.WaitGroup
-	for _, h := range f.hosts {
+	for _, h := range hosts {
 		for c := range 4 {
 			wg.Go(func() {
 				for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
@@ -109,10 +111,14 @@
 }
 
 // A server ends while the log service is away and starts again under its ID, cold,
-// which nobody can read. It must not get what the life before it got.
+// which nobody can read. It must not get what the life before it got, also where
+// only some of the hosts have seen it end.
 func TestServerBackUnderItsIDIsColdWhileTheLogIsAway(t *testing.T) {
-	for _, c := range []struct{ service, route string }{{"sheets", "read.example"}, {"plain", plainRoute}} {
-		t.Run(c.service, func(t *testing.T) {
+	for _, c := range []struct {
+		service, route string
+		busy           int
+	}{{"sheets", "read.example", 4}, {"plain", plainRoute, 4}, {"plain", plainRoute, 1}} {
+		t.Run(fmt.Sprint(c.service, " with ", c.busy, " busy hosts"), func(t *testing.T) {
 			fleetTest(t, func(t *testing.T) {
 				f := newFleet(t, 4, 0)
 				old := f.addTo(c.service, "server")
@@ -121,7 +127,7 @@
 				f.press(c.route, 4*time.Second)
 				f.log.SetDown(true)
 				f.cut(old)
-				f.press(c.route, time.Second)
+				f.pressOn(f.hosts[:c.busy], c.route, time.Second)
 				back := time.Now()
 				again := f.start(c.service, "server")
 				const cold = 3 * time.Second
--- a/internal/feedback/tracker.go
+++ b/internal/feedback/tracker.go
@@ -1,6 +1,8 @@
 package feedback
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -21,6 +23,8 @@
 	others    map[string]othersRest
 	// restOver is when the last rest that is known of ends or ended.
 	restOver time.Time
+	// endedAt is when a host last saw it end.
+	endedAt time.Time
 }
 
 // othersRest is a rest that a follower reports: its own, and of those that follow it.
@@ -48,9 +52,21 @@
 // notable reports whether the state says more than that of an upstream that has
 // never reported anything.
 func (s *state) notable(now time.Time) bool {
-	return !s.leavingAt.IsZero() || s.lately(now)
+	return !s.leavingAt.IsZero() || s.lately(now) || s.ended(now)
 }
 
+// ended reports whether a host has seen the upstream end so lately that the others
+// should know.
+func (s *state) ended(now time.Time) bool { return now.Sub(s.endedAt) < endedTold }
+
+// sameEnd is how much later than another an end must have been seen to be one more:
+// hosts see the same at different times, and ages are a little off on the way.
+const sameEnd = time.Second
+
+// endedTold is for how long hosts tell each other that they saw an upstream end: the
+// log service is mostly back by then, and says what is there now.
+const endedTold = 10 * time.Second
+
 // lately reports whether a limit or a rest is in force or ended within endedFor.
 func (s *state) lately(now time.Time) bool {
 	return s.limit > 0 || now.Sub(s.limitAt) < endedFor || now.Sub(s.restOver) < endedFor
@@ -71,6 +87,8 @@
 	Leaving bool
 	// Rest is the rest that the upstream has asked this host for.
 	Rest time.Duration
+	// EndedAt is when another host saw the upstream end; zero if that is not new.
+	EndedAt time.Time
 }
 
 // Tracker keeps the reports of all upstreams. It is safe for concurrent use.
@@ -121,11 +139,23 @@
 }
 
 func (t *Tracker) notify(c Change) {
-	if c.Limit != c.Before || c.Leaving || c.Rest > 0 {
+	if c.Limit != c.Before || c.Leaving || c.Rest > 0 || !c.EndedAt.IsZero() {
 		t.Changed(c)
 	}
 }
 
+// NoteEnded takes note that this host saw the upstream end at now.
+func (t *Tracker) NoteEnded(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.by[id]
+	if s == nil {
+		s = &state{}
+		t.by[id] = s
+	}
+	s.endedAt = now
+}
+
 // Limit returns the upstream's limit in requests a second; 0 if it has none.
 func (t *Tracker) Limit(id string) float64 {
 	t.mu.Lock()
@@ -203,6 +233,9 @@
 	// longest is left. They are sent only to the host that one follows.
 	RestHosts int
 	RestLeft  time.Duration
+	// Ended is set if a host saw the upstream end lately, EndedAge ago.
+	Ended    bool
+	EndedAge time.Duration
 }
 
 // maxNotices bounds the notices of one message.
@@ -215,10 +248,13 @@
 	defer t.mu.Unlock()
 	var out []Notice
 	for id, s := range t.by {
-		n := Notice{Upstream: id, Limit: s.limit, LimitAge: -1, Leaving: !s.leavingAt.IsZero()}
-		if n.RestHosts, n.RestLeft = s.resting(now); s.limitAt.IsZero() && !n.Leaving && n.RestHosts == 0 {
+		n := Notice{Upstream: id, Limit: s.limit, LimitAge: -1, Leaving: !s.leavingAt.IsZero(), Ended: s.ended(now)}
+		if n.RestHosts, n.RestLeft = s.resting(now); s.limitAt.IsZero() && !n.Leaving && n.RestHosts == 0 && !n.Ended {
 			continue
 		}
+		if n.Ended {
+			n.EndedAge = now.Sub(s.endedAt)
+		}
 		if !s.limitAt.IsZero() {
 			n.LimitAge = now.Sub(s.limitAt)
 		}
@@ -229,7 +265,7 @@
 	}
 	slices.SortFunc(out, func(x, y Notice) int { return strings.Compare(x.Upstream, y.Upstream) })
 	if len(out) > maxNotices {
-		slices.SortStableFunc(out, func(x, y Notice) int { return int(x.newest() - y.newest()) })
+		slices.SortStableFunc(out, func(x, y Notice) int { return cmp.Compare(x.newest(), y.newest()) })
 		out = out[:maxNotices]
 	}
 	return out
@@ -237,15 +273,20 @@
 
 // newest is the age of the newest thing that the notice says.
 func (n Notice) newest() time.Duration {
-	switch {
-	case n.RestHosts > 0:
-		return 0
-	case n.LimitAge < 0:
-		return n.LeavingAge
-	case !n.Leaving:
-		return n.LimitAge
+	age := time.Duration(math.MaxInt64)
+	if n.RestHosts > 0 {
+		age = 0
 	}
-	return min(n.LimitAge, n.LeavingAge)
+	if n.LimitAge >= 0 {
+		age = min(age, n.LimitAge)
+	}
+	if n.Leaving {
+		age = min(age, n.LeavingAge)
+	}
+	if n.Ended {
+		age = min(age, n.EndedAge)
+	}
+	return age
 }
 
 // ForFollower returns the notices that are new to a follower which has sent some
@@ -258,8 +299,8 @@
 	var out []Notice
 	for _, n := range notices {
 		its, ok := by[n.Upstream]
-		known := ok && its.Limit == n.Limit && its.Leaving == n.Leaving
-		if known || (n.LimitAge < 0 && !n.Leaving) {
+		known := ok && its.Limit == n.Limit && its.Leaving == n.Leaving && its.Ended == n.Ended
+		if known || (n.LimitAge < 0 && !n.Leaving && !n.Ended) {
 			continue
 		}
 		n.RestHosts, n.RestLeft = 0, 0
@@ -290,6 +331,9 @@
 	if c.Limit = s.limit; n.Leaving && s.leavingAt.IsZero() {
 		s.leavingAt, c.Leaving = now.Add(-n.LeavingAge), true
 	}
+	if at := now.Add(-n.EndedAge); n.Ended && at.After(s.endedAt.Add(sameEnd)) {
+		s.endedAt, c.EndedAt = at, at
+	}
 	if n.RestHosts > 0 {
 		if s.others == nil {
 			s.others = map[string]othersRest{}
--- a/internal/peer/feedback.go
+++ b/internal/peer/feedback.go
@@ -38,7 +38,8 @@
 	for _, n := range ns {
 		out = append(out, &peerpb.UpstreamNotice{Id: n.Upstream, Limit: n.Limit, LimitKnown: n.LimitAge >= 0,
 			LimitAgeMs: uint32(max(n.LimitAge, 0).Milliseconds()), Leaving: n.Leaving, LeavingAgeMs: uint32(n.LeavingAge.Milliseconds()),
-			RestHosts: uint32(n.RestHosts), RestLeftMs: uint32(n.RestLeft.Milliseconds())})
+			RestHosts: uint32(n.RestHosts), RestLeftMs: uint32(n.RestLeft.Milliseconds()),
+			Ended: n.Ended, EndedAgeMs: uint32(n.EndedAge.Milliseconds())})
 	}
 	return out
 }
@@ -48,7 +49,8 @@
 	for _, m := range ms {
 		n := feedback.Notice{Upstream: m.Id, Limit: m.Limit, LimitAge: -1, Leaving: m.Leaving,
 			LeavingAge: time.Duration(m.LeavingAgeMs) * time.Millisecond,
-			RestHosts:  int(m.RestHosts), RestLeft: time.Duration(m.RestLeftMs) * time.Millisecond}
+			RestHosts:  int(m.RestHosts), RestLeft: time.Duration(m.RestLeftMs) * time.Millisecond,
+			Ended: m.Ended, EndedAge: time.Duration(m.EndedAgeMs) * time.Millisecond}
 		if m.LimitKnown {
 			n.LimitAge = time.Duration(m.LimitAgeMs) * time.Millisecond
 		}
