FAILBACK: a connection that is turned away says nothing of failures before

A turned-away connection now has the upstream left alone for a moment, as before, and says nothing else.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,6 +21,9 @@
 	Served Outcome = iota
 	// Full means the upstream refused for want of room.
 	Full
+	// TurnedAway means it ended a new connection at once: it has too many, or whoever
+	// takes connections for it does not reach it.
+	TurnedAway
 	// Failed means that it could not be reached, answered that it failed, or too late.
 	Failed
 	// Broken means that it broke off.
@@ -141,6 +144,8 @@
 	case Full:
 		r.failures = 0
 		r.fullTill = now.Add(fullPause)
+	case TurnedAway:
+		r.fullTill = now.Add(fullPause)
 	case Failed, Broken, Ended:
 		r.failures++
 		if ended = o == Ended || (o == Broken && r.failures >= ejectAfter); ended {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -57,7 +57,9 @@
 		return balance.Served
 	case res.Outcome == upstream.NotRun && res.Misdirected():
 		return balance.Abandoned
-	case res.Outcome == upstream.NotRun || res.TurnedAway:
+	case res.TurnedAway:
+		return balance.TurnedAway
+	case res.Outcome == upstream.NotRun:
 		return balance.Full
 	case res.Outcome == upstream.NotSent && errors.Is(res.Err, syscall.ECONNREFUSED):
 		return balance.Ended
@@ -79,7 +81,7 @@
 		return admission.Late
 	case o == balance.Served:
 		return admission.InTime
-	case o == balance.Full:
+	case o == balance.Full || o == balance.TurnedAway:
 		return admission.Full
 	}
 	return admission.NoSign
