planner: results of grants that come between two terms are accounted for

Cause: GrantDone dropped results while the service had no term, so that each owner with a grant under way at the loss counted as having one for ever. Its keys were never free once it had ended, no release was sent to it, it was not marked as lost, and Retired answered that grants are under way. A grant without an answer in that time was not counted either: its keys could be free too early.

Results now go to the owner's account whatever the term. New test: fails before ("a's keys never moved", "a grant still counts as under way"), passes after.

--- a/internal/planner/holder.go
+++ b/internal/planner/holder.go
@@ -1,6 +1,12 @@
 package planner
 
-import "github.com/papayatide/papayatide/internal/bootclock"
+import (
+	"errors"
+
+	"github.com/papayatide/papayatide/internal/bootclock"
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/ownership"
+)
 
 // holder is what is known of the grants sent to one server. Its lives share
 // it: a grant that was sent to one may reach the next.
@@ -33,6 +39,33 @@
 	untold int
 }
 
+// done takes in a grant's result. It must be told of each that was sent, also after
+// the term has ended: a later term may go on with the account.
+func (h *holder) done(g *Grant, err error, now bootclock.Time) {
+	h.inFlight--
+	if !errors.Is(err, ownership.ErrNotSent) {
+		h.mayHoldFrom = now
+	}
+	switch {
+	case errors.Is(err, ownership.ErrNoAnswer):
+		h.unanswered = true
+		h.unansweredAt = now
+	case errors.Is(err, ownership.ErrFenced):
+		h.answeredAt = now
+	case err == nil && !h.outlived(g):
+		h.answeredAt = now
+		h.losses = 0
+		h.confirmed = append(h.confirmed, span{g.Range.From, g.Range.To})
+		if len(h.confirmed) > maxConfirmed {
+			h.confirmed = h.confirmed[len(h.confirmed)-maxConfirmed:]
+		}
+	}
+}
+
+// outlived reports whether the life that the grant was for has ended: what it
+// answers, or does not, says nothing of the next one.
+func (h *holder) outlived(g *Grant) bool { return catalogue.Succeeds(h.life, g.Range.Owner) }
+
 // succeeded turns to a newer life. It has forgotten the tokens that the older
 // one acknowledged, and none of the older one's failures are its own.
 func (h *holder) succeeded(life string, now bootclock.Time) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -354,6 +354,7 @@
 
 // GrantDone takes a Grant's result.
 func (p *Planner) GrantDone(g *Grant, err error, now bootclock.Time) {
+	g.holder.done(g, err, now)
 	if t := p.services[g.Service]; t != nil {
 		t.grantDone(g, err, now)
 	}
--- a/internal/planner/seat_test.go
+++ b/internal/planner/seat_test.go
@@ -64,6 +64,37 @@
 	}
 }
 
+// The seat is lost while grants are under way, and regained with no other planner in
+// between. Their results came while the service had no term and were dropped: the
+// owners counted as having a grant under way for ever, and their keys could never be
+// taken back, nor moved once they had ended.
+func TestGrantsThatEndBetweenTermsAreAccountedFor(t *testing.T) {
+	for _, result := range []error{nil, ownership.ErrNotSent, ownership.ErrNoAnswer} {
+		h := newHarness(t, "a", "b")
+		h.play(3*time.Second, allWell)
+		var underWay []*Grant
+		for len(underWay) == 0 {
+			for _, a := range h.p.Tick(h.now, h.v.Load()) {
+				if g, ok := a.(*Grant); ok && g.Addr == "a" {
+					underWay = append(underWay, g)
+					continue
+				}
+				h.answer(a, nil)
+			}
+			h.now = h.now.Add(simStep)
+		}
+		h.p.JoinDone(&Join{SentAt: h.now}, false, nil, h.now)
+		for _, g := range underWay {
+			h.p.GrantDone(g, result, h.now)
+		}
+		if !h.p.Retired(simService, h.tab.Term+1, h.now) {
+			t.Errorf("result %v: a grant still counts as under way", result)
+		}
+		h.play(2*time.Second, allWell)
+		h.untilMoved(deadA)
+	}
+}
+
 // A host with a weak link leaves the seat to others while one of them plans,
 // and takes it once none is seen any more.
 func TestWeakHostPlansOnlyIfNobodyElseDoes(t *testing.T) {
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -312,35 +312,16 @@
 // make it seem that none is under way to an upstream to which one still is.
 func (t *term) grantDone(g *Grant, err error, now bootclock.Time) {
 	h := g.holder
-	h.inFlight--
-	// What an ended life answers, or does not, says nothing of the next one.
-	ended := catalogue.Succeeds(h.life, g.Range.Owner)
 	s := span{g.Range.From, g.Range.To}
 	l := t.leases[s]
 	if l != nil && l.r.Fence == g.Range.Fence {
 		l.inFlight = false
 		l.next = g.SentAt.Add(t.p.opts.Hold / renewals)
 	}
-	if !errors.Is(err, ownership.ErrNotSent) {
-		h.mayHoldFrom = now
-	}
 	switch {
 	case err == nil:
-		if ended {
-			return
-		}
-		h.answeredAt = now
-		h.losses = 0
-		h.confirmed = append(h.confirmed, s)
-		if len(h.confirmed) > maxConfirmed {
-			h.confirmed = h.confirmed[len(h.confirmed)-maxConfirmed:]
-		}
 		return
-	case errors.Is(err, ownership.ErrNoAnswer):
-		h.unanswered = true
-		h.unansweredAt = now
 	case errors.Is(err, ownership.ErrFenced):
-		h.answeredAt = now
 		t.fenced(g.Range, now, err)
 	case errors.Is(err, ownership.ErrRefused):
 		t.noteTrouble(GrantRefused, g.Range.Owner, err, now)
@@ -348,7 +329,7 @@
 	if l != nil {
 		l.next = now.Add(retryGrant)
 	}
-	if !h.lost && !ended && now.Sub(h.answeredAt) > time.Duration(lostAfter*float64(t.p.opts.Hold)) {
+	if !h.lost && !h.outlived(g) && now.Sub(h.answeredAt) > time.Duration(lostAfter*float64(t.p.opts.Hold)) {
 		h.lost = true
 		t.p.Note(Event{Kind: UpstreamLost, Service: t.name, Upstream: g.Range.Owner, Age: now.Sub(h.answeredAt), Err: err})
 	}
