--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -313,6 +313,7 @@
 	return b.of(u.ID).open(u, slowStart, share, now)
 }
 
+// open reports whether the upstream is warm, or its gate lets a request through now.
 func (r *record) open(u *catalogue.Upstream, slowStart time.Duration, share func() ratelimit.Share, now time.Time) bool {
 	until := r.slowUntil(u, slowStart, now)
 	return !now.Before(until) || r.gate.Open(share(), until, now)
