--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -72,3 +73,57 @@
 	t.Logf("%d targets ended", n)
 	servedBy(t, fleet.Hosts[0], testKey, "")
 }
+
+// backAfterLoss is how long after a loss callers are served again at the latest: what
+// is refused for it is tried again once in ten seconds.
+const backAfterLoss = 12 * time.Second
+
+// All targets end at one moment, three times, while callers ask for a popular key and
+// many others. Each loss ends one more target under that key, so that it was refused
+// for a day. It is served again within seconds.
+func TestPopularKeyIsServedAfterCommonLosses(t *testing.T) {
+	fleet := startSpec(t, loopback.Spec{DataCentres: []string{"bangna"}, Slots: 8, HostsPerDC: 1,
+		Services: []manifest.ServiceSize{{Name: "routeboard", Upstreams: 4, Checked: true}},
+		Settings: loopback.DefaultSettings(), Target: stand.Options{WorkTime: 20 * time.Millisecond}})
+	host := fleet.Hosts[0]
+	servedBy(t, host, testKey, "")
+	over := make(chan struct{})
+	var callers sync.WaitGroup
+	for c := range 8 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				key := testKey
+				if n%4 == 0 {
+					key = fmt.Sprint("key-", c, "-", n)
+				}
+				call(t, http.MethodGet, host.URL+"/routeboard/"+key, "")
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		for _, target := range fleet.Targets {
+			target.Kill()
+		}
+		time.Sleep(backAfter)
+		for name, target := range fleet.Targets {
+			if err := target.Start(); err != nil {
+				t.Errorf("%s does not start again: %v", name, err)
+			}
+		}
+		answered := func() bool { return call(t, http.MethodGet, host.URL+"/routeboard/"+testKey, "").status == http.StatusOK }
+		for end := time.Now().Add(backAfterLoss); !answered(); time.Sleep(50 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("not served %v after the loss", backAfterLoss)
+			}
+		}
+	}
+	close(over)
+	callers.Wait()
+}
--- a/internal/entryhost/crash_test.go
+++ b/internal/entryhost/crash_test.go
@@ -119,33 +119,73 @@
 // sent any more that could have been answered. They are served again within
 // seconds, through every host.
 func TestPopularPageIsServedAfterACommonLoss(t *testing.T) {
-	fleetTest(t, func(t *testing.T) {
-		f := newFleet(t, 3, 0)
-		var ups []*ranged.Upstream
-		for i := range 8 {
-			ups = append(ups, f.addTo("plain", fmt.Sprint("plain", i)))
-		}
-		f.answers(plainRoute, "/popular", startup)
-		for _, h := range f.hosts {
-			for c := range 8 {
-				f.later.Go(func() {
-					for n := 0; f.sleep(10 * time.Millisecond); n++ {
-						path := "/popular"
-						if n%10 == 0 {
-							path = fmt.Sprint("/", c, n)
-						}
-						h.callPath("GET", plainRoute, path, fmt.Sprint(h.cfg.Host, "-", c, "-", n), fatalKey)
-					}
-				})
-			}
-		}
-		time.Sleep(time.Second)
+	all := func(f *testFleet, ups []*ranged.Upstream) {
 		for _, u := range ups {
 			f.crash("plain", u)
 		}
-		time.Sleep(lapse + returns + backAfterLoss)
-		f.answers(plainRoute, "/popular", 0)
-	})
+	}
+	losses := map[string]func(f *testFleet, ups []*ranged.Upstream){
+		"all at once":  all,
+		"half of them": func(f *testFleet, ups []*ranged.Upstream) { all(f, ups[:len(ups)/2]) },
+		"one by one":   func(f *testFleet, ups []*ranged.Upstream) { f.roll("plain", ups) },
+		"log away": func(f *testFleet, ups []*ranged.Upstream) {
+			f.log.SetDown(true)
+			all(f, ups)
+			time.Sleep(lapse + returns)
+			f.log.SetDown(false)
+		},
+		"hosts restarted": func(f *testFleet, ups []*ranged.Upstream) {
+			all(f, ups)
+			time.Sleep(lapse)
+			f.stopHosts()
+			for i := range 3 {
+				f.askForThePopular(f.startHost(fmt.Sprint("new", i)))
+			}
+		},
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			fleetTest(t, func(t *testing.T) {
+				f := newFleet(t, 3, 0)
+				var ups []*ranged.Upstream
+				for i := range 8 {
+					ups = append(ups, f.addTo("plain", fmt.Sprint("plain", i)))
+				}
+				f.answers(plainRoute, "/popular", startup)
+				for _, h := range f.hosts {
+					f.askForThePopular(h)
+				}
+				time.Sleep(time.Second)
+				lose(f, ups)
+				time.Sleep(lapse + returns + backAfterLoss)
+				f.answers(plainRoute, "/popular", 0)
+			})
+		})
+	}
+}
+
+// askForThePopular has eight callers of a host ask for the popular page, and now and
+// then for others.
+func (f *testFleet) askForThePopular(h *testHost) {
+	for c := range 8 {
+		f.later.Go(func() {
+			for n := 0; f.sleep(10 * time.Millisecond); n++ {
+				path := "/popular"
+				if n%10 == 0 {
+					path = fmt.Sprint("/", c, n)
+				}
+				h.callPath("GET", plainRoute, path, fmt.Sprint(h.cfg.Host, "-", c, "-", n), fatalKey)
+			}
+		})
+	}
+}
+
+// roll ends upstreams one after the other, each once the one before is back.
+func (f *testFleet) roll(service string, ups []*ranged.Upstream) {
+	for _, u := range ups {
+		f.crash(service, u)
+		time.Sleep(lapse + returns)
+	}
 }
 
 // backAfterLoss is how long after a loss callers are served again at the latest:
