--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -117,7 +117,9 @@
 				t.Errorf("%s does not start again: %v", name, err)
 			}
 		}
-		answered := func() bool { return call(t, http.MethodGet, host.URL+"/routeboard/"+testKey, "").status == http.StatusOK }
+		answered := func() bool {
+			return call(t, http.MethodGet, host.URL+"/routeboard/"+testKey, "").status == http.StatusOK
+		}
 		for end := time.Now().Add(backAfterLoss); !answered(); time.Sleep(50 * time.Millisecond) {
 			if time.Now().After(end) {
 				t.Fatalf("not served %v after the loss", backAfterLoss)
