cli: one loop asks every host

eachHost of the refused command stood beside the same loop in showPeers. The loop is now one, generic in the reply; output and errors are as they were.

--- a/internal/cli/peers.go
+++ b/internal/cli/peers.go
@@ -21,15 +21,21 @@
 
 // showPeers prints what the entry hosts at the given peer addresses believe.
 func showPeers(cmd *cobra.Command, addrs []string, verbose bool) error {
+	return eachHost(cmd, addrs, askHost, func(st *peerpb.StatusReply) error { return printHost(cmd.OutOrStdout(), st, verbose) })
+}
+
+// eachHost asks every host and shows its reply. It returns an error that names the
+// hosts that did not answer.
+func eachHost[Reply any](cmd *cobra.Command, addrs []string, ask func(ctx context.Context, addr string) (Reply, error), show func(Reply) error) error {
 	var failed []string
 	for _, a := range addrs {
-		st, err := askHost(cmd.Context(), a)
+		reply, err := ask(cmd.Context(), a)
 		if err != nil {
 			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %v\n", a, err)
 			failed = append(failed, a)
 			continue
 		}
-		if err := printHost(cmd.OutOrStdout(), st, verbose); err != nil {
+		if err := show(reply); err != nil {
 			return err
 		}
 	}
--- a/internal/cli/refused.go
+++ b/internal/cli/refused.go
@@ -41,29 +41,18 @@
 	return cmd
 }
 
-// eachHost asks every host and returns an error that names those that failed.
-func eachHost(cmd *cobra.Command, urls []string, ask func(ctx context.Context, c refusedpb.Refused) error) error {
-	var failed []string
-	for _, u := range urls {
-		if err := ask(cmd.Context(), refusedpb.NewRefusedProtobufClient(u, &http.Client{Timeout: hostTimeout})); err != nil {
-			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %v\n", u, err)
-			failed = append(failed, u)
-		}
-	}
-	if len(failed) > 0 {
-		return eris.Errorf("unreachable: %s", strings.Join(failed, ", "))
-	}
-	return nil
+// refusedClient returns a client for the host at the URL.
+func refusedClient(url string) refusedpb.Refused {
+	return refusedpb.NewRefusedProtobufClient(url, &http.Client{Timeout: hostTimeout})
 }
 
 func listRefused(cmd *cobra.Command, urls []string) error {
 	w := tabwriter.NewWriter(cmd.OutOrStdout(), 2, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "HOST\tCONTENT\tREFUSED FOR\tSERVERS THAT ENDED")
-	err := eachHost(cmd, urls, func(ctx context.Context, c refusedpb.Refused) error {
-		reply, err := c.List(ctx, &refusedpb.ListRequest{})
-		if err != nil {
-			return err
-		}
+	ask := func(ctx context.Context, url string) (*refusedpb.ListReply, error) {
+		return refusedClient(url).List(ctx, &refusedpb.ListRequest{})
+	}
+	err := eachHost(cmd, urls, ask, func(reply *refusedpb.ListReply) error {
 		for _, x := range reply.Contents {
 			left := time.Duration(x.LeftMs/time.Second.Milliseconds()) * time.Second
 			fmt.Fprintf(w, "%s\t%s\t%v\t%s\n", reply.Host, x.Content, left, strings.Join(x.Servers, " "))
@@ -78,11 +67,10 @@
 
 func clearRefused(cmd *cobra.Command, urls []string, content string) error {
 	known := false
-	err := eachHost(cmd, urls, func(ctx context.Context, c refusedpb.Refused) error {
-		reply, err := c.Clear(ctx, &refusedpb.ClearRequest{Content: content})
-		if err != nil {
-			return err
-		}
+	ask := func(ctx context.Context, url string) (*refusedpb.ClearReply, error) {
+		return refusedClient(url).Clear(ctx, &refusedpb.ClearRequest{Content: content})
+	}
+	err := eachHost(cmd, urls, ask, func(reply *refusedpb.ClearReply) error {
 		known = known || reply.Known
 		fmt.Fprintf(cmd.OutOrStdout(), "%s: cleared=%v\n", reply.Host, reply.Known)
 		return nil
