feedback: one look at an upstream's standing

The planner asked the tracker for four things of each owner, a lock each, through getters of the same shape; it gets them at once. The making of a missing state stood three times. The tests' assertions are as they were.

--- a/internal/entryhost/feedback.go
+++ b/internal/entryhost/feedback.go
@@ -122,13 +122,14 @@
 	load.Refill = map[string]bool{}
 	var resting []string
 	for _, u := range owners {
-		if reports.Lately(u.ID, now) {
+		s := reports.Standing(u.ID, now)
+		if s.Lately {
 			load.Refill[u.ID] = true
 		}
-		if limit := reports.Limit(u.ID); limit > 0 {
-			most[u.ID] = expected(limit, reports.LimitAge(u.ID, now))
+		if s.Limit > 0 {
+			most[u.ID] = expected(s.Limit, s.LimitAge)
 		}
-		if reports.Resting(u.ID, now) >= restingHosts {
+		if s.Resting >= restingHosts {
 			resting = append(resting, u.ID)
 		}
 	}
--- a/internal/feedback/tracker.go
+++ b/internal/feedback/tracker.go
@@ -106,21 +106,26 @@
 	return &Tracker{Changed: func(Change) {}, by: map[string]*state{}}
 }
 
+func (t *Tracker) of(id string) *state {
+	s := t.by[id]
+	if s == nil {
+		s = &state{}
+		t.by[id] = s
+	}
+	return s
+}
+
 // Record takes in the report of an answer that this host received at now to a
 // request that it had sent at sent. A limit ends with the first answer without one
 // to a request sent after the last answer that named it: earlier requests may have
 // been answered before the limit was set.
 func (t *Tracker) Record(id string, r Report, sent, now time.Time) {
 	t.mu.Lock()
-	s := t.by[id]
-	if s == nil {
-		if r == (Report{}) {
-			t.mu.Unlock()
-			return
-		}
-		s = &state{}
-		t.by[id] = s
+	if t.by[id] == nil && r == (Report{}) {
+		t.mu.Unlock()
+		return
 	}
+	s := t.of(id)
 	c := Change{Upstream: id, Before: s.limit, Rest: r.Rest}
 	switch {
 	case r.Limit > 0:
@@ -148,12 +153,7 @@
 func (t *Tracker) NoteEnded(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.by[id]
-	if s == nil {
-		s = &state{}
-		t.by[id] = s
-	}
-	s.endedAt = now
+	t.of(id).endedAt = now
 }
 
 // Limit returns the upstream's limit in requests a second; 0 if it has none.
@@ -166,17 +166,6 @@
 	return 0
 }
 
-// LimitAge returns how long ago the newest answer that says what the upstream's limit
-// is was received by a host, as far as this one knows.
-func (t *Tracker) LimitAge(id string, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.by[id]; s != nil {
-		return now.Sub(s.limitAt)
-	}
-	return 0
-}
-
 // Rest returns for how much longer the upstream wants no requests from this host.
 func (t *Tracker) Rest(id string, now time.Time) time.Duration {
 	t.mu.Lock()
@@ -187,25 +176,29 @@
 	return 0
 }
 
-// Resting returns how many hosts, of this one and its followers, the upstream has
-// asked for a rest that is not over.
-func (t *Tracker) Resting(id string, now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.by[id]; s != nil {
-		hosts, _ := s.resting(now)
-		return hosts
-	}
-	return 0
+// Standing is what counts for the placing of an upstream's keys.
+type Standing struct {
+	// Limit is in requests a second, 0 for none; LimitAge how long ago the newest
+	// answer that says so was received by a host.
+	Limit    float64
+	LimitAge time.Duration
+	// Resting is how many hosts, of this one and its followers, it has asked for a
+	// rest that is not over.
+	Resting int
+	// Lately is set if it has, or had within the last minute, a limit or a rest.
+	Lately bool
 }
 
-// Lately reports whether the upstream has, or had within the last minute, a limit or
-// a rest.
-func (t *Tracker) Lately(id string, now time.Time) bool {
+// Standing returns the upstream's.
+func (t *Tracker) Standing(id string, now time.Time) Standing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.by[id]
-	return s != nil && s.lately(now)
+	if s == nil {
+		return Standing{}
+	}
+	hosts, _ := s.resting(now)
+	return Standing{Limit: s.limit, LimitAge: now.Sub(s.limitAt), Resting: hosts, Lately: s.lately(now)}
 }
 
 // LeavingSince returns when a host first received a report that the upstream leaves,
@@ -319,11 +312,7 @@
 func (t *Tracker) learn(from string, n Notice, now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.by[n.Upstream]
-	if s == nil {
-		s = &state{}
-		t.by[n.Upstream] = s
-	}
+	s := t.of(n.Upstream)
 	c := Change{Upstream: n.Upstream, From: from, Before: s.limit}
 	if at := now.Add(-n.LimitAge); n.LimitAge >= 0 && at.After(s.limitAt) {
 		s.limit, s.limitAt = n.Limit, at
--- a/internal/feedback/tracker_test.go
+++ b/internal/feedback/tracker_test.go
@@ -62,13 +62,13 @@
 	if got := b.Rest("u", now); got != 0 {
 		t.Errorf("another host rests for %v", got)
 	}
-	if got := b.Resting("u", now); got != 1 {
+	if got := b.Standing("u", now).Resting; got != 1 {
 		t.Errorf("%d hosts known to rest, want 1", got)
 	}
 	if got := ForFollower(b.Notices(now), nil); len(got) != 0 {
 		t.Errorf("a follower receives its own rest: %+v", got)
 	}
-	if got := b.Resting("u", now.Add(time.Hour)); got != 0 {
+	if got := b.Standing("u", now.Add(time.Hour)).Resting; got != 0 {
 		t.Errorf("%d hosts known to rest after the end, want none", got)
 	}
 }
