relay: the copy tells when it was current

Both callers that look at what upstreams had written by then took the age of the stream off the present again; the time itself is what the copy keeps.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -232,7 +232,7 @@
 	_, lost := c.broken[metastore.StreamUpstreams]
 	wall := time.Now()
 	settled := c.roster.settle(lost, wall)
-	if c.evacuations.confirm(wall.Add(-c.copy.StreamAge(metastore.StreamUpstreams, wall)), wall) || settled {
+	if c.evacuations.confirm(c.copy.CurrentAt(metastore.StreamUpstreams), wall) || settled {
 		c.publishUpstreams()
 	}
 	for _, a := range c.plan.Tick(now, c.views.Load()) {
@@ -298,7 +298,7 @@
 	if !(c.planning.Load() || c.eager) || s == metastore.StreamCrashes {
 		return directWait // the age of the planner's copy does not count it
 	}
-	return min(max(planningWait-c.copy.StreamAge(s, time.Now()), 0), planningWait)
+	return min(max(planningWait-time.Since(c.copy.CurrentAt(s)), 0), planningWait)
 }
 
 // wasCut is for how long the planner must have reached the log service for a
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -306,7 +306,7 @@
 			keep := known(h.views.Load().Upstreams)
 			h.client.Prune(now, keep)
 			h.board.Prune(keep)
-			h.board.Confirm(now.Add(-h.control.copy.StreamAge(metastore.StreamUpstreams, now)))
+			h.board.Confirm(h.control.copy.CurrentAt(metastore.StreamUpstreams))
 			h.feedback.Prune(keep, now)
 			h.dispatch.Prune()
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -167,11 +167,11 @@
 	return oldest
 }
 
-// StreamAge returns how long ago the copy of s was last known to be the log's.
-func (c *Copy) StreamAge(s metastore.Stream, now time.Time) time.Duration {
+// CurrentAt returns when the copy of s was last known to be the log's.
+func (c *Copy) CurrentAt(s metastore.Stream) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.by[s].currentAt)
+	return c.by[s].currentAt
 }
 
 // Broken notes that the log service failed this host at the time.
