balance: a slow start is one value

Its length and this host's share went through three signatures side by side, with a bound that is none told as no share in one place and as an infinite one in the others. Where a service has no slow start nothing is gated, as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -200,6 +200,15 @@
 	}
 }
 
+// SlowStart is what the upstreams of a service bear while they are cold.
+type SlowStart struct {
+	// Lasts is how long an upstream is cold after its start.
+	Lasts time.Duration
+	// Share returns this host's share of a cold upstream; nil where that is not
+	// bounded.
+	Share func() ratelimit.Share
+}
+
 // Choice is what a request asks of an upstream.
 type Choice struct {
 	// Home is this host's data centre. Bytes between data centres are
@@ -208,11 +217,9 @@
 	FarPenalty time.Duration
 	// Not lists upstreams that were tried already.
 	Not []string
-	// ColdShare returns this host's share of a cold upstream of the service;
-	// nil where that is not bounded. Those whose share is used up are no choice.
-	ColdShare func() ratelimit.Share
-	// SlowStart is how long a slow start of the service's upstreams lasts.
-	SlowStart time.Duration
+	// SlowStart is that of the service's upstreams. Cold ones whose share is used
+	// up are no choice.
+	SlowStart SlowStart
 	// Closed, if set, reports whether an upstream takes no requests of this host
 	// at present. Such upstreams are no choice.
 	Closed func(id string) bool
@@ -254,7 +261,7 @@
 			continue
 		}
 		r := b.of(u.ID)
-		if c.ColdShare != nil && !r.open(u, c.SlowStart, c.ColdShare, now) {
+		if !r.open(u, c.SlowStart, now) {
 			continue
 		}
 		if c.Closed != nil && c.Closed(u.ID) {
@@ -305,27 +312,27 @@
 	return a == 1
 }
 
-// ColdOpen reports whether the upstream, whose slow start lasts so long, is warm, or
-// this host's share of it allows a request now.
-func (b *Board) ColdOpen(u *catalogue.Upstream, slowStart time.Duration, share func() ratelimit.Share, now time.Time) bool {
+// ColdOpen reports whether the upstream is warm, or this host's share of it allows a
+// request now.
+func (b *Board) ColdOpen(u *catalogue.Upstream, s SlowStart, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.of(u.ID).open(u, slowStart, share, now)
+	return b.of(u.ID).open(u, s, now)
 }
 
-// open reports whether the upstream is warm, or its gate lets a request through now.
-func (r *record) open(u *catalogue.Upstream, slowStart time.Duration, share func() ratelimit.Share, now time.Time) bool {
-	until := r.slowUntil(u, slowStart, now)
-	return !now.Before(until) || r.gate.Open(share(), until, now)
+// open is ColdOpen for the record's upstream.
+func (r *record) open(u *catalogue.Upstream, s SlowStart, now time.Time) bool {
+	until := r.slowUntil(u, s.Lasts, now)
+	return s.Share == nil || !now.Before(until) || r.gate.Open(s.Share(), until, now)
 }
 
 // ColdTake is ColdOpen for a request that is sent now, which it counts.
-func (b *Board) ColdTake(u *catalogue.Upstream, slowStart time.Duration, share func() ratelimit.Share, now time.Time) bool {
+func (b *Board) ColdTake(u *catalogue.Upstream, s SlowStart, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.of(u.ID)
-	until := r.slowUntil(u, slowStart, now)
-	return !now.Before(until) || r.gate.Take(share(), until, now)
+	until := r.slowUntil(u, s.Lasts, now)
+	return s.Share == nil || !now.Before(until) || r.gate.Take(s.Share(), until, now)
 }
 
 // candidate is the best upstream seen so far.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -19,12 +19,8 @@
 		return d.owner(ctx, q)
 	}
 	v := d.views.Load()
-	c := balance.Choice{Home: d.home, FarPenalty: q.route.Objective / 4, Not: q.tried}
-	if q.service.SlowStart.PerSecond > 0 {
-		c.ColdShare = d.coldShare(q.service)
-		c.SlowStart = q.service.SlowStart.Lasts
-	}
-	c.Closed = func(id string) bool { wait, _ := d.closed(id, time.Now()); return wait > 0 }
+	c := balance.Choice{Home: d.home, FarPenalty: q.route.Objective / 4, Not: q.tried, SlowStart: d.slowStart(q.service),
+		Closed: func(id string) bool { wait, _ := d.closed(id, time.Now()); return wait > 0 }}
 	ups := v.Upstreams.Of(q.service.Name)
 	u := d.board.Pick(ups, c, time.Now())
 	if u == nil && q.mayHaveRun {
@@ -69,7 +65,7 @@
 			if wait, cause := d.closed(u.ID, now); wait > 0 {
 				return nil, q.closedRefusal(wait, cause)
 			}
-			if !d.board.ColdOpen(u, q.service.SlowStart.Lasts, d.coldShare(q.service), now) {
+			if !d.board.ColdOpen(u, d.slowStart(q.service), now) {
 				return nil, q.coldRefusal(u, now)
 			}
 			q.lastSeen = fence
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -3,24 +3,27 @@
 import (
 	"time"
 
+	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 )
 
-// coldShare returns this host's share of a cold upstream of the service when called.
-// A host that does not know how many others there are has none: it might be one of
-// thousands.
-func (d *Dispatcher) coldShare(s *desired.Service) func() ratelimit.Share {
-	return func() ratelimit.Share {
-		if s.SlowStart.PerSecond == 0 {
-			return ratelimit.Unbounded
-		}
-		if !d.fleetKnown.Load() {
-			return 0
-		}
-		return ratelimit.Share(d.SlowStart.Rate(s.SlowStart.PerSecond) / float64(d.fleet.Load()))
+// slowStart returns what cold upstreams of the service bear of this host's requests.
+func (d *Dispatcher) slowStart(s *desired.Service) balance.SlowStart {
+	if s.SlowStart.PerSecond == 0 {
+		return balance.SlowStart{}
+	}
+	return balance.SlowStart{Lasts: s.SlowStart.Lasts, Share: func() ratelimit.Share { return d.coldShare(s.SlowStart.PerSecond) }}
+}
+
+// coldShare returns this host's share of a cold upstream that bears perSecond. Without
+// a known number of hosts it is zero, so that a new host cannot exceed the limit.
+func (d *Dispatcher) coldShare(perSecond float64) ratelimit.Share {
+	if !d.fleetKnown.Load() {
+		return 0
 	}
+	return ratelimit.Share(d.SlowStart.Rate(perSecond) / float64(d.fleet.Load()))
 }
 
 // coldRefusal ends a request for which only an upstream in its slow start is
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -51,7 +51,7 @@
 			ticket.Done(admission.NoSign, 0)
 			continue
 		}
-		if now := time.Now(); !d.board.ColdTake(u, q.service.SlowStart.Lasts, d.coldShare(q.service), now) {
+		if now := time.Now(); !d.board.ColdTake(u, d.slowStart(q.service), now) {
 			ticket.Done(admission.NoSign, 0)
 			if q.key >= 0 {
 				return nil, q.coldRefusal(u, now)
