--- a/internal/ratelimit/gate.go
+++ b/internal/ratelimit/gate.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -9,13 +8,9 @@
 // Share is how many requests a second one host may send to an upstream.
 type Share float64
 
-// Unbounded is the share where upstreams take any number.
-var Unbounded = Share(math.Inf(1))
-
 // Gate lets one host's requests to one upstream through at its share. The first
 // may be sent at a random time within the first gap, so that independent hosts do
-// not begin together. Its zero value is of an upstream that
-// never had a limit.
+// not begin together. Its zero value is of an upstream that never had a limit.
 type Gate struct {
 	// until is the end of the limit that next was drawn for.
 	until, next time.Time
--- a/internal/ratelimit/gate_test.go
+++ b/internal/ratelimit/gate_test.go
@@ -61,7 +61,7 @@
 		share Share
 		until time.Time
 		want  bool
-	}{{0, cold, false}, {0, now, true}, {Unbounded, cold, true}} {
+	}{{0, cold, false}, {0, now, true}, {Share(math.Inf(1)), cold, true}} {
 		var g Gate
 		if got := g.Take(c.share, c.until, now); got != c.want {
 			t.Errorf("share %v, cold for %v: %v", c.share, c.until.Sub(now), got)
