dispatch: what stands between a turn and a send is one function

Six checks in the loop each gave the turn back and either refused or chose again; the loop does that once. Their order and what they count are as they were.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -43,36 +43,13 @@
 			end.Upstream, end.Crowd = u.ID, limiter.State()
 			return nil, d.crowdedOut(ctx, q)
 		}
-		if q.abandoned() {
+		if ok, ref := d.maySend(ctx, q, u); !ok {
 			ticket.Done(admission.NoSign, 0)
-			return nil, failed(CauseGone, http.StatusBadGateway)
-		}
-		if d.overtaken(q, u) || d.fatal(q) > 0 {
-			ticket.Done(admission.NoSign, 0)
-			continue
-		}
-		if now := time.Now(); !d.board.ColdTake(u, d.slowStart(q.service), now) {
-			ticket.Done(admission.NoSign, 0)
-			if q.key >= 0 {
-				return nil, q.coldRefusal(u, now)
+			if ref != nil {
+				return nil, ref
 			}
 			continue
 		}
-		if ok, wait, cause := d.take(ctx, u.ID); !ok {
-			ticket.Done(admission.NoSign, 0)
-			if q.key >= 0 {
-				return nil, q.closedRefusal(wait, cause)
-			}
-			continue
-		}
-		if ok, wait := d.takeSuspect(ctx, q); !ok {
-			ticket.Done(admission.NoSign, 0)
-			return nil, q.endUnsent(CauseSuspect, max(wait, q.soon()))
-		}
-		if q.sends > 0 && !d.budget.Repeat(q.service.Name, q.urgent, time.Now()) {
-			ticket.Done(admission.NoSign, 0)
-			return nil, q.giveUp()
-		}
 		res, took := d.send(ctx, q, u, ticket)
 		end.AtUpstream, end.Connect = took, res.Connect
 		again, ref := d.after(ctx, q, res)
@@ -82,6 +59,40 @@
 	}
 }
 
+// maySend reports whether the request, whose turn has come, may be sent to the
+// upstream now, and counts it if so. If not, it is refused, or another upstream is to
+// be chosen if there is no refusal.
+func (d *Dispatcher) maySend(ctx context.Context, q *request, u *catalogue.Upstream) (ok bool, ref *Refusal) {
+	if q.abandoned() {
+		return false, failed(CauseGone, http.StatusBadGateway)
+	}
+	if d.overtaken(q, u) || d.fatal(q) > 0 {
+		return false, nil
+	}
+	if now := time.Now(); !d.board.ColdTake(u, d.slowStart(q.service), now) {
+		return false, q.ifKeyed(q.coldRefusal(u, now))
+	}
+	if ok, wait, cause := d.take(ctx, u.ID); !ok {
+		return false, q.ifKeyed(q.closedRefusal(wait, cause))
+	}
+	if ok, wait := d.takeSuspect(ctx, q); !ok {
+		return false, q.endUnsent(CauseSuspect, max(wait, q.soon()))
+	}
+	if q.sends > 0 && !d.budget.Repeat(q.service.Name, q.urgent, time.Now()) {
+		return false, q.giveUp()
+	}
+	return true, nil
+}
+
+// ifKeyed returns the refusal for a request with a key, whose owner is the only
+// upstream; others have more to choose from.
+func (q *request) ifKeyed(ref *Refusal) *Refusal {
+	if q.key < 0 {
+		return nil
+	}
+	return ref
+}
+
 // overtaken reports whether the upstream is no longer the one to send to,
 // after the wait for a turn. A request that waited half a second was sent to
 // an upstream that had left meanwhile.
