--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -46,12 +46,8 @@
 	// writtenWithin is how long after its start an upstream has written its entry.
 	writtenWithin = 2 * time.Second
 	// drawn is how many upstreams of the host's data centre, and how many of
-	// others, are compared for a request. Hosts of a large fleet know little of
-	// each upstream, and the same: if each took the best of all, they would
-	// all take the first they have not tried, or the same few fast ones.
-	// Played with 59 hosts and 52 upstreams seven tenths in use, 55 of 100
-	// requests were answered in time when all took the first of the best, 85
-	// when equals were drawn, 89 with three drawn.
+	// others, are compared for a request. Taking the best of all would send the
+	// hosts of a large fleet, which know the same, to the same upstream.
 	drawn = 3
 	// coldFactor is how much slower an upstream is while it warms up.
 	coldFactor = 2
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -9,11 +9,9 @@
 	"github.com/papayatide/papayatide/internal/view"
 )
 
-// choose returns the upstream to send to next. A request whose answer would
-// come later than its objective, as all hosts' requests there tell, is refused
-// at once: queued, it would make those behind it late as well. Played with 59
-// hosts and a fifth more load than 52 upstreams can do, 67 of 100 requests were
-// answered in time instead of 32.
+// choose returns the upstream to send to next. A request whose answer would come
+// later than its objective, as all hosts' requests there tell, is refused at once:
+// queued, it would make those behind it late as well.
 func (d *Dispatcher) choose(ctx context.Context, q *request) (*catalogue.Upstream, *Refusal) {
 	if q.key >= 0 {
 		return d.owner(ctx, q)
--- a/internal/planner/holder.go
+++ b/internal/planner/holder.go
@@ -39,8 +39,9 @@
 	untold int
 }
 
-// done takes in a grant's result. It must be told of each that was sent, also after
-// the term has ended: a later term may go on with the account.
+// done takes in a grant's result. It must be called for each that was sent, on the
+// holder for which it was, also after the term has ended: a later term may go on with
+// the account.
 func (h *holder) done(g *Grant, err error, now bootclock.Time) {
 	h.inFlight--
 	if !errors.Is(err, ownership.ErrNotSent) {
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -307,9 +307,8 @@
 	return out
 }
 
-// grantDone accounts for a grant's result. It counts for the holder for which
-// it was sent: a grant of an earlier term, taken for one of this term, would
-// make it seem that none is under way to an upstream to which one still is.
+// grantDone takes in the result of a grant, which may be one of an earlier term; its
+// holder's account has it already.
 func (t *term) grantDone(g *Grant, err error, now bootclock.Time) {
 	h := g.holder
 	s := span{g.Range.From, g.Range.To}
