Tests: what upstreams that report may get is stated once

The bounds of LIMIT, DRAIN and BUDGET, and the count of requests within a rest, stood in the soak and in the fleet's tests.

--- a/internal/entryhost/feedback_test.go
+++ b/internal/entryhost/feedback_test.go
@@ -14,21 +14,8 @@
 	"github.com/papayatide/papayatide/internal/standin/ranged"
 )
 
-const (
-	// limitWindow, limitFactor and limitSlack bound what an upstream with a rate
-	// limit may get from hosts that know of it.
-	limitWindow             = 4 * time.Second
-	limitFactor, limitSlack = 1.5, 5
-	// burst is how many requests more than a limit brings may come at once.
-	burst = 2
-	// boundAfter is how long after an answer a host is bound by what it said.
-	boundAfter = 500 * time.Millisecond
-	// drainBound is how long after a host received a report of leaving the last
-	// request may be sent.
-	drainBound = 2 * time.Second
-	// restSlack is how many requests may come within a rest.
-	restSlack = 2
-)
+// burst is how many requests more than a limit brings may come at once.
+const burst = 2
 
 // services are the ones of the test's desired state and the routes to them.
 var services = []struct{ name, route string }{{"sheets", "read.example"}, {"plain", plainRoute}}
@@ -118,9 +105,9 @@
 					ups[0].Say(ranged.Says{Limit: limit})
 					got := f.ask(c.route, 12*time.Second, 6*time.Second)
 					all := ups[0].Arrivals(named, time.Now())
-					counted := afterReport(all, func(s ranged.Says) bool { return s.Limit > 0 }, boundAfter)
-					if n, most := ranged.Most(counted, limitWindow), int(limit*limitWindow.Seconds()*limitFactor+limitSlack); n > most {
-						t.Errorf("%d requests within %v of an upstream that takes %v a second; at most %d", n, limitWindow, limit, most)
+					counted := afterReport(all, func(s ranged.Says) bool { return s.Limit > 0 }, ranged.BoundAfter)
+					if n, most := ranged.Most(counted, ranged.LimitWindow), ranged.MostWithin(limit); n > most {
+						t.Errorf("%d requests within %v of an upstream that takes %v a second; at most %d", n, ranged.LimitWindow, limit, most)
 					}
 					if got[http.StatusOK] < got.total()*9/10 {
 						t.Errorf("answers %v while four of five upstreams have room", got)
@@ -152,9 +139,9 @@
 					said := time.Now()
 					ups[0].Say(ranged.Says{Leaving: true})
 					got := f.ask(c.route, 5*time.Second, 2*time.Second)
-					late := afterReport(ups[0].Arrivals(said, time.Now()), func(s ranged.Says) bool { return s.Leaving }, drainBound)
+					late := afterReport(ups[0].Arrivals(said, time.Now()), func(s ranged.Says) bool { return s.Leaving }, ranged.DrainBound)
 					if len(late) > 0 {
-						t.Errorf("%d requests reached it more than %v after their host received the report; first %+v", len(late), drainBound, late[0])
+						t.Errorf("%d requests reached it more than %v after their host received the report; first %+v", len(late), ranged.DrainBound, late[0])
 					}
 					if !logLost && got[http.StatusOK] < got.total()*9/10 {
 						t.Errorf("answers %v while four of five upstreams stay", got)
@@ -185,17 +172,8 @@
 					byHost[hostOf(a)] = append(byHost[hostOf(a)], a)
 				}
 				for host, all := range byHost {
-					for _, first := range all {
-						n := 0
-						for _, a := range all {
-							if since := a.At.Sub(first.At); since > boundAfter && since < rest {
-								n++
-							}
-						}
-						if n > restSlack {
-							t.Errorf("%d requests from %s within a rest of %v; at most %d", n, host, rest, restSlack)
-							break
-						}
+					if n, _ := ranged.OverRest(all, rest, func(_, _ time.Time) bool { return true }); n > 0 {
+						t.Errorf("%d requests from %s within a rest of %v; at most %d", n, host, rest, ranged.RestSlack)
 					}
 				}
 				if got[http.StatusOK] < got.total()*9/10 {
--- a/internal/entryhost/rig_test.go
+++ b/internal/entryhost/rig_test.go
@@ -295,7 +295,7 @@
 	cfg := &settings.Entry{Host: name, DataCentre: "dc", Listen: name + ".front:80", ReadyListen: name + ".ready:80", PeerListen: name + ".peer:80",
 		MetricsListen: name + ".metrics:80", LogLevel: "info", MemoryMB: 284, CPUShare: cpu, LinkMbps: 1000, SeatMin: 300 * time.Millisecond, HoldMax: 10 * time.Second,
 		Grace: 6 * time.Second, RepeatRatio: 0.5, RepeatSlack: 500, RepeatWindow: 10 * time.Second,
-		SlowStartFactor: slowStartFactor, SlowStartSlack: slowStartSlack, Evacuate: evacuateBound, Drain: drainBound, Hold: f.hold, ViewAge: 2 * time.Second}
+		SlowStartFactor: slowStartFactor, SlowStartSlack: slowStartSlack, Evacuate: evacuateBound, Drain: ranged.DrainBound, Hold: f.hold, ViewAge: 2 * time.Second}
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{cfg: cfg, http: f.http, log: &lostStore{Log: f.log}, stop: stop, done: make(chan error, 1)}
 	plat := Platform{Store: h.log, Decoder: decoder{}, Granter: granter{f}, Headers: names, ReadyPath: "/ready", LogDropped: func() int64 { return 0 },
--- a/internal/soak/reports.go
+++ b/internal/soak/reports.go
@@ -20,16 +20,6 @@
 	restFor = 3 * time.Second
 	// leavingFor is how long an upstream that reports that it leaves stays.
 	leavingFor = 5 * time.Second
-	// boundAfter is how long after an answer a host is bound by its report.
-	boundAfter = 500 * time.Millisecond
-	// drainBound is how long after a report of leaving the last request may be sent.
-	drainBound = 2 * time.Second
-	// restSlack is how many requests may come within a rest.
-	restSlack = 2
-	// limitWindow, limitFactor and limitSlack bound the requests to an upstream
-	// with a rate limit.
-	limitWindow             = 4 * time.Second
-	limitFactor, limitSlack = 1.5, 5.0
 )
 
 // report is a time for which an upstream's life reported the same.
@@ -148,13 +138,13 @@
 			continue
 		}
 		at, ok := first[o.host]
-		if ok && a.At.Sub(at) > boundAfter && in.untouched(o.host, r.life.place, at, a.At) {
+		if ok && a.At.Sub(at) > ranged.BoundAfter && in.untouched(o.host, r.life.place, at, a.At) {
 			counted = append(counted, a)
 		}
 	}
-	if n, most := ranged.Most(counted, limitWindow), int(r.says.Limit*limitWindow.Seconds()*limitFactor+limitSlack); n > most {
+	if n, most := ranged.Most(counted, ranged.LimitWindow), ranged.MostWithin(r.says.Limit); n > most {
 		bad = append(bad, fmt.Sprintf("%s: LIMIT: %d requests within %v reached %s, which takes %.2f a second; at most %d",
-			r.from.Format(stamp), n, limitWindow, r.life.ID, r.says.Limit, most))
+			r.from.Format(stamp), n, ranged.LimitWindow, r.life.ID, r.says.Limit, most))
 	}
 	return bad
 }
@@ -167,7 +157,7 @@
 			continue
 		}
 		at, ok := first[o.host]
-		if ok && o.began.Sub(at) > drainBound && in.unstopped(o.host, at, a.At) {
+		if ok && o.began.Sub(at) > ranged.DrainBound && in.unstopped(o.host, at, a.At) {
 			bad = append(bad, fmt.Sprintf("%s: DRAIN: %s reached %s through %s %v after that had passed on that it leaves",
 				a.At.Format(stamp), a.ID, r.life.ID, o.host.Name, a.At.Sub(at)))
 		}
@@ -176,24 +166,16 @@
 }
 
 func (in *injector) checkRest(r report, all []ranged.Arrival, by map[string]*outcome) (bad []string) {
-	byHost := map[*Host][]time.Time{}
+	byHost := map[*Host][]ranged.Arrival{}
 	for _, a := range all {
 		if o := by[a.ID]; o != nil {
-			byHost[o.host] = append(byHost[o.host], a.At)
+			byHost[o.host] = append(byHost[o.host], a)
 		}
 	}
-	for h, times := range byHost {
-		for _, asked := range times {
-			n := 0
-			for _, at := range times {
-				if since := at.Sub(asked); since > boundAfter && since < restFor && in.untouched(h, r.life.place, asked, at) {
-					n++
-				}
-			}
-			if n > restSlack {
-				bad = append(bad, fmt.Sprintf("%s: BUDGET: %d requests from %s reached %s within a rest of %v", asked.Format(stamp), n, h.Name, r.life.ID, restFor))
-				break
-			}
+	for h, its := range byHost {
+		n, asked := ranged.OverRest(its, restFor, func(asked, at time.Time) bool { return in.untouched(h, r.life.place, asked, at) })
+		if n > 0 {
+			bad = append(bad, fmt.Sprintf("%s: BUDGET: %d requests from %s reached %s within a rest of %v", asked.Format(stamp), n, h.Name, r.life.ID, restFor))
 		}
 	}
 	return bad
