soak: a start that fails tells how the hosts ended and what they wrote last

Suspected, not shown: a host that found an address in use, as a process that another run is just starting holds a copy of the probe's listener; its last line would now say so.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -136,6 +137,16 @@
 	return err == nil && info.Size() == h.wrote
 }
 
+// lastLine returns the last line of the host's output, or why it cannot be read.
+func (h *Host) lastLine() string {
+	data, err := os.ReadFile(h.output)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends a signal to the process if one runs.
 func (h *Host) signal(s syscall.Signal) {
 	h.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -84,11 +85,21 @@
 		}
 	}
 	if took, key := awaitServed(hosts, startWithin); key >= 0 {
-		return nil, eris.Errorf("key %d is not served %v after the start", key, took)
+		return nil, eris.Errorf("key %d is not served %v after the start; hosts: %s", key, took, lastWords(hosts))
 	}
 	return play(ctx, opts, w, hosts), nil
 }
 
+// lastWords tells of each host how its process ended, if it did, and the last line
+// that it wrote.
+func lastWords(hosts []*Host) string {
+	var out []string
+	for _, h := range hosts {
+		out = append(out, fmt.Sprintf("%s %v %s", h.Name, h.Failures(), h.lastLine()))
+	}
+	return strings.Join(out, "; ")
+}
+
 // play lets callers, faults and the calm after them run, and checks.
 func play(ctx context.Context, opts Options, w *World, hosts []*Host) *Report {
 	cctx, stopCallers := context.WithCancel(ctx)
