entryhost: say that another host runs a newer desired state; gauges first on the metrics page

The metrics page is read up to a limit and the project's gauges came last, so none was ever recorded; 85% of the log lines kept were event 640.

- Hosts state their version in Follow calls and replies.
A host that has run an older one than another for 0.5 s logs event 624, and again every 5 s; gauges desired_version_newest and desired_version_behind_seconds.
- The metrics page begins with the project's gauges.
- A histogram and a counter of failures for the calls that fetch the log.

No decision changes.

--- a/internal/cli/peers.go
+++ b/internal/cli/peers.go
@@ -66,6 +66,9 @@
 	}
 	fmt.Fprintf(w, "%s (%s): %s, view %d ms old, desired state %d, %d hosts, %d requests in flight\n",
 		st.Host, st.DataCentre, role, st.ViewAgeMs, st.Version, st.Hosts, st.InFlight)
+	if st.NewestVersion > st.Version {
+		fmt.Fprintf(w, "  another host has desired state %d, known here for %.1f s\n", st.NewestVersion, float64(st.BehindMs)/1000)
+	}
 	for _, s := range st.Services {
 		fmt.Fprintf(w, "  %s: term %d of %s, fence %d, %d ranges, lost owners: %s\n", s.Name, s.Term, s.Planner, s.Fence, len(s.Ranges),
 			strings.Join(s.Lost, " "))
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -11,9 +11,10 @@
 // names are the only label values; the desired state has few of them.
 func (h *host) writeGauges(w io.Writer, now time.Time) {
 	metrics.WriteGaugeUint64(w, "papayatide_in_flight_requests", uint64(h.inFlight.Load()))
-	if st := h.views.Load().Desired; st != nil {
-		metrics.WriteGaugeUint64(w, "papayatide_desired_version", uint64(st.Version))
-	}
+	newest, behind := h.versions.behind(now)
+	metrics.WriteGaugeUint64(w, "papayatide_desired_version", uint64(h.desiredVersion()))
+	metrics.WriteGaugeUint64(w, "papayatide_desired_version_newest", uint64(newest))
+	metrics.WriteGaugeFloat64(w, "papayatide_desired_version_behind_seconds", behind.Seconds())
 	metrics.WriteGaugeFloat64(w, "papayatide_view_age_seconds", h.controller.replica.Age(now).Seconds())
 	metrics.WriteGaugeUint64(w, "papayatide_hosts", uint64(h.fleet.Size(now)))
 	metrics.WriteGaugeUint64(w, "papayatide_planning", boolToUint64(h.controller.isPlanner.Load()))
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -116,6 +116,7 @@
 	// allocator divides upstreams' rate limits among the hosts while this host is
 	// the planner.
 	allocator *ratelimit.Allocator
+	versions  *versionMonitor
 	peers     *peer.Client
 	logSyncer *logSyncer
 	fleet     *fleet.Fleet
@@ -171,6 +172,7 @@
 		budget: budget.New(hostBudgetLimits(cfg, 1), time.Now()), loadSampler: newLoadSampler(), allocator: ratelimit.NewAllocator(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		candidate: cfg.CPUCores >= candidateMinCPU && cfg.LinkMbps >= candidateMinLinkMbps,
 		peers:     peer.NewClient(&http.Client{Transport: plat.peerTransport()})}
+	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
 	if plat.Net != nil {
 		h.client.Dial = plat.Net.Dial
 	}
@@ -193,6 +195,14 @@
 	return h
 }
 
+// desiredVersion returns the version of the desired state in force; 0 if there is none.
+func (h *host) desiredVersion() int64 {
+	if st := h.views.Load().Desired; st != nil {
+		return st.Version
+	}
+	return 0
+}
+
 // candidateMinCPU (in cores) and candidateMinLinkMbps are the capacity that a
 // host needs to plan for a hundred others: each ownership change sends some 5 KB
 // to every host, and a change of load causes several of them a second.
@@ -223,6 +233,7 @@
 	peers := http.NewServeMux()
 	ps := peerpb.NewPeerServer(&peer.Server{Replica: h.controller.replica, ReplicaStatus: h.replicaStatus, Fleet: h.fleet, Name: h.cfg.Host, HostStatus: h.status, RetireTermsBefore: h.retire,
 		OnKeyLoads: func(l []peer.ServiceLoad) { h.receiveKeyLoads(workCtx, l) }, OnLoadStats: h.inFlightAggregator.recordStats, PeerLoads: h.inFlightAggregator.peerLoads,
+		DesiredVersion: h.desiredVersion, OnDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
 		Feedback: h.feedback, IssuePermits: h.issuePermits})
 	peers.Handle(ps.PathPrefix(), ps)
 	rs := refusedpb.NewRefusedServer(&refused.Server{Host: h.cfg.Host, Crashes: h.controller.crashes.tracker, Log: h.zl})
@@ -232,8 +243,8 @@
 	}
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		h.writeGauges(w, time.Now()) // first, because collectors may cut a long page
 		metrics.WritePrometheus(w, true)
-		h.writeGauges(w, time.Now())
 	})
 	return h.addServer(workCtx, g, h.cfg.MetricsListen, &http.Server{Handler: metricsMux, ReadHeaderTimeout: readHeaderTimeout})
 }
@@ -316,6 +327,7 @@
 			h.zl.Info("settings reloaded", zap.Int("event", events.SettingsReloaded))
 		case now := <-t.C:
 			h.logDroppedLines()
+			h.versions.check(now)
 			hosts := h.fleet.Size(now)
 			h.dispatch.SetHostCount(hosts, h.fleetSizeKnown(now))
 			h.budget.SetLimits(hostBudgetLimits(current, hosts))
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/balance"
@@ -64,6 +65,11 @@
 	maxProbeInterval     = 2500 * time.Millisecond
 )
 
+var (
+	followLatency  = metrics.NewHistogram(`papayatide_follow_duration_seconds`)
+	followFailures = metrics.NewCounter(`papayatide_follow_failures_total`)
+)
+
 // logSyncer keeps this host's replica of the log current. It follows the
 // planner or a relay while their replica is recent enough, and otherwise reads
 // the log service.
@@ -95,6 +101,10 @@
 	applyKeyLoads func([]peer.ServiceLoad)
 	// apply updates this host's state, replica included, from a batch.
 	apply func(relay.Batch)
+	// desiredVersion returns the version of the desired state in force; onDesiredVersion
+	// receives that of the followed host.
+	desiredVersion   func() int64
+	onDesiredVersion func(host string, version int64)
 	// onPlannerFollowed is called after a successful call, with the time for
 	// which the planner has reached the log service without failure.
 	onPlannerFollowed func(logReachableFor time.Duration)
@@ -212,7 +222,8 @@
 // reports whether the call succeeded within timeout and the reply's replica
 // age is at most maxAge.
 func (s *logSyncer) followHost(ctx context.Context, addr string, maxAge, timeout time.Duration, loads []peer.ServiceLoad) bool {
-	req := peer.FollowRequest{Self: s.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Notices: s.feedback.Notices(time.Now()), Wait: followWait}
+	req := peer.FollowRequest{Self: s.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Notices: s.feedback.Notices(time.Now()),
+		DesiredVersion: s.desiredVersion(), Wait: followWait}
 	isRelay := req.Self.Followers > 0
 	if isRelay {
 		req.Wait = relayFollowWait
@@ -224,9 +235,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := s.peers.Follow(ctx, addr, req)
+	followLatency.Update(time.Since(sentAt).Seconds())
 	s.lastFollowFailed = err != nil
 	if err != nil {
+		followFailures.Inc()
 		s.followedReplicaStale = errors.Is(err, peer.ErrReplicaNotCurrent)
 		s.onFollowFailed()
 		s.setFollowed("", 0, err)
@@ -235,6 +249,7 @@
 	for _, b := range reply.Batches {
 		s.apply(b)
 	}
+	s.onDesiredVersion(addr, reply.DesiredVersion)
 	for _, stream := range relay.Streams {
 		s.replica.MarkCurrent(stream, time.Now().Add(-reply.Age))
 	}
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -142,7 +142,11 @@
 		}
 		v.Tables = tables
 	})
-	c.zl.Info("ownership adopted", zap.Int("event", events.OwnershipAdopted), zap.String("service", t.Service),
+	level := zap.InfoLevel
+	if current != nil && current.Term == t.Term {
+		level = zap.DebugLevel // the planner logs each record; a term has several a second
+	}
+	c.zl.Log(level, "ownership adopted", zap.Int("event", events.OwnershipAdopted), zap.String("service", t.Service),
 		zap.Int64("term", t.Term), zap.Int64("fence", t.MaxFencingToken), zap.String("planner", t.Planner), zap.Int("ranges", len(t.Ranges)),
 		zap.String("cause", t.Cause))
 }
--- a/internal/entryhost/status.go
+++ b/internal/entryhost/status.go
@@ -66,9 +66,9 @@
 	reply := &peerpb.StatusReply{Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Planning: h.controller.isPlanner.Load(),
 		ViewAgeMs: uint32(h.controller.replica.Age(now).Milliseconds()), Hosts: uint32(h.fleet.Size(now)), InFlight: h.inFlight.Load()}
 	reply.Follows = h.logSyncer.followedAddr()
-	if v.Desired != nil {
-		reply.Version = v.Desired.Version
-	}
+	reply.Version = h.desiredVersion()
+	newest, behind := h.versions.behind(now)
+	reply.NewestVersion, reply.BehindMs = newest, uint32(behind.Milliseconds())
 	for _, t := range v.Tables {
 		reply.Services = append(reply.Services, describeTable(t))
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -58,6 +58,7 @@
 	DesiredRejected      = 621
 	EvacuationBegun      = 622
 	EvacuationEnded      = 623
+	DesiredBehind        = 624
 	// UpstreamListed and UpstreamUnlisted: the upstream's record has appeared in
 	// the upstreams' stream or is gone from it.
 	UpstreamListed          = 630
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -71,6 +71,8 @@
 	Subset balance.Subset
 	// Notices holds what it knows of upstreams from reports and crashes.
 	Notices []feedback.Notice
+	// DesiredVersion is the version of the desired state in force on it; 0 if there is none.
+	DesiredVersion int64
 	// Wait is how long the callee may wait for new records before it replies.
 	Wait time.Duration
 }
@@ -94,6 +96,9 @@
 	PeerLoads []balance.PeerLoad
 	// Notices holds what the callee knows of upstreams beyond the notices in the request.
 	Notices []feedback.Notice
+	// DesiredVersion is the version of the desired state in force on the callee; 0 if there
+	// is none or the callee does not state it.
+	DesiredVersion int64
 }
 
 // ErrReplicaNotCurrent means that the callee's log replica is not current: it is not the
@@ -104,7 +109,8 @@
 // relay, and returns the log records that this host lacks.
 func (c *Client) Follow(ctx context.Context, addr string, req FollowRequest) (*FollowReply, error) {
 	msg := &peerpb.FollowRequest{Host: req.Self.Name, DataCentre: req.Self.DataCentre, PeerAddr: req.Self.PeerAddr,
-		Eager: req.Self.Candidate, Followers: uint32(req.Self.Followers), WaitMs: uint32(req.Wait.Milliseconds())}
+		Eager: req.Self.Candidate, Followers: uint32(req.Self.Followers), WaitMs: uint32(req.Wait.Milliseconds()),
+		DesiredVersion: req.DesiredVersion}
 	for _, s := range relay.Streams {
 		msg.Positions = append(msg.Positions, &peerpb.Position{Stream: string(s), Next: req.Positions[s]})
 	}
@@ -129,7 +135,8 @@
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
 	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
-		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices)}
+		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices),
+		DesiredVersion: reply.DesiredVersion}
 	for _, b := range reply.Batches {
 		out.Batches = append(out.Batches, decodeBatch(b))
 	}
@@ -265,6 +272,10 @@
 	// the other hosts in the caller's data centre on each of the given upstreams.
 	OnLoadStats func(caller fleet.Host, loads []balance.LoadStats)
 	PeerLoads   func(caller fleet.Host, ids []string) []balance.PeerLoad
+	// DesiredVersion returns the version of the desired state in force on this host, 0 if there
+	// is none. OnDesiredVersion receives that of each caller.
+	DesiredVersion   func() int64
+	OnDesiredVersion func(host string, version int64)
 	// Feedback tracks reports and crashes of upstreams.
 	Feedback *feedback.Tracker
 	// IssuePermits issues permits to callers, for requests to an upstream with a rate
@@ -308,6 +319,7 @@
 	s.OnKeyLoads(loads)
 	caller := fleet.Host{Name: m.Host, DataCentre: m.DataCentre, PeerAddr: m.PeerAddr, Candidate: m.Eager, Followers: int(m.Followers)}
 	s.Fleet.RecordCall(caller, time.Now())
+	s.OnDesiredVersion(m.Host, m.DesiredVersion)
 	positions := map[metastore.Stream]int64{}
 	for _, p := range m.Positions {
 		positions[metastore.Stream(p.Stream)] = p.Next
@@ -319,6 +331,7 @@
 	for _, b := range s.Replica.Fetch(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxFollowWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
+	reply.DesiredVersion = s.DesiredVersion()
 	reply.Notices = encodeNotices(feedback.ForFollower(s.Feedback.Notices(time.Now()), notices))
 	subset := s.subsetOf(m)
 	reply.UsingToken = subset.Hash
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -20,7 +20,7 @@
 // length of the upstream's ID; it has no data for the ID "unknown".
 func startServer(t *testing.T) (addr string, s *Server) {
 	t.Helper()
-	s = &Server{Replica: relay.NewReplica(), Feedback: feedback.NewTracker(), Fleet: fleet.New("dc"), OnKeyLoads: func([]ServiceLoad) {}, OnLoadStats: func(fleet.Host, []balance.LoadStats) {},
+	s = &Server{Replica: relay.NewReplica(), Feedback: feedback.NewTracker(), Fleet: fleet.New("dc"), OnKeyLoads: func([]ServiceLoad) {}, DesiredVersion: func() int64 { return 0 }, OnDesiredVersion: func(string, int64) {}, OnLoadStats: func(fleet.Host, []balance.LoadStats) {},
 		ReplicaStatus: func(time.Time) (ReplicaStatus, bool) { return ReplicaStatus{IsPlanner: true}, true },
 		PeerLoads: func(_ fleet.Host, ids []string) []balance.PeerLoad {
 			out := make([]balance.PeerLoad, len(ids))
