--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -74,15 +74,16 @@
 const unkeyedRoute = "plain.example"
 
 // decoder decodes the test's records. An upstream's entry is a catalogue.Upstream
-// in JSON. The desired state's record holds only its version: routes and services
-// are fixed.
+// in JSON. The desired state's record is its version, and padding after a space: routes and
+// services are fixed.
 type decoder struct{}
 
 func (decoder) Desired(key string, data []byte) (*desired.State, error) {
 	if key != "state" {
 		return nil, nil
 	}
-	version, err := strconv.ParseInt(string(data), 10, 64)
+	text, _, _ := strings.Cut(string(data), " ")
+	version, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
 		return nil, err
 	}
@@ -311,14 +312,23 @@
 
 // startHostWithCPU starts a host with the given number of CPU cores.
 func (f *testFleet) startHostWithCPU(name string, cores float64) *testHost {
+	return f.startHostOn(name, cores, f.net, nil)
+}
+
+// startHostOn starts a host on the given network. It calls the log service through store,
+// or directly if store is nil.
+func (f *testFleet) startHostOn(name string, cores float64, network Network, store metastore.Store) *testHost {
 	cfg := &settings.EntryHost{Host: name, DataCentre: "dc", Listen: name + ".front:80", ReadyListen: name + ".ready:80", PeerListen: name + ".peer:80",
 		MetricsListen: name + ".metrics:80", LogLevel: "info", MemoryMB: 284, CPUCores: cores, LinkMbps: 1000, MinLeaseTTL: 300 * time.Millisecond, MaxGrantTTL: 10 * time.Second,
 		ShutdownGrace: 6 * time.Second, RetryBudgetRatio: 0.5, RetryBudgetSlack: 500, RetryBudgetWindow: 10 * time.Second,
 		SlowStartFactor: slowStartFactor, SlowStartSlack: slowStartSlack, EvacuationTimeout: testEvacuationTimeout, DrainTimeout: rangeowner.DrainGrace, GrantTTL: f.grantTTL, MaxRenewalAge: 2 * time.Second}
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{cfg: cfg, http: f.http, log: &partitionedStore{Log: f.log}, stop: stop, done: make(chan error, 1)}
-	plat := Platform{Store: h.log, Decoder: decoder{}, Granter: directGranter{f}, Headers: testHeaders, ReadyPath: "/ready", DroppedLogLines: func() int64 { return 0 },
-		Net: f.net, Clock: fleetClock}
+	if store == nil {
+		store = h.log
+	}
+	plat := Platform{Store: store, Decoder: decoder{}, Granter: directGranter{f}, Headers: testHeaders, ReadyPath: "/ready", DroppedLogLines: func() int64 { return 0 },
+		Net: network, Clock: fleetClock}
 	go func() { h.done <- Run(ctx, cfg, plat, nil, zap.NewNop()) }()
 	f.hosts = append(f.hosts, h)
 	return h
