progress: bound transfers by their progress, not by their duration

What callers saw: one host of 79 routed by a desired state that was replaced 8 s before. Cause: calls that fetch the log had fixed timeouts (550 and 700 ms to a relay and the planner, 600 ms for a read that does not wait), which the transfer of the whole response had to meet. 4,200 routes make a record of 0.75 MB, 0.6 s on an idle link of 10 Mbit/s. A call that ended early began again from the start, beside others on the same link; a host whose reads had failed once only made reads of 600 ms and never got the record. All hosts fell back to the log service at once, and for 3 s without a planner hosts with slow links competed for the lease. Change: package progress. Class: a deadline on an amount of work that grows.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -25,6 +25,7 @@
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/planner"
+	"github.com/papayatide/papayatide/internal/progress"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/refused"
@@ -171,7 +172,7 @@
 	h := &host{cfg: cfg, zl: zl, views: view.NewPublisher(), client: upstream.NewClient(plat.Headers), picker: balance.NewPicker(cfg.Host),
 		budget: budget.New(hostBudgetLimits(cfg, 1), time.Now()), loadSampler: newLoadSampler(), allocator: ratelimit.NewAllocator(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		candidate: cfg.CPUCores >= candidateMinCPU && cfg.LinkMbps >= candidateMinLinkMbps,
-		peers:     peer.NewClient(&http.Client{Transport: plat.peerTransport()})}
+		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: plat.peerTransport()}})}
 	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
 	if plat.Net != nil {
 		h.client.Dial = plat.Net.Dial
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -15,6 +15,7 @@
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
+	"github.com/papayatide/papayatide/internal/progress"
 	"github.com/papayatide/papayatide/internal/relay"
 )
 
@@ -23,8 +24,9 @@
 	// call also carries a load summary, and the planner must react within a
 	// second to a burst on a few keys.
 	followWait = 300 * time.Millisecond
-	// followTimeout bounds such a call. A planner that does not reply in time
-	// counts as lost, and the host reads the log service directly.
+	// followTimeout bounds such a call until its reply begins, and between the reply's parts;
+	// see package progress. A planner that does not reply in time counts as lost, and the host
+	// reads the log service directly.
 	followTimeout = followWait + 400*time.Millisecond
 	// relayFollowTimeout bounds a call to a relay. It is shorter than
 	// followTimeout because the relay is in this host's data centre and
@@ -233,7 +235,7 @@
 	for _, stream := range relay.Streams {
 		req.Positions[stream] = s.replica.FetchOffset(stream)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := progress.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := time.Now()
 	reply, err := s.peers.Follow(ctx, addr, req)
--- a/internal/entryhost/streamreader.go
+++ b/internal/entryhost/streamreader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/progress"
 	"github.com/papayatide/papayatide/internal/relay"
 )
 
@@ -34,7 +35,8 @@
 	// maxRecoveryWait is how long the other readers wait for the recovery reader to
 	// succeed before they retry themselves.
 	maxRecoveryWait = 2 * time.Second
-	// immediateReadTimeout bounds a read that does not wait for a record.
+	// immediateReadTimeout bounds a read that does not wait for a record, until its response
+	// begins and between the response's parts.
 	// Without it, a read sent during a network partition would delay the next one
 	// until 1.5 s after the partition's end. A slow service responds within 0.3 s.
 	immediateReadTimeout = 600 * time.Millisecond
@@ -201,7 +203,7 @@
 func (r *streamReader) readFrom(ctx context.Context, next int64, wait time.Duration) (metastore.Batch, error) {
 	if wait == 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, immediateReadTimeout)
+		ctx, cancel = progress.WithTimeout(ctx, immediateReadTimeout)
 		defer cancel()
 	}
 	return r.store.Read(ctx, r.stream, next, wait)
