relay, entryhost: a replica that was not read as far as it is told is not current

followHost marked all streams current after each reply, whatever Replica.Apply did with its batches (a gap, a reset to a lower offset), and a reader went on from the offset that it had read, not from that of the replica.

MarkCurrent takes the stream's end and does nothing if the replica was not read that far. Replies to Follow state the positions that their age belongs to, and the age counts from the reply's first byte, so that a slow transfer does not make a replica younger. A host whose own replica grows old although its replies are young reads the log service itself. Readers continue from the replica. An earlier build states no positions; its replies count as before. TestReplicaWithoutTheLastRecordsIsNotCurrent fails before (that marked it).

--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -220,9 +220,9 @@
 	return s.followHost(ctx, planner, maxReplicaAge, followTimeout, loads)
 }
 
-// followHost makes one call to the host at addr and applies the reply. It
-// reports whether the call succeeded within timeout and the reply's replica
-// age is at most maxAge.
+// followHost makes one call to the host at addr and applies the reply. It reports
+// whether the call succeeded, the reply's replica age is at most maxAge, and this
+// host's replica is current by that.
 func (s *logSyncer) followHost(ctx context.Context, addr string, maxAge, timeout time.Duration, loads []peer.ServiceLoad) bool {
 	req := peer.FollowRequest{Self: s.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Notices: s.feedback.Notices(time.Now()),
 		DesiredVersion: s.desiredVersion(), Wait: followWait}
@@ -253,10 +253,11 @@
 	}
 	s.onDesiredVersion(addr, reply.DesiredVersion)
 	for _, stream := range relay.Streams {
-		s.replica.MarkCurrent(stream, time.Now().Add(-reply.Age))
+		// Without a position, of an earlier build, the batches are taken for complete.
+		s.replica.MarkCurrent(stream, reply.Positions[stream], reply.ReceivedAt.Add(-reply.Age))
 	}
 	if addr == s.relayPlannerAddr && s.relayAddr == "" {
-		s.lastPlannerStatus.Store(&plannerStatus{receivedAt: time.Now(), replicaAge: reply.Age, logReachableFor: reply.LogReachableFor})
+		s.lastPlannerStatus.Store(&plannerStatus{receivedAt: reply.ReceivedAt, replicaAge: reply.Age, logReachableFor: reply.LogReachableFor})
 		s.relayAddr = reply.Relay
 	}
 	s.fleet.SetPlannerFleetSize(reply.HostCount)
@@ -268,6 +269,11 @@
 		s.setFollowed("", reply.Age, nil)
 		return false
 	}
+	if age := s.replica.Age(time.Now()); age > directReadAge {
+		// The reply did not bring this host as far as the followed host.
+		s.setFollowed("", age, nil)
+		return false
+	}
 	s.setFollowed(addr, reply.Age, nil)
 	s.probes.reset()
 	s.onPlannerFollowed(reply.LogReachableFor)
--- a/internal/entryhost/streamreader.go
+++ b/internal/entryhost/streamreader.go
@@ -127,7 +127,6 @@
 		sleep(ctx, r.startDelay())
 	}
 	backoff := minReadRetryDelay
-	next := r.replica.NextOffset(r.stream)
 	noWait := r.firstReadNoWait
 	for ctx.Err() == nil {
 		if r.skip != nil && r.skip() {
@@ -138,7 +137,7 @@
 		if noWait {
 			wait = 0
 		}
-		end, err := r.read(ctx, max(next, r.replica.NextOffset(r.stream)), wait)
+		records, err := r.read(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -156,47 +155,47 @@
 			continue
 		}
 		backoff = minReadRetryDelay
-		if end > next {
+		if records > 0 {
 			sleep(ctx, r.batchDelay())
 		}
-		next = end
 	}
 }
 
 // readOnce makes one read that does not wait for a record.
 func (r *streamReader) readOnce(ctx context.Context) error {
-	_, err := r.read(ctx, r.replica.NextOffset(r.stream), 0)
+	_, err := r.read(ctx, 0)
 	if ctx.Err() == nil {
 		r.onResult(err)
 	}
 	return err
 }
 
-// read makes one read and returns the offset to continue from. It reads from
-// offset next and waits up to wait for a record. If next is negative or its
+// read makes one read from where the replica ends, waits up to wait for a record, and
+// returns the number of records that it applied. If the replica is empty or its next
 // record is no longer kept, it reads the newest record of each key.
-func (r *streamReader) read(ctx context.Context, next int64, wait time.Duration) (int64, error) {
-	if next >= 0 {
+func (r *streamReader) read(ctx context.Context, wait time.Duration) (int, error) {
+	if next := r.replica.NextOffset(r.stream); next >= 0 {
 		batch, err := r.readFrom(ctx, next, wait)
 		if err == nil {
-			r.replica.MarkCurrent(r.stream, time.Now())
+			receivedAt := time.Now()
 			if len(batch.Records) > 0 {
 				r.apply(relay.Batch{Stream: r.stream, Records: batch.Records, NextOffset: batch.Next})
 			}
-			return batch.Next, nil
+			r.replica.MarkCurrent(r.stream, batch.End, receivedAt)
+			return len(batch.Records), nil
 		}
 		if !errors.Is(err, metastore.ErrTrimmed) {
-			return next, err
+			return 0, err
 		}
 	}
 	sentAt := time.Now()
 	records, end, err := r.store.Newest(ctx, r.stream)
 	if err != nil {
-		return next, err
+		return 0, err
 	}
-	r.replica.MarkCurrent(r.stream, sentAt)
 	r.apply(relay.Batch{Stream: r.stream, Reset: true, Records: records, NextOffset: end})
-	return end, nil
+	r.replica.MarkCurrent(r.stream, end, sentAt)
+	return len(records), nil
 }
 
 // readFrom reads the records from offset next on.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -81,8 +82,12 @@
 type FollowReply struct {
 	// Batches holds the log records that the calling host lacks.
 	Batches []relay.Batch
-	// Age is how long ago the replica was last known to be current with the log service.
-	Age time.Duration
+	// Age is how long before ReceivedAt the callee's replica was last known to be current with
+	// the log service, at most. Positions holds how far it had been read then; nil if the
+	// callee does not state it.
+	Age        time.Duration
+	ReceivedAt time.Time
+	Positions  map[metastore.Stream]int64
 	// LogReachableFor is how long the host that reads the log service, normally the
 	// planner, has reached it without a failure.
 	LogReachableFor time.Duration
@@ -111,9 +116,7 @@
 	msg := &peerpb.FollowRequest{Host: req.Self.Name, DataCentre: req.Self.DataCentre, PeerAddr: req.Self.PeerAddr,
 		Eager: req.Self.Candidate, Followers: uint32(req.Self.Followers), WaitMs: uint32(req.Wait.Milliseconds()),
 		DesiredVersion: req.DesiredVersion}
-	for _, s := range relay.Streams {
-		msg.Positions = append(msg.Positions, &peerpb.Position{Stream: string(s), Next: req.Positions[s]})
-	}
+	msg.Positions = encodePositions(req.Positions)
 	for _, l := range req.Loads {
 		msg.Loads = append(msg.Loads, encodeLoad(l))
 	}
@@ -126,6 +129,8 @@
 	if c.knownSubset(addr) != req.Subset.Hash {
 		msg.Using = req.Subset.IDs
 	}
+	receivedAt := time.Now()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { receivedAt = time.Now() }})
 	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Follow(ctx, msg)
 	if err != nil {
 		var rpcErr twirp.Error
@@ -134,7 +139,7 @@
 		}
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
-	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
+	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, ReceivedAt: receivedAt, Positions: decodePositions(reply.Positions), LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
 		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices),
 		DesiredVersion: reply.DesiredVersion}
 	for _, b := range reply.Batches {
@@ -223,6 +228,26 @@
 	return out, nil
 }
 
+func encodePositions(positions map[metastore.Stream]int64) []*peerpb.Position {
+	var out []*peerpb.Position
+	for _, s := range relay.Streams {
+		out = append(out, &peerpb.Position{Stream: string(s), Next: positions[s]})
+	}
+	return out
+}
+
+// decodePositions returns nil if there are none, as in replies of earlier builds.
+func decodePositions(ms []*peerpb.Position) map[metastore.Stream]int64 {
+	if len(ms) == 0 {
+		return nil
+	}
+	out := map[metastore.Stream]int64{}
+	for _, m := range ms {
+		out[metastore.Stream(m.Stream)] = m.Next
+	}
+	return out
+}
+
 func encodeBatch(b relay.Batch) *peerpb.Batch {
 	out := &peerpb.Batch{Stream: string(b.Stream), Reset_: b.Reset, Next: b.NextOffset}
 	for _, r := range b.Records {
@@ -320,15 +345,11 @@
 	caller := fleet.Host{Name: m.Host, DataCentre: m.DataCentre, PeerAddr: m.PeerAddr, Candidate: m.Eager, Followers: int(m.Followers)}
 	s.Fleet.RecordCall(caller, time.Now())
 	s.OnDesiredVersion(m.Host, m.DesiredVersion)
-	positions := map[metastore.Stream]int64{}
-	for _, p := range m.Positions {
-		positions[metastore.Stream(p.Stream)] = p.Next
-	}
 	s.OnLoadStats(caller, decodeLoadStats(m.Uses))
 	notices := decodeNotices(m.Notices)
 	s.Feedback.Merge(caller.Name, notices, time.Now())
 	reply := &peerpb.FollowReply{}
-	for _, b := range s.Replica.Fetch(ctx, positions, min(time.Duration(m.WaitMs)*time.Millisecond, maxFollowWait)) {
+	for _, b := range s.Replica.Fetch(ctx, decodePositions(m.Positions), min(time.Duration(m.WaitMs)*time.Millisecond, maxFollowWait)) {
 		reply.Batches = append(reply.Batches, encodeBatch(b))
 	}
 	reply.DesiredVersion = s.DesiredVersion()
@@ -373,6 +394,7 @@
 		return twirp.NewError(twirp.Unavailable, "this host has lost the planner")
 	}
 	reply.AgeMs = uint32(status.Age.Milliseconds())
+	reply.Positions = encodePositions(s.Replica.Positions()) // after the age, so that they cover it
 	reply.SteadyMs = uint32(status.LogReachableFor.Milliseconds())
 	reply.Hosts = uint32(s.Fleet.Size(now))
 	if status.IsPlanner {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -157,14 +157,30 @@
 	r.updated = make(chan struct{})
 }
 
-// MarkCurrent records that the replica of s was up to date with the log at the given
-// time.
-func (r *Replica) MarkCurrent(s metastore.Stream, at time.Time) {
+// MarkCurrent records that the stream s ended at offset end at the given time, and reports
+// whether the replica has been read that far. If not, it was not up to date then.
+func (r *Replica) MarkCurrent(s metastore.Stream, end int64, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if st := r.streams[s]; at.After(st.currentAt) {
+	st := r.streams[s]
+	if !st.initialized || st.nextOffset < end {
+		return false
+	}
+	if at.After(st.currentAt) {
 		st.currentAt = at
 	}
+	return true
+}
+
+// Positions returns NextOffset of each stream.
+func (r *Replica) Positions() map[metastore.Stream]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[metastore.Stream]int64{}
+	for s, st := range r.streams {
+		out[s] = st.nextOffset
+	}
+	return out
 }
 
 // Age returns the time since the operators and upstreams streams were both last known
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -127,14 +127,17 @@
 func TestAge(t *testing.T) {
 	replica := NewReplica()
 	now := time.Now()
+	for _, s := range Streams {
+		replica.Apply(Batch{Stream: s, Reset: true, NextOffset: 3})
+	}
 	if replica.Age(now) < time.Hour {
 		t.Error("a replica that was never marked current counts as current")
 	}
-	replica.MarkCurrent(metastore.StreamOperators, now)
+	replica.MarkCurrent(metastore.StreamOperators, 3, now)
 	if replica.Age(now) < time.Hour {
 		t.Error("a replica with a stream that was never marked current counts as current")
 	}
-	replica.MarkCurrent(upstreams, now.Add(-time.Second))
+	replica.MarkCurrent(upstreams, 3, now.Add(-time.Second))
 	if got := replica.Age(now); got != time.Second {
 		t.Errorf("age %v, want that of the older stream, 1s", got)
 	}
@@ -158,3 +161,23 @@
 		t.Errorf("next offset of the follower %d, want 5", follower.NextOffset(own))
 	}
 }
+
+// Guards against a host that counts as current although a batch was dropped: it neither reads
+// the log itself nor asks for the missing records again.
+func TestReplicaWithoutTheLastRecordsIsNotCurrent(t *testing.T) {
+	replica, now := NewReplica(), time.Now()
+	for _, s := range Streams {
+		if replica.MarkCurrent(s, 0, now) {
+			t.Errorf("%s: current before it was read", s)
+		}
+		replica.Apply(Batch{Stream: s, Reset: true, NextOffset: 3})
+		replica.MarkCurrent(s, 3, now.Add(-time.Minute))
+		replica.Apply(Batch{Stream: s, Records: []metastore.Record{newRecord(4, "a", "x")}, NextOffset: 5}) // record 3 is missing
+		if replica.MarkCurrent(s, 5, now) {
+			t.Errorf("%s: current up to record 5, but read only up to %d", s, replica.NextOffset(s))
+		}
+	}
+	if got := replica.Age(now); got != time.Minute {
+		t.Errorf("age %v, want %v", got, time.Minute)
+	}
+}
