--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -224,7 +224,7 @@
 // whether the call succeeded, the reply's replica age is at most maxAge, and this
 // host's replica is current by that.
 func (s *logSyncer) followHost(ctx context.Context, addr string, maxAge, timeout time.Duration, loads []peer.ServiceLoad) bool {
-	req := peer.FollowRequest{Self: s.self(), Positions: map[metastore.Stream]int64{}, Loads: loads, Notices: s.feedback.Notices(time.Now()),
+	req := peer.FollowRequest{Self: s.self(), Positions: map[metastore.Stream]int64{}, Newest: s.replica.Newest, Loads: loads, Notices: s.feedback.Notices(time.Now()),
 		DesiredVersion: s.desiredVersion(), Wait: followWait}
 	isRelay := req.Self.Followers > 0
 	if isRelay {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -64,6 +64,8 @@
 	// Positions holds the offset of the next record that it needs from each stream; -1
 	// for the newest record of every key.
 	Positions map[metastore.Stream]int64
+	// Newest returns the newest record of a key in its replica; false if there is none.
+	Newest func(s metastore.Stream, key string) (metastore.Record, bool)
 	// Loads samples the requests that it received since its last call.
 	Loads []ServiceLoad
 	// LoadStats holds its load on upstreams of services without keys.
@@ -115,7 +117,7 @@
 func (c *Client) Follow(ctx context.Context, addr string, req FollowRequest) (*FollowReply, error) {
 	msg := &peerpb.FollowRequest{Host: req.Self.Name, DataCentre: req.Self.DataCentre, PeerAddr: req.Self.PeerAddr,
 		Eager: req.Self.Candidate, Followers: uint32(req.Self.Followers), WaitMs: uint32(req.Wait.Milliseconds()),
-		DesiredVersion: req.DesiredVersion}
+		DesiredVersion: req.DesiredVersion, AcceptsCompressed: true}
 	msg.Positions = encodePositions(req.Positions)
 	for _, l := range req.Loads {
 		msg.Loads = append(msg.Loads, encodeLoad(l))
@@ -142,8 +144,14 @@
 	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, ReceivedAt: receivedAt, Positions: decodePositions(reply.Positions), LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
 		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices),
 		DesiredVersion: reply.DesiredVersion}
-	for _, b := range reply.Batches {
-		out.Batches = append(out.Batches, decodeBatch(b))
+	for _, m := range reply.Batches {
+		b, ok, err := decodeBatch(m, req.Newest)
+		if err != nil {
+			return nil, eris.Wrapf(err, "peer %s: follow", addr)
+		}
+		if ok {
+			out.Batches = append(out.Batches, b)
+		}
 	}
 	c.setKnownSubset(addr, reply.UsingToken)
 	if reply.UsingToken == req.Subset.Hash {
@@ -248,32 +256,6 @@
 	return out
 }
 
-func encodeBatch(b relay.Batch) *peerpb.Batch {
-	out := &peerpb.Batch{Stream: string(b.Stream), Reset_: b.Reset, Next: b.NextOffset}
-	for _, r := range b.Records {
-		out.Records = append(out.Records, &peerpb.Record{Key: r.Key, Value: r.Value, Deleted: r.Value == nil, Offset: r.Offset})
-	}
-	for _, d := range b.Deltas {
-		out.Changes = append(out.Changes, &peerpb.Change{Key: d.Key, Offset: d.Offset, Value: d.Data})
-	}
-	return out
-}
-
-func decodeBatch(m *peerpb.Batch) relay.Batch {
-	out := relay.Batch{Stream: metastore.Stream(m.Stream), Reset: m.Reset_, NextOffset: m.Next}
-	for _, r := range m.Records {
-		rec := metastore.Record{Key: r.Key, Value: r.Value, Offset: r.Offset}
-		if r.Deleted {
-			rec.Value = nil
-		}
-		out.Records = append(out.Records, rec)
-	}
-	for _, c := range m.Changes {
-		out.Deltas = append(out.Deltas, relay.Delta{Key: c.Key, Offset: c.Offset, Data: c.Value})
-	}
-	return out
-}
-
 // ReplicaStatus states how current a host's log replica is.
 type ReplicaStatus struct {
 	// IsPlanner is set if the host is the planner, whose replica the others follow.
@@ -314,6 +296,8 @@
 	// HostStatus returns this host's status.
 	HostStatus func(context.Context) *peerpb.StatusReply
 
+	encoder valueEncoder
+
 	mu sync.Mutex
 	// subsets holds the upstreams for which each caller wants loads, by its host name.
 	subsets map[string]balance.Subset
@@ -349,8 +333,13 @@
 	notices := decodeNotices(m.Notices)
 	s.Feedback.Merge(caller.Name, notices, time.Now())
 	reply := &peerpb.FollowReply{}
-	for _, b := range s.Replica.Fetch(ctx, decodePositions(m.Positions), min(time.Duration(m.WaitMs)*time.Millisecond, maxFollowWait)) {
-		reply.Batches = append(reply.Batches, encodeBatch(b))
+	batches := s.Replica.Fetch(ctx, decodePositions(m.Positions), min(time.Duration(m.WaitMs)*time.Millisecond, maxFollowWait))
+	if m.AcceptsCompressed {
+		if reply.Batches, err = s.encoder.encodeBatches(batches); err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+	} else {
+		reply.Batches = encodeForEarlierBuild(ctx, s.Replica, batches)
 	}
 	reply.DesiredVersion = s.DesiredVersion()
 	reply.Notices = encodeNotices(feedback.ForFollower(s.Feedback.Notices(time.Now()), notices))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,17 +1,22 @@
 package peer
 
 import (
+	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/keyload"
+	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/relay"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
@@ -90,3 +95,44 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// Guards against a follower that receives a large value whole for a small change, and against an
+// earlier build that receives batches or values that it cannot read.
+func TestLargeValuesAreSentAsTheirChanges(t *testing.T) {
+	addr, s := startServer(t)
+	c := NewClient(http.DefaultClient)
+	follower := relay.NewReplica()
+	value := make([]byte, 200_000)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range value {
+		value[i] = byte(rng.Uint32())
+	}
+	s.Replica.Apply(relay.Batch{Stream: metastore.StreamOperators, Reset: true})
+	for i := range int64(3) {
+		next := slices.Clone(value)
+		next[i] ^= 1
+		s.Replica.Apply(relay.Batch{Stream: metastore.StreamOperators, Records: []metastore.Record{{Key: "config", Value: next, Offset: i}}, NextOffset: i + 1})
+		positions := map[metastore.Stream]int64{metastore.StreamOperators: follower.NextOffset(metastore.StreamOperators)}
+		reply, err := s.Follow(t.Context(), &peerpb.FollowRequest{Positions: encodePositions(positions), AcceptsCompressed: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if size := proto.Size(reply); i > 0 && size > 2000 {
+			t.Errorf("version %d takes %d bytes for a change of two", i, size)
+		}
+		got, err := c.Follow(t.Context(), addr, FollowRequest{Positions: positions, Newest: follower.Newest})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range got.Batches {
+			follower.Apply(b)
+		}
+		if r, _ := follower.Newest(metastore.StreamOperators, "config"); !bytes.Equal(r.Value, next) {
+			t.Fatalf("version %d: the follower has another value", i)
+		}
+	}
+	old, err := s.Follow(t.Context(), &peerpb.FollowRequest{Positions: encodePositions(map[metastore.Stream]int64{metastore.StreamOperators: 1})})
+	if err != nil || len(old.Batches) != 1 || !old.Batches[0].Reset_ || old.Batches[0].From != nil || len(old.Batches[0].Records[0].Value) != len(value) {
+		t.Errorf("an earlier build that lacks two versions got %v, error %v; want a reset with the whole value", old, err)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,7 +9,9 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,13 @@
 	// read before.
 	Reset   bool
 	Records []metastore.Record
+	// Compacted means that Records lacks those from offset From on that a later one of the same
+	// key replaces. Without it they have consecutive offsets.
+	Compacted bool
+	From      int64
+	// Bases holds earlier records of some keys of Records, which every replica that has been
+	// read up to From has as the newest of their keys.
+	Bases map[string]metastore.Record
 	// Deltas replace Records in the ownership stream for a follower that has the
 	// tables to which they apply.
 	Deltas []Delta
@@ -30,10 +39,25 @@
 	NextOffset int64
 }
 
+// start returns the offset from which the batch continues a replica.
+func (b *Batch) start() int64 {
+	switch {
+	case b.Compacted:
+		return b.From
+	case len(b.Records) > 0:
+		return b.Records[0].Offset
+	}
+	return b.NextOffset
+}
+
 // maxRecentRecords is the number of records kept per stream for followers that are
 // behind; a follower that is further behind gets the newest record of each key.
 const maxRecentRecords = 512
 
+// minBaseBytes is the size of a value from which on the previous record of its key is kept, to
+// send the value relative to it.
+const minBaseBytes = 8 << 10
+
 // Streams are the streams that a replica keeps.
 var Streams = []metastore.Stream{metastore.StreamOperators, metastore.StreamUpstreams, metastore.StreamOwnership, metastore.StreamCrashes}
 
@@ -45,8 +69,12 @@
 	nextOffset int64
 	// newest are the newest records by key.
 	newest map[string]metastore.Record
-	// recent are the last records, up to nextOffset.
-	recent []metastore.Record
+	// recent are the records from offset recentFrom up to nextOffset that are still the newest
+	// of their key.
+	recent     []metastore.Record
+	recentFrom int64
+	// previous holds the records of large values before the newest ones, by key.
+	previous map[string]metastore.Record
 	// tables are the last tables of the ownership stream.
 	tables versionsByService
 	// needsFullTables is set after a delta didn't apply to this host's tables.
@@ -70,7 +98,7 @@
 func NewReplica() *Replica {
 	r := &Replica{streams: map[metastore.Stream]*stream{}, updated: make(chan struct{}), logFailedAt: time.Now()}
 	for _, s := range Streams {
-		r.streams[s] = &stream{nextOffset: -1, newest: map[string]metastore.Record{}}
+		r.streams[s] = &stream{nextOffset: -1, newest: map[string]metastore.Record{}, previous: map[string]metastore.Record{}}
 	}
 	return r
 }
@@ -109,14 +137,12 @@
 		r.notify()
 		return &b
 	}
-	added := b.Records
-	for len(added) > 0 && added[0].Offset < st.nextOffset {
-		added = added[1:]
-	}
-	if !st.initialized || len(added) == 0 || added[0].Offset != st.nextOffset {
+	if !st.initialized || b.start() > st.nextOffset || b.NextOffset <= st.nextOffset {
 		return nil
 	}
+	added := recordsFrom(b.Records, st.nextOffset)
 	st.add(added)
+	st.nextOffset = b.NextOffset
 	if b.Stream == metastore.StreamOwnership {
 		st.recent = nil // only the newest tables are sent
 	}
@@ -127,8 +153,9 @@
 // reset replaces the stream with a batch of the newest records.
 func (st *stream) reset(b Batch) {
 	st.initialized, st.needsFullTables = true, false
-	st.nextOffset = b.NextOffset
+	st.nextOffset, st.recentFrom = b.NextOffset, b.NextOffset
 	st.recent = nil
+	clear(st.previous)
 	clear(st.newest)
 	for _, r := range b.Records {
 		st.newest[r.Key] = r
@@ -137,20 +164,57 @@
 
 // add appends records that continue the stream.
 func (st *stream) add(recs []metastore.Record) {
+	replaced := map[string]bool{}
 	for _, r := range recs {
+		replaced[r.Key] = true
+		if old, ok := st.newest[r.Key]; ok && len(old.Value) >= minBaseBytes {
+			st.previous[r.Key] = old
+		}
 		if r.Value == nil {
 			delete(st.newest, r.Key)
 		} else {
 			st.newest[r.Key] = r
 		}
-		st.nextOffset = r.Offset + 1
 	}
-	st.recent = append(st.recent, recs...)
+	// Only the newest record of a key counts. Without this, the last versions of a desired state
+	// of a megabyte would take half a gigabyte.
+	st.recent = slices.DeleteFunc(st.recent, func(r metastore.Record) bool { return replaced[r.Key] })
+	st.recent = append(st.recent, newestOfEachKey(recs)...)
 	if n := len(st.recent) - maxRecentRecords; n > 0 {
+		st.recentFrom = st.recent[n-1].Offset + 1
 		st.recent = append([]metastore.Record(nil), st.recent[n:]...)
 	}
 }
 
+// newestOfEachKey returns the records that no later one of the same key replaces.
+func newestOfEachKey(recs []metastore.Record) []metastore.Record {
+	last := map[string]int{}
+	for i, r := range recs {
+		last[r.Key] = i
+	}
+	var out []metastore.Record
+	for i, r := range recs {
+		if last[r.Key] == i {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// recordsFrom returns the records at offset from and later ones.
+func recordsFrom(recs []metastore.Record, from int64) []metastore.Record {
+	i, _ := slices.BinarySearchFunc(recs, from, func(r metastore.Record, from int64) int { return cmp.Compare(r.Offset, from) })
+	return recs[i:]
+}
+
+// Newest returns the newest record of a key; false if there is none.
+func (r *Replica) Newest(s metastore.Stream, key string) (metastore.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec, ok := r.streams[s].newest[key]
+	return rec, ok
+}
+
 // notify wakes the calls of Fetch that wait for an update.
 func (r *Replica) notify() {
 	close(r.updated)
@@ -257,6 +321,17 @@
 	return out, r.updated
 }
 
+// basesOf returns the earlier records, below offset, of the keys of recs.
+func (st *stream) basesOf(recs []metastore.Record, offset int64) map[string]metastore.Record {
+	bases := map[string]metastore.Record{}
+	for _, r := range recs {
+		if base, ok := st.previous[r.Key]; ok && base.Offset < offset {
+			bases[r.Key] = base
+		}
+	}
+	return bases
+}
+
 // since returns the records from offset on, or the newest of each key if not all of them
 // are kept any more. An ownership record holds a full table and only the newest of a key
 // is needed, so for that stream it returns the deltas from the follower's tables, if those
@@ -269,9 +344,9 @@
 		}
 		st.encodeNewest()
 	}
-	first := st.nextOffset - int64(len(st.recent))
-	if offset >= first && offset >= 0 && s != metastore.StreamOwnership {
-		b.Records = append(b.Records, st.recent[offset-first:]...)
+	if offset >= st.recentFrom && s != metastore.StreamOwnership {
+		b.Records = slices.Clone(recordsFrom(st.recent, offset))
+		b.Compacted, b.From, b.Bases = true, offset, st.basesOf(b.Records, offset)
 		return b
 	}
 	b.Reset = true
