dispatch: a route's first request goes to a share at random, by weight

Counters now belong to one version of the desired state, so nothing is cleared in between, and the first request of a route on a host picks its share at random. Later ones follow the weights within two requests, as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -120,7 +120,7 @@
 	crashTracker *crashes.Tracker, feedbackTracker *feedback.Tracker, rateLimiter *ratelimit.Limiter) *Dispatcher {
 	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, retryBudget: retryBudget,
 		crashes: crashTracker, feedback: feedbackTracker, rateLimiter: rateLimiter,
-		splitter: newSplitter(), rejectedGrants: newRejectedGrants(), shutdown: newShutdown(),
+		splitter: &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(),
 		OnRequestDone: func(*RequestSummary) {}, OnBrokenSend: func(*BrokenSend) {}}
 	d.SetHostCount(1, false)
 	return d
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -107,7 +107,7 @@
 		}
 	}
 	req.deadline = d.shutdown.clampDeadline(req.deadline)
-	req.service = state.Services[d.splitter.pick(route)]
+	req.service = state.Services[d.splitter.pick(state.Version, route)]
 	req.highestPriority = route.Priority <= state.HighestPriority(req.service.Name)
 	if req.service.Keyed {
 		key, err := strconv.Atoi(r.Header.Get(d.headers.Key))
--- a/internal/dispatch/split.go
+++ b/internal/dispatch/split.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"strings"
 	"sync"
 
@@ -11,43 +12,63 @@
 // robin. Random selection would miss the proportions on routes with few requests.
 type splitter struct {
 	mu sync.Mutex
-	// credits holds the counters of each route, one for each of its shares.
+	// credits holds the counters of the routes of one version of the desired state, one
+	// for each share of a route.
 	credits map[*desired.Route][]int
+	version int64
 }
 
-// maxSplitRoutes bounds the map, which also holds routes of earlier versions of the
+// pick returns the service for the next request of a route of the given version of the
 // desired state.
-const maxSplitRoutes = 1024
-
-func newSplitter() *splitter { return &splitter{credits: map[*desired.Route][]int{}} }
-
-// pick returns the service for the next request of the route.
-func (s *splitter) pick(route *desired.Route) string {
+func (s *splitter) pick(version int64, route *desired.Route) string {
 	if len(route.Shares) == 1 {
 		return route.Shares[0].Service
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	credit := s.credits[route]
-	if credit == nil {
-		if len(s.credits) >= maxSplitRoutes {
-			clear(s.credits)
-		}
+	if s.credits == nil || s.version != version {
+		s.version, s.credits = version, map[*desired.Route][]int{}
+	}
+	total := 0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	credit, started := s.credits[route]
+	if !started {
 		credit = make([]int, len(route.Shares))
 		s.credits[route] = credit
 	}
-	total, best := 0, 0
+	best := 0
 	for i, share := range route.Shares {
-		total += share.Weight
 		credit[i] += share.Weight
 		if credit[i] > credit[best] {
 			best = i
 		}
 	}
+	if !started {
+		// Hosts that all began with the heaviest share would send it nearly all requests of a
+		// route with many hosts and few requests.
+		best = randomShare(route.Shares, total)
+	}
 	credit[best] -= total
 	return route.Shares[best].Service
 }
 
+// randomShare returns the index of a share at random, in proportion to the weights, which add
+// up to total.
+func randomShare(shares []desired.Share, total int) int {
+	if total <= 0 {
+		return 0
+	}
+	n := rand.IntN(total)
+	for i, share := range shares {
+		if n -= share.Weight; n < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
 // splitList splits a comma-separated header value.
 func splitList(v string) []string {
 	parts := strings.Split(v, ",")
