control, logservice: bound reads of the log by their progress on the own interface too

Calls to the log service have 5 s until a response begins and between its parts, instead of 5 s in all.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -14,6 +14,7 @@
 	"github.com/papayatide/papayatide/internal/manifest"
 	"github.com/papayatide/papayatide/internal/membership"
 	"github.com/papayatide/papayatide/internal/placement"
+	"github.com/papayatide/papayatide/internal/progress"
 	"github.com/papayatide/papayatide/internal/routing"
 	"github.com/papayatide/papayatide/internal/target"
 	"github.com/papayatide/papayatide/rpc/logsvcpb"
@@ -207,10 +208,14 @@
 	}
 }
 
+// readTimeoutPolls is the longest time without data during a read of the log, in poll intervals.
+const readTimeoutPolls = 5
+
 // readLog reads all streams to their ends and reports whether the manifest or the
-// placement changed. The report is valid even if it returns an error.
+// placement changed. The report is valid even if it returns an error. It ends once no data
+// has arrived for readTimeoutPolls poll intervals.
 func (l *Loop) readLog(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.opts.PollInterval*5)
+	ctx, cancel := progress.WithTimeout(ctx, l.opts.PollInterval*readTimeoutPolls)
 	defer cancel()
 	manifestChanged, err := l.readManifests(ctx)
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,7 @@
 // connections and waits up to ShutdownGrace for requests in flight. Run then
 // returns nil.
 func Run(ctx context.Context, cfg *settings.Daemon, logger *zap.Logger) error {
-	logClient := logservice.New(cfg.LogURL, &http.Client{Timeout: 5 * time.Second})
+	logClient := logservice.New(cfg.LogURL, &http.Client{})
 	targets := target.NewClient()
 	targets.AttemptTimeout = cfg.AttemptTimeout
 	// The platform's host list has the machines of targets.
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -1,14 +1,17 @@
 package logservice
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
 
+	"github.com/papayatide/papayatide/internal/progress"
 	"github.com/papayatide/papayatide/rpc/logsvcpb"
 )
 
@@ -37,13 +40,21 @@
 	rpc     logsvcpb.Log
 }
 
+// callTimeout bounds each call until its response begins and between the response's parts;
+// see package progress.
+const callTimeout = 5 * time.Second
+
 // New returns a client for the log service at baseURL.
 func New(baseURL string, httpClient *http.Client) *Client {
-	return &Client{baseURL: baseURL, rpc: logsvcpb.NewLogProtobufClient(baseURL, httpClient)}
+	hc := *httpClient
+	hc.Transport = progress.Transport{Base: cmp.Or(hc.Transport, http.DefaultTransport)}
+	return &Client{baseURL: baseURL, rpc: logsvcpb.NewLogProtobufClient(baseURL, &hc)}
 }
 
 // Append appends data to stream and returns the record's offset.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	ctx, cancel := progress.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	resp, err := c.rpc.Append(ctx, &logsvcpb.AppendRequest{Stream: stream, Data: data})
 	if err != nil {
 		return 0, c.appendErr(err, stream)
@@ -55,6 +66,8 @@
 // ErrConflict if the stream's next offset is another (see ConflictNext), and
 // ErrUnknownOutcome if the append failed in any other way.
 func (c *Client) AppendAt(ctx context.Context, stream string, data []byte, next int64) (int64, error) {
+	ctx, cancel := progress.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	resp, err := c.rpc.Append(ctx, &logsvcpb.AppendRequest{Stream: stream, Data: data, ExpectedNext: next, Conditional: true})
 	if err != nil {
 		return 0, c.appendErr(err, stream)
@@ -96,6 +109,8 @@
 // retained record, whichever is later; a max of 0 means the log service's own limit.
 // If from is past the end, the batch has no records, but Next and First are set.
 func (c *Client) Read(ctx context.Context, stream string, from int64, max int) (*Batch, error) {
+	ctx, cancel := progress.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	resp, err := c.rpc.Read(ctx, &logsvcpb.ReadRequest{Stream: stream, From: from, Max: int32(max)})
 	if err != nil {
 		return nil, eris.Wrapf(err, "log %s: read %s from %d", c.baseURL, stream, from)
