entryhost, stand-ins: failing tests, the log returns from a copy

memstore can keep a copy and return from it: later records are gone, offsets are given out again, the era (header Store-Era of the platform's stand-in) rises, a read beyond the end gets what a trimmed one gets, and what operators and upstreams wrote is handed back to be written again. A reader then reads the newest records over and over without a pause: the store stand-in of these tests takes 4 ms for that, or its synthetic clock would stand still.

--- a/internal/entryhost/partitionedstore_test.go
+++ b/internal/entryhost/partitionedstore_test.go
@@ -9,6 +9,9 @@
 	"github.com/papayatide/papayatide/internal/standin/memstore"
 )
 
+// storeLatency is how long the log service takes to return the newest records.
+const storeLatency = 4 * time.Millisecond
+
 // partitionedStore is one host's connection to the log service. While partitioned
 // is set, reads, AppendAt and JoinElection fail.
 type partitionedStore struct {
@@ -20,6 +23,7 @@
 	if s.partitioned.Load() {
 		return nil, 0, metastore.ErrNoResponse
 	}
+	time.Sleep(storeLatency)
 	return s.Log.Newest(ctx, st)
 }
 
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -24,7 +24,9 @@
 type Log struct {
 	mu      sync.Mutex
 	streams map[metastore.Stream]*stream
-	// changed is closed and replaced on every append and every SetDown, to wake
+	// era numbers the histories of the log; see ReturnFrom.
+	era int64
+	// changed is closed and replaced on every append, SetDown and ReturnFrom, to wake
 	// waiting reads.
 	changed chan struct{}
 	down    bool
@@ -38,9 +40,12 @@
 	leaseGeneration int64
 }
 
+// firstEra is the era of a new log. The service may begin with any number.
+const firstEra = 41
+
 // New returns an empty log.
 func New() *Log {
-	return &Log{streams: map[metastore.Stream]*stream{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Log{era: firstEra, streams: map[metastore.Stream]*stream{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // stream returns a stream and creates it on first use. l.mu must be locked.
@@ -168,7 +173,7 @@
 		}
 		st := l.stream(s)
 		end := st.first + int64(len(st.records))
-		if from < st.first {
+		if from < st.first || from > end {
 			l.mu.Unlock()
 			return metastore.Batch{}, metastore.ErrTrimmed
 		}
