--- a/internal/entryhost/actions.go
+++ b/internal/entryhost/actions.go
@@ -19,8 +19,14 @@
 	switch a := a.(type) {
 	case *planner.AcquireLease:
 		go func() {
-			held, err := c.elector.tryAcquireOrRenew(ctx, a.TTL)
-			c.post(ctx, func() { c.planner.AcquireLeaseDone(a, held, err, c.clock()) })
+			held, era, err := c.elector.tryAcquireOrRenew(ctx, a.TTL)
+			c.post(ctx, func() {
+				c.observeEra(era)
+				if era < c.era && err == nil {
+					err = metastore.ErrEraChanged // the lease of a lost history
+				}
+				c.planner.AcquireLeaseDone(a, held, err, c.clock())
+			})
 		}()
 	case *planner.LeaveElection:
 		go func() {
@@ -71,9 +77,9 @@
 // It runs on a goroutine of its own.
 func (c *controller) append(ctx context.Context, a *planner.Append) {
 	data, err := a.Table.Encode()
-	var end int64
+	var end metastore.Position
 	if err == nil {
-		end, err = c.store.AppendAt(ctx, metastore.StreamOwnership, a.Table.Service, data, a.ExpectedOffset)
+		end, err = c.store.AppendAt(ctx, metastore.StreamOwnership, a.Table.Service, data, a.At)
 	}
 	c.post(ctx, func() {
 		table := c.planner.AppendDone(a, end, err, c.clock())
@@ -81,8 +87,8 @@
 			return
 		}
 		c.adoptTable(table)
-		c.replica.KeepTable(end-1, table)
-		c.replica.Apply(relay.Batch{Stream: metastore.StreamOwnership, NextOffset: end,
-			Records: []metastore.Record{{Key: table.Service, Value: data, Offset: end - 1}}})
+		offset := end.Offset - 1
+		c.replica.KeepTable(offset, table)
+		c.replica.Apply(relay.Batch{Stream: metastore.StreamOwnership, Next: end, Records: []metastore.Record{{Key: table.Service, Value: data, Offset: offset}}})
 	})
 }
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -97,6 +97,8 @@
 	evacuations *evacuations
 	// crashes shares crash records with the other hosts through the log.
 	crashes *crashLog
+	// era is the log's; 0 until the log service or another host states it.
+	era int64
 	// streamLostSince holds, for each stream whose reads fail, when they began
 	// to. logRecoveredAt is when the first stream recovered after an outage of
 	// the log service, or when this host last stalled. It is zero if the
@@ -241,6 +243,7 @@
 // due actions.
 func (c *controller) tick(ctx context.Context) {
 	now := c.clock()
+	c.observeEra(c.store.Era())
 	if c.planner.ShouldStepDown(now) && c.hasLiveCandidate() {
 		c.planner.StepDown(now)
 	}
@@ -284,7 +287,7 @@
 // later, usually finds a planner meanwhile, whose replica contains the stream.
 // The planner, and a host that has read the stream before, read at once.
 func (c *controller) crashReadStartDelay() time.Duration {
-	if c.isPlanner.Load() || c.replica.NextOffset(metastore.StreamCrashes) >= 0 {
+	if c.isPlanner.Load() || c.replica.Next(metastore.StreamCrashes).Offset >= 0 {
 		return 0
 	}
 	return firstStartDiscoveryTimeout
--- a/internal/entryhost/elector.go
+++ b/internal/entryhost/elector.go
@@ -23,7 +23,9 @@
 	// memberNames are the names of this host's members, generations the group
 	// generation that each received last.
 	memberNames []string
+	// era is that of the last call: generations of an earlier one mean nothing.
 	generations []int64
+	era         int64
 	// fleetSize returns the number of hosts.
 	fleetSize func() int
 }
@@ -34,19 +36,23 @@
 }
 
 // tryAcquireOrRenew acquires or renews the planner lease and reports whether
-// this host holds it. It must not be called concurrently.
-func (e *plannerElector) tryAcquireOrRenew(ctx context.Context, ttl time.Duration) (held bool, err error) {
+// this host holds it, and in which era of the log. It must not be called concurrently.
+func (e *plannerElector) tryAcquireOrRenew(ctx context.Context, ttl time.Duration) (held bool, era int64, err error) {
 	for i, name := range e.activeMemberNames() {
 		result, err := e.store.JoinElection(ctx, name, ttl, e.generations[i])
 		if err != nil {
-			return false, err
+			return false, e.era, err
+		}
+		if result.Era != e.era {
+			e.era = result.Era
+			clear(e.generations)
 		}
 		e.generations[i] = result.Generation
 		if result.Held {
-			return true, nil
+			return true, e.era, nil
 		}
 	}
-	return false, nil
+	return false, e.era, nil
 }
 
 // activeMemberNames returns the members that the host has at the current fleet
--- a/internal/entryhost/elector_test.go
+++ b/internal/entryhost/elector_test.go
@@ -33,11 +33,11 @@
 func TestFailedRenewalOfSecondMemberIsAnError(t *testing.T) {
 	store := &electionStore{holder: "h/2"}
 	elector := newPlannerElector(store, "h")
-	if held, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !held || err != nil {
+	if held, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !held || err != nil {
 		t.Fatalf("held %v, error %v", held, err)
 	}
 	store.failingMember = "h/2"
-	if _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !errors.Is(err, metastore.ErrNoResponse) {
+	if _, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !errors.Is(err, metastore.ErrNoResponse) {
 		t.Errorf("error %v", err)
 	}
 }
@@ -47,7 +47,7 @@
 	store := &electionStore{}
 	elector := newPlannerElector(store, "h")
 	elector.fleetSize = func() int { return singleMemberFleetSize }
-	if _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
+	if _, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
 		t.Fatal(err)
 	}
 	if !slices.Equal(store.joined, []string{"h"}) {
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/papayatide/papayatide/internal/metastore"
 )
 
 // writeGauges writes this host's current state to the metrics page. Service
@@ -16,6 +18,7 @@
 	metrics.WriteGaugeUint64(w, "papayatide_desired_version_newest", uint64(newest))
 	metrics.WriteGaugeFloat64(w, "papayatide_desired_version_behind_seconds", behind.Seconds())
 	metrics.WriteGaugeFloat64(w, "papayatide_view_age_seconds", h.controller.replica.Age(now).Seconds())
+	metrics.WriteGaugeUint64(w, "papayatide_log_era", uint64(h.controller.replica.Next(metastore.StreamOperators).Era))
 	metrics.WriteGaugeUint64(w, "papayatide_hosts", uint64(h.fleet.Size(now)))
 	metrics.WriteGaugeUint64(w, "papayatide_planning", boolToUint64(h.controller.isPlanner.Load()))
 	metrics.WriteCounterUint64(w, "papayatide_log_lines_dropped_total", uint64(h.plat.DroppedLogLines()))
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -178,7 +178,7 @@
 // stale, a host that is no candidate runs its readers only after a probe has
 // succeeded, and stops them when a read fails.
 func (s *logSyncer) updateDirectReads(ctx context.Context) {
-	if s.self().Candidate || s.isPlanner() || !s.followedReplicaStale || s.replica.NextOffset(metastore.StreamOperators) < 0 {
+	if s.self().Candidate || s.isPlanner() || !s.followedReplicaStale || s.replica.Next(metastore.StreamOperators).Offset < 0 {
 		s.startDirectReads(ctx)
 		return
 	}
@@ -224,7 +224,7 @@
 // whether the call succeeded, the reply's replica age is at most maxAge, and this
 // host's replica is current by that.
 func (s *logSyncer) followHost(ctx context.Context, addr string, maxAge, timeout time.Duration, loads []peer.ServiceLoad) bool {
-	req := peer.FollowRequest{Self: s.self(), Positions: map[metastore.Stream]int64{}, Newest: s.replica.Newest, Loads: loads, Notices: s.feedback.Notices(time.Now()),
+	req := peer.FollowRequest{Self: s.self(), Positions: map[metastore.Stream]metastore.Position{}, Newest: s.replica.Newest, Loads: loads, Notices: s.feedback.Notices(time.Now()),
 		DesiredVersion: s.desiredVersion(), Wait: followWait}
 	isRelay := req.Self.Followers > 0
 	if isRelay {
@@ -233,7 +233,7 @@
 		req.LoadStats, req.Subset = s.picker.FlushLoadStats(), s.picker.Subset() // a relay's own are in its inFlightAggregator
 	}
 	for _, stream := range relay.Streams {
-		req.Positions[stream] = s.replica.FetchOffset(stream)
+		req.Positions[stream] = s.replica.FetchFrom(stream)
 	}
 	ctx, cancel := progress.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -356,7 +356,7 @@
 	switch {
 	case s.isPlanner() || s.self().Candidate:
 		return true // other hosts follow this one, or may soon
-	case s.replica.NextOffset(metastore.StreamOperators) < 0:
+	case s.replica.Next(metastore.StreamOperators).Offset < 0:
 		return s.lastFollowFailed || now.Sub(s.startedAt) > s.discoveryTimeout
 	}
 	return s.replica.Age(now) > directReadAge
--- a/internal/entryhost/outage_test.go
+++ b/internal/entryhost/outage_test.go
@@ -123,7 +123,7 @@
 	partitioned atomic.Bool
 }
 
-func (s *unresponsiveStore) Read(ctx context.Context, st metastore.Stream, from int64, wait time.Duration) (metastore.Batch, error) {
+func (s *unresponsiveStore) Read(ctx context.Context, st metastore.Stream, from metastore.Position, wait time.Duration) (metastore.Batch, error) {
 	if s.partitioned.Load() {
 		ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutSlack)
 		defer cancel()
--- a/internal/entryhost/partitionedstore_test.go
+++ b/internal/entryhost/partitionedstore_test.go
@@ -19,24 +19,24 @@
 	partitioned atomic.Bool
 }
 
-func (s *partitionedStore) Newest(ctx context.Context, st metastore.Stream) ([]metastore.Record, int64, error) {
+func (s *partitionedStore) Newest(ctx context.Context, st metastore.Stream) ([]metastore.Record, metastore.Position, error) {
 	if s.partitioned.Load() {
-		return nil, 0, metastore.ErrNoResponse
+		return nil, metastore.Position{}, metastore.ErrNoResponse
 	}
 	time.Sleep(storeLatency)
 	return s.Log.Newest(ctx, st)
 }
 
-func (s *partitionedStore) Read(ctx context.Context, st metastore.Stream, from int64, wait time.Duration) (metastore.Batch, error) {
+func (s *partitionedStore) Read(ctx context.Context, st metastore.Stream, from metastore.Position, wait time.Duration) (metastore.Batch, error) {
 	if s.partitioned.Load() {
 		return metastore.Batch{}, metastore.ErrNoResponse
 	}
 	return s.Log.Read(ctx, st, from, wait)
 }
 
-func (s *partitionedStore) AppendAt(ctx context.Context, st metastore.Stream, key string, value []byte, at int64) (int64, error) {
+func (s *partitionedStore) AppendAt(ctx context.Context, st metastore.Stream, key string, value []byte, at metastore.Position) (metastore.Position, error) {
 	if s.partitioned.Load() {
-		return 0, metastore.ErrNoResponse
+		return metastore.Position{}, metastore.ErrNoResponse
 	}
 	return s.Log.AppendAt(ctx, st, key, value, at)
 }
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -35,6 +35,7 @@
 		c.applyDeltas(b)
 		return
 	}
+	c.observeEra(b.Next.Era)
 	fresh := c.replica.Apply(b)
 	if fresh == nil {
 		return
@@ -46,7 +47,7 @@
 	case metastore.StreamUpstreams:
 		c.applyUpstreams(fresh.Records, fresh.Reset)
 	case metastore.StreamOwnership:
-		c.planner.AdvanceStreamEnd(fresh.NextOffset)
+		c.planner.AdvanceStreamEnd(fresh.Next)
 		c.applyOwnership(fresh.Records)
 	case metastore.StreamCrashes:
 		c.crashes.apply(fresh.Records, fresh.Reset)
@@ -93,7 +94,7 @@
 // applyDeltas applies the deltas of a batch to this host's ownership tables. If
 // one does not apply, none is applied and the host requests full tables.
 func (c *controller) applyDeltas(b relay.Batch) {
-	if b.NextOffset <= c.replica.NextOffset(b.Stream) {
+	if !c.replica.Next(b.Stream).Before(b.Next) {
 		return // already read from the log service
 	}
 	tables := map[int64]*ownership.Table{}
@@ -107,10 +108,10 @@
 		}
 		tables[encoded.Offset] = t
 	}
-	if !c.replica.ApplyTables(b.NextOffset, tables) {
+	if !c.replica.ApplyTables(b.Next, tables) {
 		return
 	}
-	c.planner.AdvanceStreamEnd(b.NextOffset)
+	c.planner.AdvanceStreamEnd(b.Next)
 	for _, t := range tables {
 		c.adoptTable(t)
 	}
--- a/internal/entryhost/streamreader.go
+++ b/internal/entryhost/streamreader.go
@@ -171,20 +171,20 @@
 }
 
 // read makes one read from where the replica ends, waits up to wait for a record, and
-// returns the number of records that it applied. If the replica is empty or its next
-// record is no longer kept, it reads the newest record of each key.
+// returns the number of records that it applied. If the replica is empty, its next record is
+// no longer kept or the log's era has changed, it reads the newest record of each key.
 func (r *streamReader) read(ctx context.Context, wait time.Duration) (int, error) {
-	if next := r.replica.NextOffset(r.stream); next >= 0 {
+	if next := r.replica.Next(r.stream); next.Offset >= 0 {
 		batch, err := r.readFrom(ctx, next, wait)
 		if err == nil {
 			receivedAt := time.Now()
 			if len(batch.Records) > 0 {
-				r.apply(relay.Batch{Stream: r.stream, Records: batch.Records, NextOffset: batch.Next})
+				r.apply(relay.Batch{Stream: r.stream, Records: batch.Records, Next: batch.Next})
 			}
 			r.replica.MarkCurrent(r.stream, batch.End, receivedAt)
 			return len(batch.Records), nil
 		}
-		if !errors.Is(err, metastore.ErrTrimmed) {
+		if !errors.Is(err, metastore.ErrTrimmed) && !errors.Is(err, metastore.ErrEraChanged) {
 			return 0, err
 		}
 	}
@@ -193,13 +193,13 @@
 	if err != nil {
 		return 0, err
 	}
-	r.apply(relay.Batch{Stream: r.stream, Reset: true, Records: records, NextOffset: end})
+	r.apply(relay.Batch{Stream: r.stream, Reset: true, Records: records, Next: end})
 	r.replica.MarkCurrent(r.stream, end, sentAt)
 	return len(records), nil
 }
 
-// readFrom reads the records from offset next on.
-func (r *streamReader) readFrom(ctx context.Context, next int64, wait time.Duration) (metastore.Batch, error) {
+// readFrom reads the records from position next on.
+func (r *streamReader) readFrom(ctx context.Context, next metastore.Position, wait time.Duration) (metastore.Batch, error) {
 	if wait == 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = progress.WithTimeout(ctx, immediateReadTimeout)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -54,6 +54,7 @@
 	ReplicaFollowStarted = 612
 	ReplicaFollowStopped = 613
 	HostStalled          = 614
+	LogReturned          = 615
 	DesiredAdopted       = 620
 	DesiredRejected      = 621
 	EvacuationBegun      = 622
--- a/internal/peer/batch.go
+++ b/internal/peer/batch.go
@@ -88,8 +88,8 @@
 func encodeForEarlierBuild(ctx context.Context, replica *relay.Replica, batches []relay.Batch) []*peerpb.Batch {
 	var out []*peerpb.Batch
 	for _, b := range batches {
-		if b.Compacted && int64(len(b.Records)) != b.NextOffset-b.From {
-			for _, reset := range replica.Fetch(ctx, map[metastore.Stream]int64{b.Stream: -1}, time.Nanosecond) {
+		if b.Compacted && int64(len(b.Records)) != b.Next.Offset-b.From {
+			for _, reset := range replica.Fetch(ctx, map[metastore.Stream]metastore.Position{b.Stream: {Offset: -1}}, time.Nanosecond) {
 				out = append(out, encodeBatch(reset))
 			}
 			continue
@@ -100,7 +100,7 @@
 }
 
 func encodeBatch(b relay.Batch) *peerpb.Batch {
-	out := &peerpb.Batch{Stream: string(b.Stream), Reset_: b.Reset, Next: b.NextOffset}
+	out := &peerpb.Batch{Stream: string(b.Stream), Reset_: b.Reset, Next: b.Next.Offset, Era: &b.Next.Era}
 	for _, r := range b.Records {
 		out.Records = append(out.Records, &peerpb.Record{Key: r.Key, Value: r.Value, Deleted: r.Value == nil, Offset: r.Offset})
 	}
@@ -110,18 +110,22 @@
 	return out
 }
 
-// decodeBatch decodes a batch. newest returns this host's newest record of a key. ok is false
-// if the batch is relative to a record that this host has replaced meanwhile; it then asks
-// again from where it is.
-func decodeBatch(m *peerpb.Batch, newest func(metastore.Stream, string) (metastore.Record, bool)) (b relay.Batch, ok bool, err error) {
-	b = relay.Batch{Stream: metastore.Stream(m.Stream), Reset: m.Reset_, NextOffset: m.Next, Compacted: m.From != nil, From: m.GetFrom()}
+// decodeBatch decodes a batch of the reply to req. ok is false if the batch is relative to a
+// record that this host has replaced meanwhile; it then asks again from where it is. A batch of
+// an earlier build, which knows no eras, is taken for one of this host's.
+func decodeBatch(m *peerpb.Batch, req FollowRequest) (b relay.Batch, ok bool, err error) {
+	b = relay.Batch{Stream: metastore.Stream(m.Stream), Reset: m.Reset_, Compacted: m.From != nil, From: m.GetFrom()}
+	b.Next = metastore.Position{Era: req.Positions[b.Stream].Era, Offset: m.Next}
+	if m.Era != nil {
+		b.Next.Era = *m.Era
+	}
 	for _, r := range m.Records {
 		rec := metastore.Record{Key: r.Key, Value: r.Value, Offset: r.Offset}
 		if len(r.Compressed) > 0 {
 			var base metastore.Record
 			if r.BaseOffset != nil {
 				known := false
-				if base, known = newest(b.Stream, r.Key); !known || base.Offset != *r.BaseOffset {
+				if base, known = req.Newest(b.Stream, r.Key); !known || base.Offset != *r.BaseOffset {
 					return relay.Batch{}, false, nil
 				}
 			}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -61,9 +61,9 @@
 type FollowRequest struct {
 	// Self describes the calling host.
 	Self fleet.Host
-	// Positions holds the offset of the next record that it needs from each stream; -1
-	// for the newest record of every key.
-	Positions map[metastore.Stream]int64
+	// Positions holds the position of the next record that it needs from each stream; offset
+	// -1 for the newest record of every key.
+	Positions map[metastore.Stream]metastore.Position
 	// Newest returns the newest record of a key in its replica; false if there is none.
 	Newest func(s metastore.Stream, key string) (metastore.Record, bool)
 	// Loads samples the requests that it received since its last call.
@@ -89,7 +89,7 @@
 	// callee does not state it.
 	Age        time.Duration
 	ReceivedAt time.Time
-	Positions  map[metastore.Stream]int64
+	Positions  map[metastore.Stream]metastore.Position
 	// LogReachableFor is how long the host that reads the log service, normally the
 	// planner, has reached it without a failure.
 	LogReachableFor time.Duration
@@ -141,11 +141,11 @@
 		}
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
-	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, ReceivedAt: receivedAt, Positions: decodePositions(reply.Positions), LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
+	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, ReceivedAt: receivedAt, Positions: decodePositions(reply.Positions, req.Positions), LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
 		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices),
 		DesiredVersion: reply.DesiredVersion}
 	for _, m := range reply.Batches {
-		b, ok, err := decodeBatch(m, req.Newest)
+		b, ok, err := decodeBatch(m, req)
 		if err != nil {
 			return nil, eris.Wrapf(err, "peer %s: follow", addr)
 		}
@@ -236,22 +236,29 @@
 	return out, nil
 }
 
-func encodePositions(positions map[metastore.Stream]int64) []*peerpb.Position {
+func encodePositions(positions map[metastore.Stream]metastore.Position) []*peerpb.Position {
 	var out []*peerpb.Position
 	for _, s := range relay.Streams {
-		out = append(out, &peerpb.Position{Stream: string(s), Next: positions[s]})
+		p := positions[s]
+		out = append(out, &peerpb.Position{Stream: string(s), Next: p.Offset, Era: &p.Era})
 	}
 	return out
 }
 
-// decodePositions returns nil if there are none, as in replies of earlier builds.
-func decodePositions(ms []*peerpb.Position) map[metastore.Stream]int64 {
+// decodePositions returns nil if there are none, as in replies of earlier builds. These know no
+// eras; theirs are taken for those of own.
+func decodePositions(ms []*peerpb.Position, own map[metastore.Stream]metastore.Position) map[metastore.Stream]metastore.Position {
 	if len(ms) == 0 {
 		return nil
 	}
-	out := map[metastore.Stream]int64{}
+	out := map[metastore.Stream]metastore.Position{}
 	for _, m := range ms {
-		out[metastore.Stream(m.Stream)] = m.Next
+		s := metastore.Stream(m.Stream)
+		p := metastore.Position{Era: own[s].Era, Offset: m.Next}
+		if m.Era != nil {
+			p.Era = *m.Era
+		}
+		out[s] = p
 	}
 	return out
 }
@@ -333,7 +340,7 @@
 	notices := decodeNotices(m.Notices)
 	s.Feedback.Merge(caller.Name, notices, time.Now())
 	reply := &peerpb.FollowReply{}
-	batches := s.Replica.Fetch(ctx, decodePositions(m.Positions), min(time.Duration(m.WaitMs)*time.Millisecond, maxFollowWait))
+	batches := s.Replica.Fetch(ctx, decodePositions(m.Positions, s.Replica.Positions()), min(time.Duration(m.WaitMs)*time.Millisecond, maxFollowWait))
 	if m.AcceptsCompressed {
 		if reply.Batches, err = s.encoder.encodeBatches(batches); err != nil {
 			return nil, twirp.InternalErrorWith(err)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -111,8 +111,8 @@
 	for i := range int64(3) {
 		next := slices.Clone(value)
 		next[i] ^= 1
-		s.Replica.Apply(relay.Batch{Stream: metastore.StreamOperators, Records: []metastore.Record{{Key: "config", Value: next, Offset: i}}, NextOffset: i + 1})
-		positions := map[metastore.Stream]int64{metastore.StreamOperators: follower.NextOffset(metastore.StreamOperators)}
+		s.Replica.Apply(relay.Batch{Stream: metastore.StreamOperators, Records: []metastore.Record{{Key: "config", Value: next, Offset: i}}, Next: metastore.Position{Offset: i + 1}})
+		positions := map[metastore.Stream]metastore.Position{metastore.StreamOperators: follower.Next(metastore.StreamOperators)}
 		reply, err := s.Follow(t.Context(), &peerpb.FollowRequest{Positions: encodePositions(positions), AcceptsCompressed: true})
 		if err != nil {
 			t.Fatal(err)
@@ -131,7 +131,7 @@
 			t.Fatalf("version %d: the follower has another value", i)
 		}
 	}
-	old, err := s.Follow(t.Context(), &peerpb.FollowRequest{Positions: encodePositions(map[metastore.Stream]int64{metastore.StreamOperators: 1})})
+	old, err := s.Follow(t.Context(), &peerpb.FollowRequest{Positions: encodePositions(map[metastore.Stream]metastore.Position{metastore.StreamOperators: {Offset: 1}})})
 	if err != nil || len(old.Batches) != 1 || !old.Batches[0].Reset_ || old.Batches[0].From != nil || len(old.Batches[0].Records[0].Value) != len(value) {
 		t.Errorf("an earlier build that lacks two versions got %v, error %v; want a reset with the whole value", old, err)
 	}
--- a/internal/planner/actions.go
+++ b/internal/planner/actions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/bootclock"
+	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
 )
 
@@ -35,11 +36,11 @@
 	Term int64
 }
 
-// Append appends a table to the ownership stream if the stream ends at
-// ExpectedOffset; see Planner.AppendDone.
+// Append appends a table to the ownership stream if the stream ends at At; see
+// Planner.AppendDone.
 type Append struct {
-	Table          *ownership.Table
-	ExpectedOffset int64
+	Table *ownership.Table
+	At    metastore.Position
 	// Cause is the reason for the change, for log messages.
 	Cause string
 }
--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -7,6 +7,7 @@
 	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -19,7 +20,7 @@
 	upstreams map[string]*catalogue.Upstream
 	table     *ownership.Table
 	publisher *view.Publisher
-	streamEnd int64
+	streamEnd metastore.Position
 	// warmUp is how long requests for keys are slow after a move without a handover.
 	warmUp time.Duration
 }
@@ -67,7 +68,7 @@
 		h.p.AcquireLeaseDone(a, true, err, h.now)
 	case *Append:
 		if err == nil {
-			h.streamEnd++
+			h.streamEnd.Offset++
 			h.table = a.Table
 		}
 		h.p.AppendDone(a, h.streamEnd, err, h.now)
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -57,7 +57,7 @@
 	if h.p.SoleWriter(h.now) {
 		t.Error("the planner still relies on being the sole writer after a lost response")
 	}
-	h.p.AdvanceStreamEnd(h.streamEnd + 1)
+	h.p.AdvanceStreamEnd(metastore.Position{Offset: h.streamEnd.Offset + 1})
 	if !h.p.SoleWriter(h.now) {
 		t.Error("the planner is not the sole writer again once the end of the stream is known")
 	}
--- a/internal/planner/moves_test.go
+++ b/internal/planner/moves_test.go
@@ -241,7 +241,7 @@
 		h := newHarness(t, "a", "b")
 		h.simulate(12*time.Second, succeedAll)
 		h.table = h.tableOfOtherPlanner()
-		h.streamEnd++
+		h.streamEnd.Offset++
 		h.p = New(testOptions)
 		h.p.opts.Host = "me"
 		h.p.AdvanceStreamEnd(h.streamEnd)
@@ -269,7 +269,7 @@
 	h := newHarness(t, "a", "b")
 	h.simulate(12*time.Second, succeedAll)
 	h.table = h.tableOfOtherPlanner()
-	h.streamEnd++
+	h.streamEnd.Offset++
 	h.p = New(testOptions)
 	h.p.opts.Host = "me"
 	h.p.AdvanceStreamEnd(h.streamEnd)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -40,8 +40,11 @@
 	// streamEnd is the last known end of the ownership stream.
 	// streamEndUncertain is set when an append or a grant shows that the stream
 	// may extend beyond it.
-	streamEnd          int64
+	streamEnd          metastore.Position
 	streamEndUncertain bool
+	// era is the log's, eraSeenAt when this host first saw it; see era.go.
+	era       int64
+	eraSeenAt bootclock.Time
 	// plannerSeenAt is the time from which noPlannerTimeout counts: when another
 	// planner was last seen, or since when this host would have seen one if
 	// there was one.
@@ -122,8 +125,8 @@
 }
 
 // AdvanceStreamEnd records that the ownership stream extends at least to end.
-func (p *Planner) AdvanceStreamEnd(end int64) {
-	if end > p.streamEnd {
+func (p *Planner) AdvanceStreamEnd(end metastore.Position) {
+	if p.streamEnd.Before(end) {
 		p.streamEnd, p.streamEndUncertain = end, false
 	}
 }
@@ -344,7 +347,7 @@
 
 // AppendDone handles the result of an Append. It returns the table if this host
 // may use it already, or nil.
-func (p *Planner) AppendDone(a *Append, end int64, err error, now bootclock.Time) *ownership.Table {
+func (p *Planner) AppendDone(a *Append, end metastore.Position, err error, now bootclock.Time) *ownership.Table {
 	t := p.terms[a.Table.Service]
 	if t == nil || t.pendingAppend != a {
 		return nil
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -94,7 +94,7 @@
 	}
 	next.Cause = cause
 	next.PreviousPlanners = t.previousPlannersForRecord(now)
-	t.pendingAppend = &Append{Table: next, ExpectedOffset: t.p.streamEnd, Cause: cause}
+	t.pendingAppend = &Append{Table: next, At: t.p.streamEnd, Cause: cause}
 	t.lastRecordAt = now
 	return t.pendingAppend
 }
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -180,6 +180,9 @@
 	}
 }
 
+// end returns the position of the log's end.
+func (s *simulation) end() metastore.Position { return metastore.Position{Offset: int64(len(s.log))} }
+
 // updateView updates the host's view with the listed upstreams and the latest table.
 func (s *simulation) updateView(h *simHost) {
 	all := map[string]*catalogue.Upstream{}
@@ -193,7 +196,7 @@
 	if len(s.log) > 0 {
 		tables[simService] = s.log[len(s.log)-1]
 	}
-	h.planner.AdvanceStreamEnd(int64(len(s.log)))
+	h.planner.AdvanceStreamEnd(s.end())
 	h.publisher.Publish(func(v *view.View) {
 		v.Upstreams = catalogue.NewSnapshot(all)
 		v.Tables = tables
@@ -275,14 +278,14 @@
 func (s *simulation) append(h *simHost, a *Append, deliver func(func())) {
 	planner := h.planner
 	write := func() error {
-		if int64(len(s.log)) != a.ExpectedOffset {
+		if s.end().Offset != a.At.Offset {
 			return metastore.ErrConflict
 		}
 		s.log = append(s.log, a.Table)
 		return nil
 	}
 	done := func(err error) {
-		end := int64(len(s.log))
+		end := s.end()
 		deliver(func() {
 			if t := planner.AppendDone(a, end, err, s.now); t != nil {
 				h.publisher.Publish(func(v *view.View) { v.Tables = map[string]*ownership.Table{simService: t} })
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -161,6 +161,9 @@
 		t.p.lease.nextRequestAt = min(t.p.lease.nextRequestAt, now)
 		return nil
 	}
+	if t.p.streamEnd.Era != t.p.era {
+		return nil // the stream has not been read in the log's present era
+	}
 	base := t.table
 	if base == nil {
 		// The first record assigns no keys yet. It shows the other hosts which
@@ -175,7 +178,7 @@
 	}
 	t.previous.lostOwnerDeadlines = t.p.histories[t.name].lostOwnerDeadlines(t.base, &t.p.opts)
 	next.Cause = "new planner"
-	t.pendingAppend = &Append{Table: next, ExpectedOffset: t.p.streamEnd, Cause: next.Cause}
+	t.pendingAppend = &Append{Table: next, At: t.p.streamEnd, Cause: next.Cause}
 	return []Action{t.pendingAppend}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,8 +35,11 @@
 	// Deltas replace Records in the ownership stream for a follower that has the
 	// tables to which they apply.
 	Deltas []Delta
-	// NextOffset is the offset of the record after the batch.
-	NextOffset int64
+	// Next is the position after the batch. All of the batch is of its era.
+	Next metastore.Position
+	// NewEra is set in the batches that Apply returns if a reset has replaced records of an
+	// earlier era.
+	NewEra bool
 }
 
 // start returns the offset from which the batch continues a replica.
@@ -47,7 +50,7 @@
 	case len(b.Records) > 0:
 		return b.Records[0].Offset
 	}
-	return b.NextOffset
+	return b.Next.Offset
 }
 
 // maxRecentRecords is the number of records kept per stream for followers that are
@@ -65,11 +68,11 @@
 type stream struct {
 	// initialized is set once the stream was read as a whole.
 	initialized bool
-	// nextOffset is the offset of the record to be read next.
-	nextOffset int64
+	// next is the position of the record to be read next.
+	next metastore.Position
 	// newest are the newest records by key.
 	newest map[string]metastore.Record
-	// recent are the records from offset recentFrom up to nextOffset that are still the newest
+	// recent are the records from offset recentFrom up to next that are still the newest
 	// of their key.
 	recent     []metastore.Record
 	recentFrom int64
@@ -94,66 +97,73 @@
 	logFailedAt time.Time
 }
 
+// unread is the position of a stream of which nothing was read.
+var unread = metastore.Position{Offset: -1}
+
 // NewReplica returns an empty replica. LogReachableFor starts at zero.
 func NewReplica() *Replica {
 	r := &Replica{streams: map[metastore.Stream]*stream{}, updated: make(chan struct{}), logFailedAt: time.Now()}
 	for _, s := range Streams {
-		r.streams[s] = &stream{nextOffset: -1, newest: map[string]metastore.Record{}, previous: map[string]metastore.Record{}}
+		r.streams[s] = &stream{next: unread, newest: map[string]metastore.Record{}, previous: map[string]metastore.Record{}}
 	}
 	return r
 }
 
-// NextOffset returns the offset of the record of s to be read next; -1 if nothing
-// was read yet.
-func (r *Replica) NextOffset(s metastore.Stream) int64 {
+// Next returns the position of the record of s to be read next; its offset is -1 if
+// nothing was read yet.
+func (r *Replica) Next(s metastore.Stream) metastore.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.streams[s].nextOffset
+	return r.streams[s].next
 }
 
-// FetchOffset returns the offset from which to fetch s from another replica: NextOffset,
-// or -1 for the full tables of the ownership stream if this host needs them.
-func (r *Replica) FetchOffset(s metastore.Stream) int64 {
+// FetchFrom returns the position from which to fetch s from another replica: Next, or one
+// with offset -1 for the full tables of the ownership stream if this host needs them.
+func (r *Replica) FetchFrom(s metastore.Stream) metastore.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.streams[s].needsFullTables {
-		return -1
+		return unread
 	}
-	return r.streams[s].nextOffset
+	return r.streams[s].next
 }
 
 // Apply applies a batch and returns the part of it that is new, or nil. A batch that
 // does not continue the replica is dropped: its records are fetched again from the
-// right offset.
+// right position. A reset of a later era replaces records of any offset.
 func (r *Replica) Apply(b Batch) *Batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.streams[b.Stream]
 	if b.Reset {
-		if st.initialized && b.NextOffset < st.nextOffset {
+		if st.initialized && b.Next.Before(st.next) {
 			return nil
 		}
+		b.NewEra = st.initialized && b.Next.Era > st.next.Era
 		st.reset(b)
 		r.notify()
 		return &b
 	}
-	if !st.initialized || b.start() > st.nextOffset || b.NextOffset <= st.nextOffset {
+	if !st.initialized || b.Next.Era != st.next.Era || b.start() > st.next.Offset || !st.next.Before(b.Next) {
 		return nil
 	}
-	added := recordsFrom(b.Records, st.nextOffset)
+	added := recordsFrom(b.Records, st.next.Offset)
 	st.add(added)
-	st.nextOffset = b.NextOffset
+	st.next = b.Next
 	if b.Stream == metastore.StreamOwnership {
 		st.recent = nil // only the newest tables are sent
 	}
 	r.notify()
-	return &Batch{Stream: b.Stream, Records: added, NextOffset: st.nextOffset}
+	return &Batch{Stream: b.Stream, Records: added, Next: st.next}
 }
 
 // reset replaces the stream with a batch of the newest records.
 func (st *stream) reset(b Batch) {
+	if b.Next.Era != st.next.Era {
+		st.tables = nil // they are kept by offset
+	}
 	st.initialized, st.needsFullTables = true, false
-	st.nextOffset, st.recentFrom = b.NextOffset, b.NextOffset
+	st.next, st.recentFrom = b.Next, b.Next.Offset
 	st.recent = nil
 	clear(st.previous)
 	clear(st.newest)
@@ -221,13 +231,13 @@
 	r.updated = make(chan struct{})
 }
 
-// MarkCurrent records that the stream s ended at offset end at the given time, and reports
-// whether the replica has been read that far. If not, it was not up to date then.
-func (r *Replica) MarkCurrent(s metastore.Stream, end int64, at time.Time) bool {
+// MarkCurrent records that the stream s ended at the given position at the given time, and
+// reports whether the replica has been read that far. If not, it was not up to date then.
+func (r *Replica) MarkCurrent(s metastore.Stream, end metastore.Position, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.streams[s]
-	if !st.initialized || st.nextOffset < end {
+	if !st.initialized || st.next.Before(end) {
 		return false
 	}
 	if at.After(st.currentAt) {
@@ -236,13 +246,13 @@
 	return true
 }
 
-// Positions returns NextOffset of each stream.
-func (r *Replica) Positions() map[metastore.Stream]int64 {
+// Positions returns Next of each stream.
+func (r *Replica) Positions() map[metastore.Stream]metastore.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[metastore.Stream]int64{}
+	out := map[metastore.Stream]metastore.Position{}
 	for s, st := range r.streams {
-		out[s] = st.nextOffset
+		out[s] = st.next
 	}
 	return out
 }
@@ -285,13 +295,13 @@
 	return now.Sub(r.logFailedAt)
 }
 
-// Fetch returns the batches that a follower lacks. The offsets are its FetchOffset for
+// Fetch returns the batches that a follower lacks. The positions are its FetchFrom for
 // each stream. If nothing is missing, Fetch waits up to wait for the next update.
-func (r *Replica) Fetch(ctx context.Context, offsets map[metastore.Stream]int64, wait time.Duration) []Batch {
+func (r *Replica) Fetch(ctx context.Context, positions map[metastore.Stream]metastore.Position, wait time.Duration) []Batch {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
-		out, updated := r.missing(offsets)
+		out, updated := r.missing(positions)
 		if len(out) > 0 {
 			return out
 		}
@@ -305,17 +315,17 @@
 	}
 }
 
-// missing returns the batches that a follower with the given offsets lacks, and the
+// missing returns the batches that a follower at the given positions lacks, and the
 // channel that is closed at the next update.
-func (r *Replica) missing(offsets map[metastore.Stream]int64) ([]Batch, <-chan struct{}) {
+func (r *Replica) missing(positions map[metastore.Stream]metastore.Position) ([]Batch, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Batch
 	for _, s := range Streams {
 		st := r.streams[s]
-		offset, requested := offsets[s]
-		if requested && st.initialized && offset < st.nextOffset {
-			out = append(out, st.since(s, offset))
+		position, requested := positions[s]
+		if requested && st.initialized && position.Before(st.next) {
+			out = append(out, st.since(s, position))
 		}
 	}
 	return out, r.updated
@@ -332,12 +342,16 @@
 	return bases
 }
 
-// since returns the records from offset on, or the newest of each key if not all of them
-// are kept any more. An ownership record holds a full table and only the newest of a key
+// since returns the records from the given position on, or the newest of each key if not all of
+// them are kept any more or the position is of an earlier era. An ownership record holds a full table and only the newest of a key
 // is needed, so for that stream it returns the deltas from the follower's tables, if those
 // are known, or else the newest records.
-func (st *stream) since(s metastore.Stream, offset int64) Batch {
-	b := Batch{Stream: s, NextOffset: st.nextOffset}
+func (st *stream) since(s metastore.Stream, position metastore.Position) Batch {
+	b := Batch{Stream: s, Next: st.next}
+	offset := position.Offset
+	if position.Era != st.next.Era {
+		offset = unread.Offset
+	}
 	if s == metastore.StreamOwnership {
 		if b.Deltas = st.deltasSince(offset); b.Deltas != nil {
 			return b
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -17,6 +17,9 @@
 const upstreams = metastore.StreamUpstreams
 
 // newRecord returns a record; an empty value means that its key is deleted.
+// at returns the position at an offset in the only era of most tests.
+func at(offset int64) metastore.Position { return metastore.Position{Offset: offset} }
+
 func newRecord(offset int64, key, value string) metastore.Record {
 	r := metastore.Record{Key: key, Offset: offset}
 	if value != "" {
@@ -46,7 +49,7 @@
 	p.Property("same content after catching up", prop.ForAll(func(seed uint64) (string, error) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		planner, follower := NewReplica(), NewReplica()
-		planner.Apply(Batch{Stream: upstreams, Reset: true, NextOffset: 0})
+		planner.Apply(Batch{Stream: upstreams, Reset: true, Next: at(0)})
 		want := map[string]string{}
 		var log []metastore.Record
 		for range 200 {
@@ -63,25 +66,25 @@
 				if value != "" {
 					want[key] = value
 				}
-				planner.Apply(Batch{Stream: upstreams, Records: []metastore.Record{r}, NextOffset: r.Offset + 1})
+				planner.Apply(Batch{Stream: upstreams, Records: []metastore.Record{r}, Next: at(r.Offset + 1)})
 			case 3: // records of the log arrive again, or too early
 				if len(log) > 0 {
 					from := rng.IntN(len(log))
-					follower.Apply(Batch{Stream: upstreams, Records: log[from:], NextOffset: int64(len(log))})
+					follower.Apply(Batch{Stream: upstreams, Records: log[from:], Next: at(int64(len(log)))})
 				}
 			case 4: // the planner read the newest records only
 				var recs []metastore.Record
 				for k, v := range want {
 					recs = append(recs, newRecord(0, k, v))
 				}
-				planner.Apply(Batch{Stream: upstreams, Reset: true, Records: recs, NextOffset: int64(len(log))})
+				planner.Apply(Batch{Stream: upstreams, Reset: true, Records: recs, Next: at(int64(len(log)))})
 			default:
-				for _, b := range planner.Fetch(context.Background(), map[metastore.Stream]int64{upstreams: follower.NextOffset(upstreams)}, time.Nanosecond) {
+				for _, b := range planner.Fetch(context.Background(), map[metastore.Stream]metastore.Position{upstreams: follower.Next(upstreams)}, time.Nanosecond) {
 					follower.Apply(b)
 				}
 			}
 		}
-		for _, b := range planner.Fetch(context.Background(), map[metastore.Stream]int64{upstreams: follower.NextOffset(upstreams)}, time.Nanosecond) {
+		for _, b := range planner.Fetch(context.Background(), map[metastore.Stream]metastore.Position{upstreams: follower.Next(upstreams)}, time.Nanosecond) {
 			follower.Apply(b)
 		}
 		if got := valuesByKey(follower); fmt.Sprint(got) != fmt.Sprint(want) {
@@ -96,13 +99,13 @@
 // time is up.
 func TestFetchReturnsWhenRecordsArrive(t *testing.T) {
 	replica := NewReplica()
-	replica.Apply(Batch{Stream: upstreams, Reset: true, NextOffset: 5})
+	replica.Apply(Batch{Stream: upstreams, Reset: true, Next: at(5)})
 	go func() {
 		time.Sleep(20 * time.Millisecond)
-		replica.Apply(Batch{Stream: upstreams, Records: []metastore.Record{newRecord(5, "u1", "x")}, NextOffset: 6})
+		replica.Apply(Batch{Stream: upstreams, Records: []metastore.Record{newRecord(5, "u1", "x")}, Next: at(6)})
 	}()
 	start := time.Now()
-	got := replica.Fetch(context.Background(), map[metastore.Stream]int64{upstreams: 5}, 5*time.Second)
+	got := replica.Fetch(context.Background(), map[metastore.Stream]metastore.Position{upstreams: at(5)}, 5*time.Second)
 	if len(got) != 1 || len(got[0].Records) != 1 || time.Since(start) > time.Second {
 		t.Fatalf("fetched %+v after %v, want one record within 1s", got, time.Since(start))
 	}
@@ -112,11 +115,11 @@
 // each key.
 func TestFetchBeforeRecentRecordsResets(t *testing.T) {
 	replica := NewReplica()
-	replica.Apply(Batch{Stream: upstreams, Reset: true, NextOffset: 0})
+	replica.Apply(Batch{Stream: upstreams, Reset: true, Next: at(0)})
 	for i := range int64(maxRecentRecords + 10) {
-		replica.Apply(Batch{Stream: upstreams, Records: []metastore.Record{newRecord(i, fmt.Sprint("u", i), "x")}, NextOffset: i + 1})
+		replica.Apply(Batch{Stream: upstreams, Records: []metastore.Record{newRecord(i, fmt.Sprint("u", i), "x")}, Next: at(i + 1)})
 	}
-	got := replica.Fetch(context.Background(), map[metastore.Stream]int64{upstreams: 3}, time.Nanosecond)
+	got := replica.Fetch(context.Background(), map[metastore.Stream]metastore.Position{upstreams: at(3)}, time.Nanosecond)
 	if len(got) != 1 || !got[0].Reset || len(got[0].Records) != maxRecentRecords+10 {
 		t.Fatalf("fetched %+v, want a reset with all %d keys", got, maxRecentRecords+10)
 	}
@@ -128,16 +131,16 @@
 	replica := NewReplica()
 	now := time.Now()
 	for _, s := range Streams {
-		replica.Apply(Batch{Stream: s, Reset: true, NextOffset: 3})
+		replica.Apply(Batch{Stream: s, Reset: true, Next: at(3)})
 	}
 	if replica.Age(now) < time.Hour {
 		t.Error("a replica that was never marked current counts as current")
 	}
-	replica.MarkCurrent(metastore.StreamOperators, 3, now)
+	replica.MarkCurrent(metastore.StreamOperators, at(3), now)
 	if replica.Age(now) < time.Hour {
 		t.Error("a replica with a stream that was never marked current counts as current")
 	}
-	replica.MarkCurrent(upstreams, 3, now.Add(-time.Second))
+	replica.MarkCurrent(upstreams, at(3), now.Add(-time.Second))
 	if got := replica.Age(now); got != time.Second {
 		t.Errorf("age %v, want that of the older stream, 1s", got)
 	}
@@ -148,17 +151,17 @@
 func TestFetchSendsOnlyTheNewestOwnershipRecord(t *testing.T) {
 	replica, follower := NewReplica(), NewReplica()
 	own := metastore.StreamOwnership
-	replica.Apply(Batch{Stream: own, Reset: true, NextOffset: 0})
+	replica.Apply(Batch{Stream: own, Reset: true, Next: at(0)})
 	for i := range int64(5) {
-		replica.Apply(Batch{Stream: own, Records: []metastore.Record{newRecord(i, "svc", fmt.Sprint("table ", i))}, NextOffset: i + 1})
+		replica.Apply(Batch{Stream: own, Records: []metastore.Record{newRecord(i, "svc", fmt.Sprint("table ", i))}, Next: at(i + 1)})
 	}
-	got := replica.Fetch(context.Background(), map[metastore.Stream]int64{own: 1}, time.Nanosecond)
+	got := replica.Fetch(context.Background(), map[metastore.Stream]metastore.Position{own: at(1)}, time.Nanosecond)
 	if len(got) != 1 || len(got[0].Records) != 1 || string(got[0].Records[0].Value) != "table 4" {
 		t.Fatalf("fetched %+v, want the newest record only", got)
 	}
 	follower.Apply(got[0])
-	if follower.NextOffset(own) != 5 {
-		t.Errorf("next offset of the follower %d, want 5", follower.NextOffset(own))
+	if follower.Next(own).Offset != 5 {
+		t.Errorf("next offset of the follower %d, want 5", follower.Next(own).Offset)
 	}
 }
 
@@ -167,14 +170,14 @@
 func TestReplicaWithoutTheLastRecordsIsNotCurrent(t *testing.T) {
 	replica, now := NewReplica(), time.Now()
 	for _, s := range Streams {
-		if replica.MarkCurrent(s, 0, now) {
+		if replica.MarkCurrent(s, at(0), now) {
 			t.Errorf("%s: current before it was read", s)
 		}
-		replica.Apply(Batch{Stream: s, Reset: true, NextOffset: 3})
-		replica.MarkCurrent(s, 3, now.Add(-time.Minute))
-		replica.Apply(Batch{Stream: s, Records: []metastore.Record{newRecord(4, "a", "x")}, NextOffset: 5}) // record 3 is missing
-		if replica.MarkCurrent(s, 5, now) {
-			t.Errorf("%s: current up to record 5, but read only up to %d", s, replica.NextOffset(s))
+		replica.Apply(Batch{Stream: s, Reset: true, Next: at(3)})
+		replica.MarkCurrent(s, at(3), now.Add(-time.Minute))
+		replica.Apply(Batch{Stream: s, Records: []metastore.Record{newRecord(4, "a", "x")}, Next: at(5)}) // record 3 is missing
+		if replica.MarkCurrent(s, at(5), now) {
+			t.Errorf("%s: current up to record 5, but read only up to %d", s, replica.Next(s).Offset)
 		}
 	}
 	if got := replica.Age(now); got != time.Minute {
@@ -190,10 +193,10 @@
 	for i := range int64(20) {
 		value := make([]byte, minBaseBytes)
 		value[0] = byte(i)
-		replica.Apply(Batch{Stream: upstreams, Records: []metastore.Record{{Key: "large", Value: value, Offset: i}}, NextOffset: i + 1})
+		replica.Apply(Batch{Stream: upstreams, Records: []metastore.Record{{Key: "large", Value: value, Offset: i}}, Next: at(i + 1)})
 		if i == 3 || i == 18 || i == 19 {
-			next := follower.NextOffset(upstreams)
-			got := replica.Fetch(context.Background(), map[metastore.Stream]int64{upstreams: next}, time.Nanosecond)
+			next := follower.Next(upstreams)
+			got := replica.Fetch(context.Background(), map[metastore.Stream]metastore.Position{upstreams: next}, time.Nanosecond)
 			if len(got) != 1 || len(got[0].Records) != 1 || got[0].Records[0].Offset != i {
 				t.Fatalf("fetched %d batches, want one with the record at offset %d only", len(got), i)
 			}
@@ -203,10 +206,45 @@
 			follower.Apply(got[0])
 		}
 	}
-	if got := follower.NextOffset(upstreams); got != 20 {
+	if got := follower.Next(upstreams).Offset; got != 20 {
 		t.Errorf("the follower was read up to %d, want 20", got)
 	}
 	if n := len(replica.streams[upstreams].recent); n != 1 {
 		t.Errorf("%d records are kept for one key", n)
 	}
 }
+
+// Guards against a replica, or a follower of one, that keeps the records of a lost history because
+// the new one ends at a lower offset, or mixes both.
+func TestResetOfALaterEraReplacesALongerHistory(t *testing.T) {
+	host, follower := NewReplica(), NewReplica()
+	host.Apply(Batch{Stream: upstreams, Reset: true, Next: metastore.Position{Era: 4, Offset: 9}, Records: []metastore.Record{newRecord(8, "u1", "old")}})
+	follow := func() {
+		for _, b := range host.Fetch(context.Background(), map[metastore.Stream]metastore.Position{upstreams: follower.FetchFrom(upstreams)}, time.Nanosecond) {
+			follower.Apply(b)
+		}
+	}
+	follow()
+	start := metastore.Position{Era: 5, Offset: 2}
+	if added := host.Apply(Batch{Stream: upstreams, Reset: true, Next: start, Records: []metastore.Record{newRecord(1, "u2", "copy")}}); added == nil || !added.NewEra {
+		t.Fatalf("the reset was applied as %+v, want one of a new era", added)
+	}
+	for i := start.Offset; i < 12; i++ {
+		next := metastore.Position{Era: 5, Offset: i + 1}
+		host.Apply(Batch{Stream: upstreams, Next: next, Records: []metastore.Record{newRecord(i, "u3", fmt.Sprint(i))}})
+		if i == 8 { // the new history is as long as the old one was
+			follow()
+		}
+		old := metastore.Position{Era: 4, Offset: i + 1}
+		if follower.Apply(Batch{Stream: upstreams, Next: old, Records: []metastore.Record{newRecord(i, "u1", "late")}}) != nil && i >= 8 {
+			t.Error("a record of the lost history was applied to the new one")
+		}
+		if follower.MarkCurrent(upstreams, next, time.Now()) && follower.Next(upstreams).Before(next) {
+			t.Error("the follower counts as current without the records of the new history")
+		}
+	}
+	follow()
+	if got, want := fmt.Sprint(valuesByKey(follower)), fmt.Sprint(valuesByKey(host)); got != want || follower.Next(upstreams) != host.Next(upstreams) {
+		t.Errorf("the follower has %s up to %+v, want %s", got, follower.Next(upstreams), want)
+	}
+}
--- a/internal/relay/tables.go
+++ b/internal/relay/tables.go
@@ -65,20 +65,20 @@
 }
 
 // ApplyTables stores tables that result from deltas, by the offsets of their records,
-// and advances the ownership stream to nextOffset. It reports false, and stores nothing,
-// if the stream was never read or has reached nextOffset already.
-func (r *Replica) ApplyTables(nextOffset int64, tables map[int64]*ownership.Table) bool {
+// and advances the ownership stream to next. It reports false, and stores nothing, if the
+// stream was never read, has reached next already or is of another era.
+func (r *Replica) ApplyTables(next metastore.Position, tables map[int64]*ownership.Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.streams[metastore.StreamOwnership]
-	if !st.initialized || nextOffset <= st.nextOffset {
+	if !st.initialized || next.Era != st.next.Era || !st.next.Before(next) {
 		return false
 	}
 	for offset, t := range tables {
 		st.newest[t.Service] = metastore.Record{Key: t.Service, Offset: offset}
 		st.keepTable(offset, t)
 	}
-	st.nextOffset = nextOffset
+	st.next = next
 	st.recent = nil
 	r.notify()
 	return true
@@ -86,7 +86,7 @@
 
 // RequestFullTables records that a delta did not apply to this host's tables: an earlier
 // delta was lost, or the host read the log service in between. Until full tables arrive,
-// FetchOffset returns -1, to which Fetch of another replica responds with full tables.
+// FetchFrom returns offset -1, to which Fetch of another replica responds with full tables.
 func (r *Replica) RequestFullTables() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/tables_test.go
+++ b/internal/relay/tables_test.go
@@ -58,7 +58,7 @@
 			h.replica.RequestFullTables()
 			return
 		}
-		if h.replica.ApplyTables(b.NextOffset, map[int64]*ownership.Table{encoded.Offset: next}) {
+		if h.replica.ApplyTables(b.Next, map[int64]*ownership.Table{encoded.Offset: next}) {
 			h.table = next
 		}
 	}
@@ -66,7 +66,7 @@
 
 // fetch makes one call of h to the host that it fetches from.
 func (h *tableHost) fetch(from *tableHost) []Batch {
-	offsets := map[metastore.Stream]int64{metastore.StreamOwnership: h.replica.FetchOffset(metastore.StreamOwnership)}
+	offsets := map[metastore.Stream]metastore.Position{metastore.StreamOwnership: h.replica.FetchFrom(metastore.StreamOwnership)}
 	return from.replica.Fetch(context.Background(), offsets, time.Nanosecond)
 }
 
@@ -102,7 +102,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			batch := Batch{Stream: metastore.StreamOwnership, NextOffset: offset + 1,
+			batch := Batch{Stream: metastore.StreamOwnership, Next: at(offset + 1),
 				Records: []metastore.Record{{Key: "s", Value: data, Offset: offset}}}
 			planner.table = table
 			planner.replica.KeepTable(offset, table)
@@ -154,7 +154,7 @@
 			t.Fatal(err)
 		}
 		planner.replica.KeepTable(offset, table)
-		planner.replica.Apply(Batch{Stream: metastore.StreamOwnership, NextOffset: offset + 1, Records: []metastore.Record{{Key: "s", Value: data, Offset: offset}}})
+		planner.replica.Apply(Batch{Stream: metastore.StreamOwnership, Next: at(offset + 1), Records: []metastore.Record{{Key: "s", Value: data, Offset: offset}}})
 		for _, b := range host.fetch(planner) {
 			host.apply(t, b)
 		}
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -66,8 +66,8 @@
 	l.put(s, key, value)
 }
 
-// put appends a record and returns the stream's new end. l.mu must be locked.
-func (l *Log) put(s metastore.Stream, key string, value []byte) int64 {
+// put appends a record. l.mu must be locked.
+func (l *Log) put(s metastore.Stream, key string, value []byte) {
 	st := l.stream(s)
 	r := metastore.Record{Key: key, Value: value, Offset: st.first + int64(len(st.records))}
 	st.records = append(st.records, r)
@@ -78,7 +78,6 @@
 	}
 	close(l.changed)
 	l.changed = make(chan struct{})
-	return r.Offset + 1
 }
 
 // SetDown sets whether the service is down: every call then fails with
@@ -146,22 +145,27 @@
 }
 
 // Newest implements metastore.Store.
-func (l *Log) Newest(_ context.Context, s metastore.Stream) ([]metastore.Record, int64, error) {
+func (l *Log) Newest(_ context.Context, s metastore.Stream) ([]metastore.Record, metastore.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.beginCall("newest"); err != nil {
-		return nil, 0, err
+		return nil, metastore.Position{}, err
 	}
 	st := l.stream(s)
 	var out []metastore.Record
 	for _, r := range st.newestByKey {
 		out = append(out, r)
 	}
-	return out, st.first + int64(len(st.records)), nil
+	return out, l.endOf(st), nil
+}
+
+// endOf returns the position of a stream's end. l.mu must be locked.
+func (l *Log) endOf(st *stream) metastore.Position {
+	return metastore.Position{Era: l.era, Offset: st.first + int64(len(st.records))}
 }
 
 // Read implements metastore.Store.
-func (l *Log) Read(ctx context.Context, s metastore.Stream, from int64, wait time.Duration) (metastore.Batch, error) {
+func (l *Log) Read(ctx context.Context, s metastore.Stream, from metastore.Position, wait time.Duration) (metastore.Batch, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	l.mu.Lock()
@@ -172,13 +176,17 @@
 			return metastore.Batch{}, metastore.ErrRejected
 		}
 		st := l.stream(s)
-		end := st.first + int64(len(st.records))
-		if from < st.first || from > end {
+		end := l.endOf(st)
+		if from.Offset < st.first || from.Offset > end.Offset {
 			l.mu.Unlock()
 			return metastore.Batch{}, metastore.ErrTrimmed
 		}
-		if from < end {
-			recs := append([]metastore.Record(nil), st.records[from-st.first:]...)
+		if from.Era != l.era {
+			l.mu.Unlock()
+			return metastore.Batch{}, metastore.ErrEraChanged
+		}
+		if from.Before(end) {
+			recs := append([]metastore.Record(nil), st.records[from.Offset-st.first:]...)
 			l.mu.Unlock()
 			return metastore.Batch{Records: recs, Next: end, End: end}, nil
 		}
@@ -196,16 +204,20 @@
 }
 
 // AppendAt implements metastore.Store.
-func (l *Log) AppendAt(_ context.Context, s metastore.Stream, key string, value []byte, at int64) (int64, error) {
+func (l *Log) AppendAt(_ context.Context, s metastore.Stream, key string, value []byte, at metastore.Position) (metastore.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.beginCall("append"); err != nil {
-		return 0, err
+		return metastore.Position{}, err
+	}
+	if l.endOf(l.stream(s)).Offset != at.Offset {
+		return metastore.Position{}, metastore.ErrConflict
 	}
-	if st := l.stream(s); st.first+int64(len(st.records)) != at {
-		return 0, metastore.ErrConflict
+	l.put(s, key, value)
+	if at.Era != l.era { // the service knows only the offset
+		return metastore.Position{}, metastore.ErrEraChanged
 	}
-	return l.put(s, key, value), nil
+	return l.endOf(l.stream(s)), nil
 }
 
 // Append implements metastore.Store.
@@ -235,7 +247,7 @@
 	if l.leaseHolder == member {
 		l.leaseExpiresAt = time.Now().Add(ttl)
 	}
-	return metastore.JoinResult{Generation: l.leaseGeneration, Held: l.leaseHolder == member}, nil
+	return metastore.JoinResult{Generation: l.leaseGeneration, Held: l.leaseHolder == member, Era: l.era}, nil
 }
 
 // LeaveElection implements metastore.Store.
