ownership: fencing tokens and terms rise with the log's era

What callers saw (OWNER): after all processes had started again, two upstreams had a key under one fencing token. Cause: the next token and term came from the newest table in the log alone; when its later records are lost, the same numbers are given out again, for other owners, and nobody remembers. Change: a table records the era of its term. A takeover in a later era raises token and term by 2^20 for each era, more than the records that a return can lose; the era itself gives a lower bound for a log that has lost all records. They stay below 2^53, and records without an era stay readable.

--- a/internal/ownership/delta.go
+++ b/internal/ownership/delta.go
@@ -74,7 +74,7 @@
 func (t *Table) Digest() uint64 {
 	b := make([]byte, 0, digestBytesPerRange*(len(t.Ranges)+1))
 	b = appendStrings(b, t.Service, t.Planner, t.PlannerAddr, t.Cause)
-	b = appendInts(b, t.Term, t.MaxFencingToken, int64(len(t.PreviousPlanners)), int64(len(t.Lost)), int64(len(t.Ranges)))
+	b = appendInts(b, t.Era, t.Term, t.MaxFencingToken, int64(len(t.PreviousPlanners)), int64(len(t.Lost)), int64(len(t.Ranges)))
 	for _, p := range t.PreviousPlanners {
 		b = appendStrings(b, p.Host, p.Addr)
 	}
--- a/internal/ownership/delta_test.go
+++ b/internal/ownership/delta_test.go
@@ -17,7 +17,7 @@
 func randomSuccessor(t *Table, rng *rand.Rand) *Table {
 	switch rng.IntN(8) {
 	case 0:
-		return t.TakeOver(fmt.Sprint("h", rng.IntN(3)), "a:1")
+		return t.TakeOver(fmt.Sprint("h", rng.IntN(3)), "a:1", 0)
 	case 1:
 		return t.WithLost([]string{fmt.Sprint("u", rng.IntN(9))})
 	}
@@ -74,7 +74,7 @@
 // Every field of a table must affect its digest: a field that does not could
 // differ on a host permanently and unnoticed.
 func TestDigestCoversEveryField(t *testing.T) {
-	base := NewTable("s").TakeOver("h", "a:1").Apply([]Move{{From: 10, To: 20, NewOwner: "u"}})
+	base := NewTable("s").TakeOver("h", "a:1", 0).Apply([]Move{{From: 10, To: 20, NewOwner: "u"}})
 	seen := map[uint64]string{base.Digest(): "unchanged"}
 	check := func(name string, changed *Table) {
 		if other, ok := seen[changed.Digest()]; ok {
--- a/internal/ownership/rebalance_test.go
+++ b/internal/ownership/rebalance_test.go
@@ -195,7 +195,7 @@
 // FuzzDecode checks that a table which Decode accepts covers every key exactly
 // once, whatever the record contains.
 func FuzzDecode(f *testing.F) {
-	data, err := NewTable("s").TakeOver("h", "a:1").Encode()
+	data, err := NewTable("s").TakeOver("h", "a:1", 0).Encode()
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -40,6 +40,9 @@
 // Table is one service's ownership at one offset of the log. It is immutable.
 type Table struct {
 	Service string `json:"service"`
+	// Era is the log's era in which the term began; 0 if the log service states none, or in
+	// records of earlier builds.
+	Era int64 `json:"era,omitempty"`
 	// Term is the planner's term; the first record of each term increments it.
 	Term int64 `json:"term"`
 	// Planner is the host that wrote the record, PlannerAddr the address at
@@ -153,14 +156,20 @@
 	HandoverToken string
 }
 
-// TakeOver returns the first table of a new planner's term. Every range keeps
-// its owner under a higher fencing token, so that each upstream that has seen
-// the new token rejects the renewals that the previous planner still sends.
-func (t *Table) TakeOver(planner, addr string) *Table {
+// eraStride is by how much fencing tokens and terms rise with each era of the log. It exceeds
+// the number of records that a return of the log from an older copy can lose.
+const eraStride = 1 << 20
+
+// TakeOver returns the first table of a new planner's term, which begins in the given era of the
+// log. Every range keeps its owner under a higher fencing token, so that each upstream that has
+// seen the new token rejects the renewals that the previous planner still sends. Token and
+// term are above all of earlier eras, also of records that are lost.
+func (t *Table) TakeOver(planner, addr string, era int64) *Table {
 	next := t.cloneWithPlanner(planner, addr)
-	next.Term++
+	next.Term = firstInEra(t.Term, t.Era, era)
+	next.MaxFencingToken = firstInEra(t.MaxFencingToken, t.Era, era)
+	next.Era = era
 	next.PreviousPlanners = t.grantingPlanners()
-	next.MaxFencingToken++
 	for i := range next.Ranges {
 		next.Ranges[i].FencingToken = next.MaxFencingToken
 	}
@@ -168,6 +177,16 @@
 	return next
 }
 
+// firstInEra returns the number after last, which was recorded in era lastEra, for a record in
+// the given era. A record without an era is taken for one of the given era. The era itself
+// gives a lower bound, for a log that has lost every record.
+func firstInEra(last, lastEra, era int64) int64 {
+	if lastEra != 0 && era > lastEra {
+		last += min(era-lastEra, eraStride) * eraStride
+	}
+	return max(last, era%eraStride*eraStride) + 1
+}
+
 // grantingPlanners returns the planners that may still send grants: the table's
 // own and the previous ones.
 func (t *Table) grantingPlanners() []PlannerHost {
--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -120,5 +120,5 @@
 
 // tableOfOtherPlanner returns the first record of a next term of another host.
 func (h *harness) tableOfOtherPlanner() *ownership.Table {
-	return h.table.TakeOver("other", "other:1")
+	return h.table.TakeOver("other", "other:1", 0)
 }
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -170,7 +170,7 @@
 		// planner to follow before each of them has read the log for itself.
 		base = ownership.NewTable(t.name)
 	}
-	next := base.TakeOver(t.p.opts.Host, t.p.opts.PeerAddr)
+	next := base.TakeOver(t.p.opts.Host, t.p.opts.PeerAddr, t.p.era)
 	t.number = next.Term
 	t.base = t.table
 	if t.base != nil {
