planner: grants of the log's lost records end before their keys are granted anew

Change: the first planner of an era grants only ranges that are proven; the others wait until every grant of an earlier era has expired (MaxRenewalAge + maxGrantValidity after this host saw the era, 9.2 s). The last planner proves its ranges: when it sees the new era it renews each grant once more under its old token, over open connections, and hands the result to the new planner in its reply to Retire. An accepted renewal shows that no other planner has moved the range. Waiting for everything would have cost callers 9 s each time; releasing all keys at all upstreams first does not rule out late grants. The harness's log writes the lost records again only where nothing newer was written, as operators do.

--- a/internal/entryhost/actions.go
+++ b/internal/entryhost/actions.go
@@ -37,14 +37,15 @@
 	case *planner.Append:
 		go c.append(ctx, a)
 	case *planner.Retire:
+		era := c.era
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
-			host, retired, err := c.retirer.Retire(callCtx, a.Addr, a.Service, a.Term)
+			host, retired, closing, err := c.retirer.Retire(callCtx, a.Addr, a.Service, a.Term, era)
 			cancel()
 			if err != nil {
 				c.zl.Debug("previous planner does not respond", zap.Int("event", events.PreviousPlannerUnreachable), zap.String("peer", a.Host), ErrorField(err))
 			}
-			c.post(ctx, func() { c.planner.RetireDone(a, host, retired, c.clock()) })
+			c.post(ctx, func() { c.planner.RetireDone(a, host, retired, closing, c.clock()) })
 		}()
 	case *planner.Grant:
 		go func() {
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -67,9 +67,9 @@
 // Retirer asks a previous planner to stop sending grants.
 type Retirer interface {
 	// Retire asks the host at addr to send no grant of a term before the given
-	// one. It returns that host's name and whether no such grant is in flight
-	// any more.
-	Retire(ctx context.Context, addr, service string, term int64) (host string, retired bool, err error)
+	// one. It returns that host's name, whether no such grant is in flight any more, and
+	// the closing of its last term if the log has returned before the given era.
+	Retire(ctx context.Context, addr, service string, term, era int64) (host string, retired bool, closing *ownership.Table, err error)
 }
 
 // controller owns the host's state: desired state, upstreams, ownership and the
--- a/internal/entryhost/status.go
+++ b/internal/entryhost/status.go
@@ -47,15 +47,23 @@
 }
 
 // retire stops this host's planning of the service in terms before the given
-// one. It reports whether no grant of those terms is in flight any more.
-func (h *host) retire(ctx context.Context, service string, term int64) bool {
-	done := make(chan bool, 1)
-	h.controller.post(ctx, func() { done <- h.controller.planner.Retire(service, term, h.controller.clock()) })
+// one, which the caller plans in the given era of the log; see planner.Planner.Retire.
+func (h *host) retire(ctx context.Context, service string, term, era int64) (bool, *ownership.Table) {
+	type result struct {
+		retired bool
+		closing *ownership.Table
+	}
+	done := make(chan result, 1)
+	h.controller.post(ctx, func() {
+		h.controller.observeEra(era)
+		retired, closing := h.controller.planner.Retire(service, term, h.controller.clock())
+		done <- result{retired, closing}
+	})
 	select {
-	case retired := <-done:
-		return retired
+	case r := <-done:
+		return r.retired, r.closing
 	case <-ctx.Done():
-		return false
+		return false, nil
 	}
 }
 
--- a/internal/ownership/delta.go
+++ b/internal/ownership/delta.go
@@ -80,7 +80,11 @@
 	}
 	b = appendStrings(b, t.Lost...)
 	for _, r := range t.Ranges {
-		b = appendInts(b, int64(r.From), int64(r.To), r.FencingToken)
+		unproven := int64(0)
+		if r.Unproven {
+			unproven = 1
+		}
+		b = appendInts(b, int64(r.From), int64(r.To), r.FencingToken, unproven)
 		b = appendStrings(b, r.Owner, r.HandoverToken)
 	}
 	return xxhash.Sum64(b)
--- a/internal/ownership/delta_test.go
+++ b/internal/ownership/delta_test.go
@@ -104,6 +104,8 @@
 		f.SetString(f.String() + "x")
 	case reflect.Int, reflect.Int64:
 		f.SetInt(f.Int() + 1000)
+	case reflect.Bool:
+		f.SetBool(!f.Bool())
 	case reflect.Slice:
 		f.Set(reflect.Append(reflect.MakeSlice(f.Type(), 0, 1), reflect.Zero(f.Type().Elem())))
 	default:
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -28,10 +28,15 @@
 	// the keys, or empty if there is none. Owner serves them at full speed at once
 	// if its grant carries the token.
 	HandoverToken string `json:"h,omitempty"`
+	// Unproven means that another upstream may hold keys of the range by a grant whose record is
+	// lost. Nobody is granted them until that has expired; see package planner.
+	Unproven bool `json:"u,omitempty"`
 }
 
 // PlannerHost is a host that is or was the planner.
 type PlannerHost struct {
+	// Host is empty for planners of which nothing is known, as the records of their terms are
+	// lost.
 	Host string `json:"h"`
 	// Addr is the address at which other hosts reach it.
 	Addr string `json:"a"`
@@ -74,6 +79,35 @@
 	return next
 }
 
+// WithUnproven returns the table with all ranges unproven but the given ones, which must be
+// parts of its ranges and must not overlap.
+func (t *Table) WithUnproven(proven []Range) *Table {
+	next := t.cloneWithPlanner(t.Planner, t.PlannerAddr)
+	for i := range next.Ranges {
+		next.Ranges[i].Unproven = true
+	}
+	proven = slices.Clone(proven)
+	slices.SortFunc(proven, func(x, y Range) int { return cmp.Compare(x.From, y.From) })
+	next.Ranges = overlay(next.Ranges, proven)
+	return next
+}
+
+// HasUnproven reports whether a range is unproven.
+func (t *Table) HasUnproven() bool {
+	return slices.ContainsFunc(t.Ranges, func(r Range) bool { return r.Unproven })
+}
+
+// Proven returns the table without unproven ranges, under a higher MaxFencingToken.
+func (t *Table) Proven() *Table {
+	next := t.cloneWithPlanner(t.Planner, t.PlannerAddr)
+	next.MaxFencingToken++
+	for i := range next.Ranges {
+		next.Ranges[i].Unproven = false
+	}
+	next.mergeAdjacent()
+	return next
+}
+
 // IsLost reports whether the owner is marked as lost.
 func (t *Table) IsLost(owner string) bool {
 	_, found := slices.BinarySearch(t.Lost, owner)
@@ -277,7 +311,7 @@
 	for _, r := range t.Ranges {
 		if n := len(out); n > 0 {
 			last := &out[n-1]
-			if last.Owner == r.Owner && last.FencingToken == r.FencingToken && last.HandoverToken == r.HandoverToken {
+			if last.Owner == r.Owner && last.FencingToken == r.FencingToken && last.HandoverToken == r.HandoverToken && last.Unproven == r.Unproven {
 				last.To = r.To
 				continue
 			}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,6 +32,7 @@
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/keyload"
 	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/relay"
 	"github.com/papayatide/papayatide/rpc/peerpb"
@@ -195,13 +196,19 @@
 
 // Retire requests that the host at addr (host:port), a previous planner, send no more
 // grants of a service in terms before the given one. The host itself keeps running. It
-// returns the name of that host and whether no such grant is in flight any more.
-func (c *Client) Retire(ctx context.Context, addr, service string, term int64) (host string, retired bool, err error) {
-	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Retire(ctx, &peerpb.RetireRequest{Service: service, Term: term})
+// returns the name of that host, whether no such grant is in flight any more, and the closing of
+// its last term if the log has returned from an older copy before the given era.
+func (c *Client) Retire(ctx context.Context, addr, service string, term, era int64) (host string, retired bool, closing *ownership.Table, err error) {
+	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Retire(ctx, &peerpb.RetireRequest{Service: service, Term: term, Era: era})
 	if err != nil {
-		return "", false, eris.Wrapf(err, "peer %s: retire", addr)
+		return "", false, nil, eris.Wrapf(err, "peer %s: retire", addr)
 	}
-	return reply.Host, reply.Retired, nil
+	if len(reply.Closing) > 0 {
+		if closing, err = ownership.Decode(reply.Closing); err != nil {
+			return "", false, nil, eris.Wrapf(err, "peer %s: retire", addr)
+		}
+	}
+	return reply.Host, reply.Retired, closing, nil
 }
 
 func encodeLoad(l ServiceLoad) *peerpb.ServiceLoad {
@@ -299,7 +306,8 @@
 	Name string
 	// RetireTermsBefore stops this host's planning of a service in terms before the given
 	// one, and reports whether no grant from those terms is in flight any more.
-	RetireTermsBefore func(ctx context.Context, service string, term int64) bool
+	// After a return of the log before the given era it also returns the closing of its last term.
+	RetireTermsBefore func(ctx context.Context, service string, term, era int64) (retired bool, closing *ownership.Table)
 	// HostStatus returns this host's status.
 	HostStatus func(context.Context) *peerpb.StatusReply
 
@@ -312,7 +320,15 @@
 
 // Retire implements peerpb.Peer.
 func (s *Server) Retire(ctx context.Context, m *peerpb.RetireRequest) (*peerpb.RetireReply, error) {
-	return &peerpb.RetireReply{Host: s.Name, Retired: s.RetireTermsBefore(ctx, m.Service, m.Term)}, nil
+	retired, closing := s.RetireTermsBefore(ctx, m.Service, m.Term, m.Era)
+	reply := &peerpb.RetireReply{Host: s.Name, Retired: retired}
+	if closing != nil {
+		var err error
+		if reply.Closing, err = closing.Encode(); err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+	}
+	return reply, nil
 }
 
 // Status implements peerpb.Peer.
--- a/internal/planner/actions.go
+++ b/internal/planner/actions.go
@@ -26,7 +26,8 @@
 type LeaveElection struct{}
 
 // Retire asks a previous planner to send no more grants, which Planner.Retire
-// handles on its host; see Planner.RetireDone.
+// handles on its host; see Planner.RetireDone. After a return of the log it also asks for the
+// closing of that planner's last term.
 type Retire struct {
 	Service string
 	// Host is the previous planner's name, Addr the address at which its peers reach it.
@@ -57,6 +58,8 @@
 	ExistingConnOnly bool
 	// server is the state that counts the grant as in flight.
 	server *serverState
+	// closing is set for the last renewal of a term that the log's return has ended.
+	closing *closing
 }
 
 // Release takes a range of keys back; see Planner.ReleaseDone.
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -68,6 +68,34 @@
 // the lease changes hands several times within MaxRenewalAge, for example five times in
 // ten seconds, earlier ones may still send grants, and the keys would wait for them.
 //
+// # Return of the log from an older copy
+//
+// The log service may return from a copy that is some seconds old (metastore.Position). Records
+// since are lost, and with them which upstream has which keys: a key may be held by V although
+// the newest record names U. Tokens of the new era are above all earlier ones
+// (ownership.Table.TakeOver), but a higher token alone does not end V's grant.
+//
+// Every planner of an earlier era has renewed its lease before the new era began, and sends
+// nothing later than MaxRenewalAge after that. At Planner.lostGrantsUntil all its grants have
+// expired, whatever they were. Until then the first planner of the new era grants only ranges
+// that are proven; the others are marked in its table (ownership.Range.Unproven), so that its
+// successors wait as well.
+//
+// A range of the last term of planner P is proven for its owner U if U accepts a renewal under
+// P's own token after P has seen the new era, while P's last lease renewal is no older than
+// MaxRenewalAge. Another planner that moved the range off U did so through a record of an earlier
+// era, since an append that is answered in another era is not acted upon. Before that record,
+// by the conditions above, either U had acknowledged that planner's higher token, and rejects
+// P's; or maxGrantValidity had passed since the last grant that P may have sent, which P's
+// lease renewal rules out; or P had confirmed that it has retired, and then it renews nothing.
+// The renewal is sent over an open connection, so that it reaches no later incarnation of U.
+//
+// P sends these renewals when its host sees the new era, from the log service or in a request to
+// retire, and passes the result to the new planner in its reply (era.go). It sends nothing after that.
+// If P does not respond, or its host has restarted, all ranges wait. The keys of a fleet whose
+// planner lives through the return keep their owners; if no process remembers, they are without
+// one for MaxRenewalAge plus maxGrantValidity.
+//
 // # Handover
 //
 // An upstream that responds to a release returns a handover token, and the grant to
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -153,7 +153,7 @@
 func (t *term) moveToNewIncarnations(now bootclock.Time) bool {
 	found := false
 	for _, r := range t.table.Ranges {
-		if u := t.newerIncarnation(r.Owner); u != nil && !t.drainingOrCold(u) && !t.unavailable(u.ID, now) {
+		if u := t.newerIncarnation(r.Owner); u != nil && !r.Unproven && !t.drainingOrCold(u) && !t.unavailable(u.ID, now) {
 			t.startMove(ownership.Move{From: r.From, To: r.To, NewOwner: u.ID}, now)
 			found = true
 		}
@@ -187,7 +187,7 @@
 func (t *term) hasKeysNeedingNewOwner(now bootclock.Time) bool {
 	for _, r := range t.table.Ranges {
 		u := t.upstreams[r.Owner]
-		if u != nil && !t.drainingOrCold(u) && !t.unavailable(r.Owner, now) {
+		if r.Unproven || (u != nil && !t.drainingOrCold(u) && !t.unavailable(r.Owner, now)) {
 			continue
 		}
 		if len(t.subtractMoves(span{r.From, r.To})) > 0 {
@@ -234,6 +234,9 @@
 // term's token, which it does with its first grant, the range would have no owner until
 // those grants expire, up to 9.2 s later.
 func (t *term) mayStartMove(old ownership.Range, now bootclock.Time) bool {
+	if old.Unproven {
+		return false
+	}
 	if old.Owner == "" || old.FencingToken > t.firstFencingToken || now.Sub(t.previous.grantsUntilFor(old.Owner)) > t.p.opts.maxGrantValidity() {
 		return true
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -45,6 +45,9 @@
 	// era is the log's, eraSeenAt when this host first saw it; see era.go.
 	era       int64
 	eraSeenAt bootclock.Time
+	// closings holds the ends of this host's last terms of earlier eras, by service, until it
+	// starts a term of the present one.
+	closings map[string]*closing
 	// plannerSeenAt is the time from which noPlannerTimeout counts: when another
 	// planner was last seen, or since when this host would have seen one if
 	// there was one.
@@ -108,7 +111,7 @@
 
 // New returns a Planner for a host that does not hold the lease yet.
 func New(opts Options) *Planner {
-	return &Planner{opts: opts, terms: map[string]*term{}, pastTerms: map[string]*term{}, histories: map[string]*history{}, registrations: map[string]registrations{},
+	return &Planner{opts: opts, terms: map[string]*term{}, closings: map[string]*closing{}, pastTerms: map[string]*term{}, histories: map[string]*history{}, registrations: map[string]registrations{},
 		Limits: ownership.Limits{HighWatermark: highWatermark, LowWatermark: lowWatermark, MaxMoves: baseLoadMoves},
 		Load: func(_ string, upstreams []*catalogue.Upstream) (ownership.Load, float64) {
 			return ownership.Load{Capacity: slotsByID(upstreams)}, 0
@@ -154,6 +157,7 @@
 	if a := p.dueAcquireLease(now, v); a != nil {
 		out = append(out, a)
 	}
+	out = append(out, p.dueClosingGrants(now)...)
 	if p.shouldLeaveElection(now) {
 		p.lease.member = false
 		out = append(out, &LeaveElection{})
@@ -376,6 +380,10 @@
 // GrantDone handles the result of a Grant.
 func (p *Planner) GrantDone(g *Grant, err error, now bootclock.Time) {
 	g.server.recordResult(g, err, now)
+	if g.closing != nil {
+		g.closing.grantDone(g, err)
+		return
+	}
 	if t := p.terms[g.Service]; t != nil {
 		t.grantDone(g, err, now)
 	}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -13,7 +13,7 @@
 // keys; the package comment explains the conditions.
 func (t *term) safeToReassign(m *move, now bootclock.Time) bool {
 	if m.old.Owner == "" {
-		return true
+		return true // not unproven, as no move of such a range starts
 	}
 	if m.releaseInFlight == nil && catalogue.IsLaterIncarnation(m.dest, m.old.Owner) {
 		return true
@@ -85,6 +85,10 @@
 	if len(ready) > 0 {
 		next = next.Apply(ready)
 	}
+	if next.HasUnproven() && now.Sub(t.p.lostGrantsUntil()) > 0 {
+		next = next.Proven()
+		cause = cmp.Or(cause, "lost grants expired")
+	}
 	if lost := t.lostOwners(next); !slices.Equal(lost, t.table.Lost) {
 		next = next.WithLost(lost)
 		cause = cmp.Or(cause, "lost owners")
--- a/internal/planner/retire.go
+++ b/internal/planner/retire.go
@@ -30,7 +30,10 @@
 	var out []*previousPlanner
 	for _, host := range t.table.PreviousPlanners {
 		leaseLostBy := now
-		if t.base != nil && host.Host != t.base.Planner {
+		switch {
+		case host.Host == "":
+			leaseLostBy = t.p.eraSeenAt
+		case t.base != nil && host.Host != t.base.Planner:
 			leaseLostBy = t.baseTermSeenAt
 		}
 		prev := &previousPlanner{PlannerHost: host, grantsUntil: leaseLostBy.Add(t.p.opts.MaxRenewalAge), dialsUntil: leaseLostBy.Add(recentRenewalAge)}
@@ -55,7 +58,7 @@
 func (t *term) dueRetires(now bootclock.Time) []Action {
 	var out []Action
 	for _, prev := range t.previous.planners {
-		if prev.retired || prev.retireInFlight || now.Before(prev.nextRetireAt) || prev.grantsUntil.Before(now) {
+		if prev.Host == "" || prev.retired || prev.retireInFlight || now.Before(prev.nextRetireAt) || prev.grantsUntil.Before(now) {
 			continue
 		}
 		prev.retireInFlight = true
@@ -74,10 +77,14 @@
 }
 
 // RetireDone handles the result of a Retire: the name of the host that
-// responded, and whether it has retired. A process that was started after the
-// term began always has.
-func (p *Planner) RetireDone(r *Retire, host string, retired bool, now bootclock.Time) {
+// responded, whether it has retired, and the closing of its last term if the log has returned
+// since. A process that was started after the term began always has retired.
+func (p *Planner) RetireDone(r *Retire, host string, retired bool, closing *ownership.Table, now bootclock.Time) {
 	t := p.terms[r.Service]
+	if t != nil && t.closingRequest == r {
+		t.closingRequestDone(host, retired, closing, now)
+		return
+	}
 	if t == nil || t.number != r.Term {
 		return
 	}
@@ -95,18 +102,29 @@
 
 // Retire ends this host's planning, at the request of a newer planner, if this
 // host's term of the service comes before nextTerm. It reports whether no grant
-// of the service's past term is in flight any more.
-func (p *Planner) Retire(service string, nextTerm int64, now bootclock.Time) bool {
+// of the service's past term is in flight any more. If the log has returned from an older copy,
+// it then returns the closing of that term too.
+func (p *Planner) Retire(service string, nextTerm int64, now bootclock.Time) (retired bool, closing *ownership.Table) {
 	if t := p.terms[service]; t != nil {
 		if t.started && t.number >= nextTerm {
-			return false // the caller itself was superseded
+			return false, nil // the caller itself was superseded
 		}
 		p.OnEvent(Event{Kind: TermEnded, Service: service, Table: t.table, Age: now.Sub(p.lease.renewedAt)})
 		p.lease.held = false
 		p.dropTerms()
 	}
-	t := p.pastTerms[service]
-	return t == nil || t.grantsInFlight() == 0
+	c := p.closings[service]
+	if c != nil && !c.done() {
+		return false, nil
+	}
+	if t := p.pastTerms[service]; t != nil && t.grantsInFlight() > 0 {
+		return false, nil
+	}
+	if c != nil {
+		c.handedOver = true
+		closing = c.result()
+	}
+	return true, closing
 }
 
 func (t *term) grantsInFlight() int {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -64,6 +64,9 @@
 	case err == nil && !srv.forPastIncarnation(g):
 		srv.respondedAt = now
 		srv.exclusions = 0
+		if g.closing != nil {
+			return // it acknowledges a token of an earlier era
+		}
 		srv.ackedSpans = append(srv.ackedSpans, span{g.Range.From, g.Range.To})
 		if len(srv.ackedSpans) > maxAckedSpans {
 			srv.ackedSpans = srv.ackedSpans[len(srv.ackedSpans)-maxAckedSpans:]
--- a/internal/planner/simfaults_test.go
+++ b/internal/planner/simfaults_test.go
@@ -23,6 +23,8 @@
 	restart            float64 // per second: an upstream restarts under its ID
 	leave              float64 // per second: an upstream starts to leave; a new one registers
 	hostRestart        float64 // per second: a host restarts
+	logReturn          float64 // per second: the log returns from a copy of the last seconds
+	killAll            float64 // per log return: all hosts restart within a second of it
 }
 
 // busyRegionSize is the number of adjacent keys that have all the load.
@@ -36,6 +38,9 @@
 
 		s.leaseUntil = s.now.Add(s.opts.LeaseTTL)
 	}
+	if f.logReturn > 0 {
+		s.injectLogReturn()
+	}
 	for _, h := range s.hosts {
 		if s.faultOccurs(f.stall, simStep) {
 			h.stalledUntil = s.now.Add(s.randomDuration(time.Second, 8*time.Second))
@@ -62,6 +67,35 @@
 	}
 }
 
+const (
+	// copyInterval is how often a copy of the log is made, maxCopyAge the greatest age of one from
+	// which it returns.
+	copyInterval = 500 * time.Millisecond
+	maxCopyAge   = 6 * time.Second
+)
+
+// injectLogReturn makes copies of the log, and at random lets it return from one.
+func (s *simulation) injectLogReturn() {
+	if n := len(s.copies); n == 0 || s.now.Sub(s.copies[n-1].at) >= copyInterval {
+		s.copies = append(s.copies, simCopy{s.now, slices.Clone(s.log), s.leaseHolder})
+	}
+	s.copies = slices.DeleteFunc(s.copies, func(c simCopy) bool { return s.now.Sub(c.at) > maxCopyAge })
+	if len(s.log) == 0 || !s.faultOccurs(s.faults.logReturn, simStep) {
+		return
+	}
+	c := s.copies[s.rng.IntN(len(s.copies))]
+	if len(c.log) == 0 {
+		return
+	}
+	s.log, s.leaseHolder, s.leaseUntil = slices.Clone(c.log), c.leaseHolder, s.now.Add(s.opts.LeaseTTL)
+	s.era++
+	if s.rng.Float64() < s.faults.killAll {
+		for _, h := range s.hosts {
+			s.after(s.randomDuration(0, time.Second), func() { s.restartHost(h) })
+		}
+	}
+}
+
 // injectUpstreamFaults injects random faults of the upstreams themselves for one step.
 func (s *simulation) injectUpstreamFaults() {
 	for _, u := range slices.Clone(s.upstreams) {
--- a/internal/planner/simupstream_test.go
+++ b/internal/planner/simupstream_test.go
@@ -39,9 +39,30 @@
 	u.grants = removeKeys(u.grants, r.From, r.To)
 	u.grants = append(u.grants, simGrant{r.From, r.To, r.FencingToken, expiresAt})
 	s.granted = true
+	s.checkToken(simAccepted{r.From, r.To, u.id}, r.FencingToken)
 	return nil
 }
 
+// simAccepted is a grant of a token that an upstream has accepted.
+type simAccepted struct {
+	from, to int
+	owner    string
+}
+
+// checkToken records an accepted grant, and an error if another upstream has accepted a grant of
+// one of its keys under the same token.
+func (s *simulation) checkToken(g simAccepted, token int64) {
+	if slices.Contains(s.accepted[token], g) {
+		return
+	}
+	for _, other := range s.accepted[token] {
+		if other.owner != g.owner && other.from <= g.to && g.from <= other.to {
+			s.tokenErr = fmt.Errorf("token %d: keys %d to %d granted to %s, keys %d to %d to %s", token, g.from, g.to, g.owner, other.from, other.to, other.owner)
+		}
+	}
+	s.accepted[token] = append(s.accepted[token], g)
+}
+
 // release executes a release at its upstream.
 func (s *simulation) release(r *Release) error {
 	u := s.upstream(r.Addr)
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -35,6 +35,14 @@
 	// otherPlannerSeenAt is when a table of another planner was last adopted.
 	otherPlannerSeenAt bootclock.Time
 
+	// logReturned is set if the log has returned from an older copy since the term of base began.
+	// closing is the closing of the last planner's term, for which closingRequest asks until
+	// closingUntil.
+	logReturned                      bool
+	closing                          *ownership.Table
+	closingRequest                   *Retire
+	closingUntil, nextClosingRequest bootclock.Time
+
 	// pendingAppend is the append whose outcome is not known yet, or nil.
 	// appendNeedsRetry is set while it is neither in flight nor known to have
 	// succeeded or failed; nextAppendAt is the earliest time of the retry, or of
@@ -140,8 +148,17 @@
 	if past := t.p.pastTerms[t.name]; past != nil && t.base != nil && past.number == t.base.Term {
 		// This host was also the last planner: the deadlines of its past term still
 		// apply, and the servers' states count the grants that it sent itself.
-		t.previous = past.previous
 		t.servers = past.servers
+		if !t.logReturned {
+			t.previous = past.previous
+		}
+	}
+	if t.logReturned {
+		// Planners whose records are lost may have given out higher tokens than those that the
+		// upstreams have acknowledged to this host.
+		for _, srv := range t.servers {
+			srv.ackedSpans = nil
+		}
 	}
 	t.p.OnEvent(Event{Kind: TermStarted, Service: t.name, Table: t.table})
 }
@@ -170,13 +187,27 @@
 		// planner to follow before each of them has read the log for itself.
 		base = ownership.NewTable(t.name)
 	}
+	t.logReturned = t.p.logReturnedSince(base)
+	if t.logReturned {
+		var actions []Action
+		var done bool
+		if base, actions, done = t.baseAfterReturn(now); !done {
+			return actions
+		}
+	}
 	next := base.TakeOver(t.p.opts.Host, t.p.opts.PeerAddr, t.p.era)
+	delete(t.p.closings, t.name)
 	t.number = next.Term
 	t.base = t.table
 	if t.base != nil {
+		t.base = base
 		t.baseTermSeenAt = t.p.histories[t.name].termSeenAt(t.base, now)
 	}
-	t.previous.lostOwnerDeadlines = t.p.histories[t.name].lostOwnerDeadlines(t.base, &t.p.opts)
+	if t.logReturned {
+		next.PreviousPlanners = append(next.PreviousPlanners, ownership.PlannerHost{})
+	} else {
+		t.previous.lostOwnerDeadlines = t.p.histories[t.name].lostOwnerDeadlines(t.base, &t.p.opts)
+	}
 	next.Cause = "new planner"
 	t.pendingAppend = &Append{Table: next, At: t.p.streamEnd, Cause: next.Cause}
 	return []Action{t.pendingAppend}
@@ -257,7 +288,7 @@
 	}
 	wanted := map[span]ownership.Range{}
 	for _, r := range t.table.Ranges {
-		if r.Owner == "" {
+		if r.Owner == "" || r.Unproven {
 			continue
 		}
 		for _, s := range t.subtractMoves(span{r.From, r.To}) {
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -24,6 +24,8 @@
 type Log struct {
 	mu      sync.Mutex
 	streams map[metastore.Stream]*stream
+	// written holds the last value that Put wrote for each key, nil if it deleted the key.
+	written map[metastore.Stream]map[string][]byte
 	// era numbers the histories of the log; see ReturnFrom.
 	era int64
 	// changed is closed and replaced on every append, SetDown and ReturnFrom, to wake
@@ -45,7 +47,7 @@
 
 // New returns an empty log.
 func New() *Log {
-	return &Log{era: firstEra, streams: map[metastore.Stream]*stream{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Log{era: firstEra, written: map[metastore.Stream]map[string][]byte{}, streams: map[metastore.Stream]*stream{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // stream returns a stream and creates it on first use. l.mu must be locked.
@@ -63,6 +65,10 @@
 func (l *Log) Put(s metastore.Stream, key string, value []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.written[s] == nil {
+		l.written[s] = map[string][]byte{}
+	}
+	l.written[s][key] = value
 	l.put(s, key, value)
 }
 
