entryhost: live hosts keep what a copy of the log lacks

A host that starts before the desired state is written again ran the copy's (version 1 of 5 in the test), the crash ledger lost its last records for good, an evacuation would have ended for a moment, an upstream whose report of leaving is lost would have got requests again (these two by reading; the test passes for them before as well). - The desired state in force stays in the replica in place of the copy's, and a host that follows one with a newer version at the same position fetches the operators' stream whole, once for each version. - An upstream of which a host knows that it is leaving stays so through the reset; evacuations without a record end after 2 s only, unless written again; crashes are merged, and candidates write the missing ones again (a write twice does no harm).

--- a/internal/crashes/tracker.go
+++ b/internal/crashes/tracker.go
@@ -225,6 +225,31 @@
 	}
 }
 
+// Merge adds the given crashes to those that are known. If rewrite is set, it enqueues the known
+// ones that are not among them.
+func (t *Tracker) Merge(crashes []Crash, rewrite bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	given := map[crashKey]bool{}
+	for _, crash := range crashes {
+		k := crashKey{crash.Fingerprint, crash.Server}
+		given[k] = true
+		if !t.pending[k].Deleted {
+			t.add(crash)
+		}
+	}
+	if !rewrite {
+		return
+	}
+	for fp, times := range t.crashes {
+		for server, at := range times {
+			if !given[crashKey{fp, server}] {
+				t.enqueue(Change{Crash: Crash{fp, server, at}})
+			}
+		}
+	}
+}
+
 // Expire removes crashes that are older than Retention. If publish is set, it also
 // enqueues their deletion from the shared records.
 func (t *Tracker) Expire(now time.Time, publish bool) {
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -97,6 +97,8 @@
 	evacuations *evacuations
 	// crashes shares crash records with the other hosts through the log.
 	crashes *crashLog
+	// desiredRecord is the record of the desired state in force.
+	desiredRecord metastore.Record
 	// era is the log's; 0 until the log service or another host states it.
 	era int64
 	// streamLostSince holds, for each stream whose reads fail, when they began
@@ -252,7 +254,8 @@
 	_, lost := c.streamLostSince[metastore.StreamUpstreams]
 	wallNow := time.Now()
 	expired := c.registry.expireSuspects(lost, wallNow)
-	if c.evacuations.confirmEntriesRead(c.replica.CurrentAt(metastore.StreamUpstreams), wallNow) || expired {
+	ended := c.endMissingEvacuations(wallNow)
+	if c.evacuations.confirmEntriesRead(c.replica.CurrentAt(metastore.StreamUpstreams), wallNow) || expired || ended {
 		c.publishUpstreams()
 	}
 	for _, a := range c.planner.Tick(now, c.views.Load()) {
--- a/internal/entryhost/crashlog.go
+++ b/internal/entryhost/crashlog.go
@@ -37,6 +37,8 @@
 	// isPlanner reports whether this host is the planner, which deletes expired
 	// records and allows trial requests with refused fingerprints.
 	isPlanner func() bool
+	// rewrites is set on hosts that write again what the log has lost.
+	rewrites bool
 }
 
 func newCrashLog(zl *zap.Logger, store metastore.Store, isPlanner func() bool) *crashLog {
@@ -104,8 +106,8 @@
 }
 
 // apply applies records that were read. After a reset they replace all earlier
-// ones.
-func (l *crashLog) apply(recs []metastore.Record, reset bool) {
+// ones, but in a new era of the log: its copy lacks the last ones, which candidates write again.
+func (l *crashLog) apply(recs []metastore.Record, reset, newEra bool) {
 	var read []crashes.Crash
 	for _, rec := range recs {
 		c, err := crashes.Decode(rec.Key, rec.Value, time.Now())
@@ -119,8 +121,12 @@
 		}
 		l.tracker.Apply(c)
 	}
-	if reset {
+	if newEra {
+		l.tracker.Merge(read, l.rewrites)
+	} else if reset {
 		l.tracker.Replace(read)
+	}
+	if reset {
 		l.zl.Info("crash records read", zap.Int("event", events.CrashRecordsRead), zap.Int("records", len(read)))
 	}
 }
--- a/internal/entryhost/era.go
+++ b/internal/entryhost/era.go
@@ -1,12 +1,14 @@
 package entryhost
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/metastore"
 )
 
 var logReturns = metrics.NewCounter(`papayatide_log_returns_total`)
@@ -29,3 +31,14 @@
 	c.logRecoveredAt = time.Now()
 	c.zl.Warn("the log has returned from an older copy", zap.Int("event", events.LogReturned), zap.Int64("era", era), zap.Int64("era_before", old))
 }
+
+// keepNewerDesired keeps the desired state in force in the replica in place of an older one of a
+// copy, until it is written again: a host that has just started gets it from here.
+func (c *controller) keepNewerDesired() {
+	if c.desiredRecord.Value == nil {
+		return
+	}
+	if rec, ok := c.replica.Newest(metastore.StreamOperators, c.desiredRecord.Key); !ok || !bytes.Equal(rec.Value, c.desiredRecord.Value) {
+		c.replica.SetNewest(metastore.StreamOperators, c.desiredRecord.Key, c.desiredRecord.Value)
+	}
+}
--- a/internal/entryhost/evacuate.go
+++ b/internal/entryhost/evacuate.go
@@ -35,19 +35,23 @@
 	// centre; other owners must have its keys by then. endedAt is when the
 	// evacuation of a data centre ended.
 	handoverBy, endedAt map[string]time.Time
+	// missingUntil holds when evacuations end whose records a copy of the log lacks, unless they
+	// are written again.
+	missingUntil map[string]time.Time
 	// entriesRead holds the data centres whose upstreams' entries have been
 	// read since the evacuation ended.
 	entriesRead map[string]bool
 }
 
 func newEvacuations(timeout time.Duration) *evacuations {
-	return &evacuations{timeout: timeout, handoverBy: map[string]time.Time{}, endedAt: map[string]time.Time{}, entriesRead: map[string]bool{}}
+	return &evacuations{timeout: timeout, handoverBy: map[string]time.Time{}, endedAt: map[string]time.Time{}, missingUntil: map[string]time.Time{}, entriesRead: map[string]bool{}}
 }
 
 // begin records an evacuation and reports whether it is new. With startUnknown
 // the evacuation may have begun at any time before now; the timeout then counts
 // as expired.
 func (e *evacuations) begin(dataCentre string, startUnknown bool, now time.Time) bool {
+	delete(e.missingUntil, dataCentre)
 	if _, known := e.handoverBy[dataCentre]; known {
 		return false
 	}
@@ -66,6 +70,7 @@
 		return false
 	}
 	delete(e.handoverBy, dataCentre)
+	delete(e.missingUntil, dataCentre)
 	e.endedAt[dataCentre] = now
 	delete(e.entriesRead, dataCentre)
 	return true
@@ -107,8 +112,9 @@
 // applyEvacuations applies the evacuation records among recs. After a reset, the
 // evacuations without a record have ended, and the start of new ones is unknown:
 // this host has just started, or the records since its last read were no longer
-// retained.
-func (c *controller) applyEvacuations(recs []metastore.Record, reset bool) {
+// retained. After a reset of a new era they end only after relistGracePeriod, unless their
+// records are written again.
+func (c *controller) applyEvacuations(recs []metastore.Record, reset, newEra bool) {
 	now := time.Now()
 	changed := false
 	listed := map[string]bool{}
@@ -124,7 +130,11 @@
 		}
 	}
 	for dc := range c.evacuations.handoverBy {
-		if reset && !listed[dc] {
+		switch {
+		case !reset || listed[dc]:
+		case newEra:
+			c.evacuations.missingUntil[dc] = now.Add(relistGracePeriod)
+		default:
 			changed = c.endEvacuation(dc, now) || changed
 		}
 	}
@@ -133,6 +143,16 @@
 	}
 }
 
+// endMissingEvacuations ends the evacuations whose records were not written again in time.
+func (c *controller) endMissingEvacuations(now time.Time) (changed bool) {
+	for dc, at := range c.evacuations.missingUntil {
+		if !now.Before(at) {
+			changed = c.endEvacuation(dc, now) || changed
+		}
+	}
+	return changed
+}
+
 // beginEvacuation begins a data centre's evacuation and reports whether it is new.
 func (c *controller) beginEvacuation(dataCentre string, startUnknown bool, now time.Time) bool {
 	if !c.evacuations.begin(dataCentre, startUnknown, now) {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -186,6 +186,7 @@
 		h.controller.clock = plat.Clock
 	}
 	h.controller.crashes = newCrashLog(zl, plat.Store, h.controller.isPlanner.Load)
+	h.controller.crashes.rewrites = h.candidate
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.picker, h.budget, h.controller.crashes.tracker, h.feedback,
 		ratelimit.NewLimiter(reportedLimitBounds, h.requestPermits))
 	h.dispatch.OnRequestDone, h.dispatch.OnBrokenSend = h.onRequestDone, h.onBrokenSend
--- a/internal/entryhost/logreturn_test.go
+++ b/internal/entryhost/logreturn_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/standin/memstore"
 )
@@ -93,3 +94,50 @@
 		f.waitServed(f.hosts[len(f.hosts)-1], startupTimeout)
 	})
 }
+
+// Guards against hosts that forget, with the log, what they know themselves: that an upstream is
+// leaving, that a data centre is evacuated, which requests crash servers, and for a host that
+// starts meanwhile the newest desired state.
+func TestLiveHostsKeepWhatTheCopyLacks(t *testing.T) {
+	runFleetTest(t, func(t *testing.T) {
+		f := newFleet(t, 3, 4)
+		f.addServiceUpstream("plain", "plain0")
+		f.waitServed(f.hosts[0], startupTimeout)
+		time.Sleep(time.Second)
+		copied := f.log.Copy()
+		f.loseChanges(5)
+		f.log.Put(metastore.StreamOperators, "evacuate/dc", []byte("x"))
+		crash := crashes.Change{Crash: crashes.Crash{Fingerprint: crashes.Request{Method: "GET"}.Fingerprint(), Server: "u9", At: time.Now()}}
+		key, value, err := crash.Encode(time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.log.Append(t.Context(), metastore.StreamCrashes, []metastore.Record{{Key: key, Value: value}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(testEvacuationTimeout)
+		f.returnLogFrom(copied, 300*time.Millisecond)
+		time.Sleep(rewriteDelay / 5) // nothing has been written again yet
+		started := f.startHost("new")
+		time.Sleep(rewriteDelay / 2)
+		if v := started.desiredVersion(t); v != 5 {
+			t.Errorf("a host that starts before the desired state is written again has version %d, want 5", v)
+		}
+		leaving := f.upstreams["u0:80"]
+		before := len(leaving.Runs())
+		for i := range 20 {
+			if status, _ := f.hosts[i%3].call("GET", unkeyedRoute, fmt.Sprint("evacuated-", i), 0); status == 200 {
+				t.Fatal("a request was sent to an evacuated data centre")
+			}
+			f.hosts[i%3].call("GET", "read.example", fmt.Sprint("leaving-", i), i*3000)
+		}
+		if after := len(leaving.Runs()); after != before {
+			t.Errorf("%d requests reached an upstream that is leaving", after-before)
+		}
+		time.Sleep(6 * time.Second)
+		recs, _, err := f.log.Newest(t.Context(), metastore.StreamCrashes)
+		if err != nil || len(recs) != 1 || recs[0].Key != key {
+			t.Errorf("the log has %d crash records, error %v; want the lost one again", len(recs), err)
+		}
+	})
+}
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -107,6 +107,11 @@
 	// receives that of the followed host.
 	desiredVersion   func() int64
 	onDesiredVersion func(host string, version int64)
+	// refetchedVersion is the newest version of a followed host for which this host has fetched the
+	// operators' stream as a whole, because it had an older one in force at the same position;
+	// refetchDesired has the next call do that.
+	refetchedVersion int64
+	refetchDesired   bool
 	// onPlannerFollowed is called after a successful call, with the time for
 	// which the planner has reached the log service without failure.
 	onPlannerFollowed func(logReachableFor time.Duration)
@@ -235,6 +240,9 @@
 	for _, stream := range relay.Streams {
 		req.Positions[stream] = s.replica.FetchFrom(stream)
 	}
+	if s.refetchDesired {
+		req.Positions[metastore.StreamOperators] = metastore.Position{Offset: -1}
+	}
 	ctx, cancel := progress.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := time.Now()
@@ -252,6 +260,9 @@
 		s.apply(b)
 	}
 	s.onDesiredVersion(addr, reply.DesiredVersion)
+	// A followed host may know a newer desired state than the log, if that has returned from a copy.
+	s.refetchDesired = reply.DesiredVersion > max(s.desiredVersion(), s.refetchedVersion)
+	s.refetchedVersion = max(s.refetchedVersion, reply.DesiredVersion)
 	for _, stream := range relay.Streams {
 		// Without a position, of an earlier build, the batches are taken for complete.
 		s.replica.MarkCurrent(stream, reply.Positions[stream], reply.ReceivedAt.Add(-reply.Age))
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -43,14 +43,17 @@
 	switch b.Stream {
 	case metastore.StreamOperators:
 		c.applyDesired(fresh.Records)
-		c.applyEvacuations(fresh.Records, fresh.Reset)
+		if fresh.NewEra {
+			c.keepNewerDesired()
+		}
+		c.applyEvacuations(fresh.Records, fresh.Reset, fresh.NewEra)
 	case metastore.StreamUpstreams:
-		c.applyUpstreams(fresh.Records, fresh.Reset)
+		c.applyUpstreams(fresh.Records, fresh.Reset, fresh.NewEra)
 	case metastore.StreamOwnership:
 		c.planner.AdvanceStreamEnd(fresh.Next)
 		c.applyOwnership(fresh.Records)
 	case metastore.StreamCrashes:
-		c.crashes.apply(fresh.Records, fresh.Reset)
+		c.crashes.apply(fresh.Records, fresh.Reset, fresh.NewEra)
 	}
 }
 
@@ -69,6 +72,7 @@
 		if state == nil || (current != nil && state.Version <= current.Version) {
 			continue
 		}
+		c.desiredRecord = rec
 		c.views.Publish(func(v *view.View) { v.Desired = state })
 		c.zl.Info("desired state adopted", zap.Int("event", events.DesiredAdopted), zap.Int64("version", state.Version), zap.Int64("offset", rec.Offset))
 	}
@@ -154,8 +158,8 @@
 
 // applyUpstreams applies records of the upstreams stream, in which the newest
 // record of a server is its entry. After a reset, known servers without an entry
-// are missing.
-func (c *controller) applyUpstreams(recs []metastore.Record, reset bool) {
+// are missing. In a reset of a new era the entries may be older than those read before.
+func (c *controller) applyUpstreams(recs []metastore.Record, reset, newEra bool) {
 	now := time.Now()
 	listed := map[string]bool{}
 	for _, rec := range recs {
@@ -173,6 +177,9 @@
 			continue
 		}
 		listed[rec.Key] = true
+		if newEra && c.registry.isLeaving(u.ID) {
+			u.Leaving = true // it has said so since
+		}
 		c.registry.register(u)
 	}
 	if reset {
--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -65,6 +65,12 @@
 	}
 }
 
+// isLeaving reports whether the upstream's last entry said that it is leaving.
+func (r *upstreamRegistry) isLeaving(id string) bool {
+	u := r.upstreams[id]
+	return u != nil && u.Leaving && !u.Unlisted
+}
+
 // forget removes an upstream, that is one incarnation of a server.
 func (r *upstreamRegistry) forget(id string) {
 	delete(r.upstreams, id)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -217,6 +217,20 @@
 	return recs[i:]
 }
 
+// SetNewest replaces the newest record of a key, which the log has in an older version or not at
+// all, for followers that read the stream as a whole.
+func (r *Replica) SetNewest(s metastore.Stream, key string, value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := r.streams[s]
+	rec, ok := st.newest[key]
+	if !ok {
+		rec = metastore.Record{Key: key, Offset: st.next.Offset - 1}
+	}
+	rec.Value = value
+	st.newest[key] = rec
+}
+
 // Newest returns the newest record of a key; false if there is none.
 func (r *Replica) Newest(s metastore.Stream, key string) (metastore.Record, bool) {
 	r.mu.Lock()
