--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -92,13 +92,15 @@
 	// lastResume is when a host was last resumed after a pause.
 	lastResume time.Time
 	violations []string
+	// grantsByToken holds the grants that upstreams have accepted; see checkToken.
+	grantsByToken map[int64][]acceptedGrant
 }
 
 // newEnvironment starts the log service and the given numbers of upstreams of
 // keyedService and unkeyedService, every other one in farDC, and publishes the first
 // desired state.
 func newEnvironment(keyed, unkeyed int, slow desired.SlowStart) (*Environment, error) {
-	env := &Environment{log: memstore.New(), slowStart: slow}
+	env := &Environment{log: memstore.New(), slowStart: slow, grantsByToken: map[int64][]acceptedGrant{}}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "log service")
@@ -287,7 +289,32 @@
 		a.env.violations = append(a.env.violations, fmt.Sprintf("%s: OWNER: keys %d to %d granted to %s (token %d) while %s holds some of them",
 			time.Now().Format(timestampFormat), r.From, r.To, a.inc.ID, r.FencingToken, other.ID))
 	}
-	return a.inc.Upstream.Grant(r, time.Duration(clockDriftFactor*float64(d)))
+	err := a.inc.Upstream.Grant(r, time.Duration(clockDriftFactor*float64(d)))
+	if err == nil {
+		a.env.checkToken(acceptedGrant{r.From, r.To, a.inc}, r.FencingToken)
+	}
+	return err
+}
+
+// acceptedGrant is a grant that an upstream has accepted.
+type acceptedGrant struct {
+	from, to int
+	inc      *incarnation
+}
+
+// checkToken records a violation if another upstream has accepted a grant of one of the keys
+// under the same token. env.mu must be locked.
+func (env *Environment) checkToken(g acceptedGrant, token int64) {
+	for _, old := range env.grantsByToken[token] {
+		if old == g {
+			return
+		}
+		if old.inc != g.inc && old.from <= g.to && g.from <= old.to {
+			env.violations = append(env.violations, fmt.Sprintf("%s: OWNER: keys %d to %d granted to %s under token %d, under which %s had some of them",
+				time.Now().Format(timestampFormat), g.from, g.to, g.inc.ID, token, old.inc.ID))
+		}
+	}
+	env.grantsByToken[token] = append(env.grantsByToken[token], g)
 }
 
 // Release implements standin.Grantee.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,8 @@
 	Evacuate bool
 	// Reports adds upstreams that report rate limits, backoffs and that they are leaving.
 	Reports bool
+	// LogReturns has the log service return from older copies.
+	LogReturns bool
 	// Hosts, Keyed, Unkeyed and Callers are the numbers of entry hosts, upstreams
 	// of the service with keys, upstreams of the service without keys, and callers.
 	Hosts, Keyed, Unkeyed, Callers int
@@ -128,6 +130,9 @@
 	if opts.Reports {
 		in.wg.Go(func() { in.runReports(fctx, opts.Seed) })
 	}
+	if opts.LogReturns {
+		in.wg.Go(func() { in.runLogReturns(fctx, opts.Seed) })
+	}
 	in.run(fctx)
 	cancel()
 	if opts.Evacuate {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,10 +30,11 @@
 }
 
 // run is one run. With -seeds, odd seeds have fatal requests, two of four seeds have
-// evacuations and slow starts, and two of three have reports.
+// evacuations and slow starts, two of three have reports, and three of five have returns of the
+// log from copies.
 type run struct {
-	seed                     uint64
-	fatal, evacuate, reports bool
+	seed                                 uint64
+	fatal, evacuate, reports, logReturns bool
 }
 
 // buildDaemon builds papayatided and returns its path.
@@ -62,7 +63,7 @@
 		list = nil
 		for i := range *seeds {
 			seed := start + uint64(i)
-			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0})
+			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0, seed%5 < 3})
 		}
 	}
 	runAll(t, binary, list)
@@ -83,6 +84,14 @@
 	}
 }
 
+// TestSoakWithLogReturns adds returns of the log service from older copies during all the other
+// faults, and kills of all hosts at that moment.
+func TestSoakWithLogReturns(t *testing.T) {
+	if *seeds == 0 {
+		runAll(t, buildDaemon(t), []run{{seed: 2, logReturns: true}, {seed: 11, logReturns: true}})
+	}
+}
+
 // runAll makes the runs, at most as many at a time as the flag -beside allows.
 func runAll(t *testing.T, binary string, list []run) {
 	slots := make(chan struct{}, *parallelRuns)
@@ -106,7 +115,7 @@
 			t.Fatal(err)
 		}
 	}
-	r, err := Run(context.Background(), Options{Binary: binary, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, FaultDuration: *faultTime, Hosts: 4, Keyed: 4, Unkeyed: 2, Callers: 12})
+	r, err := Run(context.Background(), Options{Binary: binary, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, FaultDuration: *faultTime, Hosts: 4, Keyed: 4, Unkeyed: 2, Callers: 12})
 	if err != nil {
 		t.Fatal(err)
 	}
