soak: the check of tokens compares upstreams by ID

No other upstream has those keys (internal/planner/doc.go, "Servers that restart under the same ID"); the planner's simulation compares by server as well. A token at two upstreams with different IDs is a violation as before.

--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -302,14 +302,15 @@
 	inc      *incarnation
 }
 
-// checkToken records a violation if another upstream has accepted a grant of one of the keys
-// under the same token. env.mu must be locked.
+// checkToken records a violation if an upstream with another ID has accepted a grant of one of the
+// keys under the same token. A host that has not read of a restart yet sends the grants of an
+// upstream to its next incarnation, which cannot tell. env.mu must be locked.
 func (env *Environment) checkToken(g acceptedGrant, token int64) {
 	for _, old := range env.grantsByToken[token] {
 		if old == g {
 			return
 		}
-		if old.inc != g.inc && old.from <= g.to && g.from <= old.to {
+		if old.inc.ID != g.inc.ID && old.from <= g.to && g.from <= old.to {
 			env.violations = append(env.violations, fmt.Sprintf("%s: OWNER: keys %d to %d granted to %s under token %d, under which %s had some of them",
 				time.Now().Format(timestampFormat), g.from, g.to, g.inc.ID, token, old.inc.ID))
 		}
