planner: acknowledgements of a lost era never count for the new term

Found by reading the change again: a grant under way when the log's return ends a term could be acknowledged after the same host's next term had started, and then counted as an acknowledgement of that term's token. An unknown planner of the lost history may have given out a higher token than the acknowledged one, so a move off that owner would have been too early. Acknowledgements count only from the term's first token on. TestLateAcknowledgementOfALostEraDoesNotCount fails without it. Also: a closing stays usable by its own host until its new term has started, not only until it tries to.

--- a/internal/planner/era.go
+++ b/internal/planner/era.go
@@ -127,7 +127,7 @@
 	if t.closingUntil == 0 {
 		t.closingUntil = now.Add(closingTimeout)
 	}
-	if c := t.p.closings[t.name]; c != nil && c.done() && !c.handedOver {
+	if c := t.p.closings[t.name]; c != nil && c.done() {
 		t.closing = c.result()
 	}
 	switch {
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -365,3 +365,38 @@
 		return err
 	})
 }
+
+// Guards against an acknowledgement of a token of the lost history that counts for the new term: a
+// planner whose records are lost may have given the owner a higher token, and may still grant it
+// the keys after they have moved.
+func TestLateAcknowledgementOfALostEraDoesNotCount(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.p.ObserveEra(7, h.now)
+	h.streamEnd.Era = 7
+	h.p.AdvanceStreamEnd(h.streamEnd)
+	h.simulate(5*time.Second, succeedAll)
+	old := h.p.terms[simService].activeGrants
+	var late *Grant
+	for _, s := range sortedKeys(old) {
+		late = &Grant{Service: simService, Range: old[s].rng, server: h.p.terms[simService].server(old[s].rng.Owner)}
+		break
+	}
+	h.p.ObserveEra(8, h.now)
+	h.streamEnd.Era = 8
+	h.p.AdvanceStreamEnd(h.streamEnd)
+	h.simulate(time.Second, func(a Action) error {
+		if g, ok := a.(*Grant); ok && g.closing == nil {
+			return ownership.ErrNotSent // no token of the new era is acknowledged
+		}
+		return nil
+	})
+	next := h.p.terms[simService]
+	if next == nil || !next.started || !next.logReturned {
+		t.Fatal("setup: no term of the new era has started")
+	}
+	late.server.grantsInFlight++
+	h.p.GrantDone(late, nil, h.now)
+	if next.server(late.Range.Owner).acknowledgedTerm(span{late.Range.From, late.Range.To}) {
+		t.Error("an acknowledgement of a token of the lost era counts for the new term")
+	}
+}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -27,8 +27,11 @@
 	// newer incarnation starts, and when a move off the server is cancelled because
 	// the server is back.
 	respondedAt bootclock.Time
-	// ackedSpans are the spans for which the server has acknowledged this term's token.
-	ackedSpans []span
+	// minAckToken is the lowest token whose acknowledgement counts: after a return of the log, those
+	// of earlier eras do not. ackedSpans are the spans for which the server has acknowledged this
+	// term's token.
+	minAckToken int64
+	ackedSpans  []span
 	// throttles limits the events for failed calls.
 	throttles map[EventKind]eventThrottle
 	// exclusions counts how often the server was excluded since it last accepted a
@@ -64,8 +67,8 @@
 	case err == nil && !srv.forPastIncarnation(g):
 		srv.respondedAt = now
 		srv.exclusions = 0
-		if g.closing != nil {
-			return // it acknowledges a token of an earlier era
+		if g.Range.FencingToken < srv.minAckToken {
+			return
 		}
 		srv.ackedSpans = append(srv.ackedSpans, span{g.Range.From, g.Range.To})
 		if len(srv.ackedSpans) > maxAckedSpans {
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -7,6 +7,7 @@
 
 func (t *term) start(now bootclock.Time) {
 	t.started = true
+	delete(t.p.closings, t.name)
 	t.firstFencingToken = t.table.MaxFencingToken
 	t.previous.planners = t.newPreviousPlanners(now)
 	if past := t.p.pastTerms[t.name]; past != nil && t.base != nil && past.number == t.base.Term {
@@ -21,7 +22,7 @@
 		// Planners whose records are lost may have given out higher tokens than those that the
 		// upstreams have acknowledged to this host.
 		for _, srv := range t.servers {
-			srv.ackedSpans = nil
+			srv.ackedSpans, srv.minAckToken = nil, t.firstFencingToken
 		}
 	}
 	t.p.OnEvent(Event{Kind: TermStarted, Service: t.name, Table: t.table})
@@ -60,7 +61,6 @@
 		}
 	}
 	next := base.TakeOver(t.p.opts.Host, t.p.opts.PeerAddr, t.p.era)
-	delete(t.p.closings, t.name)
 	t.number = next.Term
 	t.base = t.table
 	if t.base != nil {
