balance: a test of the admission limit runs on a fake clock

Traced: the limit of 0.7 spaces requests by (1/0.7 - 1) x 150 ms = 64 ms from the last one; the 40 sleeps of 1 ms took about that long (the test 0.07 s), so the next request was due between the last attempt and the check. On a fake clock they take 40 ms.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
@@ -18,20 +19,22 @@
 // must wait, though none is in flight. Pick must return the other upstream: by its requests
 // in flight the first looks idle, but its limiter would delay or refuse the request.
 func TestPickAvoidsUpstreamAtItsAdmissionLimit(t *testing.T) {
-	p, ups := NewPicker("h"), twoUpstreams()
-	limitRange := admission.HostLimitRange(3, 0, 100)
-	for range 40 {
-		if tk := p.Limiter("a").Acquire(context.Background(), 0, limitRange); tk != nil {
-			tk.Done(admission.Overloaded, time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		p, ups := NewPicker("h"), twoUpstreams()
+		limitRange := admission.HostLimitRange(3, 0, 100)
+		for range 40 {
+			if tk := p.Limiter("a").Acquire(context.Background(), 0, limitRange); tk != nil {
+				tk.Done(admission.Overloaded, time.Millisecond)
+			}
+			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(time.Millisecond)
-	}
-	if s := p.Limiter("a").State(); s.ExpectedWait == 0 {
-		t.Fatalf("upstream a still admits a request at once: %+v", s)
-	}
-	if u := p.Pick(ups, Criteria{LocalDataCentre: "dc"}, time.Now()); u.ID != "b" {
-		t.Errorf("picked %s, want b", u.ID)
-	}
+		if s := p.Limiter("a").State(); s.ExpectedWait == 0 {
+			t.Fatalf("upstream a still admits a request at once: %+v", s)
+		}
+		if u := p.Pick(ups, Criteria{LocalDataCentre: "dc"}, time.Now()); u.ID != "b" {
+			t.Errorf("picked %s, want b", u.ID)
+		}
+	})
 }
 
 // Traffic between data centres is expensive: Pick prefers the local of two idle upstreams.
