--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -3,6 +3,8 @@
 package desired
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -35,6 +37,20 @@
 	Shares []Share
 }
 
+// Class groups the requests to one service that are equally urgent and have the same
+// latency objective.
+type Class struct {
+	Service string
+	// Priority and Objective are those of the class's routes.
+	Priority  int
+	Objective time.Duration
+}
+
+// ClassFor returns the class of the route's requests to one of its services.
+func (r *Route) ClassFor(service string) Class {
+	return Class{Service: service, Priority: r.Priority, Objective: r.LatencyObjective}
+}
+
 // Service is a group of upstreams.
 type Service struct {
 	Name string
@@ -76,11 +92,14 @@
 	routesByHost map[string][]*Route
 	// highestPriority is the lowest Priority value of the routes to each service.
 	highestPriority map[string]int
+	// classes holds the classes of the routes to each service, most urgent first.
+	classes map[string][]Class
 }
 
 // New returns a state whose routes are indexed by host, longest prefix first.
 func New(version int64, routes []*Route, services map[string]*Service, limits Limits) *State {
-	s := &State{Version: version, Services: services, Limits: limits, routesByHost: map[string][]*Route{}, highestPriority: map[string]int{}}
+	s := &State{Version: version, Services: services, Limits: limits, routesByHost: map[string][]*Route{}, highestPriority: map[string]int{},
+		classes: map[string][]Class{}}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		s.routesByHost[host] = append(s.routesByHost[host], r)
@@ -88,8 +107,16 @@
 			if top, ok := s.highestPriority[sh.Service]; !ok || r.Priority < top {
 				s.highestPriority[sh.Service] = r.Priority
 			}
+			if c := r.ClassFor(sh.Service); !slices.Contains(s.classes[sh.Service], c) {
+				s.classes[sh.Service] = append(s.classes[sh.Service], c)
+			}
 		}
 	}
+	for _, classes := range s.classes {
+		slices.SortFunc(classes, func(x, y Class) int {
+			return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Objective, y.Objective))
+		})
+	}
 	for _, rs := range s.routesByHost {
 		sort.Slice(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
 	}
@@ -114,6 +141,17 @@
 // routes to a service.
 func (s *State) HighestPriority(service string) int { return s.highestPriority[service] }
 
+// Classes returns the classes of the requests to a service, most urgent first. The
+// slice must not be modified.
+func (s *State) Classes(service string) []Class { return s.classes[service] }
+
+// Competing reports whether a service has classes of different priorities, which compete
+// for its upstreams.
+func (s *State) Competing(service string) bool {
+	classes := s.classes[service]
+	return len(classes) > 1 && classes[0].Priority != classes[len(classes)-1].Priority
+}
+
 // KeyedServices returns the names of the keyed services, sorted.
 func (s *State) KeyedServices() []string {
 	var out []string
