entryhost: a starting host gets the newest desired state from a host of the log's earlier era

Cause: after the log returned from a copy, the planner's long poll could still wait on the old history. A host that started then read the copy (version 1, new era), fetched the operators' stream of the planner once, and dropped it because its era was older. It fetched only once for each version, so that it kept the copy's state until the record was written again. Change: a batch of an earlier era still brings a newer desired state; the fetch is repeated, at most once in followWait, until the version arrives; the newer state stays in the replica after every reset.

--- a/internal/entryhost/era.go
+++ b/internal/entryhost/era.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/relay"
 )
 
 var logReturns = metrics.NewCounter(`papayatide_log_returns_total`)
@@ -42,3 +43,11 @@
 		c.replica.SetNewest(metastore.StreamOperators, c.desiredRecord.Key, c.desiredRecord.Value)
 	}
 }
+
+// adoptDesiredOfEarlierEra adopts the desired state in a batch of an era before that of this host's
+// replica, if it is newer: the followed host has not read the returned log yet. Without it, a host
+// that starts right after the return runs the older state of the copy until that read.
+func (c *controller) adoptDesiredOfEarlierEra(b relay.Batch) {
+	c.applyDesired(b.Records)
+	c.keepNewerDesired()
+}
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -107,11 +107,10 @@
 	// receives that of the followed host.
 	desiredVersion   func() int64
 	onDesiredVersion func(host string, version int64)
-	// refetchedVersion is the newest version of a followed host for which this host has fetched the
-	// operators' stream as a whole, because it had an older one in force at the same position;
-	// refetchDesired has the next call do that.
-	refetchedVersion int64
-	refetchDesired   bool
+	// refetchDesired has the next call fetch the operators' stream as a whole, because the
+	// followed host has a newer desired state in force at a position that this host has reached.
+	refetchDesired bool
+	refetchedAt    time.Time
 	// onPlannerFollowed is called after a successful call, with the time for
 	// which the planner has reached the log service without failure.
 	onPlannerFollowed func(logReachableFor time.Duration)
@@ -241,6 +240,7 @@
 		req.Positions[stream] = s.replica.FetchFrom(stream)
 	}
 	if s.refetchDesired {
+		s.refetchedAt = time.Now()
 		req.Positions[metastore.StreamOperators] = metastore.Position{Offset: -1}
 	}
 	ctx, cancel := progress.WithTimeout(ctx, timeout)
@@ -261,8 +261,9 @@
 	}
 	s.onDesiredVersion(addr, reply.DesiredVersion)
 	// A followed host may know a newer desired state than the log, if that has returned from a copy.
-	s.refetchDesired = reply.DesiredVersion > max(s.desiredVersion(), s.refetchedVersion)
-	s.refetchedVersion = max(s.refetchedVersion, reply.DesiredVersion)
+	// It is fetched until it arrives: the followed host's replica may still be of the old era.
+	s.refetchDesired = reply.DesiredVersion > s.desiredVersion() && time.Since(s.refetchedAt) >= followWait &&
+		!s.replica.Next(metastore.StreamOperators).Before(reply.Positions[metastore.StreamOperators])
 	for _, stream := range relay.Streams {
 		// Without a position, of an earlier build, the batches are taken for complete.
 		s.replica.MarkCurrent(stream, reply.Positions[stream], reply.ReceivedAt.Add(-reply.Age))
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -38,12 +38,15 @@
 	c.observeEra(b.Next.Era)
 	fresh := c.replica.Apply(b)
 	if fresh == nil {
+		if b.Stream == metastore.StreamOperators && b.Reset && b.Next.Era < c.era {
+			c.adoptDesiredOfEarlierEra(b)
+		}
 		return
 	}
 	switch b.Stream {
 	case metastore.StreamOperators:
 		c.applyDesired(fresh.Records)
-		if fresh.NewEra {
+		if fresh.Reset {
 			c.keepNewerDesired()
 		}
 		c.applyEvacuations(fresh.Records, fresh.Reset, fresh.NewEra)
