reachability: refuse requests for a data centre that cannot be reached

Cause: while a data centre is cut off, each host loses two requests at each of its upstreams until their timeouts, and again after each ejection; callers get 504 for requests that reached nobody. Change: a host takes a data centre for unreachable when three of its upstreams have been silent for 0.6 s and nothing arrives from it, refuses requests for it as not run, and sends one each half second to learn that it is back. Only in deployments with competing services.

--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -93,7 +93,8 @@
 	// highestPriority is the lowest Priority value of the routes to each service.
 	highestPriority map[string]int
 	// classes holds the classes of the routes to each service, most urgent first.
-	classes map[string][]Class
+	classes      map[string][]Class
+	hasCompeting bool
 }
 
 // New returns a state whose routes are indexed by host, longest prefix first.
@@ -117,6 +118,9 @@
 			return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Objective, y.Objective))
 		})
 	}
+	for service := range s.classes {
+		s.hasCompeting = s.hasCompeting || s.Competing(service)
+	}
 	for _, rs := range s.routesByHost {
 		sort.Slice(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
 	}
@@ -152,6 +156,9 @@
 	return len(classes) > 1 && classes[0].Priority != classes[len(classes)-1].Priority
 }
 
+// HasCompeting reports whether any service is competing.
+func (s *State) HasCompeting() bool { return s.hasCompeting }
+
 // KeyedServices returns the names of the keyed services, sorted.
 func (s *State) KeyedServices() []string {
 	var out []string
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -19,7 +19,11 @@
 	}
 	v := d.views.Load()
 	criteria := balance.Criteria{LocalDataCentre: d.localDataCentre, RemotePenalty: req.route.LatencyObjective / 4, Excluded: req.attempted, SlowStart: d.slowStart(req.service),
-		Unavailable: func(id string) bool { wait, _ := d.unavailableFor(id, time.Now()); return wait > 0 }}
+		Unavailable: func(id string) bool {
+			wait, _ := d.unavailableFor(id, time.Now())
+			u := v.Upstreams.ByID[id]
+			return wait > 0 || (u != nil && !d.reachable(u, time.Now()))
+		}}
 	upstreams := v.Upstreams.ForService(req.service.Name)
 	u := d.picker.Pick(upstreams, criteria, time.Now())
 	if u == nil && req.mayHaveRun {
@@ -60,7 +64,7 @@
 		now := time.Now()
 		u, token := v.Owner(req.service.Name, req.key)
 		if u != nil && servesOwnedKeys(u, now) && !d.rejectedGrants.recent(req.service.Name, token, u.ID, now) {
-			if d.picker.IsEjected(u.ID, now) {
+			if d.picker.IsEjected(u.ID, now) || !d.reachable(u, now) {
 				return nil, req.refusal(CauseUnreachable, retryAfterNoOwner)
 			}
 			if wait, cause := d.unavailableFor(u.ID, now); wait > 0 {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/ratelimit"
+	"github.com/papayatide/papayatide/internal/reachability"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -74,6 +75,8 @@
 	// included. While hostCountKnown is false it is only an assumption.
 	hostCount      atomic.Int64
 	hostCountKnown atomic.Bool
+	// Reachability tracks which data centres this host can reach.
+	Reachability *reachability.Tracker
 	// SlowStartBounds limits what all hosts together send to a cold upstream.
 	SlowStartBounds ratelimit.Bounds
 	// OnRequestDone is called after each request.
@@ -120,7 +123,8 @@
 	crashTracker *crashes.Tracker, feedbackTracker *feedback.Tracker, rateLimiter *ratelimit.Limiter) *Dispatcher {
 	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, retryBudget: retryBudget,
 		crashes: crashTracker, feedback: feedbackTracker, rateLimiter: rateLimiter,
-		splitter: &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(),
+		Reachability: reachability.NewTracker(),
+		splitter:     &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(),
 		OnRequestDone: func(*RequestSummary) {}, OnBrokenSend: func(*BrokenSend) {}}
 	d.SetHostCount(1, false)
 	return d
--- /dev/null
+++ b/internal/dispatch/reachability_test.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/upstream"
+	"github.com/papayatide/papayatide/internal/view"
+)
+
+// A host that is cut off from a data centre lost two requests at each of its upstreams, each after
+// its whole timeout. Once the data centre is known to be unreachable, requests for its keys are
+// refused at once, as not run; deployments without competing services go on as before.
+func TestRequestsForAnUnreachableDataCentreAreRefusedAtOnce(t *testing.T) {
+	for _, competing := range []bool{true, false} {
+		h := newHarness(t)
+		routes := []*desired.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []desired.Share{{Service: "s", Weight: 1}}}}
+		if competing {
+			routes = append(routes, &desired.Route{Name: "r2", Host: "h2", Prefix: "/", Priority: 1, Shares: []desired.Share{{Service: "s", Weight: 1}}})
+		}
+		state := desired.New(1, routes, map[string]*desired.Service{"s": {Name: "s"}}, desired.Limits{})
+		h.views.Publish(func(v *view.View) { v.Desired = state })
+		now := time.Now()
+		far := &catalogue.Upstream{ID: "u", DataCentre: "far"}
+		h.d.startSend(far, now.Add(-3*time.Second))(&upstream.Result{Outcome: upstream.Answered, Status: http.StatusOK})
+		for i := range 3 {
+			h.d.startSend(&catalogue.Upstream{ID: fmt.Sprint("u", i), DataCentre: "far"}, now.Add(-2*time.Second))
+		}
+		if got := h.d.reachable(far, now.Add(time.Second)); got == competing {
+			t.Errorf("competing %v: the data centre counts as reachable: %v", competing, got)
+		}
+		if !h.d.reachable(&catalogue.Upstream{ID: "near", DataCentre: h.d.localDataCentre}, now.Add(time.Second)) {
+			t.Error("a host's own data centre must always count as reachable")
+		}
+	}
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -17,7 +17,9 @@
 // ticket, the feedback and crash trackers and the request.
 func (d *Dispatcher) send(ctx context.Context, req *request, u *catalogue.Upstream, ticket *admission.Ticket) (*upstream.Result, time.Duration) {
 	start := time.Now()
+	endSend := d.startSend(u, start)
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
+	endSend(res)
 	took := time.Since(start)
 	outcome := sendOutcome(ctx, res)
 	now := time.Now()
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -40,6 +40,7 @@
 	limited, leaving := h.feedback.Counts()
 	metrics.WriteGaugeUint64(w, "papayatide_upstreams_limited", uint64(limited))
 	metrics.WriteGaugeUint64(w, "papayatide_upstreams_reported_leaving", uint64(leaving))
+	metrics.WriteGaugeUint64(w, "papayatide_data_centres_unreachable", uint64(h.dispatch.Reachability.Unreachable()))
 	for service, left := range h.budget.Remaining(now) {
 		metrics.WriteGaugeFloat64(w, `papayatide_repeats_left{service="`+service+`"}`, left)
 	}
--- a/internal/entryhost/requestlogging.go
+++ b/internal/entryhost/requestlogging.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -67,6 +68,16 @@
 	h.zl.Info("connection to upstream broke before a whole response", fields...)
 }
 
+// onReachabilityChange logs that a data centre has become unreachable, or reachable again.
+func (h *host) onReachabilityChange(dataCentre string, reachable bool, silentFor time.Duration) {
+	if reachable {
+		h.zl.Info("data centre is reachable again", zap.Int("event", events.DataCentreReachable), zap.String("data_centre", dataCentre), zap.Duration("silent_for", silentFor))
+		return
+	}
+	h.zl.Warn("data centre is unreachable: none of its upstreams responds", zap.Int("event", events.DataCentreUnreachable), zap.String("data_centre", dataCentre),
+		zap.Duration("silent_for", silentFor))
+}
+
 // requestFields returns the log fields of a finished request.
 func (h *host) requestFields(e *dispatch.RequestSummary, event int) []zap.Field {
 	fields := []zap.Field{zap.Int("event", event), zap.String("request", e.ID), zap.String("route", e.Route), zap.String("service", e.Service),
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -77,6 +77,10 @@
 	CrashWriteFailed        = 653
 	FingerprintCleared      = 654
 	LogLinesDropped         = 660
+	// DataCentreUnreachable and DataCentreReachable: none of the upstreams of a data centre
+	// responds to this host, or one does again.
+	DataCentreUnreachable = 680
+	DataCentreReachable   = 681
 
 	// 7xx: the planner.
 	PlannerLeaseAcquired       = 700
