dispatch, balance: expected latency by class for competing services

Cause: a request was refused if the mean latency over all classes of its service exceeded its own objective. Payments of 160 ms with an objective of 600 ms were refused because browsing requests of 930 ms share the upstreams. Change: balance.Picker.Estimate learns the work time of each class from this host's responses, scales it by the upstream's work time relative to the median of its service, and adds the queueing of the requests in flight from all hosts. dispatch uses it for competing services, through an interface of its own. Work alone, with a free slot, is no reason to refuse.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -110,12 +110,13 @@
 	// wrote to the log service; see MarkSynced.
 	syncedUntil time.Time
 	// subsets holds the upstreams that this host uses, by service.
-	subsets map[string]*serviceSubset
+	subsets   map[string]*serviceSubset
+	classWork classWork
 }
 
 // NewPicker returns a picker without state for the named host.
 func NewPicker(host string) *Picker {
-	return &Picker{host: host, states: map[string]*upstreamState{}, subsets: map[string]*serviceSubset{}}
+	return &Picker{host: host, states: map[string]*upstreamState{}, subsets: map[string]*serviceSubset{}, classWork: newClassWork()}
 }
 
 // state returns the upstream's state and creates it if there is none.
--- /dev/null
+++ b/internal/balance/estimate_test.go
@@ -0,0 +1,57 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
+)
+
+var (
+	payments = desired.Class{Service: "s", Priority: 1, Objective: 600 * time.Millisecond}
+	browsing = desired.Class{Service: "s", Priority: 2, Objective: 5 * time.Second}
+)
+
+// wantAbout reports an error unless got is within 10% of want.
+func wantAbout(t *testing.T, what string, got, want time.Duration) {
+	t.Helper()
+	if got < want*9/10 || got > want*11/10 {
+		t.Errorf("%s is %v, want about %v", what, got, want)
+	}
+}
+
+// One mean over all classes refused payments of 160 ms because browsing requests take 930 ms.
+// Each class must have its own estimate, whichever the upstream's speed and however long the
+// responses were queued, and the queueing must be that of the requests in flight of all hosts.
+func TestEstimateByClass(t *testing.T) {
+	now := time.Now()
+	p := NewPicker("h")
+	ups := []*catalogue.Upstream{{ID: "fast", Service: "s", Slots: 6, DataCentre: "dc"}, {ID: "mid", Service: "s", Slots: 6, DataCentre: "dc"}, {ID: "slow", Service: "s", Slots: 6, DataCentre: "dc"}}
+	p.Pick(ups, Criteria{LocalDataCentre: "dc"}, now)
+	loads := []PeerLoad{{ID: "fast", WorkTime: 200 * time.Millisecond}, {ID: "mid", WorkTime: 400 * time.Millisecond, InFlight: 5}, {ID: "slow", WorkTime: 800 * time.Millisecond, InFlight: 17}}
+	p.SetPeerLoads(loads, now)
+	if _, _, known := p.Estimate(ups[0], payments, now); known {
+		t.Error("an estimate without any response")
+	}
+	for range 200 {
+		p.RecordLatency(ups[0], payments, 80*time.Millisecond, 0, now)
+		p.RecordLatency(ups[2], payments, 820*time.Millisecond, 500*time.Millisecond, now)
+		p.RecordLatency(ups[1], browsing, 930*time.Millisecond, 0, now)
+		p.RecordLatency(ups[1], browsing, 930*time.Millisecond, 0, now)
+	}
+	queueing, work, known := p.Estimate(ups[1], payments, now)
+	wantAbout(t, "the work of a payment at the median upstream", work, 160*time.Millisecond)
+	if queueing != 0 || !known {
+		t.Errorf("queueing %v, known %v with a free slot", queueing, known)
+	}
+	_, work, _ = p.Estimate(ups[0], browsing, now)
+	wantAbout(t, "the work of a browsing request at the fast upstream", work, 465*time.Millisecond)
+	// 12 requests are ahead of it, of 545 ms on average and twice that at this upstream; 6 run at a time.
+	queueing, work, _ = p.Estimate(ups[2], payments, now)
+	wantAbout(t, "the work of a payment at the slow upstream", work, 320*time.Millisecond)
+	wantAbout(t, "the queueing at the slow upstream", queueing, 2*545*time.Millisecond*12/6)
+	if free := p.FreeSlots(ups[2], now.Add(2*peerLoadTTL)); free != 6 {
+		t.Errorf("%d free slots by this host's own requests once the load data is old, want 6", free)
+	}
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -12,7 +12,8 @@
 // chooseUpstream returns the upstream for the next attempt. An unkeyed request that has not
 // been sent to any upstream yet is refused if the latency expected at the chosen upstream
 // exceeds the objective: in the queue there it would also delay the requests behind it. That
-// latency covers the requests in flight there from all hosts of this host's data centre.
+// latency covers the requests in flight there from all hosts of this host's data centre, and
+// for competing services the work of the request's class.
 func (d *Dispatcher) chooseUpstream(ctx context.Context, req *request) (*catalogue.Upstream, *Refusal) {
 	if req.key >= 0 {
 		return d.chooseOwner(ctx, req)
@@ -32,7 +33,7 @@
 	if u == nil {
 		return nil, d.noUpstreamRefusal(req, upstreams, time.Now())
 	}
-	if req.attempts == 0 && d.picker.ExpectedLatency(u, time.Now()) > req.route.LatencyObjective {
+	if req.attempts == 0 && d.expectedLatency(req, u, time.Now()) > req.route.LatencyObjective {
 		return nil, req.refusal(CauseOverloaded, req.retryAfterOverloaded())
 	}
 	return u, nil
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,6 +60,7 @@
 	views                 *view.Publisher
 	client                *upstream.Client
 	picker                *balance.Picker
+	estimator             estimator
 	retryBudget           *budget.Budget
 	splitter              *splitter
 	rejectedGrants        *rejectedGrants
@@ -118,7 +119,7 @@
 // New returns a dispatcher for a host in localDataCentre.
 func New(h protocol.Headers, localDataCentre string, views *view.Publisher, client *upstream.Client, picker *balance.Picker, retryBudget *budget.Budget,
 	crashTracker *crashes.Tracker, feedbackTracker *feedback.Tracker, rateLimiter *ratelimit.Limiter) *Dispatcher {
-	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, retryBudget: retryBudget,
+	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, estimator: picker, retryBudget: retryBudget,
 		crashes: crashTracker, feedback: feedbackTracker, rateLimiter: rateLimiter,
 		splitter: &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(),
 		OnRequestDone: func(*RequestSummary) {}, OnBrokenSend: func(*BrokenSend) {}}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -38,6 +38,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
+		d.estimateQueueing(req, u)
 		limiter := d.picker.Limiter(u.ID)
 		queued := time.Now()
 		ticket := limiter.Acquire(ctx, req.maxQueueWait(), d.admissionLimitRange(u, req.service))
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -32,6 +32,8 @@
 	highestPriority bool
 	// callerConn is the caller's connection; nil if it is not known.
 	callerConn net.Conn
+	// urgency is nil unless the service is competing (see desired.State.Competing).
+	urgency *urgency
 	// key is -1 for services that are not keyed.
 	key int
 	// fingerprintBody is the part of the body that goes into the fingerprint: all of
@@ -109,6 +111,7 @@
 	req.deadline = d.shutdown.clampDeadline(req.deadline)
 	req.service = state.Services[d.splitter.pick(state.Version, route)]
 	req.highestPriority = route.Priority <= state.HighestPriority(req.service.Name)
+	req.urgency = newUrgency(state, route, req.service.Name)
 	if req.service.Keyed {
 		key, err := strconv.Atoi(r.Header.Get(d.headers.Key))
 		if err != nil || key < 0 || key >= ownership.KeySpaceSize {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -25,6 +25,9 @@
 	if d.picker.Done(u.ID, outcome, took, now) {
 		d.feedback.RecordCrash(u.ID, now)
 	}
+	if req.urgency != nil && outcome == balance.Served {
+		d.estimator.RecordLatency(u, req.urgency.class, took, req.urgency.queueing, now)
+	}
 	if res.Status != 0 && !res.Misdirected() {
 		d.feedback.Record(u.ID, res.Report, start, now)
 	}
