balance: work time of a class is a low quantile of its samples

Cause: requests go to the upstreams that look least busy by load data up to a third of a second old, so that they queue for longer than expected. The mean of latency less expected queueing rose to 540 and 600 ms on two hosts of an overload trial, for payments of 146 ms at a median upstream. Change: the estimate follows the 0.3 quantile of the samples, and the mean over all classes weighs these estimates.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -9,46 +9,66 @@
 )
 
 const (
-	// workSmoothing is the weight of a new response in a mean work time: a host of a large
-	// fleet gets a few responses of a class per second, and some take several times as long.
-	workSmoothing = 0.05
-	// minWorkFraction bounds the correction for queueing, which rests on load data up to
-	// peerLoadTTL old: at least this fraction of a latency counts as work.
+	// workSmoothing is the weight of a new response in an estimated work time: a host of a
+	// large fleet gets a few responses of a class per second.
+	workSmoothing = 0.06
+	// workQuantile is the quantile of the samples that is taken for the work time. Requests go
+	// to the upstreams that look least busy by load data up to peerLoadTTL old, so they queue
+	// for longer than expected, and the mean of the samples was up to four times the work.
+	workQuantile = 0.3
+	// minWorkFraction is the least fraction of a latency that counts as work, as the load data
+	// may also be too high.
 	minWorkFraction = 0.25
+	// equalWeightSamples is how many of the first samples are averaged.
+	equalWeightSamples = 5
 	// medianInterval is how long a service's median work time is reused. New load data
 	// arrives three times a second.
 	medianInterval = 300 * time.Millisecond
 )
 
-// workMean is the smoothed work time of requests at an upstream of median speed.
-type workMean struct {
-	mean    time.Duration
+// workTime is the estimated work time of requests at an upstream of median speed.
+type workTime struct {
+	typical time.Duration
 	samples int
 }
 
-// add adds a sample. The first ones are averaged with equal weights.
-func (m *workMean) add(work time.Duration) {
-	m.samples++
-	weight := max(1/float64(m.samples), workSmoothing)
-	m.mean += time.Duration(weight * float64(work-m.mean))
+// add adds a sample. After the first ones, the estimate rises with each longer sample and
+// falls with each shorter one, so that it approaches the workQuantile of them.
+func (w *workTime) add(sample time.Duration) {
+	w.samples++
+	switch {
+	case w.samples <= equalWeightSamples:
+		w.typical += (sample - w.typical) / time.Duration(w.samples)
+	case sample > w.typical:
+		w.typical += time.Duration(workSmoothing * workQuantile * float64(w.typical))
+	default:
+		w.typical -= time.Duration(workSmoothing * (1 - workQuantile) * float64(w.typical))
+	}
 }
 
 // classWork holds the work times by class, and by service over all classes.
 type classWork struct {
-	byClass   map[desired.Class]*workMean
+	byClass   map[desired.Class]*workTime
 	byService map[string]*serviceWork
 }
 
-// serviceWork is the work time of a service's requests, in the mix of classes in which this
-// host sends them, and the median of its upstreams' work times.
+// serviceWork is the mean work time of a service's requests, in the mix of classes in which
+// this host gets responses, and the median of its upstreams' work times.
 type serviceWork struct {
-	workMean
+	mean     time.Duration
+	samples  int
 	median   time.Duration
 	medianAt time.Time
 }
 
+// add adds a response of a class with the given work time.
+func (s *serviceWork) add(work time.Duration) {
+	s.samples++
+	s.mean += time.Duration(max(1/float64(s.samples), workSmoothing) * float64(work-s.mean))
+}
+
 func newClassWork() classWork {
-	return classWork{map[desired.Class]*workMean{}, map[string]*serviceWork{}}
+	return classWork{map[desired.Class]*workTime{}, map[string]*serviceWork{}}
 }
 
 func (c *classWork) service(name string) *serviceWork {
@@ -66,8 +86,8 @@
 func (p *Picker) Estimate(u *catalogue.Upstream, class desired.Class, now time.Time) (queueing, work time.Duration, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	mean := p.classWork.byClass[class]
-	if mean == nil {
+	typical := p.classWork.byClass[class]
+	if typical == nil {
 		return 0, 0, false
 	}
 	slowness := p.slowness(u, now)
@@ -75,7 +95,7 @@
 		perRequest := slowness * float64(p.classWork.service(class.Service).mean)
 		queueing = time.Duration(float64(queued) * perRequest / float64(u.Slots))
 	}
-	return queueing, time.Duration(slowness * float64(mean.mean)), true
+	return queueing, time.Duration(slowness * float64(typical.typical)), true
 }
 
 // FreeSlots returns the upstream's slots less the requests in flight there from all hosts of
@@ -100,15 +120,14 @@
 func (p *Picker) RecordLatency(u *catalogue.Upstream, class desired.Class, latency, queueing time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	work := max(latency-queueing, time.Duration(minWorkFraction*float64(latency)))
-	work = time.Duration(float64(work) / p.slowness(u, now))
-	mean := p.classWork.byClass[class]
-	if mean == nil {
-		mean = &workMean{}
-		p.classWork.byClass[class] = mean
+	sample := max(latency-queueing, time.Duration(minWorkFraction*float64(latency)))
+	work := p.classWork.byClass[class]
+	if work == nil {
+		work = &workTime{}
+		p.classWork.byClass[class] = work
 	}
-	mean.add(work)
-	p.classWork.service(class.Service).add(work)
+	work.add(time.Duration(float64(sample) / p.slowness(u, now)))
+	p.classWork.service(class.Service).add(work.typical)
 }
 
 // slowness returns the upstream's work time relative to the median of its service, by the
