scheduling, dispatch: requests to competing services run by urgency

Cause: requests of all classes waited at the limiter of one upstream, in the order of arrival, and a request of 930 ms was sent wherever it met its own objective of 5 s, also where urgent ones then missed theirs of 600 ms. Change: one queue per unkeyed competing service and host across its upstreams, ordered by priority and the time left to the objective. The time that a returning caller lost is inferred from its timeout header. A less urgent request is sent only where it leaves time for an urgent one, or is due a tenth of the work. What cannot be in time is refused at once. Counters by service and priority; log fields of the estimates. Other services are served as before. A returning caller is served up to its deadline only if it has no time for another retry.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -156,6 +156,18 @@
 	return l.await(ctx, turn, maxWait)
 }
 
+// TryAcquire returns a ticket if the request may start at once, else nil.
+func (l *Limiter) TryAcquire(limitRange LimitRange) *Ticket {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setLimitRange(limitRange)
+	if len(l.waiters) > 0 || !l.hasRoom(now) {
+		return nil
+	}
+	return l.start(now)
+}
+
 // await waits until wakeWaiters signals turn, maxWait has passed or ctx ends.
 func (l *Limiter) await(ctx context.Context, turn chan struct{}, maxWait time.Duration) *Ticket {
 	t := time.NewTimer(maxWait)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -12,12 +12,21 @@
 // chooseUpstream returns the upstream for the next attempt. An unkeyed request that has not
 // been sent to any upstream yet is refused if the latency expected at the chosen upstream
 // exceeds the objective: in the queue there it would also delay the requests behind it. That
-// latency covers the requests in flight there from all hosts of this host's data centre, and
-// for competing services the work of the request's class.
+// latency covers the requests in flight there from all hosts of this host's data centre.
+// Requests to competing services are not judged here but in admitByUrgency.
 func (d *Dispatcher) chooseUpstream(ctx context.Context, req *request) (*catalogue.Upstream, *Refusal) {
 	if req.key >= 0 {
 		return d.chooseOwner(ctx, req)
 	}
+	u, refusal := d.pickUpstream(req)
+	if refusal == nil && req.attempts == 0 && d.picker.ExpectedLatency(u, time.Now()) > req.route.LatencyObjective {
+		return nil, req.refusal(CauseOverloaded, req.retryAfterOverloaded())
+	}
+	return u, refusal
+}
+
+// pickUpstream returns the best upstream for an unkeyed request.
+func (d *Dispatcher) pickUpstream(req *request) (*catalogue.Upstream, *Refusal) {
 	v := d.views.Load()
 	criteria := balance.Criteria{LocalDataCentre: d.localDataCentre, RemotePenalty: req.route.LatencyObjective / 4, Excluded: req.attempted, SlowStart: d.slowStart(req.service),
 		Unavailable: func(id string) bool { wait, _ := d.unavailableFor(id, time.Now()); return wait > 0 }}
@@ -33,9 +42,6 @@
 	if u == nil {
 		return nil, d.noUpstreamRefusal(req, upstreams, time.Now())
 	}
-	if req.attempts == 0 && d.expectedLatency(req, u, time.Now()) > req.route.LatencyObjective {
-		return nil, req.refusal(CauseOverloaded, req.retryAfterOverloaded())
-	}
 	return u, nil
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -61,6 +61,7 @@
 	client                *upstream.Client
 	picker                *balance.Picker
 	estimator             estimator
+	schedulers            *schedulers
 	retryBudget           *budget.Budget
 	splitter              *splitter
 	rejectedGrants        *rejectedGrants
@@ -114,12 +115,14 @@
 	// LimiterState is the state of the upstream's limiter if it did not admit the
 	// request.
 	LimiterState admission.State
+	// Scheduling is nil unless the service is competing.
+	Scheduling *SchedulingSummary
 }
 
 // New returns a dispatcher for a host in localDataCentre.
 func New(h protocol.Headers, localDataCentre string, views *view.Publisher, client *upstream.Client, picker *balance.Picker, retryBudget *budget.Budget,
 	crashTracker *crashes.Tracker, feedbackTracker *feedback.Tracker, rateLimiter *ratelimit.Limiter) *Dispatcher {
-	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, estimator: picker, retryBudget: retryBudget,
+	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, estimator: picker, schedulers: newSchedulers(), retryBudget: retryBudget,
 		crashes: crashTracker, feedback: feedbackTracker, rateLimiter: rateLimiter,
 		splitter: &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(),
 		OnRequestDone: func(*RequestSummary) {}, OnBrokenSend: func(*BrokenSend) {}}
@@ -161,6 +164,7 @@
 	s.Route, s.Service, s.Key = req.route.Name, req.service.Name, req.key
 	s.Upstream = cmp.Or(s.Upstream, req.lastUpstream)
 	s.Attempts, s.Err, s.FencingToken = req.attempts, req.lastErr, req.lastFencingToken
+	s.setScheduling(req)
 	s.TimeLeft, s.Fingerprint = time.Until(req.deadline), req.cachedFingerprint
 }
 
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -34,21 +34,13 @@
 		if left := d.refusedForUnlessTrial(req); left > 0 {
 			return nil, req.refusal(CauseCrashes, left)
 		}
-		u, refusal := d.chooseUpstream(ctx, req)
+		u, ticket, refusal := d.admit(ctx, req, summary)
 		if refusal != nil {
 			return nil, refusal
 		}
-		d.estimateQueueing(req, u)
-		limiter := d.picker.Limiter(u.ID)
-		queued := time.Now()
-		ticket := limiter.Acquire(ctx, req.maxQueueWait(), d.admissionLimitRange(u, req.service))
-		summary.QueueTime += time.Since(queued)
-		if ticket == nil {
-			summary.Upstream, summary.LimiterState = u.ID, limiter.State()
-			return nil, d.notAdmittedRefusal(ctx, req)
-		}
 		if ok, refusal := d.permitSend(ctx, req, u); !ok {
 			ticket.Done(admission.NoSignal, 0)
+			d.released(req)
 			if refusal != nil {
 				return nil, refusal
 			}
@@ -63,6 +55,26 @@
 	}
 }
 
+// admit chooses the upstream for the next attempt and waits for admission there.
+func (d *Dispatcher) admit(ctx context.Context, req *request, summary *RequestSummary) (*catalogue.Upstream, *admission.Ticket, *Refusal) {
+	if req.urgency != nil && req.key < 0 {
+		return d.admitByUrgency(ctx, req, summary)
+	}
+	u, refusal := d.chooseUpstream(ctx, req)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	limiter := d.picker.Limiter(u.ID)
+	queued := time.Now()
+	ticket := limiter.Acquire(ctx, req.maxQueueWait(), d.admissionLimitRange(u, req.service))
+	summary.QueueTime += time.Since(queued)
+	if ticket == nil {
+		summary.Upstream, summary.LimiterState = u.ID, limiter.State()
+		return nil, nil, d.notAdmittedRefusal(ctx, req)
+	}
+	return u, ticket, nil
+}
+
 // permitSend reports whether an admitted request may be sent to the upstream now, and
 // takes the permits that the attempt needs. If not, it returns a refusal, or nil if the
 // checks and the choice of the upstream are to be repeated.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -111,7 +111,7 @@
 	req.deadline = d.shutdown.clampDeadline(req.deadline)
 	req.service = state.Services[d.splitter.pick(state.Version, route)]
 	req.highestPriority = route.Priority <= state.HighestPriority(req.service.Name)
-	req.urgency = newUrgency(state, route, req.service.Name)
+	req.urgency = d.newUrgency(state, route, req.service.Name, r.Header.Get(d.headers.TimeoutMs))
 	if req.service.Keyed {
 		key, err := strconv.Atoi(r.Header.Get(d.headers.Key))
 		if err != nil || key < 0 || key >= ownership.KeySpaceSize {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -25,13 +25,12 @@
 	if d.picker.Done(u.ID, outcome, took, now) {
 		d.feedback.RecordCrash(u.ID, now)
 	}
-	if req.urgency != nil && outcome == balance.Served {
-		d.estimator.RecordLatency(u, req.urgency.class, took, req.urgency.queueing, now)
-	}
+	d.recordByClass(req, u, outcome, took, now)
 	if res.Status != 0 && !res.Misdirected() {
 		d.feedback.Record(u.ID, res.Report, start, now)
 	}
 	ticket.Done(loadSignal(outcome, took, req.route.LatencyObjective), took)
+	d.released(req)
 	req.lastUpstream, req.lastErr = u.ID, res.Err
 	req.trial = false
 	req.attempted = append(req.attempted, u.ID)
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -1,10 +1,16 @@
 package dispatch
 
 import (
+	"context"
+	"strconv"
+	"sync"
 	"time"
 
+	"github.com/papayatide/papayatide/internal/admission"
+	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/scheduling"
 )
 
 // estimator estimates the latency of a request of a class at an upstream, and learns from
@@ -19,42 +25,147 @@
 	RecordLatency(u *catalogue.Upstream, class desired.Class, latency, queueing time.Duration, now time.Time)
 }
 
-// urgency is what requests of different classes of one service compete by.
+// urgency is what the requests to a competing service are scheduled by.
 type urgency struct {
 	class desired.Class
 	// mostUrgent is the most urgent class of the service.
 	mostUrgent desired.Class
+	// lost is the time that the caller has lost by earlier refusals; 0 for a new request.
+	lost time.Duration
 	// queueing is how long the last attempt was expected to queue at its upstream.
 	queueing time.Duration
+	// result is that of the last wait for room.
+	result scheduling.Result
 }
 
-// newUrgency returns nil for a service that is not competing.
-func newUrgency(state *desired.State, route *desired.Route, service string) *urgency {
+// SchedulingSummary describes how a request to a competing service was scheduled.
+type SchedulingSummary struct {
+	Priority int
+	// Lost is the time that the caller had lost by earlier refusals; 0 for a new request.
+	Lost time.Duration
+	// ExpectedWait and ExpectedWork are the estimates on which a refusal rests; 0 if unknown.
+	ExpectedWait, ExpectedWork time.Duration
+}
+
+// setScheduling copies the scheduling of the request into the summary.
+func (s *RequestSummary) setScheduling(req *request) {
+	if u := req.urgency; u != nil {
+		s.Scheduling = &SchedulingSummary{Priority: u.class.Priority, Lost: u.lost, ExpectedWait: u.result.ExpectedWait, ExpectedWork: u.result.ExpectedWork}
+	}
+}
+
+// schedulers holds the scheduler of each unkeyed competing service, and the timeouts that
+// callers of each route to a competing service state.
+type schedulers struct {
+	mu        sync.Mutex
+	byService map[string]*scheduling.Service
+	byRoute   map[string]*scheduling.Timeouts
+}
+
+func newSchedulers() *schedulers {
+	return &schedulers{byService: map[string]*scheduling.Service{}, byRoute: map[string]*scheduling.Timeouts{}}
+}
+
+// service returns the scheduler of the named service.
+func (s *schedulers) service(name string) *scheduling.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sched := s.byService[name]
+	if sched == nil {
+		sched = &scheduling.Service{}
+		s.byService[name] = sched
+	}
+	return sched
+}
+
+// lost returns the time that a caller of the route has lost, by the timeout that it states.
+func (s *schedulers) lost(route *desired.Route, stated time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	timeouts := s.byRoute[route.Name]
+	if timeouts == nil {
+		timeouts = &scheduling.Timeouts{}
+		s.byRoute[route.Name] = timeouts
+	}
+	return timeouts.Lost(stated, route.Timeout)
+}
+
+// newUrgency returns the urgency of a request to the service with the given value of the
+// timeout header; nil if the service is not competing.
+func (d *Dispatcher) newUrgency(state *desired.State, route *desired.Route, service, timeoutMs string) *urgency {
 	if !state.Competing(service) {
 		return nil
 	}
-	return &urgency{class: route.ClassFor(service), mostUrgent: state.Classes(service)[0]}
+	u := &urgency{class: route.ClassFor(service), mostUrgent: state.Classes(service)[0]}
+	if ms, err := strconv.Atoi(timeoutMs); err == nil {
+		u.lost = d.schedulers.lost(route, time.Duration(ms)*time.Millisecond)
+	}
+	return u
 }
 
-// expectedLatency returns the expected latency of the request at the upstream; 0 if it is
-// not known. Where nothing queues, the work alone is no reason to refuse a request of a
-// competing service: refusing all requests of the class would leave a wrong estimate without
-// the responses that correct it.
-func (d *Dispatcher) expectedLatency(req *request, u *catalogue.Upstream, now time.Time) time.Duration {
-	if req.urgency == nil {
-		return d.picker.ExpectedLatency(u, now)
+// placement implements scheduling.Place for one attempt.
+type placement struct {
+	d        *Dispatcher
+	req      *request
+	upstream *catalogue.Upstream
+	queueing time.Duration
+	ticket   *admission.Ticket
+	// refusal is set if there is no upstream.
+	refusal *Refusal
+}
+
+// Find implements scheduling.Place.
+func (p *placement) Find(now time.Time) (scheduling.Offer, bool) {
+	p.upstream, p.refusal = p.d.pickUpstream(p.req)
+	if p.refusal != nil {
+		return scheduling.Offer{}, false
 	}
-	queueing, work, known := d.estimator.Estimate(u, req.urgency.class, now)
-	if !known || queueing == 0 {
-		return 0
+	urgency, e := p.req.urgency, p.d.estimator
+	o := scheduling.Offer{Slots: p.upstream.Slots, FreeSlots: e.FreeSlots(p.upstream, now)}
+	o.Queueing, o.Work, o.Known = e.Estimate(p.upstream, urgency.class, now)
+	_, o.UrgentWork, _ = e.Estimate(p.upstream, urgency.mostUrgent, now)
+	p.queueing = o.Queueing
+	return o, true
+}
+
+// Take implements scheduling.Place.
+func (p *placement) Take() bool {
+	p.ticket = p.d.picker.Limiter(p.upstream.ID).TryAcquire(p.d.admissionLimitRange(p.upstream, p.req.service))
+	return p.ticket != nil
+}
+
+// admitByUrgency chooses the upstream for the next attempt of a request to an unkeyed
+// competing service. The request waits in the service's queue until an upstream has room for
+// it, or is refused if it cannot be served in time.
+func (d *Dispatcher) admitByUrgency(ctx context.Context, req *request, summary *RequestSummary) (*catalogue.Upstream, *admission.Ticket, *Refusal) {
+	u := req.urgency
+	r := &scheduling.Request{Class: u.class, MostUrgent: u.mostUrgent, Arrived: req.arrived, Deadline: req.deadline, Lost: u.lost, MayHaveRun: req.mayHaveRun}
+	p := &placement{d: d, req: req}
+	queued := time.Now()
+	u.result = d.schedulers.service(req.service.Name).Admit(ctx, r, p)
+	summary.QueueTime += time.Since(queued)
+	switch u.result.Outcome {
+	case scheduling.Admitted:
+		u.queueing = p.queueing
+		return p.upstream, p.ticket, nil
+	case scheduling.NoUpstream:
+		return nil, nil, p.refusal
+	case scheduling.Refused:
+		summary.Upstream, summary.LimiterState = p.upstream.ID, d.picker.Limiter(p.upstream.ID).State()
+	}
+	return nil, nil, d.notAdmittedRefusal(ctx, req)
+}
+
+// recordByClass records a response of a competing service for the estimates of its class.
+func (d *Dispatcher) recordByClass(req *request, u *catalogue.Upstream, outcome balance.Outcome, took time.Duration, now time.Time) {
+	if req.urgency != nil && outcome == balance.Served {
+		d.estimator.RecordLatency(u, req.urgency.class, took, req.urgency.queueing, now)
 	}
-	return queueing + work
 }
 
-// estimateQueueing records how long the request is expected to queue at the upstream. It is
-// called before the request counts as in flight there.
-func (d *Dispatcher) estimateQueueing(req *request, u *catalogue.Upstream) {
-	if req.urgency != nil {
-		req.urgency.queueing, _, _ = d.estimator.Estimate(u, req.urgency.class, time.Now())
+// released tells the scheduler of an unkeyed competing service that there may be room.
+func (d *Dispatcher) released(req *request) {
+	if req.urgency != nil && req.key < 0 {
+		d.schedulers.service(req.service.Name).Released()
 	}
 }
--- a/internal/entryhost/requestlogging.go
+++ b/internal/entryhost/requestlogging.go
@@ -42,6 +42,9 @@
 		cause = string(e.Refusal.Cause)
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`papayatide_requests_total{cause=%q}`, cause)).Inc()
+	if s := e.Scheduling; s != nil {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`papayatide_competing_requests_total{service=%q,priority="%d",returned="%t",cause=%q}`, e.Service, s.Priority, s.Lost > 0, cause)).Inc()
+	}
 	switch {
 	case e.Refusal == nil && e.Status < 500:
 		if e.Attempts > 1 || servedCount.Add(1)%servedLogInterval == 1 {
@@ -82,6 +85,9 @@
 		fields = append(fields, zap.Float64("limit", e.LimiterState.Limit), zap.Int("under_way", e.LimiterState.InFlight), zap.Int("waiting", e.LimiterState.Waiting),
 			zap.Duration("latency", e.LimiterState.Latency))
 	}
+	if s := e.Scheduling; s != nil {
+		fields = append(fields, zap.Int("priority", s.Priority), zap.Duration("lost", s.Lost), zap.Duration("expected_wait", s.ExpectedWait), zap.Duration("expected_work", s.ExpectedWork))
+	}
 	if e.Refusal != nil && e.Refusal.Cause == dispatch.CauseCrashes {
 		fields = append(fields, zap.String("content", string(e.Fingerprint)))
 	}
