--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -61,6 +61,8 @@
 	views                 *view.Publisher
 	client                *upstream.Client
 	picker                *balance.Picker
+	estimator             estimator
+	schedulers            *schedulers
 	retryBudget           *budget.Budget
 	splitter              *splitter
 	rejectedGrants        *rejectedGrants
@@ -116,12 +118,14 @@
 	// LimiterState is the state of the upstream's limiter if it did not admit the
 	// request.
 	LimiterState admission.State
+	// Scheduling is nil unless the service is competing.
+	Scheduling *SchedulingSummary
 }
 
 // New returns a dispatcher for a host in localDataCentre.
 func New(h protocol.Headers, localDataCentre string, views *view.Publisher, client *upstream.Client, picker *balance.Picker, retryBudget *budget.Budget,
 	crashTracker *crashes.Tracker, feedbackTracker *feedback.Tracker, rateLimiter *ratelimit.Limiter) *Dispatcher {
-	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, retryBudget: retryBudget,
+	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, estimator: picker, schedulers: newSchedulers(), retryBudget: retryBudget,
 		crashes: crashTracker, feedback: feedbackTracker, rateLimiter: rateLimiter,
 		Reachability: reachability.NewTracker(),
 		splitter:     &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(),
@@ -164,6 +168,7 @@
 	s.Route, s.Service, s.Key = req.route.Name, req.service.Name, req.key
 	s.Upstream = cmp.Or(s.Upstream, req.lastUpstream)
 	s.Attempts, s.Err, s.FencingToken = req.attempts, req.lastErr, req.lastFencingToken
+	s.setScheduling(req)
 	s.TimeLeft, s.Fingerprint = time.Until(req.deadline), req.cachedFingerprint
 }
 
