--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,6 +26,6 @@
 go test -race -count=1 ${known_red:+-skip "^($known_red)\$"} $(go list ./... | grep -v /internal/entryhost$)
 go test -race -count=1 -cpu 1 ${known_red:+-skip "^($known_red)\$"} ./internal/entryhost
 go test -count=1 ${known_red:+-skip "^($known_red)\$"} ./internal/entryhost
-for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream platform:FuzzEra internal/settings:FuzzParseEntry internal/dispatch:FuzzRequest internal/feedback:FuzzDecode internal/valuecodec:FuzzDecode; do
+for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream platform:FuzzEra internal/settings:FuzzParseEntry internal/dispatch:FuzzRequest internal/feedback:FuzzDecode internal/valuecodec:FuzzDecode internal/pipeline:FuzzSplit; do
   go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime "$fuzz_time" "./${target%:*}"
 done
