entryhost: run callers' pipelined requests concurrently

Cause: callers of one deployment pipeline look-ups; hosts served them one after the other. Change: the callers' listener and handler are wrapped by package pipeline. A request is run ahead if its route is idempotent and the host isn't stopping. The shutdown waits for run-ahead requests before http.Server.Shutdown, which closes connections regardless. The dispatcher gets the wrapped connection, whose socket it inspects.

--- a/internal/dispatch/caller_disconnected_test.go
+++ b/internal/dispatch/caller_disconnected_test.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"github.com/papayatide/papayatide/internal/pipeline"
 )
 
 // pausedListener accepts no connections until resume is closed, like a host that gets
@@ -25,6 +28,11 @@
 // the host runs again it reads these requests. None may reach an upstream, which would
 // work on requests without a caller for a second or more.
 func TestRequestsOfDisconnectedCallersAreNotSent(t *testing.T) {
+	t.Run("net/http", func(t *testing.T) { testDisconnectedCallers(t, false) })
+	t.Run("read ahead", func(t *testing.T) { testDisconnectedCallers(t, true) })
+}
+
+func testDisconnectedCallers(t *testing.T, readAhead bool) {
 	f := startUpstream(t, echo)
 	h := newHarness(t, newUpstream("u1", "plain", f))
 	h.get("read.example", "warm").want(t, http.StatusOK, "") // leaves an idle connection in the pool
@@ -33,6 +41,13 @@
 	front := httptest.NewUnstartedServer(h.d)
 	front.Config.ConnContext = WithCaller
 	front.Listener = pausedListener{front.Listener, resume}
+	if readAhead {
+		p := &pipeline.Server{Handler: h.d, Idempotent: func(*http.Request) bool { return true }, Stopping: func() bool { return false }}
+		front.Config.Handler, front.Listener = p, p.Listen(front.Listener)
+		front.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			return WithCaller(pipeline.ConnContext(ctx, c), pipeline.NetConn(c))
+		}
+	}
 	front.Start()
 	t.Cleanup(front.Close)
 	for i := range callers {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -24,6 +24,7 @@
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
+	"github.com/papayatide/papayatide/internal/pipeline"
 	"github.com/papayatide/papayatide/internal/planner"
 	"github.com/papayatide/papayatide/internal/progress"
 	"github.com/papayatide/papayatide/internal/protocol"
@@ -128,8 +129,10 @@
 	inFlightAggregator *inFlightAggregator
 	plat               Platform
 	callerServer       *http.Server
-	stopping           atomic.Bool
-	inFlight           atomic.Int64
+	// pipeline runs callers' pipelined requests concurrently.
+	pipeline *pipeline.Server
+	stopping atomic.Bool
+	inFlight atomic.Int64
 	// loggedDroppedLines is the number of dropped lines that logDroppedLines has
 	// logged already.
 	loggedDroppedLines int64
@@ -222,8 +225,9 @@
 
 // listen opens the host's listeners and adds their HTTP servers to g.
 func (h *host) listen(workCtx context.Context, g *run.Group) error {
-	h.callerServer = &http.Server{Handler: http.HandlerFunc(h.serve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: dispatch.WithCaller}
+	h.pipeline = &pipeline.Server{Handler: http.HandlerFunc(h.serve), Idempotent: h.hasIdempotentRoute, Stopping: h.stopping.Load}
+	h.callerServer = &http.Server{Handler: h.pipeline, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: callerContext}
 	if err := h.addServer(workCtx, g, h.cfg.Listen, h.callerServer); err != nil {
 		return err
 	}
@@ -257,6 +261,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen %s", addr)
 	}
+	if srv == h.callerServer {
+		ln = h.pipeline.Listen(ln)
+	}
 	g.Add(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrapf(err, "serve %s", addr)
@@ -307,6 +314,7 @@
 	// Shutdown, unlike Close, lets responses that are being written finish.
 	shutdownCtx, cancel := context.WithDeadline(workCtx, deadline)
 	defer cancel()
+	h.pipeline.Drain(shutdownCtx)
 	if err := h.callerServer.Shutdown(shutdownCtx); err != nil {
 		h.zl.Warn("stopped with requests still in flight", zap.Int("event", events.EntryHostStopping), zap.Int64("in_flight", h.inFlight.Load()), ErrorField(err))
 	}
