pipeline: an invalid status becomes 502

Cause: net/http's server panics on a status under 100 and closes the connection. A recorded response with such a status became 200, and behind a request that wrote one the run-ahead requests lost their responses. Change: a recorded invalid status becomes 502; the panic of a request in front is handled like others.

--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -170,12 +170,16 @@
 // Header implements http.ResponseWriter.
 func (rec *record) Header() http.Header { return rec.header }
 
-// WriteHeader implements http.ResponseWriter. Informational responses are dropped, and
-// 101, after which the connection would no longer carry HTTP, becomes 502.
+// maxStatus is the highest status that net/http writes.
+const maxStatus = 999
+
+// WriteHeader implements http.ResponseWriter. Informational responses are dropped. An
+// invalid status becomes 502, also 101, after which the connection would no longer carry
+// HTTP.
 func (rec *record) WriteHeader(status int) {
 	switch {
 	case rec.status != 0:
-	case status == http.StatusSwitchingProtocols:
+	case status == http.StatusSwitchingProtocols || status < http.StatusContinue || status > maxStatus:
 		rec.status = http.StatusBadGateway
 	case status >= http.StatusOK:
 		rec.status = status
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -73,6 +73,9 @@
 	if q.Has("panic") {
 		panic(http.ErrAbortHandler)
 	}
+	if q.Has("invalid") {
+		w.WriteHeader(42)
+	}
 	if q.Has("close") {
 		w.Header().Set("Connection", "close")
 	}
@@ -264,11 +267,11 @@
 }
 
 // Guards against lost responses of run-ahead requests when one in front closes the
-// connection or its handler panics.
+// connection or its handler panics, as net/http does on an invalid status.
 func TestCloseIsHeldBack(t *testing.T) {
-	for _, front := range []string{"/0?sleep=50ms&close", "/0?sleep=50ms&panic"} {
+	for _, front := range []string{"/0?sleep=50ms&close", "/0?sleep=50ms&panic", "/0?sleep=50ms&invalid"} {
 		s := startServer(t, true)
-		c := s.dial(t, get(front)+get("/1?sleep=80ms")+get("/2?close"))
+		c := s.dial(t, get(front)+get("/1?sleep=80ms&invalid")+get("/2?close"))
 		br := bufio.NewReader(c)
 		closes := want(t, br, 3)
 		if !slices.Equal(closes, []bool{false, false, true}) {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -160,7 +160,7 @@
 func (w *liveWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 func (w *liveWriter) WriteHeader(status int) {
-	if status >= http.StatusOK {
+	if status >= http.StatusOK && status <= maxStatus { // net/http panics on invalid ones
 		w.beforeHeader()
 	}
 	w.ResponseWriter.WriteHeader(status)
