retryafter: a schedule of promised returns for each request class

Retry-After of overloaded upstreams is a quarter of the latency objective whatever the queue, so that callers which were refused in a burst return while it lasts and are refused again.

Schedule gives each refused caller a place of its own, spaced by the rate at which this host admits requests of the class, within the bounds that the caller states; without a free place it gives the last moment that no other caller has. It also counts promises, those without a place, and those for which a request was admitted in time.

--- /dev/null
+++ b/internal/retryafter/schedule_test.go
@@ -0,0 +1,160 @@
+package retryafter
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
+)
+
+// The simulated class: payments of deployment G in docs/design/hard-load.md.
+const (
+	simWork, simTimeout = 160 * time.Millisecond, 1200 * time.Millisecond
+	simQueue            = 100 * time.Millisecond
+	simHosts            = 10
+	simCapacity         = 400.0
+)
+
+var (
+	simClass = desired.Class{Service: "pay", Priority: 1, Objective: 600 * time.Millisecond}
+	simStart = time.Unix(1000, 0)
+)
+
+// arrival is a request that reaches a host; first is when its caller first sent it.
+type arrival struct {
+	at, first time.Time
+	returned  bool
+}
+
+type arrivals []arrival
+
+func (a arrivals) Len() int           { return len(a) }
+func (a arrivals) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a arrivals) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *arrivals) Push(x any)        { *a = append(*a, x.(arrival)) }
+func (a *arrivals) Pop() any {
+	last := len(*a) - 1
+	defer func() { *a = (*a)[:last] }()
+	return (*a)[last]
+}
+
+// outcomes counts what callers got: served at once, refused and then served in time or late,
+// refused twice.
+type outcomes struct{ atOnce, inTime, late, refusedAgain int }
+
+// simulate plays 30 s of demand at hosts that each start an equal share of the capacity and
+// refuse what would queue longer than simQueue. Callers return once, to any host, after at
+// most a third of the time they have left.
+func simulate(demand func(time.Duration) float64, wait func(s *Schedule, queueing, left time.Duration, now time.Time) time.Duration) (o outcomes) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var hosts [simHosts]*Schedule
+	var freeAt [simHosts]time.Time
+	for i := range hosts {
+		hosts[i] = New()
+	}
+	var queue arrivals
+	for t := time.Duration(0); t < 30*time.Second; t += time.Duration(rng.ExpFloat64() / demand(t) * float64(time.Second)) {
+		queue = append(queue, arrival{at: simStart.Add(t), first: simStart.Add(t)})
+	}
+	for len(queue) > 0 {
+		a := heap.Pop(&queue).(arrival)
+		h, left := rng.IntN(simHosts), simTimeout-a.at.Sub(a.first)
+		freeAt[h] = later(freeAt[h], a.at)
+		switch queueing := freeAt[h].Sub(a.at); {
+		case queueing > simQueue && a.returned:
+			o.refusedAgain++
+		case queueing > simQueue:
+			pause := min(wait(hosts[h], queueing-simQueue, left, a.at), left/3)
+			heap.Push(&queue, arrival{at: a.at.Add(pause), first: a.first, returned: true})
+		default:
+			hosts[h].Admitted(simClass, a.at)
+			freeAt[h] = freeAt[h].Add(time.Duration(float64(time.Second) * simHosts / simCapacity))
+			if !a.returned {
+				o.atOnce++
+			} else if simTimeout-left+queueing+simWork <= simClass.Objective {
+				o.inTime++
+			} else {
+				o.late++
+			}
+		}
+	}
+	return o
+}
+
+// Callers that return while the demand that refused them lasts are refused again, which costs
+// them most. In bursts the schedule must spread them over the time after it. In overload that
+// lasts nothing can be gained, and nothing may be lost.
+func TestReturnsAfterOverload(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	quarter := func(*Schedule, time.Duration, time.Duration, time.Time) time.Duration {
+		return time.Duration((0.75 + 0.5*rng.Float64()) * float64(simClass.Objective) / 4)
+	}
+	scheduled := func(s *Schedule, queueing, left time.Duration, now time.Time) time.Duration {
+		return s.Promise(simClass, queueing, min(left/3, left-simWork), now)
+	}
+	bursts := func(t time.Duration) float64 {
+		if t%(3*time.Second) < 600*time.Millisecond {
+			return 2.5 * simCapacity
+		}
+		return 0.6 * simCapacity
+	}
+	lasting := func(time.Duration) float64 { return 1.3 * simCapacity }
+	for name, c := range map[string]struct {
+		demand     func(time.Duration) float64
+		maxRefused float64
+	}{"bursts": {bursts, 0.85}, "lasting": {lasting, 1.02}} {
+		before, after := simulate(c.demand, quarter), simulate(c.demand, scheduled)
+		t.Logf("%s: quarter of the objective %+v, schedule %+v", name, before, after)
+		if float64(after.refusedAgain) > c.maxRefused*float64(before.refusedAgain) {
+			t.Errorf("%s: %d refused again, %d with a quarter of the objective", name, after.refusedAgain, before.refusedAgain)
+		}
+		if served := before.atOnce + before.inTime + before.late; after.atOnce+after.inTime+after.late < served*98/100 {
+			t.Errorf("%s: %+v served fewer than %+v", name, after, before)
+		}
+	}
+}
+
+// A place that is given to two callers, a promise out of its bounds or one for the moment of
+// another brings returns together that are then refused again.
+func TestPromises(t *testing.T) {
+	s, now := New(), simStart
+	for range 200 { // 50 per second
+		now = now.Add(20 * time.Millisecond)
+		s.Admitted(simClass, now)
+	}
+	var waits []time.Duration
+	for range 30 {
+		waits = append(waits, s.Promise(simClass, 100*time.Millisecond, 400*time.Millisecond, now))
+	}
+	if waits[0] != 100*time.Millisecond || slices.Max(waits) != 400*time.Millisecond {
+		t.Errorf("promised %v", waits)
+	}
+	slices.Sort(waits)
+	for i, wait := range waits[1:] {
+		if wait-waits[i] < resolution {
+			t.Errorf("promises %v and %v", waits[i], wait)
+		}
+	}
+	// 300 ms have room for 16 returns that are 20 ms apart.
+	if c := s.Counts(); c.Promised != 30 || c.WithoutPlace < 13 || c.WithoutPlace > 15 || s.Outstanding(simClass, now) != 30 {
+		t.Errorf("%+v, %d outstanding", c, s.Outstanding(simClass, now))
+	}
+	if !s.Full(simClass, 400*time.Millisecond, now) || s.Full(simClass, time.Second, now) {
+		t.Error("30 promises at 50 requests per second must fill 0.4 s but not 1 s")
+	}
+	// Half of the promised places are used, and the others expire.
+	for range 15 {
+		now = now.Add(40 * time.Millisecond)
+		s.Admitted(simClass, now)
+	}
+	if c := s.Counts(); c.Kept < 8 || c.Kept > 15 || s.Outstanding(simClass, now) != 0 {
+		t.Errorf("%+v, %d outstanding", c, s.Outstanding(simClass, now))
+	}
+	// A class of which nothing was admitted has no places.
+	if wait := s.Promise(desired.Class{Service: "other"}, 0, time.Second, now); wait != time.Second {
+		t.Errorf("waits %v", wait)
+	}
+}
