dispatch: callers of overloaded upstreams return when there is a place

Refusals for overloaded upstreams told every caller to return after a quarter of its objective. scheduleReturn, called once per request, records what was admitted and replaces that delay: - competing classes of an unkeyed service get a place in the schedule, within a third of the time left and the class's expected work; - other services and keyed ones keep the quarter until more callers were told to return than this host admits in that time.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -32,8 +32,10 @@
 	if u == nil {
 		return nil, d.noUpstreamRefusal(req, upstreams, time.Now())
 	}
-	if req.attempts == 0 && d.picker.ExpectedLatency(u, time.Now()) > req.route.LatencyObjective {
-		return nil, req.refusal(CauseOverloaded, req.retryAfterOverloaded())
+	if excess := d.picker.ExpectedLatency(u, time.Now()) - req.route.LatencyObjective; req.attempts == 0 && excess > 0 {
+		refusal := req.refusal(CauseOverloaded, req.retryAfterOverloaded())
+		refusal.roomIn = excess
+		return nil, refusal
 	}
 	return u, nil
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/ratelimit"
+	"github.com/papayatide/papayatide/internal/retryafter"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -70,12 +71,17 @@
 	// enforces the rate limits that they report.
 	feedback    *feedback.Tracker
 	rateLimiter *ratelimit.Limiter
+	// returns holds when the callers of refused requests were told to return.
+	returns *retryafter.Schedule
 	// hostCount is the number of hosts that share the upstreams, this one
 	// included. While hostCountKnown is false it is only an assumption.
 	hostCount      atomic.Int64
 	hostCountKnown atomic.Bool
 	// SlowStartBounds limits what all hosts together send to a cold upstream.
 	SlowStartBounds ratelimit.Bounds
+	// ExpectedWork returns how long an upstream of median speed works on a request of the
+	// class, and false if that is not known.
+	ExpectedWork func(desired.Class) (time.Duration, bool)
 	// OnRequestDone is called after each request.
 	OnRequestDone func(*RequestSummary)
 	// OnBrokenSend is called after each broken send.
@@ -120,7 +126,8 @@
 	crashTracker *crashes.Tracker, feedbackTracker *feedback.Tracker, rateLimiter *ratelimit.Limiter) *Dispatcher {
 	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, retryBudget: retryBudget,
 		crashes: crashTracker, feedback: feedbackTracker, rateLimiter: rateLimiter,
-		splitter: &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(),
+		splitter: &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(), returns: retryafter.New(),
+		ExpectedWork:  func(desired.Class) (time.Duration, bool) { return 0, false },
 		OnRequestDone: func(*RequestSummary) {}, OnBrokenSend: func(*BrokenSend) {}}
 	d.SetHostCount(1, false)
 	return d
@@ -137,6 +144,7 @@
 		ctx, cancel := d.shutdown.requestContext(r.Context(), req.deadline)
 		res, refusal = d.forward(ctx, req, summary)
 		cancel()
+		d.scheduleReturn(req, summary, refusal, time.Now())
 		summary.setRequest(req)
 	}
 	v := d.views.Load()
@@ -212,7 +220,7 @@
 }
 
 // retryAfterOverloaded returns the Retry-After delay for overloaded and unreachable
-// upstreams, which is also the minimum for unavailable upstreams and suspect requests.
+// upstreams, unless scheduleReturn replaces it. It is also the minimum for unavailable upstreams and suspect requests.
 // It leaves time to serve the retry within the latency objective; a delay close to
 // the objective makes every retry late.
 func (req *request) retryAfterOverloaded() time.Duration { return req.route.LatencyObjective / 4 }
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -41,6 +41,8 @@
 	Status int
 	// RetryAfter is the value of the Retry-After header, which is left out if it is zero.
 	RetryAfter time.Duration
+	// roomIn is the time until upstreams are expected to have room; 0 if it is not known.
+	roomIn time.Duration
 }
 
 // notRunRefusal returns a refusal of a request that has certainly not run.
--- a/internal/dispatch/retry_after_test.go
+++ b/internal/dispatch/retry_after_test.go
@@ -4,9 +4,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/view"
 )
 
 // The Retry-After delay of a request refused by overloaded upstreams must leave time to
@@ -34,3 +39,70 @@
 		t.Errorf("no owner: Retry-After %v", d)
 	}
 }
+
+// Callers wait at most a third of the time that they have left, and callers that return
+// together are refused again. Classes that compete for an unkeyed service must get returns
+// within that bound and apart from each other. Where classes do not compete, the delay must
+// stay a quarter of the objective, with jitter, until more callers were told to return than
+// this host admits.
+func TestReturnsAreScheduled(t *testing.T) {
+	var full atomic.Bool
+	f := startUpstream(t, func(w io.Writer, _ net.Conn, r *http.Request, _ int64) bool {
+		if full.Load() {
+			return writeResponse(w, r, 503, "", "X-Not-Run: 1")
+		}
+		return writeResponse(w, r, 200, "")
+	})
+	h := newHarness(t, newUpstream("u1", "plain", f), newUpstream("u2", "shared", f))
+	route := func(host, service string, priority int) *desired.Route {
+		return &desired.Route{Name: host, Host: host, Prefix: "/", Timeout: testTimeout, LatencyObjective: testObjective, Priority: priority,
+			MaxAttempts: 1, Shares: []desired.Share{{Service: service, Weight: 1}}}
+	}
+	routes := []*desired.Route{route("alone.example", "plain", 0), route("urgent.example", "shared", 0), route("other.example", "shared", 1)}
+	h.views.Publish(func(v *view.View) {
+		v.Desired = desired.New(8, routes, map[string]*desired.Service{"plain": {Name: "plain"}, "shared": {Name: "shared"}}, desired.Limits{})
+	})
+	for _, host := range []string{"alone.example", "urgent.example"} {
+		full.Store(false)
+		for range 10 {
+			h.post(host, "served").want(t, http.StatusOK, "")
+		}
+		full.Store(true)
+		var due []time.Time
+		unchanged := 0
+		for range 12 {
+			resp := h.post(host, "refused")
+			resp.want(t, http.StatusServiceUnavailable, "")
+			wait := resp.retryAfter(t)
+			if wait > testTimeout/3 {
+				t.Errorf("%s: Retry-After %v of a caller with %v", host, wait, testTimeout)
+			}
+			if wait >= testObjective*3/16 && wait <= testObjective*5/16 {
+				unchanged++
+			}
+			due = append(due, time.Now().Add(wait))
+		}
+		class := routes[0].ClassFor("plain")
+		if host == "urgent.example" {
+			class = routes[1].ClassFor("shared")
+			slices.SortFunc(due, time.Time.Compare)
+			if gap := due[len(due)-1].Sub(due[0]); gap < testTimeout/8 {
+				t.Errorf("12 callers return within %v", gap)
+			}
+		} else if unchanged == 0 || unchanged == len(due) {
+			t.Errorf("%d of 12 delays are a quarter of the objective; the host admits about one request in that time", unchanged)
+		}
+		now, most, least := time.Now(), 0, 0
+		for _, at := range due {
+			if at.After(now) {
+				most++
+			}
+			if at.After(now.Add(50 * time.Millisecond)) { // each was promised a little before it was received
+				least++
+			}
+		}
+		if n := h.d.PromisedReturns(class, now); n < least || n > most {
+			t.Errorf("%s: %d outstanding returns, want %d to %d", host, n, least, most)
+		}
+	}
+}
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -40,6 +40,10 @@
 	limited, leaving := h.feedback.Counts()
 	metrics.WriteGaugeUint64(w, "papayatide_upstreams_limited", uint64(limited))
 	metrics.WriteGaugeUint64(w, "papayatide_upstreams_reported_leaving", uint64(leaving))
+	returns := h.dispatch.ReturnCounts()
+	metrics.WriteCounterUint64(w, "papayatide_returns_promised_total", returns.Promised)
+	metrics.WriteCounterUint64(w, "papayatide_returns_without_place_total", returns.WithoutPlace)
+	metrics.WriteCounterUint64(w, "papayatide_returns_kept_total", returns.Kept)
 	for service, left := range h.budget.Remaining(now) {
 		metrics.WriteGaugeFloat64(w, `papayatide_repeats_left{service="`+service+`"}`, left)
 	}
