--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -19,10 +19,15 @@
 		return d.chooseOwner(ctx, req)
 	}
 	u, refusal := d.pickUpstream(req)
-	if refusal == nil && req.attempts == 0 && d.picker.ExpectedLatency(u, time.Now()) > req.route.LatencyObjective {
-		return nil, req.refusal(CauseOverloaded, req.retryAfterOverloaded())
+	if refusal != nil || req.attempts > 0 {
+		return u, refusal
 	}
-	return u, refusal
+	if excess := d.picker.ExpectedLatency(u, time.Now()) - req.route.LatencyObjective; excess > 0 {
+		refusal = req.refusal(CauseOverloaded, req.retryAfterOverloaded())
+		refusal.roomIn = excess
+		return nil, refusal
+	}
+	return u, nil
 }
 
 // pickUpstream returns the best upstream for an unkeyed request.
@@ -121,6 +126,9 @@
 // has waited for ownerWaitFraction of its latency objective, or ctx is done.
 func (req *request) awaitViewChange(ctx context.Context, v *view.View) bool {
 	left := time.Duration(ownerWaitFraction*float64(req.route.LatencyObjective)) - req.ownerWait
+	if !req.mayHaveRun {
+		left = min(left, time.Until(req.refuseBy()))
+	}
 	if left <= 0 {
 		return false
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -29,6 +29,9 @@
 		if ctx.Err() != nil {
 			return nil, d.contextDoneRefusal(ctx, req)
 		}
+		if !req.mayHaveRun && !time.Now().Before(req.refuseBy()) {
+			return nil, notRunRefusal(CauseTimeoutUnsent, withJitter(retryAfterTimeout))
+		}
 		// Checked before retries too: after crashes.RefusalThreshold crashes, counted over
 		// all hosts, the next attempt would probably crash another upstream.
 		if left := d.refusedForUnlessTrial(req); left > 0 {
@@ -127,7 +130,14 @@
 func (d *Dispatcher) afterSend(ctx context.Context, req *request, res *upstream.Result) (retry bool, refusal *Refusal) {
 	switch res.Outcome {
 	case upstream.Answered:
-		return res.Status >= http.StatusInternalServerError && req.hasAttemptsLeft() && d.mayRetryAfterRun(req), nil
+		unproven := guaranteesNotRun(res.Status)
+		if (unproven || res.Status >= http.StatusInternalServerError) && req.hasAttemptsLeft() && d.mayRetryAfterRun(req) {
+			return true, nil
+		}
+		if unproven {
+			return false, refusalWithStatus(CauseUnprovenRejection, http.StatusBadGateway)
+		}
+		return false, nil
 	case upstream.NotSent:
 		req.unsentAttempts++
 		if req.unsentAttempts >= maxUnsentAttempts || req.key >= 0 {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -18,6 +18,11 @@
 func (d *Dispatcher) send(ctx context.Context, req *request, u *catalogue.Upstream, ticket *admission.Ticket) (*upstream.Result, time.Duration) {
 	start := time.Now()
 	endSend := d.startSend(u, start)
+	if !req.mayHaveRun {
+		req.outbound.ConnectBy = req.refuseBy()
+	} else {
+		req.outbound.ConnectBy = time.Time{}
+	}
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
 	endSend(res)
 	took := time.Since(start)
@@ -42,7 +47,7 @@
 	if res.Outcome == upstream.OutcomeUnknown || res.Outcome == upstream.Answered {
 		req.mayHaveRun = true
 	}
-	if res.Outcome == upstream.Answered {
+	if res.Outcome == upstream.Answered && !guaranteesNotRun(res.Status) {
 		req.lastResponse = res
 	}
 	if isBrokenSend(ctx, res) {
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -152,6 +152,9 @@
 		return nil, nil, p.refusal
 	case scheduling.Refused:
 		summary.Upstream, summary.LimiterState = p.upstream.ID, d.picker.Limiter(p.upstream.ID).State()
+		refusal := d.notAdmittedRefusal(ctx, req)
+		refusal.roomIn = u.result.ExpectedWait + u.result.ExpectedWork - req.route.LatencyObjective
+		return nil, nil, refusal
 	}
 	return nil, nil, d.notAdmittedRefusal(ctx, req)
 }
