feedback: decode load reports of upstreams

Cause: upstreams of some deployments report their load in the header Server-Load, which nothing reads. Change: feedback.Load with running and waiting requests, slots and how long work takes at the moment; malformed and repeated reports are ignored. The tracker does not keep them. Nothing uses the reports yet.

--- a/internal/feedback/report.go
+++ b/internal/feedback/report.go
@@ -23,6 +23,8 @@
 	// Backoff is how long this host must not send requests to the upstream; 0 if the
 	// response has no Retry-After.
 	Backoff time.Duration
+	// Load is the upstream's current load; the zero value if the response has no valid one.
+	Load Load
 }
 
 const (
@@ -54,6 +56,9 @@
 	for _, v := range h.Values(names.Leaving) {
 		r.Leaving = r.Leaving || strings.TrimSpace(v) == "1"
 	}
+	if values := h.Values(names.Load); len(values) == 1 {
+		r.Load = decodeLoad(values[0])
+	}
 	if status != http.StatusServiceUnavailable {
 		return r
 	}
--- a/internal/feedback/tracker.go
+++ b/internal/feedback/tracker.go
@@ -133,6 +133,7 @@
 // request was sent after the limit was last reported: the upstream may have
 // responded to an earlier request before it set the limit.
 func (t *Tracker) Record(id string, r Report, sent, now time.Time) {
+	r.Load = Load{} // tracked by package balance
 	t.mu.Lock()
 	if t.upstreams[id] == nil && r == (Report{}) {
 		t.mu.Unlock()
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -23,4 +23,7 @@
 	RateLimit string
 	// Leaving is "1" in the responses of an upstream that is about to stop.
 	Leaving string
+	// Load is an upstream's load: running and waiting requests, slots, and how long work takes
+	// at the moment in hundredths of normal, separated by commas.
+	Load string
 }
