balance: expected work of a class, and latency estimates by class

Cause: one mean latency over all classes decides for each of them. On a service with requests of 160 ms and 930 ms, hosts refuse the short ones. Change: for competing services, each host learns the work of a class from its own responses: their latency minus the queueing that was expected when they were sent, at the upstream's speed. Picker.Estimate returns queueing and work time by class, SetClassWork takes the fleet's value, and Pick compares by it. Computed queueing times are corrected by a line that is fitted to the responses, because hosts choose upstreams whose real load is higher than the load they know. Load reports count by their age, up to 400 ms. Two requests without a response for three times the expected latency make an upstream overloaded, if it reports no load. Upstreams are still refused by ExpectedLatency in dispatch.chooseUpstream. Services that are not competing take the same path as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -4,13 +4,13 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 )
 
@@ -81,6 +81,8 @@
 	// crashedAt is when the upstream last seemed to have crashed, recoveredAt when it
 	// first responded after that; see slowStartUntil.
 	crashedAt, recoveredAt time.Time
+	// work holds the expected work at an upstream of a competing service.
+	work upstreamWork
 }
 
 // slowStartUntil returns when the upstream's slow start ends: u.SlowUntil, as its entry
@@ -111,11 +113,16 @@
 	syncedUntil time.Time
 	// subsets holds the upstreams that this host uses, by service.
 	subsets map[string]*serviceSubset
+	// work holds what is known of the work of competing services, by service.
+	work map[string]*serviceWork
+	// OnSilent is called when an upstream is found to be silent; see upstreamWork.silent. It is
+	// called with the lock held and must not call the picker.
+	OnSilent func(id string)
 }
 
 // NewPicker returns a picker without state for the named host.
 func NewPicker(host string) *Picker {
-	return &Picker{host: host, states: map[string]*upstreamState{}, subsets: map[string]*serviceSubset{}}
+	return &Picker{host: host, states: map[string]*upstreamState{}, subsets: map[string]*serviceSubset{}, work: map[string]*serviceWork{}, OnSilent: func(string) {}}
 }
 
 // state returns the upstream's state and creates it if there is none.
@@ -211,6 +218,9 @@
 			delete(p.states, id)
 		}
 	}
+	for _, w := range p.work {
+		w.prune(keep)
+	}
 }
 
 // SlowStart is the slow start of a service's upstreams and this host's rate limit
@@ -238,6 +248,8 @@
 	// Unavailable, if set, reports whether this host must not send to an upstream at
 	// present. Such upstreams are not eligible.
 	Unavailable func(id string) bool
+	// Class is the request's class if its service is competing, else the zero value.
+	Class desired.Class
 }
 
 // Pick returns the upstream with the lowest cost of a random sample, or nil if none is
@@ -281,11 +293,11 @@
 		if c.Unavailable != nil && c.Unavailable(u.ID) {
 			continue
 		}
-		cost := st.cost(u, now)
+		cost := p.cost(st, u, c.Class, now)
 		if u.DataCentre != c.LocalDataCentre {
 			cost += c.RemotePenalty
 		}
-		if now.Before(st.ejectedUntil) || now.Before(st.overloadedUntil) {
+		if now.Before(st.ejectedUntil) || now.Before(st.overloadedUntil) || p.silent(u.ID, st, now) {
 			fallback.consider(u, cost)
 			continue
 		}
@@ -297,35 +309,6 @@
 	return best, fallback
 }
 
-// permutation yields each index below n once: it starts at a random index and adds a
-// random step that is coprime to n. Unlike a shuffle it costs no time proportional to n.
-type permutation struct{ index, step, n int }
-
-func newPermutation(n int) permutation {
-	if n < 2 {
-		return permutation{n: n}
-	}
-	step := 1 + rand.IntN(n-1)
-	for !coprime(step, n) {
-		step = 1 + rand.IntN(n-1)
-	}
-	return permutation{rand.IntN(n), step, n}
-}
-
-// next returns the next index.
-func (p *permutation) next() int {
-	current := p.index
-	p.index = (p.index + p.step) % p.n
-	return current
-}
-
-func coprime(a, b int) bool {
-	for b != 0 {
-		a, b = b, a%b
-	}
-	return a == 1
-}
-
 // SlowStartAllows reports whether the upstream is warm or this host's share of its slow
 // start rate limit allows a request now.
 func (p *Picker) SlowStartAllows(u *catalogue.Upstream, s SlowStart, now time.Time) bool {
--- /dev/null
+++ b/internal/balance/estimate.go
@@ -0,0 +1,125 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
+)
+
+// loadReportTTL is how long an upstream's load report counts, with linearly falling weight:
+// a machine that is slow for a moment is so for about 400 ms.
+const loadReportTTL = 400 * time.Millisecond
+
+// Estimate returns the expected latency of one more request of a class at the upstream: its
+// queueing time there and the time that the upstream then works on it. known is false if the
+// expected work of the class is not known yet, from this host's responses or by SetClassWork;
+// the work time is then 0. Without the load of the other hosts, the queueing time is that behind
+// this host's own requests.
+func (p *Picker) Estimate(u *catalogue.Upstream, class desired.Class, now time.Time) (queueing, work time.Duration, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.estimate(p.state(u.ID), u, class, now)
+	return e.queueing, e.work, e.known
+}
+
+// estimate is the result of Estimate and what it is based on.
+type estimate struct {
+	queueing, work time.Duration
+	known          bool
+	// computed is the queueing time before its correction, in seconds at an upstream of median
+	// speed; see queueingModel.
+	computed, occupancy float64
+}
+
+// estimate is Estimate for the upstream of the given state.
+func (p *Picker) estimate(st *upstreamState, u *catalogue.Upstream, class desired.Class, now time.Time) estimate {
+	w := p.serviceWork(class.Service)
+	w.refresh(now)
+	expected, known := w.expected(class, now)
+	pace := 1 / w.speed(st, now)
+	if u.Cold(now) {
+		pace *= slowStartLatencyFactor
+	}
+	reportWeight := st.work.reportWeight(now)
+	inFlight, each := st.inFlight(w.mean, now)
+	slots := float64(u.Slots)
+	if reportWeight > 0 {
+		report := st.work.report
+		reported := report.Running + report.Waiting + len(st.work.sendings) - st.work.sendingsAtReport
+		inFlight += reportWeight * (float64(max(reported, 0)) - inFlight)
+		slots = float64(report.Slots)
+	}
+	e := estimate{known: known, computed: max(inFlight-slots+1, 0) / slots * each, occupancy: occupancy(inFlight, slots)}
+	q := w.queueing.correct(e.computed, e.occupancy) * pace
+	t := expected.Seconds() * pace
+	if factor := w.momentaryFactor(st, now); q+t > 0 && factor != 1 {
+		f := 1 + momentaryDelay(q+t, factor, reportWeight)/(q+t)
+		q, t = q*f, t*f
+	}
+	if st.work.isSilent(now) {
+		// How long an upstream stays silent is not known; on average it has done so for half
+		// of the time.
+		q = max(q, now.Sub(st.work.lastResponse).Seconds())
+	}
+	e.queueing, e.work = toDuration(q), toDuration(t)
+	return e
+}
+
+// inFlight returns the number of requests in flight at the upstream from all hosts of the data
+// centre, and the mean of their expected work in seconds. Requests whose work is not known count
+// as mean ones.
+func (st *upstreamState) inFlight(mean float64, now time.Time) (n, each float64) {
+	n, work := float64(len(st.work.sendings)), st.work.inFlight.Seconds()
+	if st.hasPeerLoad(now) {
+		peers := float64(max(st.peerLoad.InFlight, 0))
+		n += peers
+		if peerWork := st.peerLoad.WorkInFlight.Seconds(); peerWork > 0 {
+			work += peerWork
+		} else {
+			work += peers * mean
+		}
+	}
+	if n == 0 || work == 0 {
+		return n, mean
+	}
+	return n, work / n
+}
+
+// momentaryDelay returns by how many seconds an upstream that works slower or faster than usual
+// at the moment, by the given factor, changes a latency of t seconds. weight is that of the
+// report which states the factor. The delay is limited to what the upstream leaves undone until
+// the report no longer counts: work of several seconds is hardly affected.
+func momentaryDelay(t, factor, weight float64) float64 {
+	delay := weight * t * (factor - 1)
+	if factor > 1 {
+		delay = min(delay, weight*loadReportTTL.Seconds()*(1-1/factor))
+	}
+	return delay
+}
+
+// momentaryFactor returns how long work takes at the upstream at the moment relative to the mean
+// over the service's reports, which is part of the expected work already; 1 without a recent
+// report.
+func (w *serviceWork) momentaryFactor(st *upstreamState, now time.Time) float64 {
+	if st.work.reportWeight(now) == 0 {
+		return 1
+	}
+	if n := w.reports.Value(classTimeConstant, now); n > 0 {
+		return st.work.report.WorkFactor * n / w.reportedFactors.Value(classTimeConstant, now)
+	}
+	return 1
+}
+
+// cost returns the expected time to a response to a request of the class. The zero class stands
+// for services that are not competing.
+func (p *Picker) cost(st *upstreamState, u *catalogue.Upstream, class desired.Class, now time.Time) time.Duration {
+	if class.Service != "" {
+		if e := p.estimate(st, u, class, now); e.known {
+			return st.limiter.State().ExpectedWait + e.queueing + e.work
+		}
+	}
+	return st.cost(u, now)
+}
+
+func toDuration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -17,6 +17,9 @@
 	// FlushLoadStats, TotalLatency the sum of their latencies.
 	Responses    int
 	TotalLatency time.Duration
+	// WorkInFlight and AnsweredWork are the expected work of the requests in flight and of the
+	// responses; 0 for services that are not competing, and from hosts of earlier builds.
+	WorkInFlight, AnsweredWork time.Duration
 }
 
 // PeerLoad is the load of the data centre's other hosts on an upstream.
@@ -27,6 +30,9 @@
 	// WorkTime is the estimated time that the upstream works on a request, without
 	// queueing.
 	WorkTime time.Duration
+	// WorkInFlight is the expected work of the other hosts' requests in flight; 0 if it is not
+	// known.
+	WorkInFlight time.Duration
 }
 
 // FlushLoadStats returns this host's load on the upstreams that Pick has returned, and
@@ -36,12 +42,13 @@
 	defer p.mu.Unlock()
 	var out []LoadStats
 	for id, st := range p.states {
-		stats := LoadStats{ID: id, InFlight: st.limiter.InFlight(), Responses: st.responses, TotalLatency: st.totalLatency}
+		stats := LoadStats{ID: id, InFlight: st.limiter.InFlight(), Responses: st.responses, TotalLatency: st.totalLatency,
+			WorkInFlight: st.work.inFlight, AnsweredWork: st.work.answered}
 		if !st.picked || (stats.InFlight == 0 && stats.Responses == 0) {
 			continue
 		}
 		out = append(out, stats)
-		st.responses, st.totalLatency = 0, 0
+		st.responses, st.totalLatency, st.work.answered = 0, 0, 0
 	}
 	return out
 }
--- /dev/null
+++ b/internal/balance/work.go
@@ -0,0 +1,381 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/decay"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/feedback"
+)
+
+const (
+	// classTimeConstant is the time constant of the decaying sums of responses. Some callers'
+	// requests take seven times as long as others; at one response per second the mean of 30 s
+	// still varies by about a fifth.
+	classTimeConstant = 30 * time.Second
+	// minResponses is the number of responses from which on the mean of a class is used, and the
+	// weight, in mean responses, of median speed in an estimate of an upstream's speed.
+	minResponses = 4
+	// minSpeed and maxSpeed bound the estimated speed of an upstream, relative to the median.
+	minSpeed, maxSpeed = 0.15, 2.0
+	// fleetWorkTTL is how long a value of SetClassWork replaces this host's own mean. It arrives
+	// several times a second; after some seconds without, the host that sends it is gone.
+	fleetWorkTTL = 5 * time.Second
+	// refreshInterval is how often the means and medians of a service are computed. They cover
+	// several seconds of responses.
+	refreshInterval = 500 * time.Millisecond
+	// silenceFactor is how many times its expected latency a request must be without a response
+	// to count for an upstream's silence. Three requests in a hundred take seven times as long
+	// as the mean; a second one at the same time is unlikely.
+	silenceFactor = 3
+	// silentSendings is the number of such requests that make an upstream silent.
+	silentSendings = 2
+)
+
+// Sending is a request of a competing service at an upstream.
+type Sending struct {
+	upstream *catalogue.Upstream
+	class    desired.Class
+	sentAt   time.Time
+	// expected is the estimate when it was sent, work the expected work of its class and speed
+	// the upstream's speed.
+	expected estimate
+	work     time.Duration
+	speed    float64
+	// workTime is the work time at the upstream by the load of all hosts, 0 if not known: that of
+	// the class, or else the mean of all classes.
+	workTime time.Duration
+	cold     bool
+}
+
+// overdue reports whether the request takes silenceFactor times as long as expected.
+func (s *Sending) overdue(now time.Time) bool {
+	return s.expected.known && now.Sub(s.sentAt) > silenceFactor*(s.expected.queueing+s.expected.work)
+}
+
+// upstreamWork is the expected work at one upstream of a competing service.
+type upstreamWork struct {
+	// sendings are this host's requests there, inFlight their expected work. answered is the
+	// expected work of the responses since the last FlushLoadStats.
+	sendings           []*Sending
+	inFlight, answered time.Duration
+	lastResponse       time.Time
+	silentReported     bool
+	// report is the newest load report, received at reportAt, when this host had
+	// sendingsAtReport requests there.
+	report           feedback.Load
+	reportAt         time.Time
+	sendingsAtReport int
+	// expected and taken are the decaying sums of the expected work of this host's responses
+	// and of the time that the upstream took for it, in seconds.
+	expected, taken decay.Sum
+}
+
+// reportWeight returns the weight of the load report by its age.
+func (w *upstreamWork) reportWeight(now time.Time) float64 {
+	if !w.report.Known() {
+		return 0
+	}
+	return min(max(1-now.Sub(w.reportAt).Seconds()/loadReportTTL.Seconds(), 0), 1)
+}
+
+// isSilent reports whether the upstream has responded to none of several requests for
+// silenceFactor times the latency that was expected of each. Upstreams that report their load
+// never count as silent: they reject requests instead.
+func (w *upstreamWork) isSilent(now time.Time) bool {
+	if len(w.sendings) < silentSendings || w.report.Known() {
+		return false
+	}
+	n := 0
+	for _, s := range w.sendings {
+		if s.overdue(now) && !w.lastResponse.After(s.sentAt) {
+			n++
+		}
+	}
+	return n >= silentSendings
+}
+
+// silent is isSilent for the named upstream's state, and reports a change to OnSilent.
+func (p *Picker) silent(id string, st *upstreamState, now time.Time) bool {
+	silent := st.work.isSilent(now)
+	if silent && !st.work.silentReported {
+		p.OnSilent(id)
+	}
+	st.work.silentReported = silent
+	return silent
+}
+
+// classWork holds the decaying number of a class's responses and the sum of their work at an
+// upstream of median speed, in seconds.
+type classWork struct {
+	responses, work decay.Sum
+	// latencies holds the latencies that the work was learnt from.
+	latencies latencySums
+	// learnt is the number of all responses, answered that since the last FlushClassWork, and
+	// answeredWeight and answeredWork the sums of the latter's weights and weighted work.
+	learnt, answered             int
+	answeredWeight, answeredWork float64
+	// fleetWork is the value of SetClassWork, 0 if there is none, fleetWorkAt its first use.
+	fleetWork   time.Duration
+	fleetWorkAt time.Time
+}
+
+type classWorks map[desired.Class]*classWork
+
+// serviceWork is the expected work of the classes of one service, and the medians of its
+// upstreams.
+type serviceWork struct {
+	classes classWorks
+	// upstreams holds those that this host has sent requests to, by ID.
+	upstreams map[string]*upstreamState
+	// peerMedian is the median work time of the upstreams by the load of all hosts; ownMedian the
+	// median time per unit of expected work by this host's own responses. 0 if not known.
+	peerMedian time.Duration
+	ownMedian  float64
+	// mean is the mean expected work of the service's responses, in seconds; 0 if there are none.
+	mean        float64
+	refreshedAt time.Time
+	// reports counts load reports, reportedFactors sums the work factors in them.
+	reports, reportedFactors decay.Sum
+	// queueing corrects computed queueing times.
+	queueing queueingModel
+}
+
+func (p *Picker) serviceWork(service string) *serviceWork {
+	w := p.work[service]
+	if w == nil {
+		w = &serviceWork{classes: classWorks{}, upstreams: map[string]*upstreamState{}}
+		p.work[service] = w
+	}
+	return w
+}
+
+func (w *serviceWork) class(c desired.Class) *classWork {
+	cw := w.classes[c]
+	if cw == nil {
+		cw = &classWork{}
+		w.classes[c] = cw
+	}
+	return cw
+}
+
+func (w *serviceWork) prune(keep func(id string) bool) {
+	for id, st := range w.upstreams {
+		if !keep(id) && len(st.work.sendings) == 0 {
+			delete(w.upstreams, id)
+		}
+	}
+}
+
+// SetClassWork sets the expected work of a class by the responses of all hosts of the data
+// centre. For fleetWorkTTL from its first use it replaces the mean of this host's own responses.
+func (p *Picker) SetClassWork(class desired.Class, work time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cw := p.serviceWork(class.Service).class(class)
+	cw.fleetWork, cw.fleetWorkAt = work, time.Time{}
+}
+
+// hasFleetWork reports whether the value of SetClassWork for the class counts.
+func (w *serviceWork) hasFleetWork(class desired.Class, now time.Time) bool {
+	cw := w.classes[class]
+	return cw != nil && cw.fleetWork > 0 && now.Sub(cw.fleetWorkAt) <= fleetWorkTTL
+}
+
+// ClassWork is what this host's responses of a class show of the class's expected work.
+type ClassWork struct {
+	Class     desired.Class
+	Responses int
+	// Work is the sum of the responses' work at an upstream of median speed, without queueing.
+	Work time.Duration
+}
+
+// FlushClassWork returns the work of the responses since its last call, by class. The mean over
+// the hosts, times inflight.Aggregator.WorkScale, is the value for SetClassWork: a host that refuses
+// most requests of a class learns little of its work.
+func (p *Picker) FlushClassWork() []ClassWork {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []ClassWork
+	for _, w := range p.work {
+		for class, cw := range w.classes {
+			if cw.answered == 0 || cw.answeredWeight == 0 {
+				continue
+			}
+			mean := max(cw.answeredWork/cw.answeredWeight, 0)
+			out = append(out, ClassWork{class, cw.answered, toDuration(mean * float64(cw.answered))})
+			cw.answered, cw.answeredWeight, cw.answeredWork = 0, 0, 0
+		}
+	}
+	return out
+}
+
+// expected returns the expected work of a class, and whether it is known.
+func (w *serviceWork) expected(class desired.Class, now time.Time) (time.Duration, bool) {
+	cw := w.classes[class]
+	if cw == nil {
+		return 0, false
+	}
+	if cw.fleetWorkAt.IsZero() {
+		cw.fleetWorkAt = now
+	}
+	n := cw.responses.Value(classTimeConstant, now)
+	if own := cw.learnt >= minResponses && n > 0; !own || w.hasFleetWork(class, now) {
+		return cw.fleetWork, cw.fleetWork > 0
+	}
+	return toDuration(max(cw.work.Value(classTimeConstant, now)/n, 0)), true
+}
+
+// refreshMean computes the mean expected work of the service's responses.
+func (w *serviceWork) refreshMean(now time.Time) {
+	n, work := 0.0, 0.0
+	for _, cw := range w.classes {
+		n += cw.responses.Value(classTimeConstant, now)
+		work += max(cw.work.Value(classTimeConstant, now), 0)
+	}
+	if n > 0 {
+		w.mean = work / n
+	}
+}
+
+// speed returns the upstream's speed relative to the median of its service; 1 if it is not known.
+// The load of all hosts is preferred to this host's own responses.
+func (w *serviceWork) speed(st *upstreamState, now time.Time) float64 {
+	speed := 1.0
+	if st.hasPeerLoad(now) && w.peerMedian > 0 && st.peerLoad.WorkTime > 0 {
+		speed = w.peerMedian.Seconds() / st.peerLoad.WorkTime.Seconds()
+	} else if pace := st.work.ownPace(w.mean, now); pace > 0 && w.ownMedian > 0 {
+		speed = w.ownMedian / pace
+	}
+	return min(max(speed, minSpeed), maxSpeed)
+}
+
+// ownPace returns the time that the upstream took per unit of expected work, by this host's
+// responses, weighted with minResponses mean ones as fast as expected; 0 if there are none.
+func (w *upstreamWork) ownPace(mean float64, now time.Time) float64 {
+	expected := w.expected.Value(classTimeConstant, now)
+	if expected == 0 {
+		return 0
+	}
+	prior := minResponses * mean
+	return (w.taken.Value(classTimeConstant, now) + prior) / (expected + prior)
+}
+
+// refresh computes the means and medians, at most once per refreshInterval once there are some.
+func (w *serviceWork) refresh(now time.Time) {
+	if w.mean > 0 && now.Sub(w.refreshedAt) < refreshInterval {
+		return
+	}
+	w.refreshedAt = now
+	w.refreshMean(now)
+	w.queueing.update(w.classes, w.mean, now)
+	var peer, own []float64
+	for _, st := range w.upstreams {
+		if st.hasPeerLoad(now) && st.peerLoad.WorkTime > 0 {
+			peer = append(peer, st.peerLoad.WorkTime.Seconds())
+		}
+		if pace := st.work.ownPace(w.mean, now); pace > 0 {
+			own = append(own, pace)
+		}
+	}
+	w.peerMedian, w.ownMedian = toDuration(median(peer)), median(own)
+}
+
+// median returns the median of xs, which it sorts; 0 if there are none.
+func median(xs []float64) float64 {
+	if len(xs) == 0 {
+		return 0
+	}
+	slices.Sort(xs)
+	return (xs[(len(xs)-1)/2] + xs[len(xs)/2]) / 2
+}
+
+// StartSend records that a request of a competing service is sent to the upstream. FinishSend
+// must be called when it ends. The zero class stands for services that are not competing;
+// StartSend then returns nil.
+func (p *Picker) StartSend(u *catalogue.Upstream, class desired.Class, now time.Time) *Sending {
+	if class.Service == "" {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	st, w := p.state(u.ID), p.serviceWork(class.Service)
+	w.upstreams[u.ID] = st
+	s := &Sending{upstream: u, class: class, sentAt: now, cold: u.Cold(now) || !st.crashedAt.IsZero()}
+	s.expected = p.estimate(st, u, class, now)
+	s.work, _ = w.expected(class, now)
+	s.speed = w.speed(st, now)
+	switch {
+	case w.hasFleetWork(class, now):
+		s.workTime = toDuration(s.work.Seconds() / s.speed)
+	case st.hasPeerLoad(now):
+		s.workTime = st.peerLoad.WorkTime
+	}
+	if !s.expected.known {
+		s.work = toDuration(w.mean)
+	}
+	st.work.sendings = append(st.work.sendings, s)
+	st.work.inFlight += s.work
+	return s
+}
+
+// FinishSend records the end of a request, with the outcome and duration of which Done is told,
+// and the load report in the response; s may be nil.
+func (p *Picker) FinishSend(s *Sending, o Outcome, took time.Duration, report feedback.Load, now time.Time) {
+	if s == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	st, w := p.state(s.upstream.ID), p.serviceWork(s.class.Service)
+	if i := slices.Index(st.work.sendings, s); i >= 0 {
+		st.work.sendings = slices.Delete(st.work.sendings, i, i+1)
+		st.work.inFlight -= s.work
+	}
+	if o == Served || o == Overloaded {
+		st.work.lastResponse = now
+	}
+	if report.Known() {
+		st.work.report, st.work.reportAt, st.work.sendingsAtReport = report, now, len(st.work.sendings)
+		w.reports.Add(1, classTimeConstant, now)
+		w.reportedFactors.Add(report.WorkFactor, classTimeConstant, now)
+	}
+	if o == Served {
+		s.learn(st, w, took, now)
+	}
+}
+
+// learn adds a response to the work of its class and the pace of its upstream. The more queueing
+// was expected, the less it counts; its own latency must not decide that, or slow responses would
+// count less than fast ones. Responses of cold upstreams show nothing about either.
+func (s *Sending) learn(st *upstreamState, w *serviceWork, took time.Duration, now time.Time) {
+	taken := (took - s.expected.queueing).Seconds() // may be negative; the means are not
+	work := s.work.Seconds()
+	if !s.expected.known {
+		work = max(taken, 0) * s.speed
+	}
+	st.work.answered += toDuration(work)
+	if s.cold {
+		return
+	}
+	weight := 1.0
+	if s.expected.known && work > 0 {
+		weight = work / (work + s.expected.queueing.Seconds()*s.speed)
+	}
+	cw := w.class(s.class)
+	cw.learnt++
+	cw.answered++
+	cw.answeredWeight += weight
+	cw.answeredWork += weight * taken * s.speed
+	cw.responses.Add(weight, classTimeConstant, now)
+	cw.work.Add(weight*taken*s.speed, classTimeConstant, now)
+	st.work.expected.Add(weight*work, classTimeConstant, now)
+	st.work.taken.Add(weight*taken, classTimeConstant, now)
+	if s.workTime > 0 {
+		latency := took.Seconds() * s.speed
+		cw.latencies.add(latency, s.expected.computed, now)
+		w.queueing.add(latency, s.workTime.Seconds()*s.speed, s.expected.computed, s.expected.occupancy, now)
+	}
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -18,7 +18,7 @@
 		return d.chooseOwner(ctx, req)
 	}
 	v := d.views.Load()
-	criteria := balance.Criteria{LocalDataCentre: d.localDataCentre, RemotePenalty: req.route.LatencyObjective / 4, Excluded: req.attempted, SlowStart: d.slowStart(req.service),
+	criteria := balance.Criteria{LocalDataCentre: d.localDataCentre, RemotePenalty: req.route.LatencyObjective / 4, Excluded: req.attempted, SlowStart: d.slowStart(req.service), Class: d.competingClass(req),
 		Unavailable: func(id string) bool { wait, _ := d.unavailableFor(id, time.Now()); return wait > 0 }}
 	upstreams := v.Upstreams.ForService(req.service.Name)
 	u := d.picker.Pick(upstreams, criteria, time.Now())
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -17,6 +17,7 @@
 // ticket, the feedback and crash trackers and the request.
 func (d *Dispatcher) send(ctx context.Context, req *request, u *catalogue.Upstream, ticket *admission.Ticket) (*upstream.Result, time.Duration) {
 	start := time.Now()
+	sending := d.picker.StartSend(u, d.competingClass(req), start)
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
 	took := time.Since(start)
 	outcome := sendOutcome(ctx, res)
@@ -25,6 +26,7 @@
 	if d.picker.Done(u.ID, outcome, took, now) {
 		d.feedback.RecordCrash(u.ID, now)
 	}
+	d.picker.FinishSend(sending, outcome, took, res.Report.Load, now)
 	if res.Status != 0 && !res.Misdirected() {
 		d.feedback.Record(u.ID, res.Report, start, now)
 	}
