inflight, peer: expected work in load statistics

Cause: the work time of an upstream that gets many short requests looks short, so that speeds depend on the mix of classes. Change: load statistics and peer loads carry the expected work of requests in flight and of responses, in messages too. The aggregator weights responses by it, counts those of earlier builds as mean requests, and for competing services samples which part of the requests is in work (Little's law). Without expected work, messages and estimates are as before.

--- a/internal/inflight/aggregator.go
+++ b/internal/inflight/aggregator.go
@@ -10,11 +10,13 @@
 package inflight
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/decay"
 	"github.com/papayatide/papayatide/internal/worktime"
 )
 
@@ -42,7 +44,11 @@
 	// hosts holds each host's latest load statistics, by host name.
 	hosts map[string]hostLoadStats
 	// inFlight is the number of requests in flight from all hosts, by upstream ID.
-	inFlight  map[string]int
+	inFlight map[string]int
+	// workInFlight is the expected work of these requests.
+	workInFlight map[string]time.Duration
+	// services holds the services that are competing, by name.
+	services  map[string]*serviceWork
 	estimator *worktime.Estimator
 	// workTimes holds the estimates of the last update, made at updatedAt, by
 	// upstream ID.
@@ -50,31 +56,100 @@
 	updatedAt time.Time
 }
 
+// serviceWork sums the responses of a competing service, and their expected work in seconds.
+type serviceWork struct{ responses, work decay.Sum }
+
+// meanWorkTimeConstant is the time constant of the sums in serviceWork.
+const meanWorkTimeConstant = 30 * time.Second
+
+// meanWork returns the mean expected work of a service's responses, in seconds; 0 if the service
+// is not competing.
+func (a *Aggregator) meanWork(service string, now time.Time) float64 {
+	s := a.services[service]
+	if s == nil {
+		return 0
+	}
+	n := s.responses.Value(meanWorkTimeConstant, now)
+	if n == 0 {
+		return 0
+	}
+	return s.work.Value(meanWorkTimeConstant, now) / n
+}
+
+// WorkScale returns by how much the work of a competing service's responses, by Little's law from
+// the load of all hosts, exceeds the work that the hosts expected; 1 if it is not known. Hosts
+// cannot tell queueing that they do not expect from work.
+func (a *Aggregator) WorkScale(service string, now time.Time) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.update(now)
+	mean := a.meanWork(service, now)
+	if mean == 0 {
+		return 1
+	}
+	return min(max(a.estimator.Median(a.upstreams().ForService(service), now)/mean, minWorkScale), maxWorkScale)
+}
+
+// minWorkScale and maxWorkScale bound WorkScale: estimates approach the result in several steps.
+const minWorkScale, maxWorkScale = 0.5, 2.0
+
 // New returns an aggregator without load statistics. upstreams returns the upstreams in
 // the catalogue.
 func New(upstreams func() *catalogue.Snapshot, now time.Time) *Aggregator {
-	return &Aggregator{upstreams: upstreams, hosts: map[string]hostLoadStats{}, inFlight: map[string]int{}, estimator: worktime.New(now)}
+	return &Aggregator{upstreams: upstreams, hosts: map[string]hostLoadStats{}, inFlight: map[string]int{},
+		workInFlight: map[string]time.Duration{}, services: map[string]*serviceWork{}, estimator: worktime.New(now)}
 }
 
-// Record replaces the host's previous load statistics with loads.
+// Record replaces the host's previous load statistics with loads. For a competing service, each
+// response counts by its expected work relative to the mean of the service, so that an upstream
+// which gets many short requests does not look fast. The statistics of hosts of earlier builds,
+// which state no work, count as mean requests.
 func (a *Aggregator) Record(host string, loads []balance.LoadStats, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.replaceLoadStats(host, hostLoadStats{now, loads})
-	for _, l := range loads {
+	snapshot := a.upstreams()
+	loads = slices.Clone(loads)
+	for i, l := range loads {
+		weight := float64(l.Responses)
+		if u := snapshot.ByID[l.ID]; u != nil {
+			if l.AnsweredWork > 0 {
+				a.addWork(u.Service, l, now)
+			}
+			if mean := a.meanWork(u.Service, now); mean > 0 {
+				if l.AnsweredWork > 0 {
+					weight = l.AnsweredWork.Seconds() / mean
+				}
+				if l.WorkInFlight == 0 {
+					loads[i].WorkInFlight = time.Duration(float64(l.InFlight) * mean * float64(time.Second))
+				}
+			}
+		}
 		if l.Responses > 0 {
-			a.estimator.Add(l.ID, float64(l.Responses), l.TotalLatency.Seconds(), now)
+			a.estimator.Add(l.ID, weight, l.TotalLatency.Seconds(), now)
 		}
 	}
+	a.replaceLoadStats(host, hostLoadStats{now, loads})
+}
+
+func (a *Aggregator) addWork(service string, l balance.LoadStats, now time.Time) {
+	s := a.services[service]
+	if s == nil {
+		s = &serviceWork{}
+		a.services[service] = s
+	}
+	s.responses.Add(float64(l.Responses), meanWorkTimeConstant, now)
+	s.work.Add(l.AnsweredWork.Seconds(), meanWorkTimeConstant, now)
 }
 
 // replaceLoadStats replaces a host's load statistics and adjusts the sums.
 func (a *Aggregator) replaceLoadStats(host string, next hostLoadStats) {
 	for _, l := range a.hosts[host].loads {
 		a.inFlight[l.ID] -= l.InFlight
+		a.workInFlight[l.ID] -= l.WorkInFlight
 	}
 	for _, l := range next.loads {
 		a.inFlight[l.ID] += l.InFlight
+		a.workInFlight[l.ID] += l.WorkInFlight
 	}
 	a.hosts[host] = next
 }
@@ -85,14 +160,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.update(now)
-	own := map[string]int{}
+	own := map[string]balance.LoadStats{}
 	for _, l := range a.hosts[host].loads {
-		own[l.ID] = l.InFlight
+		own[l.ID] = l
 	}
 	out := make([]balance.PeerLoad, len(ids))
 	for i, id := range ids {
 		if workTime, known := a.workTimes[id]; known {
-			out[i] = balance.PeerLoad{ID: id, InFlight: a.inFlight[id] - own[id], WorkTime: workTime}
+			out[i] = balance.PeerLoad{ID: id, InFlight: a.inFlight[id] - own[id].InFlight, WorkTime: workTime,
+				WorkInFlight: a.workInFlight[id] - own[id].WorkInFlight}
 		}
 	}
 	return out
@@ -120,8 +196,12 @@
 		u := snapshot.ByID[id]
 		if u == nil {
 			delete(a.inFlight, id)
+			delete(a.workInFlight, id)
 			continue
 		}
+		if a.meanWork(u.Service, now) > 0 {
+			a.estimator.AddOccupancy(u, float64(a.inFlight[id]), now)
+		}
 		if _, ok := medians[u.Service]; !ok {
 			medians[u.Service] = a.estimator.Median(snapshot.ForService(u.Service), now)
 		}
--- a/internal/inflight/aggregator_test.go
+++ b/internal/inflight/aggregator_test.go
@@ -58,3 +58,30 @@
 		t.Errorf("work time %v at the slow upstream and %v at the fast one", slow, fast)
 	}
 }
+
+// Two equally fast upstreams get short and long requests. By the mean latency, the one with the
+// long requests looks slow; by the expected work of the requests, the work times are equal. The
+// requests of a host of an earlier build, which states no work, count as mean ones.
+func TestWorkTimesDoNotDependOnTheMix(t *testing.T) {
+	snapshot := catalogue.NewSnapshot(map[string]*catalogue.Upstream{"short": {ID: "short", Service: "s", Slots: 6}, "long": {ID: "long", Service: "s", Slots: 6}})
+	now := time.Unix(1000, 0)
+	a := New(func() *catalogue.Snapshot { return snapshot }, now)
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		a.Record("h", []balance.LoadStats{{ID: "short", InFlight: 1, WorkInFlight: 160 * time.Millisecond, Responses: 2, TotalLatency: 320 * time.Millisecond, AnsweredWork: 320 * time.Millisecond},
+			{ID: "long", InFlight: 2, WorkInFlight: 1860 * time.Millisecond, Responses: 1, TotalLatency: 930 * time.Millisecond, AnsweredWork: 930 * time.Millisecond}}, now)
+		a.Record("earlier", []balance.LoadStats{{ID: "short", InFlight: 3}}, now)
+		a.PeerLoads("x", nil, now)
+	}
+	short, long := peerLoad(a, "x", "short", now), peerLoad(a, "x", "long", now)
+	if r := short.WorkTime.Seconds() / long.WorkTime.Seconds(); r < 0.95 || r > 1.05 {
+		t.Errorf("work times %v and %v", short.WorkTime, long.WorkTime)
+	}
+	mean := (320 + 930) * time.Millisecond / 3
+	if want := 160*time.Millisecond + 3*mean; (short.WorkInFlight-want).Abs() > 10*time.Millisecond || long.WorkInFlight != 1860*time.Millisecond {
+		t.Errorf("expected work in flight: %v and %v, want %v and 1.86s", short.WorkInFlight, long.WorkInFlight, want)
+	}
+	if scale := a.WorkScale("s", now); scale < 0.95 || scale > 1.05 {
+		t.Errorf("work scale %v", scale)
+	}
+}
--- a/internal/inflight/simulation_test.go
+++ b/internal/inflight/simulation_test.go
@@ -153,6 +153,7 @@
 	}
 	snapshot := catalogue.NewSnapshot(byID)
 	agg := New(func() *catalogue.Snapshot { return snapshot }, time.Now())
+	work := classWork{}
 	for {
 		for i, b := range pickers {
 			select {
@@ -163,6 +164,7 @@
 			name := fmt.Sprint(i)
 			agg.Record(name, b.FlushLoadStats(), time.Now())
 			b.SetPeerLoads(agg.PeerLoads(name, b.Subset().IDs, time.Now()), time.Now())
+			work.exchange(b, agg, time.Now())
 		}
 	}
 }
--- /dev/null
+++ b/internal/inflight/uneven_test.go
@@ -0,0 +1,214 @@
+package inflight
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/admission"
+	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/decay"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/feedback"
+)
+
+// unevenClass is a class with the work of its requests and its share of them.
+type unevenClass struct {
+	desired.Class
+	work  time.Duration
+	share float64
+}
+
+var unevenClasses = []unevenClass{
+	{desired.Class{Service: "s", Priority: 1, Objective: 600 * time.Millisecond}, 160 * time.Millisecond, 0.68},
+	{desired.Class{Service: "s", Priority: 2, Objective: 5 * time.Second}, 930 * time.Millisecond, 0.32},
+}
+
+// unevenSimulation describes a service with two classes on upstreams of speeds 0.6, 1.0 and 1.4.
+type unevenSimulation struct {
+	hosts, upstreams int
+	// load is the demand as a fraction of the capacity.
+	load       float64
+	duration   time.Duration
+	shareLoads bool
+	// byClass refuses requests by Estimate instead of ExpectedLatency.
+	byClass bool
+}
+
+type unevenResult struct {
+	pickers         []*balance.Picker
+	ups             []*catalogue.Upstream
+	inTime, arrived [2]int
+}
+
+func (s unevenSimulation) run(seed uint64) *unevenResult {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	res, servers := &unevenResult{}, map[string]*simServer{}
+	speeds := []float64{0.6, 1.0, 1.4}
+	for i := range s.upstreams {
+		u := &catalogue.Upstream{ID: fmt.Sprintf("u%02d", i), Service: "s", Slots: 6, DataCentre: "dc"}
+		res.ups = append(res.ups, u)
+		servers[u.ID] = &simServer{slots: u.Slots, queueLimit: 24, speed: speeds[i%3]}
+	}
+	for i := range s.hosts {
+		res.pickers = append(res.pickers, balance.NewPicker(fmt.Sprint("host", i)))
+	}
+	done := make(chan struct{})
+	defer close(done)
+	if s.shareLoads {
+		go exchangeLoads(res.pickers, res.ups, done)
+	}
+	meanWork := 0.0
+	for _, c := range unevenClasses {
+		meanWork += c.share * c.work.Seconds()
+	}
+	perSecond := s.load * float64(6*s.upstreams) / meanWork
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for start := time.Now(); time.Since(start) < s.duration; {
+		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+		p, class := res.pickers[rng.IntN(s.hosts)], 0
+		if rng.Float64() > unevenClasses[0].share {
+			class = 1
+		}
+		work := time.Duration(float64(unevenClasses[class].work) * (0.6 + 0.8*rng.Float64()))
+		counted := time.Since(start) > s.duration/3
+		wg.Go(func() {
+			ok := s.send(p, res.ups, servers, unevenClasses[class], work)
+			mu.Lock()
+			defer mu.Unlock()
+			if counted {
+				res.arrived[class]++
+				if ok {
+					res.inTime[class]++
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return res
+}
+
+// classWork sums what the hosts learn of the work of classes.
+type classWork map[desired.Class]*struct{ responses, work decay.Sum }
+
+// exchange adds what one host has learnt, and sets the fleet's values on it.
+func (w classWork) exchange(p *balance.Picker, agg *Aggregator, now time.Time) {
+	const tau = 10 * time.Second
+	for _, c := range p.FlushClassWork() {
+		if w[c.Class] == nil {
+			w[c.Class] = &struct{ responses, work decay.Sum }{}
+		}
+		w[c.Class].responses.Add(float64(c.Responses), tau, now)
+		w[c.Class].work.Add(c.Work.Seconds(), tau, now)
+	}
+	for class, s := range w {
+		mean := s.work.Value(tau, now) / s.responses.Value(tau, now) * agg.WorkScale(class.Service, now)
+		p.SetClassWork(class, time.Duration(mean*float64(time.Second)))
+	}
+}
+
+// send makes one attempt and reports whether there was a response in time.
+func (s unevenSimulation) send(p *balance.Picker, ups []*catalogue.Upstream, servers map[string]*simServer, c unevenClass, work time.Duration) bool {
+	start := time.Now()
+	criteria := balance.Criteria{LocalDataCentre: "dc"}
+	if s.byClass {
+		criteria.Class = c.Class
+	}
+	u := p.Pick(ups, criteria, start)
+	expected := p.ExpectedLatency(u, start)
+	if s.byClass {
+		queueing, atWork, _ := p.Estimate(u, c.Class, start)
+		expected = queueing + atWork
+	}
+	if expected > c.Objective {
+		return false
+	}
+	ticket := p.Limiter(u.ID).Acquire(context.Background(), c.Objective/2, admission.HostLimitRange(u.Slots, 0, s.hosts))
+	if ticket == nil {
+		return false
+	}
+	sent := time.Now()
+	sending := p.StartSend(u, criteria.Class, sent)
+	ok := servers[u.ID].serve(work)
+	took := time.Since(sent)
+	signal, outcome := admission.InTime, balance.Served
+	if !ok {
+		signal, outcome = admission.Overloaded, balance.Overloaded
+	} else if took > c.Objective*8/10 {
+		signal = admission.Late
+	}
+	p.Done(u.ID, outcome, took, time.Now())
+	p.FinishSend(sending, outcome, took, feedback.Load{}, time.Now())
+	ticket.Done(signal, took)
+	return ok && time.Since(start) <= c.Objective
+}
+
+// share is the fraction of a class's requests that were in time.
+func (r *unevenResult) share(class int) float64 {
+	return float64(r.inTime[class]) / float64(r.arrived[class])
+}
+
+// checkEstimates checks the expected work time of each class at each upstream.
+func (r *unevenResult) checkEstimates(t *testing.T, tolerance float64) {
+	t.Helper()
+	speeds := []float64{0.6, 1.0, 1.4}
+	for _, c := range unevenClasses {
+		sums, n := [3]float64{}, [3]float64{}
+		for _, p := range r.pickers {
+			for i, u := range r.ups {
+				if _, work, known := p.Estimate(u, c.Class, time.Now()); known {
+					sums[i%3] += work.Seconds()
+					n[i%3]++
+				}
+			}
+		}
+		for i, speed := range speeds {
+			got, want := sums[i]/n[i], c.work.Seconds()/speed
+			t.Logf("class of %v at speed %v: expected %.3f s, is %.3f s (%v estimates)", c.work, speed, got, want, n[i])
+			if !(got > want*(1-tolerance) && got < want*(1+tolerance)) {
+				t.Errorf("class of %v at speed %v: expected work time %.3f s, want %.3f s", c.work, speed, got, want)
+			}
+		}
+	}
+}
+
+// One host learns the work of both classes and the upstreams' speeds from their own responses
+// alone. A mean over the classes would be 406 ms for both.
+func TestHostLearnsWorkOfClasses(t *testing.T) {
+	for _, load := range []float64{0.7, 0.85, 1.2} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := unevenSimulation{hosts: 1, upstreams: 12, load: load, duration: time.Minute, byClass: true}.run(1)
+				t.Logf("in time: %.3f and %.3f", r.share(0), r.share(1))
+				r.checkEstimates(t, 0.25)
+			})
+		})
+	}
+}
+
+// Under load, one mean latency for both classes refuses the short class, whose objective is 600 ms,
+// and none of the long one. By its own expected work the short class is served while the upstreams
+// have capacity. Beyond that, queueing that hosts do not expect is taken for work, by some 80 ms.
+func TestShortClassIsServedBesideLongOne(t *testing.T) {
+	for _, c := range []struct{ load, minShort, tolerance float64 }{{0.85, 0.9, 0.25}, {1.2, 0.1, 0.8}} {
+		t.Run(fmt.Sprint(c.load), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := unevenSimulation{hosts: 20, upstreams: 24, load: c.load, duration: 45 * time.Second, shareLoads: true}
+				mean := s.run(1)
+				s.byClass = true
+				byClass := s.run(1)
+				t.Logf("in time by mean: %.3f and %.3f, by class: %.3f and %.3f", mean.share(0), mean.share(1), byClass.share(0), byClass.share(1))
+				byClass.checkEstimates(t, c.tolerance)
+				if byClass.share(0) < max(c.minShort, 1.3*mean.share(0)) || byClass.share(1) < 0.95 {
+					t.Errorf("in time: %.3f and %.3f, by mean %.3f and %.3f", byClass.share(0), byClass.share(1), mean.share(0), mean.share(1))
+				}
+			})
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,8 @@
 //	Using, UsingToken              balance.Subset.IDs, balance.Subset.Hash
 //	Uses, UpstreamUse              balance.LoadStats
 //	UnderWay                       InFlight in LoadStats and PeerLoad
+//	WorkUnderWayMs                 WorkInFlight in LoadStats and PeerLoad
+//	AnsweredWorkMs                 AnsweredWork in LoadStats
 //	RestHosts, RestLeftMs          feedback.Notice.BackoffHosts, BackoffLeft
 //	Ended, EndedAgeMs              feedback.Notice.Crashed, CrashAge
 package peer
@@ -124,7 +126,7 @@
 	}
 	for _, u := range req.LoadStats {
 		msg.Uses = append(msg.Uses, &peerpb.UpstreamUse{Id: u.ID, UnderWay: uint32(u.InFlight), Answered: uint32(u.Responses),
-			LatencyMs: uint32(u.TotalLatency.Milliseconds())})
+			LatencyMs: uint32(u.TotalLatency.Milliseconds()), WorkUnderWayMs: encodeWork(u.WorkInFlight), AnsweredWorkMs: encodeWork(u.AnsweredWork)})
 	}
 	msg.Notices = encodeNotices(req.Notices)
 	msg.UsingToken = req.Subset.Hash
@@ -166,12 +168,22 @@
 	var out []balance.PeerLoad
 	for i, id := range ids {
 		if i < len(reply.UnderWay) && i < len(reply.WorkMs) && reply.WorkMs[i] > 0 {
-			out = append(out, balance.PeerLoad{ID: id, InFlight: int(reply.UnderWay[i]), WorkTime: time.Duration(reply.WorkMs[i]) * time.Millisecond})
+			load := balance.PeerLoad{ID: id, InFlight: int(reply.UnderWay[i]), WorkTime: time.Duration(reply.WorkMs[i]) * time.Millisecond}
+			if i < len(reply.WorkUnderWayMs) {
+				load.WorkInFlight = time.Duration(reply.WorkUnderWayMs[i]) * time.Millisecond
+			}
+			out = append(out, load)
 		}
 	}
 	return out
 }
 
+// encodeWork returns expected work in milliseconds, rounded up, because 0 means that it is not
+// known.
+func encodeWork(work time.Duration) uint32 {
+	return uint32(max((work + time.Millisecond - 1).Milliseconds(), 0))
+}
+
 // knownSubset returns the hash of this host's subset that the host at addr last
 // acknowledged; 0 if none.
 func (c *Client) knownSubset(addr string) uint64 {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -136,3 +136,31 @@
 		t.Errorf("an earlier build that lacks two versions got %v, error %v; want a reset with the whole value", old, err)
 	}
 }
+
+// Expected work must survive the transfer in both directions. Work below a millisecond must not
+// become 0, which means that it is not known, and replies without any must not grow.
+func TestExpectedWorkIsTransferred(t *testing.T) {
+	addr, s := startServer(t)
+	want := balance.LoadStats{ID: "u", InFlight: 2, Responses: 3, TotalLatency: time.Second, WorkInFlight: 1500 * time.Millisecond, AnsweredWork: 700 * time.Millisecond}
+	var got []balance.LoadStats
+	s.OnLoadStats = func(_ fleet.Host, loads []balance.LoadStats) { got = loads }
+	var loads []balance.PeerLoad
+	s.PeerLoads = func(fleet.Host, []string) []balance.PeerLoad { return loads }
+	for _, work := range []time.Duration{0, 300 * time.Microsecond, 4 * time.Second} {
+		loads = []balance.PeerLoad{{ID: "u", InFlight: 4, WorkTime: time.Second, WorkInFlight: work}}
+		reply, err := NewClient(http.DefaultClient).Follow(t.Context(), addr, FollowRequest{LoadStats: []balance.LoadStats{want}, Subset: balance.Subset{IDs: []string{"u"}, Hash: 1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(got) != 1 || got[0] != want {
+			t.Errorf("callee received %+v, want %+v", got, want)
+		}
+		if w := reply.PeerLoads[0].WorkInFlight; w < work || w-work >= time.Millisecond {
+			t.Errorf("received %v, want %v", w, work)
+		}
+	}
+	m := &peerpb.FollowReply{}
+	if setPeerLoads(m, []balance.PeerLoad{{ID: "u", InFlight: 4, WorkTime: time.Second}}); m.WorkUnderWayMs != nil {
+		t.Errorf("the reply states the expected work of services that are not competing")
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -113,11 +113,22 @@
 	reply.Notices = encodeNotices(feedback.ForFollower(s.Feedback.Notices(time.Now()), notices))
 	subset := s.subsetOf(m)
 	reply.UsingToken = subset.Hash
-	for _, l := range s.PeerLoads(caller, subset.IDs) {
+	setPeerLoads(reply, s.PeerLoads(caller, subset.IDs))
+	return reply, s.setReplyStatus(reply, caller)
+}
+
+// setPeerLoads sets the loads in the reply. Expected work is left out if no service is competing.
+func setPeerLoads(reply *peerpb.FollowReply, loads []balance.PeerLoad) {
+	competing := false
+	for _, l := range loads {
 		reply.UnderWay = append(reply.UnderWay, uint32(max(l.InFlight, 0)))
 		reply.WorkMs = append(reply.WorkMs, uint32(l.WorkTime.Milliseconds()))
+		reply.WorkUnderWayMs = append(reply.WorkUnderWayMs, encodeWork(l.WorkInFlight))
+		competing = competing || l.WorkInFlight > 0
+	}
+	if !competing {
+		reply.WorkUnderWayMs = nil
 	}
-	return reply, s.setReplyStatus(reply, caller)
 }
 
 // maxSubsets bounds the stored subsets; at the bound all are dropped, and callers send
@@ -163,7 +174,8 @@
 func decodeLoadStats(ms []*peerpb.UpstreamUse) []balance.LoadStats {
 	var out []balance.LoadStats
 	for _, m := range ms {
-		out = append(out, balance.LoadStats{ID: m.Id, InFlight: int(m.UnderWay), Responses: int(m.Answered), TotalLatency: time.Duration(m.LatencyMs) * time.Millisecond})
+		out = append(out, balance.LoadStats{ID: m.Id, InFlight: int(m.UnderWay), Responses: int(m.Answered), TotalLatency: time.Duration(m.LatencyMs) * time.Millisecond,
+			WorkInFlight: time.Duration(m.WorkUnderWayMs) * time.Millisecond, AnsweredWork: time.Duration(m.AnsweredWorkMs) * time.Millisecond})
 	}
 	return out
 }
--- a/internal/worktime/worktime.go
+++ b/internal/worktime/worktime.go
@@ -28,7 +28,12 @@
 
 // responseSums are the decaying number of an upstream's responses and the sum of their
 // latencies, in seconds.
-type responseSums struct{ count, latency decay.Sum }
+type responseSums struct {
+	count, latency decay.Sum
+	// inFlight and running sum the requests at the upstream and those of them that it works on,
+	// over the calls of AddOccupancy.
+	inFlight, running decay.Sum
+}
 
 // Estimator estimates work times by upstream. It is not safe for concurrent use.
 type Estimator struct {
@@ -44,13 +49,26 @@
 // Add adds a number of responses of an upstream, and the sum of their latencies in
 // seconds.
 func (e *Estimator) Add(id string, responses, seconds float64, now time.Time) {
+	s := e.sums(id)
+	s.count.Add(responses, timeConstant, now)
+	s.latency.Add(seconds, timeConstant, now)
+}
+
+// AddOccupancy adds a sample of the number of requests at an upstream. Calls are to be evenly
+// spaced in time.
+func (e *Estimator) AddOccupancy(u *catalogue.Upstream, inFlight float64, now time.Time) {
+	s := e.sums(u.ID)
+	s.inFlight.Add(inFlight, timeConstant, now)
+	s.running.Add(min(inFlight, float64(u.Slots)), timeConstant, now)
+}
+
+func (e *Estimator) sums(id string) *responseSums {
 	s := e.byID[id]
 	if s == nil {
 		s = &responseSums{}
 		e.byID[id] = s
 	}
-	s.count.Add(responses, timeConstant, now)
-	s.latency.Add(seconds, timeConstant, now)
+	return s
 }
 
 // Estimate returns the estimated work time of an upstream, in seconds: the mean of its own
@@ -65,7 +83,9 @@
 // observed returns an upstream's work time by its own responses, in seconds, and their
 // decayed number; zeros if there are too few. The mean latency L includes queueing. With
 // N the mean number of requests at the upstream, by Little's law the latency summed per
-// second, the work time is L if N is at most the number of slots, else L*slots/N.
+// second, the work time is L if N is at most the number of slots, else L*slots/N. If samples of
+// the number of requests are known, it is L times the part of them that was in work, which also
+// covers queueing while N varies around the number of slots.
 func (e *Estimator) observed(u *catalogue.Upstream, now time.Time) (float64, float64) {
 	s := e.byID[u.ID]
 	if s == nil {
@@ -76,6 +96,9 @@
 	if n < 1 {
 		return 0, 0
 	}
+	if inFlight := s.inFlight.Value(timeConstant, now); inFlight > 0 {
+		return total / n * s.running.Value(timeConstant, now) / inFlight, n
+	}
 	concurrency := total / decay.EffectiveWindow(timeConstant, now.Sub(e.started))
 	return total / n * min(1, float64(u.Slots)/concurrency), n
 }
