dispatch: repeat a keyed request that its owner rejects although it has room

Cause: an owner whose last place was taken at the moment of arrival rejects a request, and the host refuses it at once, although the load report in the rejection shows free slots or few waiting requests. Change: such a rejection is no sign of overload for the limiter and the picker, and a keyed request is sent to the same owner once more, within the retry budget and the route's attempts. Rejections of cold upstreams, with a rate limit or with a backoff, and those in deployments without competing services are handled as before. The expected work of a class is at least 1 ms, as 0 means that it is not known.

--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -23,6 +23,8 @@
 	// fleetWorkTTL is how long a value of SetClassWork replaces this host's own mean. It arrives
 	// several times a second; after some seconds without, the host that sends it is gone.
 	fleetWorkTTL = 5 * time.Second
+	// minWork bounds the expected work of a class, of which 0 would mean that it is not known.
+	minWork = time.Millisecond
 	// refreshInterval is how often the means and medians of a service are computed. They cover
 	// several seconds of responses.
 	refreshInterval = 500 * time.Millisecond
@@ -225,7 +227,7 @@
 	if own := cw.learnt >= minResponses && n > 0; !own || w.hasFleetWork(class, now) {
 		return cw.fleetWork, cw.fleetWork > 0
 	}
-	return toDuration(max(cw.work.Value(classTimeConstant, now)/n, 0)), true
+	return max(toDuration(cw.work.Value(classTimeConstant, now)/n), minWork), true
 }
 
 // refreshMean computes the mean expected work of the service's responses.
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -147,6 +147,9 @@
 	if !keyed {
 		return true, nil
 	}
+	if req.repeatAtOwner() {
+		return true, nil
+	}
 	if !res.Misdirected() {
 		// The key has no other owner, and one that is overloaded now still is a
 		// few milliseconds later.
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -28,7 +28,7 @@
 )
 
 var testHeaders = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
-	NotRun: "X-Not-Run", Key: "X-Key", RateLimit: "X-Limit", Leaving: "X-Leaving"}
+	NotRun: "X-Not-Run", Key: "X-Key", RateLimit: "X-Limit", Leaving: "X-Leaving", Load: "X-Load"}
 
 // fakeUpstream is an HTTP server that can violate the protocol. Its respond
 // function gets each request with its number, counted from 1, and writes any
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -57,6 +57,9 @@
 	// trial is set if the next attempt tests whether a request with a refused
 	// fingerprint still crashes its upstream.
 	trial bool
+	// rejectedWithRoom is set if the last attempt was; see Dispatcher.rejectedWithRoom. repeatedAtOwner is
+	// set once the request was sent to its owner again because of it.
+	rejectedWithRoom, repeatedAtOwner bool
 	// cachedFingerprint is empty until fingerprint is called.
 	cachedFingerprint crashes.Fingerprint
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -22,6 +22,10 @@
 	took := time.Since(start)
 	outcome := sendOutcome(ctx, res)
 	now := time.Now()
+	if req.rejectedWithRoom = d.rejectedWithRoom(u, res, now); req.rejectedWithRoom {
+		rejectionsWithRoom.Inc()
+		outcome = balance.Inconclusive
+	}
 	// Done reports whether the upstream seems to have crashed.
 	if d.picker.Done(u.ID, outcome, took, now) {
 		d.feedback.RecordCrash(u.ID, now)
--- /dev/null
+++ b/internal/dispatch/uneven_test.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/view"
+)
+
+// setCompeting makes the service plain competing: browse.example is a less urgent route to it.
+func (h *harness) setCompeting() {
+	h.views.Publish(func(v *view.View) {
+		routes := []*desired.Route{v.Desired.Match("read.example", "/"), v.Desired.Match("charge.example", "/"), v.Desired.Match("keyed.example", "/")}
+		browse := *routes[0]
+		browse.Name, browse.Host, browse.Priority, browse.LatencyObjective = "browse.example", "browse.example", 2, 10*testObjective
+		v.Desired = desired.New(8, append(routes, &browse), v.Desired.Services, v.Desired.Limits)
+	})
+}
+
+// The owner of a key rejects a request although its load report shows room. A refusal would cost
+// the caller a retry, so the request is sent again, once. If the owner is full, cold or asks for a
+// backoff, or the deployment has no competing services, the request is refused at once as before.
+func TestKeyedRequestIsRepeatedAfterRejectionWithRoom(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		competing bool
+		cold      bool
+		headers   []string
+		rejected  int64
+		status    int
+		sent      int64
+	}{
+		{"free slots", true, false, []string{"X-Load: 4,0,6,100"}, 1, http.StatusOK, 2},
+		{"short queue", true, false, []string{"X-Load: 6,2,6,100"}, 1, http.StatusOK, 2},
+		{"rejected again", true, false, []string{"X-Load: 4,0,6,100"}, 9, http.StatusServiceUnavailable, 2},
+		{"full", true, false, []string{"X-Load: 6,24,6,100"}, 9, http.StatusServiceUnavailable, 1},
+		{"no report", true, false, nil, 9, http.StatusServiceUnavailable, 1},
+		{"malformed report", true, false, []string{"X-Load: 4,0"}, 9, http.StatusServiceUnavailable, 1},
+		{"cold", true, true, []string{"X-Load: 4,0,6,100"}, 9, http.StatusServiceUnavailable, 1},
+		{"backoff", true, false, []string{"X-Load: 4,0,6,100", "Retry-After: 3"}, 9, http.StatusServiceUnavailable, 1},
+		{"not competing", false, false, []string{"X-Load: 4,0,6,100"}, 9, http.StatusServiceUnavailable, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := startUpstream(t, func(w io.Writer, conn net.Conn, r *http.Request, n int64) bool {
+				if n <= c.rejected {
+					return writeResponse(w, r, http.StatusServiceUnavailable, "", append(c.headers, "X-Not-Run: 1")...)
+				}
+				return echo(w, conn, r, n)
+			})
+			u := newUpstream("k1", "keyed", f)
+			if c.cold {
+				u.SlowUntil = time.Now().Add(time.Minute)
+			}
+			h := newHarness(t, u)
+			h.setOwner("k1", 1)
+			if c.competing {
+				h.setCompeting()
+			}
+			h.get("keyed.example", "r").want(t, c.status, "")
+			if got := f.requestCount.Load(); got != c.sent {
+				t.Errorf("%d requests reached the owner, want %d", got, c.sent)
+			}
+		})
+	}
+}
+
+// The send path must tell the picker the class of each response of a competing service and its
+// load report; without either, hosts would estimate all classes alike.
+func TestPickerLearnsClassesFromResponses(t *testing.T) {
+	f := startUpstream(t, func(w io.Writer, c net.Conn, r *http.Request, _ int64) bool {
+		if r.Host == "browse.example" {
+			time.Sleep(60 * time.Millisecond)
+		}
+		return writeResponse(w, r, http.StatusOK, "", "X-Load: 6,0,6,100")
+	})
+	u := newUpstream("u1", "plain", f)
+	h := newHarness(t, u)
+	h.setCompeting()
+	read := desired.Class{Service: "plain", Objective: testObjective}
+	browse := desired.Class{Service: "plain", Priority: 2, Objective: 10 * testObjective}
+	for range 8 {
+		h.get("browse.example", "b").want(t, http.StatusOK, "")
+		h.get("read.example", "r").want(t, http.StatusOK, "")
+	}
+	queueing, short, known := h.d.picker.Estimate(u, read, time.Now())
+	_, long, longKnown := h.d.picker.Estimate(u, browse, time.Now())
+	if !known || !longKnown || long < 2*short {
+		t.Errorf("expected work times %v and %v", short, long)
+	}
+	if queueing == 0 {
+		t.Error("the load report does not count")
+	}
+	h.d.picker.FlushLoadStats()
+	h.get("charge.example", "c").want(t, http.StatusOK, "")
+	if stats := h.d.picker.FlushLoadStats(); len(stats) != 1 || stats[0].AnsweredWork == 0 || stats[0].WorkInFlight != 0 {
+		t.Errorf("load statistics %+v", stats)
+	}
+}
