entryhost: log and count silent upstreams; expected work on the metrics page

Cause: the picker takes an upstream for overloaded once two requests have been there for three times their expected latency without any response, but nothing shows it.

--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -214,6 +214,13 @@
 	return out
 }
 
+// ExpectedWork returns the expected work of a class, and whether it is known.
+func (p *Picker) ExpectedWork(class desired.Class, now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.serviceWork(class.Service).expected(class, now)
+}
+
 // expected returns the expected work of a class, and whether it is known.
 func (w *serviceWork) expected(class desired.Class, now time.Time) (time.Duration, bool) {
 	cw := w.classes[class]
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -174,6 +174,7 @@
 		candidate: cfg.CPUCores >= candidateMinCPU && cfg.LinkMbps >= candidateMinLinkMbps,
 		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: plat.peerTransport()}})}
 	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
+	h.picker.OnSilent = (&silenceLogger{zl: zl}).onSilent
 	if plat.Net != nil {
 		h.client.Dial = plat.Net.Dial
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -68,6 +68,7 @@
 	UpstreamRecordRejected  = 633
 	UpstreamRestarted       = 634
 	UpstreamReported        = 635
+	UpstreamSilent          = 636
 	OwnershipAdopted        = 640
 	OwnershipRejected       = 641
 	OwnershipChangeRejected = 642
