entryhost, keyload: speeds of keyed upstreams survive a change of planner

Cause: a new planner knows no speeds and gives slow upstreams as many keys as fast ones until it has measured them. Change: the planner sends the speeds of upstreams of competing keyed services to candidates, every 2 s, in FollowReply.speeds; relays pass them on with their age. A new planner's capacities start from them; four own responses replace one of the received ones. Deployments without competing services send none.

--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -78,14 +78,15 @@
 
 // decoder decodes the test's records. An upstream's entry is a catalogue.Upstream
 // in JSON. The desired state's record is its version, and padding after a space: routes and
-// services are fixed.
+// services are fixed, except that with the padding "competing" there is a less urgent route to the
+// keyed service, browse.example.
 type decoder struct{}
 
 func (decoder) Desired(key string, data []byte) (*desired.State, error) {
 	if key != "state" {
 		return nil, nil
 	}
-	text, _, _ := strings.Cut(string(data), " ")
+	text, rest, _ := strings.Cut(string(data), " ")
 	version, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
 		return nil, err
@@ -97,7 +98,13 @@
 	plain := route(unkeyedRoute, true)
 	plain.Shares = []desired.Share{{Service: "plain", Weight: 1}}
 	slow := desired.SlowStart{Duration: 3 * time.Second, PerSecond: 4}
-	return desired.New(version, []*desired.Route{route("read.example", true), route("charge.example", false), plain},
+	routes := []*desired.Route{route("read.example", true), route("charge.example", false), plain}
+	if rest == "competing" {
+		browse := route("browse.example", true)
+		browse.Priority = 2
+		routes = append(routes, browse)
+	}
+	return desired.New(version, routes,
 		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true, SlowStart: slow}, "plain": {Name: "plain", SlowStart: slow}},
 		desired.Limits{}), nil
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -32,6 +32,7 @@
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
+	"github.com/papayatide/papayatide/internal/worktime"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 	"github.com/papayatide/papayatide/rpc/refusedpb"
 )
@@ -126,6 +127,7 @@
 	candidate          bool
 	loadSampler        *loadSampler
 	inFlightAggregator *inFlightAggregator
+	speeds             speedExchange
 	plat               Platform
 	callerServer       *http.Server
 	stopping           atomic.Bool
@@ -236,6 +238,7 @@
 	peers := http.NewServeMux()
 	ps := peerpb.NewPeerServer(&peer.Server{Replica: h.controller.replica, ReplicaStatus: h.replicaStatus, Fleet: h.fleet, Name: h.cfg.Host, HostStatus: h.status, RetireTermsBefore: h.retire,
 		OnKeyLoads: func(l []peer.ServiceLoad) { h.receiveKeyLoads(workCtx, l) }, OnLoadStats: h.inFlightAggregator.recordStats, PeerLoads: h.inFlightAggregator.peerLoads,
+		Speeds:         func(caller fleet.Host) []worktime.Speed { return h.speeds.forCaller(caller, time.Now()) },
 		DesiredVersion: h.desiredVersion, OnDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
 		Feedback: h.feedback, IssuePermits: h.issuePermits})
 	peers.Handle(ps.PathPrefix(), ps)
--- a/internal/entryhost/loadsampler.go
+++ b/internal/entryhost/loadsampler.go
@@ -11,6 +11,7 @@
 	"github.com/papayatide/papayatide/internal/keyload"
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/worktime"
 )
 
 // maxSummarySamples bounds the samples per service in one load summary. Above it,
@@ -127,6 +128,7 @@
 		for _, l := range loads {
 			h.controller.loads.Add(l.Service, l.Samples, l.Weight, time.Now())
 		}
+		h.updateSpeeds(time.Now())
 	})
 }
 
@@ -156,6 +158,7 @@
 	syncer := &logSyncer{discoveryTimeout: timeout, zl: h.zl, peers: h.peers, replica: h.controller.replica, ownershipReader: ownershipReader, otherReaders: others, plannerAddr: h.plannerAddr, isPlanner: h.controller.isPlanner.Load,
 		self: h.self, fleet: h.fleet, picker: h.picker, feedback: h.feedback,
 		takeKeyLoads: h.loadSampler.take, applyKeyLoads: func(l []peer.ServiceLoad) { h.addKeyLoads(ctx, l) },
+		onSpeeds:       func(speeds []worktime.Speed) { h.receiveSpeeds(ctx, speeds) },
 		desiredVersion: h.desiredVersion, onDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
 		apply:          func(b relay.Batch) { h.controller.applyAndWait(ctx, b) },
 		onFollowFailed: func() { h.controller.post(ctx, h.controller.planner.PlannerLost) },
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -17,6 +17,7 @@
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/progress"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/worktime"
 )
 
 const (
@@ -101,6 +102,8 @@
 	// none.
 	takeKeyLoads  func() []peer.ServiceLoad
 	applyKeyLoads func([]peer.ServiceLoad)
+	// onSpeeds receives the speeds of upstreams in each reply.
+	onSpeeds func([]worktime.Speed)
 	// apply updates this host's state, replica included, from a batch.
 	apply func(relay.Batch)
 	// desiredVersion returns the version of the desired state in force; onDesiredVersion
@@ -273,6 +276,7 @@
 	}
 	s.fleet.SetPlannerFleetSize(reply.HostCount)
 	s.feedback.Merge(addr, reply.Notices, time.Now())
+	s.onSpeeds(reply.Speeds)
 	if !isRelay {
 		s.picker.SetPeerLoads(reply.PeerLoads, time.Now())
 	}
--- a/internal/keyload/estimator.go
+++ b/internal/keyload/estimator.go
@@ -55,16 +55,20 @@
 // concurrent use.
 type Estimator struct {
 	services map[string]*serviceLoad
+	// seeded holds the speeds of services without samples; see Seed.
+	seeded map[string]*worktime.Estimator
 }
 
 // New returns an estimator without samples.
-func New() *Estimator { return &Estimator{services: map[string]*serviceLoad{}} }
+func New() *Estimator {
+	return &Estimator{services: map[string]*serviceLoad{}, seeded: map[string]*worktime.Estimator{}}
+}
 
 // Add adds samples of a service, each of which represents weight requests.
 func (e *Estimator) Add(service string, samples []Sample, weight float64, now time.Time) {
 	s := e.services[service]
 	if s == nil {
-		s = &serviceLoad{keys: map[int]*keyCounts{}, workTimes: worktime.New(now), started: now, prunedAt: now}
+		s = &serviceLoad{keys: map[int]*keyCounts{}, workTimes: e.startWorkTimes(service, now), started: now, prunedAt: now}
 		e.services[service] = s
 	}
 	for _, x := range samples {
@@ -119,7 +123,8 @@
 
 // Load returns the load and the owners' capacities in requests a second, and the
 // decayed number of requests that they are based on. Before the first sample of
-// the service, capacities are numbers of slots.
+// the service, capacities are numbers of slots, times the speeds that another planner has
+// estimated.
 func (e *Estimator) Load(service string, owners []*catalogue.Upstream, now time.Time) (ownership.Load, float64) {
 	out := ownership.Load{Capacity: map[string]float64{}}
 	s := e.services[service]
@@ -127,6 +132,12 @@
 		for _, u := range owners {
 			out.Capacity[u.ID] = float64(u.Slots)
 		}
+		if w := e.seeded[service]; w != nil {
+			median := w.Median(owners, now)
+			for _, u := range owners {
+				out.Capacity[u.ID] *= median / w.Estimate(u, median, now)
+			}
+		}
 		return out, 0
 	}
 	out.ByKey = make([]float64, ownership.KeySpaceSize)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,6 +36,7 @@
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/worktime"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
 
@@ -103,6 +104,9 @@
 	// PeerLoads is the load of the other hosts of the data centre on the requested
 	// upstreams; empty if the callee is in another data centre.
 	PeerLoads []balance.PeerLoad
+	// Speeds holds the speeds of upstreams of keyed services, if this host is a candidate; empty
+	// in most replies.
+	Speeds []worktime.Speed
 	// Notices holds what the callee knows of upstreams beyond the notices in the request.
 	Notices []feedback.Notice
 	// DesiredVersion is the version of the desired state in force on the callee; 0 if there
@@ -144,7 +148,7 @@
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
 	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, ReceivedAt: receivedAt, Positions: decodePositions(reply.Positions, req.Positions), LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
-		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices),
+		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices), Speeds: decodeSpeeds(reply.Speeds),
 		DesiredVersion: reply.DesiredVersion}
 	for _, m := range reply.Batches {
 		b, ok, err := decodeBatch(m, req)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,6 +18,7 @@
 	"github.com/papayatide/papayatide/internal/keyload"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/worktime"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
 
@@ -164,3 +165,25 @@
 		t.Errorf("the reply states the expected work of services that are not competing")
 	}
 }
+
+// Speeds must survive the transfer: a wrong scale would make a new planner give most keys to slow
+// upstreams. Hosts that get none must not receive an empty list instead of the earlier one.
+func TestSpeedsAreTransferred(t *testing.T) {
+	addr, s := startServer(t)
+	want := worktime.Speed{ID: "u", Speed: 1.7, Age: 1500 * time.Millisecond, Responses: 12}
+	s.Speeds = func(caller fleet.Host) []worktime.Speed {
+		if !caller.Candidate {
+			return nil
+		}
+		return []worktime.Speed{want}
+	}
+	for _, candidate := range []bool{false, true} {
+		reply, err := NewClient(http.DefaultClient).Follow(t.Context(), addr, FollowRequest{Self: fleet.Host{Name: "h", Candidate: candidate}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := reply.Speeds; (len(got) == 1 && got[0] == want) != candidate {
+			t.Errorf("candidate %v received %+v", candidate, got)
+		}
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/worktime"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 	"github.com/twitchtv/twirp"
 )
@@ -38,6 +39,9 @@
 	// the other hosts in the caller's data centre on each of the given upstreams.
 	OnLoadStats func(caller fleet.Host, loads []balance.LoadStats)
 	PeerLoads   func(caller fleet.Host, ids []string) []balance.PeerLoad
+	// Speeds returns the speeds of upstreams of keyed services to send to the caller; nil if it
+	// gets none in this reply.
+	Speeds func(caller fleet.Host) []worktime.Speed
 	// DesiredVersion returns the version of the desired state in force on this host, 0 if there
 	// is none. OnDesiredVersion receives that of each caller.
 	DesiredVersion   func() int64
@@ -114,6 +118,9 @@
 	subset := s.subsetOf(m)
 	reply.UsingToken = subset.Hash
 	setPeerLoads(reply, s.PeerLoads(caller, subset.IDs))
+	if s.Speeds != nil {
+		reply.Speeds = encodeSpeeds(s.Speeds(caller))
+	}
 	return reply, s.setReplyStatus(reply, caller)
 }
 
--- a/internal/worktime/worktime.go
+++ b/internal/worktime/worktime.go
@@ -33,11 +33,14 @@
 	// inFlight and running sum the requests at the upstream and those of them that it works on,
 	// over the calls of AddOccupancy.
 	inFlight, running decay.Sum
+	// newest is when the newest response was added.
+	newest time.Time
 }
 
 // Estimator estimates work times by upstream. It is not safe for concurrent use.
 type Estimator struct {
 	byID    map[string]*responseSums
+	seeds   map[string]*seed
 	started time.Time
 }
 
@@ -52,6 +55,7 @@
 	s := e.sums(id)
 	s.count.Add(responses, timeConstant, now)
 	s.latency.Add(seconds, timeConstant, now)
+	s.newest = now
 }
 
 // AddOccupancy adds a sample of the number of requests at an upstream. Calls are to be evenly
@@ -73,10 +77,15 @@
 
 // Estimate returns the estimated work time of an upstream, in seconds: the mean of its own
 // observed work time and its service's median (see Median), weighted by the number of
-// responses. The result is between median/maxSpeed and median/minSpeed.
+// responses, and of the speed that another host has estimated (see Seed). The result is between median/maxSpeed and median/minSpeed.
 func (e *Estimator) Estimate(u *catalogue.Upstream, median float64, now time.Time) float64 {
 	observed, n := e.observed(u, now)
-	t := (observed*n + median*priorWeight) / (n + priorWeight)
+	total, weight := observed*n+median*priorWeight, n+priorWeight
+	if s := e.seeds[u.ID]; s != nil {
+		seedWeight := s.weight(n, now)
+		total, weight = total+median/s.speed*seedWeight, weight+seedWeight
+	}
+	t := total / weight
 	return min(max(t, median/maxSpeed), median/minSpeed)
 }
 
@@ -126,4 +135,9 @@
 			delete(e.byID, id)
 		}
 	}
+	for id := range e.seeds {
+		if !keep(id) {
+			delete(e.seeds, id)
+		}
+	}
 }
