balance: compare the upstreams with the newest load reports too

Cause: a host of a large fleet gets a load report from each upstream only every few seconds, so the reports of the upstreams in a random sample are nearly always older than the 400 ms for which they count. Change: for competing services, Pick also compares the two upstreams from which the host has received the newest reports.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -262,6 +262,10 @@
 	remoteBest, remoteFallback := p.sample(s.remote, c, now)
 	best.merge(remoteBest)
 	fallback.merge(remoteFallback)
+	for _, u := range p.recentReporters(s.local, c.Class) {
+		reported, _ := p.sample([]*catalogue.Upstream{u}, c, now)
+		best.merge(reported)
+	}
 	if best.up == nil {
 		// No upstream of this host's subset is usable; sample all of the service.
 		best, _ = p.sample(ups, c, now)
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/feedback"
 )
 
 func twoUpstreams() []*catalogue.Upstream {
@@ -70,18 +71,29 @@
 // BenchmarkPick measures Pick for services of 10, 100 and 1,000 upstreams: the time should
 // hardly depend on the number, without allocations.
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{10, 100, 1000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			p, ups := NewPicker("h"), make([]*catalogue.Upstream, n)
-			for i := range ups {
-				ups[i] = &catalogue.Upstream{ID: fmt.Sprint("u", i), Service: "s", Slots: 3, DataCentre: fmt.Sprint("dc", i%3)}
-			}
-			c := Criteria{LocalDataCentre: "dc0", RemotePenalty: 100 * time.Millisecond}
-			now := time.Now()
-			b.ReportAllocs()
-			for b.Loop() {
-				p.Pick(ups, c, now)
-			}
-		})
+	for _, competing := range []bool{false, true} {
+		for _, n := range []int{10, 100, 1000} {
+			b.Run(fmt.Sprintf("competing=%v/%d", competing, n), func(b *testing.B) { benchmarkPick(b, n, competing) })
+		}
+	}
+}
+
+func benchmarkPick(b *testing.B, n int, competing bool) {
+	p, ups := NewPicker("h"), make([]*catalogue.Upstream, n)
+	for i := range ups {
+		ups[i] = &catalogue.Upstream{ID: fmt.Sprint("u", i), Service: "s", Slots: 3, DataCentre: fmt.Sprint("dc", i%3)}
+	}
+	c := Criteria{LocalDataCentre: "dc0", RemotePenalty: 100 * time.Millisecond}
+	now := time.Now()
+	if competing {
+		c.Class = testClass
+		for i := range 1000 {
+			s := p.StartSend(ups[i%n], testClass, now)
+			p.FinishSend(s, Served, 100*time.Millisecond, feedback.Load{Running: 2, Slots: 3, WorkFactor: 1}, now)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Pick(ups, c, now)
 	}
 }
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
@@ -123,3 +124,24 @@
 }
 
 func toDuration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// reporterCount is how many upstreams with recent load reports are compared for a request besides
+// the random sample. Among 79 hosts, a report of an upstream in the sample is nearly always too old:
+// a host gets one from each only every few seconds.
+const reporterCount = 2
+
+// recentReporters returns the upstreams of the list from which this host has received the newest
+// load reports, if the class is of a competing service.
+func (p *Picker) recentReporters(ups []*catalogue.Upstream, class desired.Class) []*catalogue.Upstream {
+	w := p.work[class.Service]
+	if w == nil || w.reporters[0] == nil {
+		return nil
+	}
+	var out []*catalogue.Upstream
+	for _, u := range w.reporters {
+		if slices.Contains(ups, u) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -141,6 +141,9 @@
 	refreshedAt time.Time
 	// reports counts load reports, reportedFactors sums the work factors in them.
 	reports, reportedFactors decay.Sum
+	// reporters are the upstreams with the newest load reports; see recentReporters.
+	reporters    [reporterCount]*catalogue.Upstream
+	nextReporter int
 	// queueing corrects computed queueing times.
 	queueing queueingModel
 }
@@ -348,6 +351,8 @@
 	}
 	if report.Known() {
 		st.work.report, st.work.reportAt, st.work.sendingsAtReport = report, now, len(st.work.sendings)
+		w.reporters[w.nextReporter] = s.upstream
+		w.nextReporter = (w.nextReporter + 1) % reporterCount
 		w.reports.Add(1, classTimeConstant, now)
 		w.reportedFactors.Add(report.WorkFactor, classTimeConstant, now)
 	}
--- a/internal/inflight/simulation_test.go
+++ b/internal/inflight/simulation_test.go
@@ -12,6 +12,7 @@
 	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/feedback"
 )
 
 // simServer simulates an upstream with slots and a bounded queue, in virtual time.
@@ -22,6 +23,10 @@
 	slots      int
 	queueLimit int
 	speed      float64
+	// slowMoments makes it three times as slow for a fifth of the time, for slowMoment each.
+	slowMoments *rand.Rand
+	slowUntil   time.Time
+	slow        bool
 	// queueFull is how many requests were not served because the queue was full.
 	queueFull int
 }
@@ -44,7 +49,7 @@
 		s.mu.Unlock()
 		<-ch
 	}
-	time.Sleep(time.Duration(float64(work) / s.speed))
+	s.process(work)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.queue) > 0 {
@@ -56,6 +61,44 @@
 	return true
 }
 
+// slowMoment is how long a server is slow, or not.
+const slowMoment = 400 * time.Millisecond
+
+// factor returns how many times longer work takes now than normal, and until when that is known.
+func (s *simServer) factor() (float64, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.slowMoments == nil {
+		return 1, now.Add(time.Hour)
+	}
+	if !now.Before(s.slowUntil) {
+		s.slow, s.slowUntil = s.slowMoments.Float64() < 0.2, now.Add(slowMoment)
+	}
+	if s.slow {
+		return 3, s.slowUntil
+	}
+	return 1, s.slowUntil
+}
+
+// process spends the time that the server takes for some work.
+func (s *simServer) process(work time.Duration) {
+	for left := time.Duration(float64(work) / s.speed); left > 0; {
+		factor, until := s.factor()
+		step := min(time.Until(until), time.Duration(float64(left)*factor)+1)
+		time.Sleep(step)
+		left -= time.Duration(float64(step) / factor)
+	}
+}
+
+// load is the server's load report.
+func (s *simServer) load() feedback.Load {
+	factor, _ := s.factor()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return feedback.Load{Running: s.busy, Waiting: len(s.queue), Slots: s.slots, WorkFactor: factor}
+}
+
 // simulation describes one data centre: hosts that share the upstreams of one
 // service.
 type simulation struct {
--- a/internal/inflight/uneven_test.go
+++ b/internal/inflight/uneven_test.go
@@ -38,6 +38,8 @@
 	shareLoads bool
 	// byClass refuses requests by Estimate instead of ExpectedLatency.
 	byClass bool
+	// slowMoments makes upstreams slow for moments, reports makes them report their load.
+	slowMoments, reports bool
 }
 
 type unevenResult struct {
@@ -54,6 +56,9 @@
 		u := &catalogue.Upstream{ID: fmt.Sprintf("u%02d", i), Service: "s", Slots: 6, DataCentre: "dc"}
 		res.ups = append(res.ups, u)
 		servers[u.ID] = &simServer{slots: u.Slots, queueLimit: 24, speed: speeds[i%3]}
+		if s.slowMoments {
+			servers[u.ID].slowMoments = rand.New(rand.NewPCG(seed, uint64(i)))
+		}
 	}
 	for i := range s.hosts {
 		res.pickers = append(res.pickers, balance.NewPicker(fmt.Sprint("host", i)))
@@ -143,8 +148,12 @@
 	} else if took > c.Objective*8/10 {
 		signal = admission.Late
 	}
+	var report feedback.Load
+	if s.reports {
+		report = servers[u.ID].load()
+	}
 	p.Done(u.ID, outcome, took, time.Now())
-	p.FinishSend(sending, outcome, took, feedback.Load{}, time.Now())
+	p.FinishSend(sending, outcome, took, report, time.Now())
 	ticket.Done(signal, took)
 	return ok && time.Since(start) <= c.Objective
 }
@@ -212,3 +221,19 @@
 		})
 	}
 }
+
+// A fifth of the upstreams is three times as slow, for 400 ms. A host gets a report from each
+// upstream only every two seconds, so load reports help only if it prefers those that have just
+// reported room.
+func TestLoadReportsHelpInSlowMoments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := unevenSimulation{hosts: 20, upstreams: 24, load: 0.75, duration: 45 * time.Second, shareLoads: true, byClass: true, slowMoments: true}
+		without := s.run(1)
+		s.reports = true
+		with := s.run(1)
+		t.Logf("in time without reports: %.3f and %.3f, with reports: %.3f and %.3f", without.share(0), without.share(1), with.share(0), with.share(1))
+		if with.share(0) < max(0.88, without.share(0)+0.02) || with.share(1) < 0.95 {
+			t.Errorf("in time with reports: %.3f and %.3f", with.share(0), with.share(1))
+		}
+	})
+}
