dispatch: refuse requests for keys whose owner is silent

Cause: an upstream that stops responding when it is full holds each further request until its timeout, and a key has no other owner. Change: while two requests of this host have been at the owner for three times their expected latency without a response, further ones are refused as not run. Competing services only.

--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -109,6 +109,14 @@
 	return silent
 }
 
+// Silent reports whether the upstream has not responded to several requests of a competing service
+// for a multiple of their expected latency; it then counts as overloaded.
+func (p *Picker) Silent(id string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent(id, p.state(id), now)
+}
+
 // classWork holds the decaying number of a class's responses and the sum of their work at an
 // upstream of median speed, in seconds.
 type classWork struct {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -63,6 +63,9 @@
 			if d.picker.IsEjected(u.ID, now) {
 				return nil, req.refusal(CauseUnreachable, retryAfterNoOwner)
 			}
+			if d.picker.Silent(u.ID, now) {
+				return nil, req.refusal(CauseOverloaded, req.retryAfterOverloaded())
+			}
 			if wait, cause := d.unavailableFor(u.ID, now); wait > 0 {
 				return nil, req.unavailableRefusal(wait, cause)
 			}
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,13 +13,17 @@
 	"github.com/papayatide/papayatide/internal/view"
 )
 
-// setCompeting makes the service plain competing: browse.example is a less urgent route to it.
+// setCompeting makes both services competing: browse.example is a less urgent route to plain,
+// browse-keyed.example one to keyed.
 func (h *harness) setCompeting() {
 	h.views.Publish(func(v *view.View) {
 		routes := []*desired.Route{v.Desired.Match("read.example", "/"), v.Desired.Match("charge.example", "/"), v.Desired.Match("keyed.example", "/")}
-		browse := *routes[0]
-		browse.Name, browse.Host, browse.Priority, browse.LatencyObjective = "browse.example", "browse.example", 2, 10*testObjective
-		v.Desired = desired.New(8, append(routes, &browse), v.Desired.Services, v.Desired.Limits)
+		for i, host := range []string{"browse.example", "browse-keyed.example"} {
+			browse := *routes[2*i]
+			browse.Name, browse.Host, browse.Priority, browse.LatencyObjective = host, host, 2, 10*testObjective
+			routes = append(routes, &browse)
+		}
+		v.Desired = desired.New(8, routes, v.Desired.Services, v.Desired.Limits)
 	})
 }
 
@@ -100,3 +106,47 @@
 		t.Errorf("load statistics %+v", stats)
 	}
 }
+
+// The owner of a key stops responding, as an upstream of one deployment does when it is full.
+// Further requests must be refused at once as not run, instead of timing out there. Once the
+// earlier ones have ended, it is tried again. Without competing classes all are sent as before.
+func TestSilentOwnerGetsNoFurtherRequests(t *testing.T) {
+	for _, competing := range []bool{true, false} {
+		var silent atomic.Bool
+		release := make(chan struct{})
+		f := startUpstream(t, func(w io.Writer, c net.Conn, r *http.Request, n int64) bool {
+			if silent.Load() {
+				<-release
+			}
+			return echo(w, c, r, n)
+		})
+		h := newHarness(t, newUpstream("k1", "keyed", f))
+		if h.setOwner("k1", 1); competing {
+			h.setCompeting()
+		}
+		for range 6 {
+			h.get("keyed.example", "r").want(t, http.StatusOK, "")
+		}
+		silent.Store(true)
+		var calls sync.WaitGroup
+		for range 2 {
+			calls.Go(func() { h.get("keyed.example", "lost") })
+		}
+		for f.requestCount.Load() < 8 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(testObjective / 4)
+		if competing {
+			h.get("keyed.example", "r").want(t, http.StatusServiceUnavailable, string(CauseOverloaded)+"\n")
+		} else {
+			calls.Go(func() { h.get("keyed.example", "sent") })
+			for f.requestCount.Load() < 9 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		silent.Store(false)
+		close(release)
+		calls.Wait()
+		h.get("keyed.example", "r").want(t, http.StatusOK, "")
+	}
+}
