--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -8,94 +8,20 @@
 	"github.com/papayatide/papayatide/internal/desired"
 )
 
-const (
-	// workSmoothing is the weight of a new response in an estimated work time: a host of a
-	// large fleet gets a few responses of a class per second.
-	workSmoothing = 0.06
-	// workQuantile is the quantile of the samples that is taken for the work time. Requests go
-	// to the upstreams that look least busy by load data up to peerLoadTTL old, so they queue
-	// for longer than expected, and the mean of the samples was up to four times the work.
-	workQuantile = 0.3
-	// minWorkFraction is the least fraction of a latency that counts as work, as the load data
-	// may also be too high.
-	minWorkFraction = 0.25
-	// equalWeightSamples is how many of the first samples are averaged.
-	equalWeightSamples = 5
-	// medianInterval is how long a service's median work time is reused. New load data
-	// arrives three times a second.
-	medianInterval = 300 * time.Millisecond
-)
-
-// workTime is the estimated work time of requests at an upstream of median speed.
-type workTime struct {
-	typical time.Duration
-	samples int
-}
-
-// add adds a sample. After the first ones, the estimate rises with each longer sample and
-// falls with each shorter one, so that it approaches the workQuantile of them.
-func (w *workTime) add(sample time.Duration) {
-	w.samples++
-	switch {
-	case w.samples <= equalWeightSamples:
-		w.typical += (sample - w.typical) / time.Duration(w.samples)
-	case sample > w.typical:
-		w.typical += time.Duration(workSmoothing * workQuantile * float64(w.typical))
-	default:
-		w.typical -= time.Duration(workSmoothing * (1 - workQuantile) * float64(w.typical))
-	}
-}
-
-// classWork holds the work times by class, and by service over all classes.
-type classWork struct {
-	byClass   map[desired.Class]*workTime
-	byService map[string]*serviceWork
-}
-
-// serviceWork is the mean work time of a service's requests, in the mix of classes in which
-// this host gets responses, and the median of its upstreams' work times.
-type serviceWork struct {
-	mean     time.Duration
-	samples  int
-	median   time.Duration
-	medianAt time.Time
-}
-
-// add adds a response of a class with the given work time.
-func (s *serviceWork) add(work time.Duration) {
-	s.samples++
-	s.mean += time.Duration(max(1/float64(s.samples), workSmoothing) * float64(work-s.mean))
-}
-
-func newClassWork() classWork {
-	return classWork{map[desired.Class]*workTime{}, map[string]*serviceWork{}}
-}
-
-func (c *classWork) service(name string) *serviceWork {
-	s := c.byService[name]
-	if s == nil {
-		s = &serviceWork{}
-		c.byService[name] = s
-	}
-	return s
-}
-
-// Estimate returns how long one more request of the class would queue at the upstream, and
-// how long the upstream would work on it. known is false until this host has a response of
-// the class.
+// loadReportTTL is how long an upstream's load report counts, with linearly falling weight:
+// a machine that is slow for a moment is so for about 400 ms.
+const loadReportTTL = 400 * time.Millisecond
+
+// Estimate returns the expected latency of one more request of a class at the upstream: its
+// queueing time there and the time that the upstream then works on it. known is false if the
+// expected work of the class is not known yet, from this host's responses or by SetClassWork;
+// the work time is then 0. Without the load of the other hosts, the queueing time is that behind
+// this host's own requests.
 func (p *Picker) Estimate(u *catalogue.Upstream, class desired.Class, now time.Time) (queueing, work time.Duration, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	typical := p.classWork.byClass[class]
-	if typical == nil {
-		return 0, 0, false
-	}
-	slowness := p.slowness(u, now)
-	if queued := 1 - p.freeSlots(u, now); queued > 0 {
-		perRequest := slowness * float64(p.classWork.service(class.Service).mean)
-		queueing = time.Duration(float64(queued) * perRequest / float64(u.Slots))
-	}
-	return queueing, time.Duration(slowness * float64(typical.typical)), true
+	e := p.estimate(p.state(u.ID), u, class, now)
+	return e.queueing, e.work, e.known
 }
 
 // FreeSlots returns the upstream's slots less the requests in flight there from all hosts of
@@ -103,10 +29,6 @@
 func (p *Picker) FreeSlots(u *catalogue.Upstream, now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.freeSlots(u, now)
-}
-
-func (p *Picker) freeSlots(u *catalogue.Upstream, now time.Time) int {
 	st := p.state(u.ID)
 	free := u.Slots - st.limiter.InFlight()
 	if st.hasPeerLoad(now) {
@@ -115,53 +37,124 @@
 	return free
 }
 
-// RecordLatency records the latency of a response of the class. queueing is what Estimate
-// returned when the request was sent.
-func (p *Picker) RecordLatency(u *catalogue.Upstream, class desired.Class, latency, queueing time.Duration, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	sample := max(latency-queueing, time.Duration(minWorkFraction*float64(latency)))
-	work := p.classWork.byClass[class]
-	if work == nil {
-		work = &workTime{}
-		p.classWork.byClass[class] = work
+// estimate is the result of Estimate and what it is based on.
+type estimate struct {
+	queueing, work time.Duration
+	known          bool
+	// computed is the queueing time before its correction, in seconds at an upstream of median
+	// speed; see queueingModel.
+	computed, occupancy float64
+}
+
+// estimate is Estimate for the upstream of the given state.
+func (p *Picker) estimate(st *upstreamState, u *catalogue.Upstream, class desired.Class, now time.Time) estimate {
+	w := p.serviceWork(class.Service)
+	w.refresh(now)
+	expected, known := w.expected(class, now)
+	pace := 1 / w.speed(st, now)
+	if u.Cold(now) {
+		pace *= slowStartLatencyFactor
+	}
+	reportWeight := st.work.reportWeight(now)
+	inFlight, each := st.inFlight(w.mean, now)
+	slots := float64(u.Slots)
+	if reportWeight > 0 {
+		report := st.work.report
+		reported := report.Running + report.Waiting + len(st.work.sendings) - st.work.sendingsAtReport
+		inFlight += reportWeight * (float64(max(reported, 0)) - inFlight)
+		slots = float64(report.Slots)
+	}
+	e := estimate{known: known, computed: max(inFlight-slots+1, 0) / slots * each, occupancy: occupancy(inFlight, slots)}
+	q := w.queueing.correct(e.computed, e.occupancy) * pace
+	t := expected.Seconds() * pace
+	if factor := w.momentaryFactor(st, now); q+t > 0 && factor != 1 {
+		f := 1 + momentaryDelay(q+t, factor, reportWeight)/(q+t)
+		q, t = q*f, t*f
+	}
+	if st.work.isSilent(now) {
+		// How long an upstream stays silent is not known; on average it has done so for half
+		// of the time.
+		q = max(q, now.Sub(st.work.lastResponse).Seconds())
 	}
-	work.add(time.Duration(float64(sample) / p.slowness(u, now)))
-	p.classWork.service(class.Service).add(work.typical)
+	e.queueing, e.work = toDuration(q), toDuration(t)
+	return e
 }
 
-// slowness returns the upstream's work time relative to the median of its service, by the
-// load data of the data centre; 1 if that is not known.
-func (p *Picker) slowness(u *catalogue.Upstream, now time.Time) float64 {
-	st := p.state(u.ID)
-	if !st.hasPeerLoad(now) || st.peerLoad.WorkTime == 0 {
-		return 1
+// inFlight returns the number of requests in flight at the upstream from all hosts of the data
+// centre, and the mean of their expected work in seconds. Requests whose work is not known count
+// as mean ones.
+func (st *upstreamState) inFlight(mean float64, now time.Time) (n, each float64) {
+	n, work := float64(len(st.work.sendings)), st.work.inFlight.Seconds()
+	if st.hasPeerLoad(now) {
+		peers := float64(max(st.peerLoad.InFlight, 0))
+		n += peers
+		if peerWork := st.peerLoad.WorkInFlight.Seconds(); peerWork > 0 {
+			work += peerWork
+		} else {
+			work += peers * mean
+		}
+	}
+	if n == 0 || work == 0 {
+		return n, mean
 	}
-	median := p.medianWorkTime(u.Service, now)
-	if median == 0 {
+	return n, work / n
+}
+
+// momentaryDelay returns by how many seconds an upstream that works slower or faster than usual
+// at the moment, by the given factor, changes a latency of t seconds. weight is that of the
+// report which states the factor. The delay is limited to what the upstream leaves undone until
+// the report no longer counts: work of several seconds is hardly affected.
+func momentaryDelay(t, factor, weight float64) float64 {
+	delay := weight * t * (factor - 1)
+	if factor > 1 {
+		delay = min(delay, weight*loadReportTTL.Seconds()*(1-1/factor))
+	}
+	return delay
+}
+
+// momentaryFactor returns how long work takes at the upstream at the moment relative to the mean
+// over the service's reports, which is part of the expected work already; 1 without a recent
+// report.
+func (w *serviceWork) momentaryFactor(st *upstreamState, now time.Time) float64 {
+	if st.work.reportWeight(now) == 0 {
 		return 1
 	}
-	return float64(st.peerLoad.WorkTime) / float64(median)
+	if n := w.reports.Value(classTimeConstant, now); n > 0 {
+		return st.work.report.WorkFactor * n / w.reportedFactors.Value(classTimeConstant, now)
+	}
+	return 1
 }
 
-// medianWorkTime returns the median work time of the service's upstreams in this host's
-// subset; 0 if none is known. It is computed at most once per medianInterval.
-func (p *Picker) medianWorkTime(service string, now time.Time) time.Duration {
-	s := p.classWork.service(service)
-	if subset := p.subsets[service]; subset != nil && now.Sub(s.medianAt) >= medianInterval {
-		var all []time.Duration
-		for _, list := range [][]*catalogue.Upstream{subset.local, subset.remote} {
-			for _, u := range list {
-				if st := p.states[u.ID]; st != nil && st.hasPeerLoad(now) && st.peerLoad.WorkTime > 0 {
-					all = append(all, st.peerLoad.WorkTime)
-				}
-			}
+// cost returns the expected time to a response to a request of the class. The zero class stands
+// for services that are not competing.
+func (p *Picker) cost(st *upstreamState, u *catalogue.Upstream, class desired.Class, now time.Time) time.Duration {
+	if class.Service != "" {
+		if e := p.estimate(st, u, class, now); e.known {
+			return st.limiter.State().ExpectedWait + e.queueing + e.work
 		}
-		s.median, s.medianAt = 0, now
-		if len(all) > 0 {
-			slices.Sort(all)
-			s.median = all[len(all)/2]
+	}
+	return st.cost(u, now)
+}
+
+func toDuration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// reporterCount is how many upstreams with recent load reports are compared for a request besides
+// the random sample. Among 79 hosts, a report of an upstream in the sample is nearly always too old:
+// a host gets one from each only every few seconds.
+const reporterCount = 2
+
+// recentReporters returns the upstreams of the list from which this host has received the newest
+// load reports, if the class is of a competing service.
+func (p *Picker) recentReporters(ups []*catalogue.Upstream, class desired.Class) []*catalogue.Upstream {
+	w := p.work[class.Service]
+	if w == nil || w.reporters[0] == nil {
+		return nil
+	}
+	var out []*catalogue.Upstream
+	for _, u := range w.reporters {
+		if slices.Contains(ups, u) {
+			out = append(out, u)
 		}
 	}
-	return s.median
+	return out
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -34,6 +34,7 @@
 func (d *Dispatcher) pickUpstream(req *request) (*catalogue.Upstream, *Refusal) {
 	v := d.views.Load()
 	criteria := balance.Criteria{LocalDataCentre: d.localDataCentre, RemotePenalty: req.route.LatencyObjective / 4, Excluded: req.attempted, SlowStart: d.slowStart(req.service),
+		Class: d.competingClass(req),
 		Unavailable: func(id string) bool {
 			wait, _ := d.unavailableFor(id, time.Now())
 			u := v.Upstreams.ByID[id]
@@ -79,6 +80,9 @@
 			if d.picker.IsEjected(u.ID, now) || !d.reachable(u, now) {
 				return nil, req.refusal(CauseUnreachable, retryAfterNoOwner)
 			}
+			if d.picker.Silent(u.ID, now) {
+				return nil, req.refusal(CauseOverloaded, req.retryAfterOverloaded())
+			}
 			if wait, cause := d.unavailableFor(u.ID, now); wait > 0 {
 				return nil, req.unavailableRefusal(wait, cause)
 			}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -23,16 +23,21 @@
 	} else {
 		req.outbound.ConnectBy = time.Time{}
 	}
+	sending := d.picker.StartSend(u, d.competingClass(req), start)
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
 	endSend(res)
 	took := time.Since(start)
 	outcome := sendOutcome(ctx, res)
 	now := time.Now()
+	if req.rejectedWithRoom = d.rejectedWithRoom(u, res, now); req.rejectedWithRoom {
+		rejectionsWithRoom.Inc()
+		outcome = balance.Inconclusive
+	}
 	// Done reports whether the upstream seems to have crashed.
 	if d.picker.Done(u.ID, outcome, took, now) {
 		d.feedback.RecordCrash(u.ID, now)
 	}
-	d.recordByClass(req, u, outcome, took, now)
+	d.picker.FinishSend(sending, outcome, took, res.Report.Load, now)
 	if res.Status != 0 && !res.Misdirected() {
 		d.feedback.Record(u.ID, res.Report, start, now)
 	}
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
-	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/scheduling"
@@ -21,8 +20,6 @@
 	Estimate(u *catalogue.Upstream, class desired.Class, now time.Time) (queueing, work time.Duration, known bool)
 	// FreeSlots returns the upstream's slots less the requests in flight there.
 	FreeSlots(u *catalogue.Upstream, now time.Time) int
-	// RecordLatency records a response; queueing is the estimate when it was sent.
-	RecordLatency(u *catalogue.Upstream, class desired.Class, latency, queueing time.Duration, now time.Time)
 }
 
 // urgency is what the requests to a competing service are scheduled by.
@@ -32,8 +29,6 @@
 	mostUrgent desired.Class
 	// lost is the time that the caller has lost by earlier refusals; 0 for a new request.
 	lost time.Duration
-	// queueing is how long the last attempt was expected to queue at its upstream.
-	queueing time.Duration
 	// result is that of the last wait for room.
 	result scheduling.Result
 }
@@ -108,7 +103,6 @@
 	d        *Dispatcher
 	req      *request
 	upstream *catalogue.Upstream
-	queueing time.Duration
 	ticket   *admission.Ticket
 	// refusal is set if there is no upstream.
 	refusal *Refusal
@@ -124,7 +118,6 @@
 	o := scheduling.Offer{Slots: p.upstream.Slots, FreeSlots: e.FreeSlots(p.upstream, now)}
 	o.Queueing, o.Work, o.Known = e.Estimate(p.upstream, urgency.class, now)
 	_, o.UrgentWork, _ = e.Estimate(p.upstream, urgency.mostUrgent, now)
-	p.queueing = o.Queueing
 	return o, true
 }
 
@@ -146,7 +139,6 @@
 	summary.QueueTime += time.Since(queued)
 	switch u.result.Outcome {
 	case scheduling.Admitted:
-		u.queueing = p.queueing
 		return p.upstream, p.ticket, nil
 	case scheduling.NoUpstream:
 		return nil, nil, p.refusal
@@ -159,13 +151,6 @@
 	return nil, nil, d.notAdmittedRefusal(ctx, req)
 }
 
-// recordByClass records a response of a competing service for the estimates of its class.
-func (d *Dispatcher) recordByClass(req *request, u *catalogue.Upstream, outcome balance.Outcome, took time.Duration, now time.Time) {
-	if req.urgency != nil && outcome == balance.Served {
-		d.estimator.RecordLatency(u, req.urgency.class, took, req.urgency.queueing, now)
-	}
-}
-
 // released tells the scheduler of an unkeyed competing service that there may be room.
 func (d *Dispatcher) released(req *request) {
 	if req.urgency != nil && req.key < 0 {
--- a/internal/dispatch/urgency_test.go
+++ b/internal/dispatch/urgency_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/view"
 )
 
@@ -40,8 +41,9 @@
 	h.compete()
 	now := time.Now()
 	for range 50 {
-		h.d.picker.RecordLatency(u, h.class("charge.example"), testObjective/8, 0, now)
-		h.d.picker.RecordLatency(u, h.class("read.example"), 4*testObjective, 0, now)
+		for host, took := range map[string]time.Duration{"charge.example": testObjective / 8, "read.example": 4 * testObjective} {
+			h.d.picker.FinishSend(h.d.picker.StartSend(u, h.class(host), now), balance.Served, took, feedback.Load{}, now)
+		}
 	}
 	load := balance.PeerLoad{ID: "u1", InFlight: 1, WorkTime: 2 * testObjective}
 	h.d.picker.SetPeerLoads([]balance.PeerLoad{load}, time.Now())
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -33,6 +33,7 @@
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
+	"github.com/papayatide/papayatide/internal/worktime"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 	"github.com/papayatide/papayatide/rpc/refusedpb"
 )
@@ -127,6 +128,7 @@
 	candidate          bool
 	loadSampler        *loadSampler
 	inFlightAggregator *inFlightAggregator
+	speeds             speedExchange
 	plat               Platform
 	callerServer       *http.Server
 	// pipeline runs callers' pipelined requests concurrently.
@@ -177,6 +179,7 @@
 		candidate: cfg.CPUCores >= candidateMinCPU && cfg.LinkMbps >= candidateMinLinkMbps,
 		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: plat.peerTransport()}})}
 	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
+	h.picker.OnSilent = (&silenceLogger{zl: zl}).onSilent
 	if plat.Net != nil {
 		h.client.Dial = plat.Net.Dial
 	}
@@ -240,6 +243,7 @@
 	peers := http.NewServeMux()
 	ps := peerpb.NewPeerServer(&peer.Server{Replica: h.controller.replica, ReplicaStatus: h.replicaStatus, Fleet: h.fleet, Name: h.cfg.Host, HostStatus: h.status, RetireTermsBefore: h.retire,
 		OnKeyLoads: func(l []peer.ServiceLoad) { h.receiveKeyLoads(workCtx, l) }, OnLoadStats: h.inFlightAggregator.recordStats, PeerLoads: h.inFlightAggregator.peerLoads,
+		Speeds:         func(caller fleet.Host) []worktime.Speed { return h.speeds.forCaller(caller, time.Now()) },
 		DesiredVersion: h.desiredVersion, OnDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
 		Feedback: h.feedback, IssuePermits: h.issuePermits})
 	peers.Handle(ps.PathPrefix(), ps)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/worktime"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 	"github.com/twitchtv/twirp"
 )
@@ -38,6 +39,9 @@
 	// the other hosts in the caller's data centre on each of the given upstreams.
 	OnLoadStats func(caller fleet.Host, loads []balance.LoadStats)
 	PeerLoads   func(caller fleet.Host, ids []string) []balance.PeerLoad
+	// Speeds returns the speeds of upstreams of keyed services to send to the caller; nil if it
+	// gets none in this reply.
+	Speeds func(caller fleet.Host) []worktime.Speed
 	// DesiredVersion returns the version of the desired state in force on this host, 0 if there
 	// is none. OnDesiredVersion receives that of each caller.
 	DesiredVersion   func() int64
@@ -113,11 +117,25 @@
 	reply.Notices = encodeNotices(feedback.ForFollower(s.Feedback.Notices(time.Now()), notices))
 	subset := s.subsetOf(m)
 	reply.UsingToken = subset.Hash
-	for _, l := range s.PeerLoads(caller, subset.IDs) {
+	setPeerLoads(reply, s.PeerLoads(caller, subset.IDs))
+	if s.Speeds != nil {
+		reply.Speeds = encodeSpeeds(s.Speeds(caller))
+	}
+	return reply, s.setReplyStatus(reply, caller)
+}
+
+// setPeerLoads sets the loads in the reply. Expected work is left out if no service is competing.
+func setPeerLoads(reply *peerpb.FollowReply, loads []balance.PeerLoad) {
+	competing := false
+	for _, l := range loads {
 		reply.UnderWay = append(reply.UnderWay, uint32(max(l.InFlight, 0)))
 		reply.WorkMs = append(reply.WorkMs, uint32(l.WorkTime.Milliseconds()))
+		reply.WorkUnderWayMs = append(reply.WorkUnderWayMs, encodeWork(l.WorkInFlight))
+		competing = competing || l.WorkInFlight > 0
+	}
+	if !competing {
+		reply.WorkUnderWayMs = nil
 	}
-	return reply, s.setReplyStatus(reply, caller)
 }
 
 // maxSubsets bounds the stored subsets; at the bound all are dropped, and callers send
@@ -163,7 +181,8 @@
 func decodeLoadStats(ms []*peerpb.UpstreamUse) []balance.LoadStats {
 	var out []balance.LoadStats
 	for _, m := range ms {
-		out = append(out, balance.LoadStats{ID: m.Id, InFlight: int(m.UnderWay), Responses: int(m.Answered), TotalLatency: time.Duration(m.LatencyMs) * time.Millisecond})
+		out = append(out, balance.LoadStats{ID: m.Id, InFlight: int(m.UnderWay), Responses: int(m.Answered), TotalLatency: time.Duration(m.LatencyMs) * time.Millisecond,
+			WorkInFlight: time.Duration(m.WorkUnderWayMs) * time.Millisecond, AnsweredWork: time.Duration(m.AnsweredWorkMs) * time.Millisecond})
 	}
 	return out
 }
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -13,6 +13,8 @@
 	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/feedback"
+	"github.com/papayatide/papayatide/internal/inflight"
 	"github.com/papayatide/papayatide/internal/scheduling"
 )
 
@@ -71,17 +73,23 @@
 	hosts     []*simHost
 	upstreams map[string]*simUpstream
 	list      []*catalogue.Upstream
+	// aggregator combines the load statistics of the hosts.
+	aggregator *inflight.Aggregator
 }
 
 func newOverload(hosts, upstreams int) *overload {
 	o := &overload{upstreams: map[string]*simUpstream{}}
+	byID := map[string]*catalogue.Upstream{}
 	for i := range upstreams {
 		u := &catalogue.Upstream{ID: fmt.Sprint("u", i), Service: "s", DataCentre: "dc", Slots: 6}
 		// Speeds from 0.65 to 1.5, a factor of 2.3.
 		speed := 0.65 + 0.85*float64(i)/float64(upstreams-1)
 		o.upstreams[u.ID] = &simUpstream{u, make(chan struct{}, u.Slots), make(chan struct{}, u.Slots+24), 1 / speed}
 		o.list = append(o.list, u)
+		byID[u.ID] = u
 	}
+	snapshot := catalogue.NewSnapshot(byID)
+	o.aggregator = inflight.New(func() *catalogue.Snapshot { return snapshot }, time.Now())
 	for i := range hosts {
 		o.hosts = append(o.hosts, &simHost{picker: balance.NewPicker(fmt.Sprint("h", i)), timeouts: map[desired.Class]*scheduling.Timeouts{payments: {}, browsing: {}}})
 	}
@@ -98,17 +106,16 @@
 
 // shareLoads gives each host the load of the others, as Follow does.
 func (o *overload) shareLoads() {
-	for _, h := range o.hosts {
-		loads := make([]balance.PeerLoad, len(o.list))
-		for i, u := range o.list {
-			loads[i] = balance.PeerLoad{ID: u.ID, WorkTime: time.Duration(300 * o.upstreams[u.ID].slowness * float64(time.Millisecond))}
-			for _, other := range o.hosts {
-				if other != h {
-					loads[i].InFlight += other.picker.Limiter(u.ID).InFlight()
-				}
-			}
-		}
-		h.picker.SetPeerLoads(loads, time.Now())
+	now := time.Now()
+	for i, h := range o.hosts {
+		o.aggregator.Record(fmt.Sprint("h", i), h.picker.FlushLoadStats(), now)
+	}
+	ids := make([]string, len(o.list))
+	for i, u := range o.list {
+		ids[i] = u.ID
+	}
+	for i, h := range o.hosts {
+		h.picker.SetPeerLoads(o.aggregator.PeerLoads(fmt.Sprint("h", i), ids, now), now)
 	}
 }
 
@@ -118,7 +125,6 @@
 	h        *simHost
 	class    desired.Class
 	u        *catalogue.Upstream
-	queueing time.Duration
 	ticket   *admission.Ticket
 	excluded []string
 }
@@ -128,7 +134,6 @@
 	o := scheduling.Offer{Slots: p.u.Slots, FreeSlots: p.h.picker.FreeSlots(p.u, now)}
 	o.Queueing, o.Work, o.Known = p.h.picker.Estimate(p.u, p.class, now)
 	_, o.UrgentWork, _ = p.h.picker.Estimate(p.u, payments, now)
-	p.queueing = o.Queueing
 	return o, true
 }
 
@@ -150,6 +155,7 @@
 			return false
 		}
 		sent := time.Now()
+		send := h.picker.StartSend(p.u, c.class, sent)
 		signal, outcome := admission.InTime, balance.Served
 		ok := o.upstreams[p.u.ID].serve(work)
 		took := time.Since(sent)
@@ -160,10 +166,10 @@
 			signal = admission.Late
 		}
 		h.picker.Done(p.u.ID, outcome, took, time.Now())
+		h.picker.FinishSend(send, outcome, took, feedback.Load{}, time.Now())
 		p.ticket.Done(signal, took)
 		h.scheduler.Released()
 		if ok {
-			h.picker.RecordLatency(p.u, c.class, took, p.queueing, time.Now())
 			return true
 		}
 		p.excluded = append(p.excluded, p.u.ID)
