inflight: count the requests of other data centres by load reports

Cause: hosts of one data centre know only their own data centre's requests at an upstream. Under a burst each data centre takes the upstreams of the others for idle and sends there. Change: hosts pass on the requests running and waiting by the newest load report; the aggregator smooths what exceeds its sums and adds it to the load that it tells.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -20,6 +20,11 @@
 	// WorkInFlight and AnsweredWork are the expected work of the requests in flight and of the
 	// responses; 0 for services that are not competing, and from hosts of earlier builds.
 	WorkInFlight, AnsweredWork time.Duration
+	// Reported is the number of requests running and waiting at the upstream by its newest load
+	// report since the host's last FlushLoadStats, from the hosts of all data centres; HasReport
+	// is set if there was one.
+	Reported  int
+	HasReport bool
 }
 
 // PeerLoad is the load of the data centre's other hosts on an upstream.
@@ -44,7 +49,8 @@
 	for id, st := range p.states {
 		stats := LoadStats{ID: id, InFlight: st.limiter.InFlight(), Responses: st.responses, TotalLatency: st.totalLatency,
 			WorkInFlight: st.work.inFlight, AnsweredWork: st.work.answered}
-		if !st.picked || (stats.InFlight == 0 && stats.Responses == 0) {
+		stats.Reported, stats.HasReport = st.work.takeReport()
+		if !st.picked || (stats.InFlight == 0 && stats.Responses == 0 && !stats.HasReport) {
 			continue
 		}
 		out = append(out, stats)
--- a/internal/balance/sending.go
+++ b/internal/balance/sending.go
@@ -53,11 +53,22 @@
 	report           feedback.Load
 	reportAt         time.Time
 	sendingsAtReport int
+	// reportIsNew is set until the report is sent to the other hosts.
+	reportIsNew bool
 	// expected and taken are the decaying sums of the expected work of this host's responses
 	// and of the time that the upstream took for it, in seconds.
 	expected, taken decay.Sum
 }
 
+// takeReport returns the requests at the upstream by a load report that was not taken before.
+func (w *upstreamWork) takeReport() (requests int, ok bool) {
+	if !w.reportIsNew {
+		return 0, false
+	}
+	w.reportIsNew = false
+	return w.report.Running + w.report.Waiting, true
+}
+
 // reportWeight returns the weight of the load report by its age.
 func (w *upstreamWork) reportWeight(now time.Time) float64 {
 	if !w.report.Known() {
@@ -146,7 +157,7 @@
 		st.work.lastResponse = now
 	}
 	if report.Known() {
-		st.work.report, st.work.reportAt, st.work.sendingsAtReport = report, now, len(st.work.sendings)
+		st.work.report, st.work.reportAt, st.work.sendingsAtReport, st.work.reportIsNew = report, now, len(st.work.sendings), true
 		w.reporters[w.nextReporter] = s.upstream
 		w.nextReporter = (w.nextReporter + 1) % reporterCount
 		w.reports.Add(1, classTimeConstant, now)
--- a/internal/inflight/aggregator.go
+++ b/internal/inflight/aggregator.go
@@ -47,6 +47,8 @@
 	inFlight map[string]int
 	// workInFlight is the expected work of these requests.
 	workInFlight map[string]time.Duration
+	// unknown holds the requests of other data centres' hosts, by upstream ID.
+	unknown map[string]unknownLoad
 	// services holds the services that are competing, by name.
 	services  map[string]*serviceWork
 	estimator *worktime.Estimator
@@ -97,7 +99,7 @@
 // the catalogue.
 func New(upstreams func() *catalogue.Snapshot, now time.Time) *Aggregator {
 	return &Aggregator{upstreams: upstreams, hosts: map[string]hostLoadStats{}, inFlight: map[string]int{},
-		workInFlight: map[string]time.Duration{}, services: map[string]*serviceWork{}, estimator: worktime.New(now)}
+		workInFlight: map[string]time.Duration{}, unknown: map[string]unknownLoad{}, services: map[string]*serviceWork{}, estimator: worktime.New(now)}
 }
 
 // Record replaces the host's previous load statistics with loads. For a competing service, each
@@ -129,6 +131,7 @@
 		}
 	}
 	a.replaceLoadStats(host, hostLoadStats{now, loads})
+	a.observeReports(loads, now)
 }
 
 func (a *Aggregator) addWork(service string, l balance.LoadStats, now time.Time) {
@@ -169,6 +172,10 @@
 		if workTime, known := a.workTimes[id]; known {
 			out[i] = balance.PeerLoad{ID: id, InFlight: a.inFlight[id] - own[id].InFlight, WorkTime: workTime,
 				WorkInFlight: a.workInFlight[id] - own[id].WorkInFlight}
+			if n := a.unknownAt(id, now); n > 0 {
+				out[i].InFlight += n
+				out[i].WorkInFlight += time.Duration(n) * workTime
+			}
 		}
 	}
 	return out
@@ -197,6 +204,7 @@
 		if u == nil {
 			delete(a.inFlight, id)
 			delete(a.workInFlight, id)
+			delete(a.unknown, id)
 			continue
 		}
 		if a.meanWork(u.Service, now) > 0 {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -130,7 +130,7 @@
 	}
 	for _, u := range req.LoadStats {
 		msg.Uses = append(msg.Uses, &peerpb.UpstreamUse{Id: u.ID, UnderWay: uint32(u.InFlight), Answered: uint32(u.Responses),
-			LatencyMs: uint32(u.TotalLatency.Milliseconds()), WorkUnderWayMs: encodeWork(u.WorkInFlight), AnsweredWorkMs: encodeWork(u.AnsweredWork)})
+			LatencyMs: uint32(u.TotalLatency.Milliseconds()), WorkUnderWayMs: encodeWork(u.WorkInFlight), AnsweredWorkMs: encodeWork(u.AnsweredWork), ReportedPlusOne: encodeReported(u)})
 	}
 	msg.Notices = encodeNotices(req.Notices)
 	msg.UsingToken = req.Subset.Hash
@@ -284,3 +284,11 @@
 	}
 	return out
 }
+
+// encodeReported returns the requests in an upstream's load report plus one; 0 without a report.
+func encodeReported(l balance.LoadStats) uint32 {
+	if !l.HasReport {
+		return 0
+	}
+	return uint32(l.Reported) + 1
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -182,7 +182,8 @@
 	var out []balance.LoadStats
 	for _, m := range ms {
 		out = append(out, balance.LoadStats{ID: m.Id, InFlight: int(m.UnderWay), Responses: int(m.Answered), TotalLatency: time.Duration(m.LatencyMs) * time.Millisecond,
-			WorkInFlight: time.Duration(m.WorkUnderWayMs) * time.Millisecond, AnsweredWork: time.Duration(m.AnsweredWorkMs) * time.Millisecond})
+			WorkInFlight: time.Duration(m.WorkUnderWayMs) * time.Millisecond, AnsweredWork: time.Duration(m.AnsweredWorkMs) * time.Millisecond,
+			Reported: max(int(m.ReportedPlusOne)-1, 0), HasReport: m.ReportedPlusOne > 0})
 	}
 	return out
 }
