admission, dispatch: waiters at the owner of a key go by urgency

Cause: requests to a keyed competing service waited in the order of arrival, and the limiter expected the same latency of all classes: with browsing of 3 s among its responses it refused payments of 100 ms that would have been in time. Change: Limiter.AcquireRanked orders waiters as the queue of unkeyed services does, keeps the less urgent classes' tenth, and expects of each waiter the latency of its class. Urgent requests may wait until their expected latency no longer fits the objective, less urgent ones for half of it; what would be late is refused at once. Late was already judged by the objective of the request's own route. Acquire is unchanged, and used for all other services.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -10,10 +10,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/decay"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/scheduling"
 )
 
 const (
@@ -79,8 +82,13 @@
 	// nextStart is the earliest start of the next request while the limit is
 	// below 1.
 	nextStart time.Time
-	// waiters are the requests that wait for their turn, oldest first.
-	waiters []chan struct{}
+	// waiters are the requests that wait for their turn, oldest first, or most urgent first
+	// if the service is competing.
+	waiters []*waiter
+	// classLatency is the smoothed response time by class, and share the work started for the
+	// less urgent classes, of a competing service.
+	classLatency map[desired.Class]time.Duration
+	share        scheduling.WorkShare
 	// wakeScheduled is set while a timer is pending that calls wakeWaiters.
 	wakeScheduled bool
 }
@@ -132,28 +140,34 @@
 	limiter *Limiter
 	// limitInUse is how much of the limit was in use when the request started.
 	limitInUse float64
+	// request is nil unless the service is competing.
+	request *scheduling.Request
 }
 
 // Acquire returns a ticket, or nil if the request would wait longer than
 // maxWait or ctx ends. It returns nil without waiting if the expected wait is
 // longer than maxWait.
 func (l *Limiter) Acquire(ctx context.Context, maxWait time.Duration, limitRange LimitRange) *Ticket {
+	return l.acquire(ctx, &waiter{turn: make(chan struct{}, 1)}, maxWait, limitRange)
+}
+
+func (l *Limiter) acquire(ctx context.Context, w *waiter, maxWait time.Duration, limitRange LimitRange) *Ticket {
 	now := time.Now()
 	l.mu.Lock()
 	l.setLimitRange(limitRange)
 	if len(l.waiters) == 0 && l.hasRoom(now) {
 		defer l.mu.Unlock()
-		return l.start(now)
+		l.recordShare(w)
+		return l.start(w, now)
 	}
-	if l.expectedWait(now) > maxWait {
+	if l.expectedWaitOf(w, now) > maxWait {
 		l.mu.Unlock()
 		return nil
 	}
-	turn := make(chan struct{}, 1)
-	l.waiters = append(l.waiters, turn)
+	l.enqueue(w)
 	l.wakeWaiters(now)
 	l.mu.Unlock()
-	return l.await(ctx, turn, maxWait)
+	return l.await(ctx, w, maxWait)
 }
 
 // TryAcquire returns a ticket if the request may start at once, else nil.
@@ -165,28 +179,26 @@
 	if len(l.waiters) > 0 || !l.hasRoom(now) {
 		return nil
 	}
-	return l.start(now)
+	return l.start(&waiter{}, now)
 }
 
-// await waits until wakeWaiters signals turn, maxWait has passed or ctx ends.
-func (l *Limiter) await(ctx context.Context, turn chan struct{}, maxWait time.Duration) *Ticket {
+// await waits until wakeWaiters signals the waiter's turn, maxWait has passed or ctx ends.
+func (l *Limiter) await(ctx context.Context, w *waiter, maxWait time.Duration) *Ticket {
 	t := time.NewTimer(maxWait)
 	defer t.Stop()
 	select {
-	case <-turn:
+	case <-w.turn:
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return &Ticket{limiter: l, limitInUse: l.limitInUse(time.Now())}
+		return &Ticket{limiter: l, limitInUse: l.limitInUse(time.Now()), request: w.request}
 	case <-t.C:
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i, w := range l.waiters {
-		if w == turn {
-			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
-			return nil
-		}
+	if i := slices.Index(l.waiters, w); i >= 0 {
+		l.waiters = slices.Delete(l.waiters, i, i+1)
+		return nil
 	}
 	// wakeWaiters has admitted the request in the meantime: undo the admission.
 	l.inFlight--
@@ -245,9 +257,9 @@
 func (l *Limiter) effectiveLimit() float64 { return min(l.limit, l.limitRange.MaxLimit) }
 
 // start admits a request at now.
-func (l *Limiter) start(now time.Time) *Ticket {
+func (l *Limiter) start(w *waiter, now time.Time) *Ticket {
 	l.recordStart(now)
-	return &Ticket{limiter: l, limitInUse: l.limitInUse(now)}
+	return &Ticket{limiter: l, limitInUse: l.limitInUse(now), request: w.request}
 }
 
 func (l *Limiter) recordStart(now time.Time) {
@@ -283,10 +295,10 @@
 // it schedules itself for the time of the next start.
 func (l *Limiter) wakeWaiters(now time.Time) {
 	for len(l.waiters) > 0 && l.hasRoom(now) {
-		turn := l.waiters[0]
-		l.waiters = l.waiters[1:]
+		w := l.next()
+		l.recordShare(w)
 		l.recordStart(now)
-		turn <- struct{}{}
+		w.turn <- struct{}{}
 	}
 	if len(l.waiters) == 0 || l.inFlight > 0 || l.wakeScheduled {
 		return
@@ -307,6 +319,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
+	if t.request != nil && (signal == InTime || signal == Late) {
+		l.observeClassLatency(t.request.Class, elapsed)
+	}
 	switch signal {
 	case InTime:
 		l.observeLatency(elapsed)
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -66,7 +66,12 @@
 	}
 	limiter := d.picker.Limiter(u.ID)
 	queued := time.Now()
-	ticket := limiter.Acquire(ctx, req.maxQueueWait(), d.admissionLimitRange(u, req.service))
+	var ticket *admission.Ticket
+	if req.urgency != nil {
+		ticket = d.acquireRanked(ctx, req, u, limiter)
+	} else {
+		ticket = limiter.Acquire(ctx, req.maxQueueWait(), d.admissionLimitRange(u, req.service))
+	}
 	summary.QueueTime += time.Since(queued)
 	if ticket == nil {
 		summary.Upstream, summary.LimiterState = u.ID, limiter.State()
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -134,12 +134,30 @@
 	return p.ticket != nil
 }
 
+// schedulingRequest describes the request for scheduling.
+func (req *request) schedulingRequest() *scheduling.Request {
+	u := req.urgency
+	return &scheduling.Request{Class: u.class, MostUrgent: u.mostUrgent, Arrived: req.arrived, Deadline: req.deadline, Lost: u.lost, MayHaveRun: req.mayHaveRun}
+}
+
+// acquireRanked waits for admission of a request to a keyed competing service at the owner of
+// its key. It returns nil if the request cannot be served in time.
+func (d *Dispatcher) acquireRanked(ctx context.Context, req *request, u *catalogue.Upstream, limiter *admission.Limiter) *admission.Ticket {
+	now, urgency := time.Now(), req.urgency
+	queueing, work, known := d.estimator.Estimate(u, urgency.class, now)
+	r := req.schedulingRequest()
+	urgency.queueing, urgency.result = queueing, scheduling.Result{ExpectedWait: limiter.State().ExpectedWait + queueing, ExpectedWork: work}
+	if known && r.TooLate(queueing, work, now) {
+		return nil
+	}
+	return limiter.AcquireRanked(ctx, r, r.MaxWait(queueing+work, now), d.admissionLimitRange(u, req.service))
+}
+
 // admitByUrgency chooses the upstream for the next attempt of a request to an unkeyed
 // competing service. The request waits in the service's queue until an upstream has room for
 // it, or is refused if it cannot be served in time.
 func (d *Dispatcher) admitByUrgency(ctx context.Context, req *request, summary *RequestSummary) (*catalogue.Upstream, *admission.Ticket, *Refusal) {
-	u := req.urgency
-	r := &scheduling.Request{Class: u.class, MostUrgent: u.mostUrgent, Arrived: req.arrived, Deadline: req.deadline, Lost: u.lost, MayHaveRun: req.mayHaveRun}
+	u, r := req.urgency, req.schedulingRequest()
 	p := &placement{d: d, req: req}
 	queued := time.Now()
 	u.result = d.schedulers.service(req.service.Name).Admit(ctx, r, p)
--- a/internal/dispatch/urgency_test.go
+++ b/internal/dispatch/urgency_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,15 +13,18 @@
 	"github.com/papayatide/papayatide/internal/view"
 )
 
-// compete makes the service plain competing: charge.example has priority 1, read.example
+// compete makes the service plain competing.
+func (h *harness) compete() { h.competeFor("plain") }
+
+// competeFor makes the service competing: charge.example has priority 1, read.example
 // priority 2 and a longer objective.
-func (h *harness) compete() {
+func (h *harness) competeFor(service string) {
 	route := func(host string, priority int, objective time.Duration) *desired.Route {
 		return &desired.Route{Name: host, Host: host, Prefix: "/", Timeout: 5 * time.Second, LatencyObjective: objective, Priority: priority,
-			MaxAttempts: 2, Shares: []desired.Share{{Service: "plain", Weight: 1}}}
+			MaxAttempts: 2, Shares: []desired.Share{{Service: service, Weight: 1}}}
 	}
 	routes := []*desired.Route{route("charge.example", 1, testObjective), route("read.example", 2, 8*testObjective)}
-	services := map[string]*desired.Service{"plain": {Name: "plain"}}
+	services := map[string]*desired.Service{service: {Name: service, Keyed: service == "keyed"}}
 	h.views.Publish(func(v *view.View) { v.Desired = desired.New(8, routes, services, desired.Limits{}) })
 }
 
@@ -87,3 +91,27 @@
 	resp := <-done
 	resp.want(t, http.StatusOK, "")
 }
+
+// While the owner of a key is busy, a less urgent request for it waits. An urgent one that
+// arrives later must be sent first.
+func TestUrgentRequestGoesFirstAtTheOwner(t *testing.T) {
+	owner := startUpstream(t, slowEcho)
+	h := newHarness(t, newUpstream("u1", "keyed", owner))
+	h.competeFor("keyed")
+	h.limitToOneInFlight()
+	h.setOwner("u1", 5)
+	done := make(chan response)
+	for _, r := range []struct{ host, id string }{{"charge.example", "r1"}, {"read.example", "r2"}, {"charge.example", "r3"}} {
+		go func() { done <- h.get(r.host, r.id) }()
+		time.Sleep(testObjective / 20)
+	}
+	var order []string
+	for range 3 {
+		resp := <-done
+		resp.want(t, http.StatusOK, "")
+		order = append(order, (<-owner.received).Header.Get("X-Id"))
+	}
+	if want := []string{"r1", "r3", "r2"}; !slices.Equal(order, want) {
+		t.Errorf("requests reached the owner in the order %v, want %v", order, want)
+	}
+}
--- a/internal/scheduling/request.go
+++ b/internal/scheduling/request.go
@@ -77,6 +77,19 @@
 	return until
 }
 
+// MaxWait returns how long the request may wait for admission at an upstream where its
+// expected latency is the given one, or 0 if it is unknown.
+func (r *Request) MaxWait(latency time.Duration, now time.Time) time.Duration {
+	return max(r.holdUntil(latency).Sub(now), 0)
+}
+
+// TooLate reports whether the response of a request sent now would come too late. Work alone,
+// without queueing, is no reason to refuse: refusing all requests of a class would leave a
+// wrong estimate without the responses that correct it.
+func (r *Request) TooLate(queueing, work time.Duration, now time.Time) bool {
+	return queueing > 0 && now.Add(queueing+work).After(r.latestResponse())
+}
+
 // Offer describes the upstream to which a request would be sent next.
 type Offer struct {
 	// Queueing and Work are the expected times that the request would queue and be worked on
@@ -116,11 +129,9 @@
 )
 
 // decide returns what to do with a request whose turn it is. shareDue is set if the less
-// urgent classes have had less than their share. Work alone, without queueing, is no reason to
-// refuse: refusing all requests of a class would leave a wrong estimate without the responses
-// that correct it.
+// urgent classes have had less than their share.
 func decide(r *Request, o *Offer, shareDue bool, now time.Time) decision {
-	if o.Known && o.Queueing > 0 && now.Add(o.Queueing+o.Work).After(r.latestResponse()) {
+	if o.Known && r.TooLate(o.Queueing, o.Work, now) {
 		return refuse
 	}
 	if r.LessUrgent() && !shareDue && o.UrgentWork > 0 && !o.leavesRoom(r.MostUrgent.Objective) {
