dispatch: a stopping host sends no request whose turn comes at its end

Cause: when a host's time to stop is over, the contexts of its requests end one after the other. One that ended freed its place for a queued one whose context had not ended yet; that was sent, and its caller got 504 instead of 503. TestStoppingHostRespondsToEveryRequest failed once for that at load 19. Change: before a send, a stopped host refuses the request as not run.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -87,6 +87,9 @@
 	if req.callerDisconnected() {
 		return false, refusalWithStatus(CauseCallerDisconnected, http.StatusBadGateway)
 	}
+	if d.shutdown.stopped() {
+		return false, req.stoppingRefusal()
+	}
 	if d.upstreamChanged(req, u) || d.refusedForUnlessTrial(req) > 0 {
 		return false, nil
 	}
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -56,3 +57,13 @@
 
 // stopped reports whether the host's requests have been ended.
 func (s *shutdown) stopped() bool { return s.ctx.Err() != nil }
+
+// stoppingRefusal returns the refusal of a request whose turn comes after the host's requests
+// have been ended. Their contexts end one after the other, so that one request may free the
+// place of another whose context has not ended yet.
+func (req *request) stoppingRefusal() *Refusal {
+	if req.mayHaveRun {
+		return refusalWithStatus(CauseStopping, http.StatusGatewayTimeout)
+	}
+	return notRunRefusal(CauseStopping, withJitter(retryAfterTimeout))
+}
