--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -69,7 +69,12 @@
 	}
 	limiter := d.picker.Limiter(u.ID)
 	queued := time.Now()
-	ticket := limiter.Acquire(ctx, req.maxQueueWait(), d.admissionLimitRange(u, req.service))
+	var ticket *admission.Ticket
+	if req.urgency != nil {
+		ticket = d.acquireRanked(ctx, req, u, limiter)
+	} else {
+		ticket = limiter.Acquire(ctx, req.maxQueueWait(), d.admissionLimitRange(u, req.service))
+	}
 	summary.QueueTime += time.Since(queued)
 	if ticket == nil {
 		summary.Upstream, summary.LimiterState = u.ID, limiter.State()
@@ -85,6 +90,9 @@
 	if req.callerDisconnected() {
 		return false, refusalWithStatus(CauseCallerDisconnected, http.StatusBadGateway)
 	}
+	if d.shutdown.stopped() {
+		return false, req.stoppingRefusal()
+	}
 	if d.upstreamChanged(req, u) || d.refusedForUnlessTrial(req) > 0 {
 		return false, nil
 	}
