shares: divide a scarce service among hosts, and a gate for each host

Cause: upstreams of an overloaded service reject requests of all classes alike, because no host knows how much of the capacity its own requests may use. Change: Divider sums the hosts' demand by class, finds services whose demand in expected work exceeds 0.85 of their capacity, and divides that by urgency and host. Gate holds a host's shares in token buckets; unused ones go to the other classes. Neither is connected to anything yet. Result: on a given clock with 20 to 35 hosts the shares in force never exceed the room while hosts join, freeze and resume, the room changes and the divider is replaced; the less urgent class keeps a tenth; queueing of 0.5 s does not change the expected work by more than 10%.

--- /dev/null
+++ b/internal/shares/divider_test.go
@@ -0,0 +1,255 @@
+package shares
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
+)
+
+var (
+	payments = desired.Class{Service: "pay", Priority: 1, Objective: 600 * time.Millisecond}
+	browsing = desired.Class{Service: "pay", Priority: 2, Objective: 5 * time.Second}
+	// classWork is the true work of a request in seconds.
+	classWork = map[desired.Class]float64{payments: 0.16, browsing: 0.93}
+	epoch     = time.Unix(1e9, 0)
+)
+
+// simHost is a host of a simulated data centre that calls the divider every callInterval.
+type simHost struct {
+	name     string
+	gate     *Gate
+	lastCall time.Time
+	frozen   bool
+	// held is the work per second that it has shares for until heldUntil.
+	held      float64
+	heldUntil time.Time
+}
+
+const callInterval = 333 * time.Millisecond
+
+// sim is a data centre whose hosts get requests at the given rates, divided evenly. The
+// upstreams answer what fits into the room.
+type sim struct {
+	t     *testing.T
+	d     *Divider
+	hosts []*simHost
+	rates map[desired.Class]float64
+	room  Room
+	// promised is the number of promised returns of each host to each class.
+	promised int
+	maxRoom  []roomSample
+	now      time.Time
+	rand     *rand.Rand
+	changes  []Change
+}
+
+func newSim(t *testing.T, hosts int, rates map[desired.Class]float64, slots float64) *sim {
+	s := &sim{t: t, rates: rates, room: Room{slots, slots}, now: epoch, rand: rand.New(rand.NewPCG(1, 2))}
+	s.newDivider()
+	for range hosts {
+		s.addHost()
+	}
+	return s
+}
+
+func (s *sim) newDivider() {
+	s.d = NewDivider()
+	s.d.OnChange = func(c Change) { s.changes = append(s.changes, c) }
+}
+
+func (s *sim) addHost() *simHost {
+	h := &simHost{name: fmt.Sprint("h", len(s.hosts)), gate: NewGate(), lastCall: s.now.Add(-time.Duration(s.rand.Int64N(int64(callInterval))))}
+	s.hosts = append(s.hosts, h)
+	return h
+}
+
+// run advances the clock and checks, after each call, that the shares held by all hosts do
+// not exceed the largest room of the last grantTTL.
+func (s *sim) run(d time.Duration) {
+	s.t.Helper()
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(10 * time.Millisecond) {
+		s.maxRoom = append(s.maxRoom, roomSample{s.now, s.room.Capacity * utilisation})
+		for _, h := range s.hosts {
+			if !h.frozen && s.now.Sub(h.lastCall) >= callInterval {
+				s.call(h)
+			}
+		}
+	}
+}
+
+func (s *sim) call(h *simHost) {
+	s.t.Helper()
+	elapsed := s.now.Sub(h.lastCall).Seconds()
+	h.lastCall = s.now
+	var demand []Demand
+	for _, c := range []desired.Class{payments, browsing} {
+		arrived := s.rates[c] / float64(len(s.hosts)) * elapsed
+		answered := s.round(arrived * min(1, s.room.Capacity*utilisation/(s.rates[payments]*classWork[payments]+s.rates[browsing]*classWork[browsing])))
+		demand = append(demand, Demand{Class: c, Arrived: s.round(arrived), Answered: answered, Latency: seconds(float64(answered) * classWork[c]), Promised: s.promised})
+	}
+	s.d.Record(h.name, demand, s.now)
+	shares := s.d.Shares(h.name, map[string]Room{"pay": s.room}, s.now)
+	h.gate.Update(shares, s.now)
+	h.held = 0
+	for _, e := range shares {
+		if e.Scarce {
+			h.held += e.PerSecond.Seconds()
+			h.heldUntil = s.now.Add(e.Valid)
+		}
+	}
+	room := 0.0
+	for _, r := range s.maxRoom {
+		if s.now.Sub(r.at) < grantTTL+updateInterval {
+			room = max(room, r.room)
+		}
+	}
+	if sum := s.held(); sum > room*1.000001 {
+		s.t.Fatalf("%v: shares of %.2f exceed the room of %.2f", s.now.Sub(epoch), sum, room)
+	}
+}
+
+// round rounds x up or down at random, so that the mean is x.
+func (s *sim) round(x float64) int { return int(x + s.rand.Float64()) }
+
+// held returns the sum of the shares that have not expired.
+func (s *sim) held() float64 {
+	sum := 0.0
+	for _, h := range s.hosts {
+		if s.now.Before(h.heldUntil) {
+			sum += h.held
+		}
+	}
+	return sum
+}
+
+// given returns the sum of a class's shares over all hosts.
+func (s *sim) given(c desired.Class) float64 {
+	sum := 0.0
+	for _, h := range s.hosts {
+		sum += h.gate.PerSecond(s.now)[c]
+	}
+	return sum
+}
+
+// within fails the test unless got is within 15% of want: the demand of one second is a
+// sample.
+func (s *sim) within(what string, got, want float64) {
+	s.t.Helper()
+	if got < want*0.85 || got > want*1.15 {
+		s.t.Errorf("%v: %s is %.2f, want %.2f", s.now.Sub(epoch), what, got, want)
+	}
+}
+
+// Demand of 60 + 93 in a room of 85: the urgent class must get all that it asks for, the less
+// urgent one the rest, and all of the room must be handed out. Without scarcity nothing is.
+func TestUrgentClassGetsWhatItAsksFor(t *testing.T) {
+	s := newSim(t, 20, map[desired.Class]float64{payments: 375, browsing: 20}, 100)
+	s.run(5 * time.Second)
+	if len(s.changes) != 0 || s.held() != 0 {
+		t.Fatalf("demand of 79 in a room of 85: %v, shares of %.2f", s.changes, s.held())
+	}
+	s.rates[browsing] = 100
+	s.run(5 * time.Second)
+	s.within("payments", s.given(payments), 60)
+	s.within("browsing", s.given(browsing), 25)
+	s.within("shares of all hosts", s.held(), 85)
+}
+
+// The urgent class alone exceeds the room: the less urgent one must keep a tenth of it, and
+// the urgent one must get that too once the other asks for nothing.
+func TestLessUrgentClassKeepsATenth(t *testing.T) {
+	s := newSim(t, 20, map[desired.Class]float64{payments: 1000, browsing: 100}, 100)
+	s.run(5 * time.Second)
+	s.within("payments", s.given(payments), 76.5)
+	s.within("browsing", s.given(browsing), 8.5)
+	s.rates[browsing] = 0
+	s.run(5 * time.Second)
+	s.within("payments without browsing", s.given(payments), 85)
+}
+
+// Hosts join, freeze, resume and stop while the room shrinks and grows and the divider is
+// replaced. The sum of shares must stay within the room (checked in each call), and the
+// shares of a frozen host must go to the others once they have expired.
+func TestSharesStayWithinRoomWhenHostsComeAndGo(t *testing.T) {
+	s := newSim(t, 30, map[desired.Class]float64{payments: 600, browsing: 100}, 100)
+	s.run(4 * time.Second)
+	for i := range 5 {
+		s.addHost()
+		s.run(100 * time.Millisecond)
+		s.hosts[i].frozen = true
+	}
+	s.run(3 * time.Second)
+	s.within("shares after five hosts froze", s.held(), 85)
+	for i := range 5 {
+		s.hosts[i].frozen = false
+	}
+	s.run(time.Second)
+	s.room = Room{50, 50}
+	s.run(3 * time.Second)
+	s.within("shares in half of the room", s.held(), 42.5)
+	s.room = Room{120, 120}
+	s.run(3 * time.Second)
+	s.within("shares in a larger room", s.held(), 102)
+	s.newDivider()
+	s.run(1050 * time.Millisecond)
+	if held := s.held(); held != 0 {
+		t.Errorf("a new divider has handed out shares of %.2f before it knew the demand of a second", held)
+	}
+	for i, h := range s.hosts {
+		if ok, _ := h.gate.Admit(browsing, 0, s.now); !ok {
+			t.Errorf("host %d refuses requests without a share", i)
+		}
+	}
+	s.run(3 * time.Second)
+	s.within("shares of the new divider", s.held(), 102)
+}
+
+// A service must stay scarce while its demand is between 0.9 of the room and the room, and
+// for two seconds after it fell below, so that it does not start and end with every
+// fluctuation. Promised returns must keep it scarce too.
+func TestScarcityEndsLate(t *testing.T) {
+	s := newSim(t, 20, map[desired.Class]float64{payments: 375, browsing: 100}, 100)
+	s.run(4 * time.Second)
+	s.rates[browsing] = 21 // demand of 79.5, 0.94 of the room
+	s.run(5 * time.Second)
+	if len(s.changes) != 1 || !s.changes[0].Scarce {
+		t.Fatalf("changes %v, want only the start", s.changes)
+	}
+	s.rates[browsing], s.promised = 5, 10 // per host: 200 of each class
+	s.run(5 * time.Second)
+	s.promised = 0
+	s.run(1500 * time.Millisecond)
+	if len(s.changes) != 1 {
+		t.Fatalf("scarcity ended early: %v", s.changes)
+	}
+	s.run(1500 * time.Millisecond)
+	if len(s.changes) != 2 || s.changes[1].Scarce || s.given(payments) != 0 {
+		t.Fatalf("changes %v with %.2f given, want an end", s.changes, s.given(payments))
+	}
+}
+
+// Queueing raises latencies by the same time for all classes. It must not count as work: the
+// demand would seem to grow while the upstreams do as much as before.
+func TestQueueingDoesNotCountAsWork(t *testing.T) {
+	e := workEstimator{byClass: map[desired.Class]*responseSums{}}
+	const queueing = 0.5
+	room := Room{Slots: 153, Capacity: 153} // 375*0.16 + 100*0.93: all slots are busy
+	now := epoch
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		e.add(Demand{Class: payments, Answered: 37, Latency: seconds(37 * (0.16 + queueing))}, now)
+		e.add(Demand{Class: browsing, Answered: 10, Latency: seconds(10 * (0.93 + queueing))}, now)
+	}
+	got := e.estimate("pay", room, now)
+	for c, want := range classWork {
+		if got[c] < want*0.9 || got[c] > want*1.1 {
+			t.Errorf("priority %d: work %.3f s, want %.3f s", c.Priority, got[c], want)
+		}
+	}
+	if got := e.estimate("pay", Room{}, now); got != nil {
+		t.Errorf("estimates %v without upstreams", got)
+	}
+}
