entryhost, peer: hosts exchange demand and shares of competing services

Cause: the divider and the gate of package shares are not connected. Change: a host counts the demand of its callers by class from finished and refused requests and sends it with Follow; the host that is followed records it, computes the room of each competing service without keys from the slots and measured speeds of its data centre's upstreams, and replies with shares and the expected work of each class. Nothing enforces the shares yet. Without a competing service no demand is sent and no share returned. Result: in fleet tests of 4 hosts and 2 upstreams every host has a share within 5 s of load at three times the room; when the divider is isolated, shares expire within 1.1 s, the others go on serving, and the next divider hands out shares.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,6 +86,8 @@
 // reports.
 type RequestSummary struct {
 	ID, Route, Service, Upstream string
+	// Class is the zero value if the request matched no route.
+	Class desired.Class
 	// Key is -1 for services that are not keyed.
 	Key int
 	// Status is the HTTP status of the response or the refusal.
@@ -158,6 +160,7 @@
 // setRequest copies what is recorded on the request into the summary.
 func (s *RequestSummary) setRequest(req *request) {
 	s.Route, s.Service, s.Key = req.route.Name, req.service.Name, req.key
+	s.Class = req.route.ClassFor(req.service.Name)
 	s.Upstream = cmp.Or(s.Upstream, req.lastUpstream)
 	s.Attempts, s.Err, s.FencingToken = req.attempts, req.lastErr, req.lastFencingToken
 	s.TimeLeft, s.Fingerprint = time.Until(req.deadline), req.cachedFingerprint
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -34,6 +34,7 @@
 		metrics.WriteGaugeUint64(w, "papayatide_owned_ranges"+label, uint64(owned))
 		metrics.WriteGaugeUint64(w, "papayatide_lost_owners"+label, uint64(len(t.Lost)))
 	}
+	h.shares.writeGauges(w, now)
 	known, refused := h.controller.crashes.tracker.Counts()
 	metrics.WriteGaugeUint64(w, "papayatide_contents_with_ends", uint64(known))
 	metrics.WriteGaugeUint64(w, "papayatide_contents_refused", uint64(refused))
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -73,6 +73,9 @@
 	testMaxRenewalAge               = 2 * time.Second
 )
 
+// urgentRoute and relaxedRoute are the routes of the competing service.
+const urgentRoute, relaxedRoute = "urgent.example", "relaxed.example"
+
 // unkeyedRoute is the route to the service whose requests have no key.
 const unkeyedRoute = "plain.example"
 
@@ -96,9 +99,12 @@
 	}
 	plain := route(unkeyedRoute, true)
 	plain.Shares = []desired.Share{{Service: "plain", Weight: 1}}
+	urgent, relaxed := route(urgentRoute, false), route(relaxedRoute, true)
+	urgent.Shares = []desired.Share{{Service: "contended", Weight: 1}}
+	relaxed.Shares, relaxed.Priority = urgent.Shares, 1
 	slow := desired.SlowStart{Duration: 3 * time.Second, PerSecond: 4}
-	return desired.New(version, []*desired.Route{route("read.example", true), route("charge.example", false), plain},
-		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true, SlowStart: slow}, "plain": {Name: "plain", SlowStart: slow}},
+	return desired.New(version, []*desired.Route{route("read.example", true), route("charge.example", false), plain, urgent, relaxed},
+		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true, SlowStart: slow}, "plain": {Name: "plain", SlowStart: slow}, "contended": {Name: "contended"}},
 		desired.Limits{}), nil
 }
 
@@ -367,7 +373,7 @@
 	return h.callPath(method, route, "/x", id, key)
 }
 
-// callPath is call with another path.
+// callPath is call with another path. A negative key is not sent.
 func (h *testHost) callPath(method, route, path, id string, key int) (int, string) {
 	req, err := http.NewRequest(method, "http://"+h.cfg.Listen+path, nil)
 	if err != nil {
@@ -375,7 +381,7 @@
 	}
 	req.Host = route
 	req.Header.Set("X-Id", id)
-	if route != unkeyedRoute {
+	if route != unkeyedRoute && key >= 0 {
 		req.Header.Set("X-Key", strconv.Itoa(key))
 	}
 	req.Header.Set("X-Timeout-Ms", "2000")
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -18,6 +18,7 @@
 	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/budget"
 	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/dispatch"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/feedback"
@@ -126,6 +127,7 @@
 	candidate          bool
 	loadSampler        *loadSampler
 	inFlightAggregator *inFlightAggregator
+	shares             *serviceShares
 	plat               Platform
 	callerServer       *http.Server
 	stopping           atomic.Bool
@@ -178,6 +180,7 @@
 		h.client.Dial = plat.Net.Dial
 	}
 	h.inFlightAggregator = newInFlightAggregator(cfg.Host, cfg.DataCentre, h.picker, func() *catalogue.Snapshot { return h.views.Load().Upstreams })
+	h.shares = newServiceShares(cfg.Host, cfg.DataCentre, zl, func() *desired.State { return h.views.Load().Desired }, h.inFlightAggregator.room)
 	h.controller = newController(zl, plat.Store, plat.Decoder, plat.Granter, h.views, planner.Options{Host: cfg.Host, PeerAddr: cfg.PeerListen,
 		GrantTTL: cfg.GrantTTL, MaxRenewalAge: cfg.MaxRenewalAge, LeaseTTL: max(cfg.MinLeaseTTL, leaseTTL), Candidate: h.candidate},
 		cfg.EvacuationTimeout)
@@ -235,6 +238,7 @@
 	peers := http.NewServeMux()
 	ps := peerpb.NewPeerServer(&peer.Server{Replica: h.controller.replica, ReplicaStatus: h.replicaStatus, Fleet: h.fleet, Name: h.cfg.Host, HostStatus: h.status, RetireTermsBefore: h.retire,
 		OnKeyLoads: func(l []peer.ServiceLoad) { h.receiveKeyLoads(workCtx, l) }, OnLoadStats: h.inFlightAggregator.recordStats, PeerLoads: h.inFlightAggregator.peerLoads,
+		OnDemand: h.shares.recordDemand, Shares: h.shares.sharesFor,
 		DesiredVersion: h.desiredVersion, OnDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
 		Feedback: h.feedback, IssuePermits: h.issuePermits})
 	peers.Handle(ps.PathPrefix(), ps)
@@ -330,6 +334,7 @@
 		case now := <-t.C:
 			h.logDroppedLines()
 			h.versions.check(now)
+			h.shares.divider.Check(now)
 			hosts := h.fleet.Size(now)
 			h.dispatch.SetHostCount(hosts, h.fleetSizeKnown(now))
 			h.budget.SetLimits(hostBudgetLimits(current, hosts))
--- a/internal/entryhost/inflight.go
+++ b/internal/entryhost/inflight.go
@@ -8,6 +8,7 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/inflight"
+	"github.com/papayatide/papayatide/internal/shares"
 )
 
 // ownStatsInterval is how often a host that others follow adds its own load
@@ -64,3 +65,8 @@
 	}
 	return a.aggregator.PeerLoads(caller.Name, ids, time.Now())
 }
+
+// room returns what the upstreams of a service in this data centre can process.
+func (a *inFlightAggregator) room(service string, now time.Time) shares.Room {
+	return a.aggregator.Room(service, a.dataCentre, now)
+}
--- a/internal/entryhost/loadsampler.go
+++ b/internal/entryhost/loadsampler.go
@@ -154,7 +154,7 @@
 		timeout = firstStartDiscoveryTimeout
 	}
 	syncer := &logSyncer{discoveryTimeout: timeout, zl: h.zl, peers: h.peers, replica: h.controller.replica, ownershipReader: ownershipReader, otherReaders: others, plannerAddr: h.plannerAddr, isPlanner: h.controller.isPlanner.Load,
-		self: h.self, fleet: h.fleet, picker: h.picker, feedback: h.feedback,
+		self: h.self, fleet: h.fleet, picker: h.picker, feedback: h.feedback, shares: h.shares,
 		takeKeyLoads: h.loadSampler.take, applyKeyLoads: func(l []peer.ServiceLoad) { h.addKeyLoads(ctx, l) },
 		desiredVersion: h.desiredVersion, onDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
 		apply:          func(b relay.Batch) { h.controller.applyAndWait(ctx, b) },
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -90,6 +90,8 @@
 	// picker supplies this host's load statistics of upstreams, and receives
 	// those of the other hosts.
 	picker *balance.Picker
+	// shares supplies this host's demand by class, and receives its shares.
+	shares *serviceShares
 	// feedback holds what upstreams report about themselves, which hosts
 	// exchange as notices.
 	feedback *feedback.Tracker
@@ -236,6 +238,7 @@
 		req.Wait = relayFollowWait
 	} else {
 		req.LoadStats, req.Subset = s.picker.FlushLoadStats(), s.picker.Subset() // a relay's own are in its inFlightAggregator
+		req.Demand = s.shares.flushDemand(time.Now())
 	}
 	for _, stream := range relay.Streams {
 		req.Positions[stream] = s.replica.FetchFrom(stream)
@@ -275,6 +278,7 @@
 	s.feedback.Merge(addr, reply.Notices, time.Now())
 	if !isRelay {
 		s.picker.SetPeerLoads(reply.PeerLoads, time.Now())
+		s.shares.gate.Update(reply.Shares, reply.ReceivedAt)
 	}
 	if s.followedReplicaStale = reply.Age > maxAge; s.followedReplicaStale {
 		s.setFollowed("", reply.Age, nil)
--- a/internal/entryhost/requestlogging.go
+++ b/internal/entryhost/requestlogging.go
@@ -27,6 +27,7 @@
 // onRequestDone counts and logs a finished request.
 func (h *host) onRequestDone(e *dispatch.RequestSummary) {
 	h.loadSampler.add(e)
+	h.shares.countRequest(e)
 	totalLatency.Update(e.Took.Seconds())
 	if e.QueueTime > 0 {
 		queueLatency.Update(e.QueueTime.Seconds())
--- /dev/null
+++ b/internal/entryhost/shares_test.go
@@ -0,0 +1,185 @@
+package entryhost
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/dispatch"
+	"github.com/papayatide/papayatide/internal/shares"
+)
+
+// loadOn has callers on each host send requests for d, each 5 ms after the last response. It
+// returns how many got a response of an upstream and how many did not.
+func (f *testFleet) loadOn(hosts []*testHost, route string, callers int, d time.Duration) (served, refused int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, h := range hosts {
+		for c := range callers {
+			wg.Go(func() {
+				for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
+					status, _ := h.call("GET", route, fmt.Sprint(h.cfg.Host, route, c, "-", n, "-", time.Now().UnixNano()), -1)
+					mu.Lock()
+					if status == http.StatusOK {
+						served++
+					} else {
+						refused++
+					}
+					mu.Unlock()
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return served, refused
+}
+
+// gauge returns the sum of a gauge over its labels on the host's metrics page.
+func (h *testHost) gauge(t *testing.T, name string) float64 {
+	t.Helper()
+	resp, err := h.http.Get("http://" + h.cfg.MetricsListen + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	page, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := 0.0
+	for _, m := range regexp.MustCompile(`(?m)^`+name+`(?:\{.*\})? (\S+)$`).FindAllSubmatch(page, -1) {
+		v, err := strconv.ParseFloat(string(m[1]), 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += v
+	}
+	return sum
+}
+
+// contendedRoom is the room of the competing service's two upstreams with four slots each, and
+// 15% for the estimate of their speeds: the stand-ins run more requests at once than they have
+// slots, which differs between them and looks like a difference of speed.
+const contendedRoom = 2 * 4 * 0.85 * 1.15
+
+// newContendedFleet starts a fleet and two upstreams of the competing service, and waits
+// until all hosts serve.
+func newContendedFleet(t *testing.T, hosts int) *testFleet {
+	f := newFleet(t, hosts, 1)
+	for i := range 2 {
+		f.putEntry(f.startUpstream("contended", fmt.Sprint("c", i)), catalogue.Upstream{Service: "contended", DataCentre: "dc", Slots: 4})
+	}
+	for _, h := range f.hosts {
+		f.waitServed(h, startupTimeout)
+	}
+	return f
+}
+
+// shareSum returns the sum of the hosts' shares, and how many hosts have one.
+func shareSum(t *testing.T, hosts []*testHost) (sum float64, count int) {
+	for _, h := range hosts {
+		if s := h.gauge(t, "papayatide_share_work_per_second"); s > 0 {
+			sum += s
+			count++
+		}
+	}
+	return sum, count
+}
+
+// The demand of two classes is about three times the room of their service. Every host must
+// get a share, and all shares together must not exceed the room. When the host that divides
+// is cut off, the others must go on serving, without shares at first, and get shares from
+// its successor.
+func TestSharesArriveAndOutliveTheDivider(t *testing.T) {
+	runFleetTest(t, func(t *testing.T) {
+		f := newContendedFleet(t, 4)
+		var load sync.WaitGroup
+		load.Go(func() { f.loadOn(f.hosts, urgentRoute, 1, 15*time.Second) })
+		load.Go(func() { f.loadOn(f.hosts, relaxedRoute, 6, 15*time.Second) })
+		time.Sleep(5 * time.Second)
+		sum, count := shareSum(t, f.hosts)
+		if count != len(f.hosts) || sum > contendedRoom || sum < contendedRoom*0.7 {
+			t.Errorf("%d hosts share %.2f, want %d with at most %.2f", count, sum, len(f.hosts), contendedRoom)
+		}
+		var rest []*testHost
+		for _, h := range f.hosts {
+			if h.gauge(t, "papayatide_scarce_services") == 0 {
+				rest = append(rest, h)
+			} else {
+				f.isolateHost(h)
+			}
+		}
+		if len(rest) != len(f.hosts)-1 {
+			t.Fatalf("%d of %d hosts divide", len(f.hosts)-len(rest), len(f.hosts))
+		}
+		time.Sleep(1100 * time.Millisecond)
+		if sum, count := shareSum(t, rest); count != 0 {
+			t.Errorf("%d hosts have shares of %.2f after the divider was lost", count, sum)
+		}
+		served, refused := f.loadOn(rest, urgentRoute, 1, 500*time.Millisecond)
+		if served == 0 || refused > served/20 {
+			t.Errorf("without a divider %d requests were served and %d were not", served, refused)
+		}
+		time.Sleep(5 * time.Second)
+		if sum, count := shareSum(t, rest); count != len(rest) || sum > contendedRoom {
+			t.Errorf("by the new divider %d hosts share %.2f, want %d with at most %.2f", count, sum, len(rest), contendedRoom)
+		}
+		load.Wait()
+	})
+}
+
+// A competing service with little demand must not count as scarce.
+func TestWithoutLoadNothingIsScarce(t *testing.T) {
+	runFleetTest(t, func(t *testing.T) {
+		f := newContendedFleet(t, 3)
+		f.loadOn(f.hosts, relaxedRoute, 1, 3*time.Second)
+		for _, h := range f.hosts {
+			if n := h.gauge(t, "papayatide_scarce_services"); n != 0 {
+				t.Errorf("%s counts %v scarce services at a fifth of the room", h.cfg.Host, n)
+			}
+		}
+	})
+}
+
+// Hosts must send no demand where no service is competing, and no counts that were kept
+// while this host followed none: a planner that follows again would state minutes of demand
+// as that of a moment.
+func TestDemandSentToTheDivider(t *testing.T) {
+	state, err := decoder{}.Desired("state", []byte("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	current := state
+	s := newServiceShares("h", "dc", zap.NewNop(), func() *desired.State { return current }, nil)
+	classes := state.Classes("contended")
+	now := time.Now()
+	count := func() {
+		s.countRequest(&dispatch.RequestSummary{Service: "contended", Class: classes[1], Key: -1, Status: 200, UpstreamTime: 30 * time.Millisecond, ConnectTime: 10 * time.Millisecond})
+		s.countRequest(&dispatch.RequestSummary{Service: "plain", Class: state.Classes("plain")[0], Key: -1, Status: 200, UpstreamTime: time.Second})
+	}
+	s.flushDemand(now)
+	count()
+	want := []shares.Demand{{Class: classes[0]}, {Class: classes[1], Arrived: 1, Answered: 1, Latency: 20 * time.Millisecond}}
+	if got := s.flushDemand(now.Add(time.Second)); !slices.Equal(got, want) {
+		t.Errorf("demand %+v, want %+v", got, want)
+	}
+	count()
+	if got := s.flushDemand(now.Add(time.Minute)); got[1].Arrived != 0 {
+		t.Errorf("demand of a minute ago: %+v", got)
+	}
+	current = desired.New(2, nil, state.Services, desired.Limits{})
+	if got := s.flushDemand(now.Add(time.Minute)); got != nil {
+		t.Errorf("demand without competing services: %+v", got)
+	}
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -77,6 +77,8 @@
 	CrashWriteFailed        = 653
 	FingerprintCleared      = 654
 	LogLinesDropped         = 660
+	ServiceScarce           = 670
+	ServiceScarceEnded      = 671
 
 	// 7xx: the planner.
 	PlannerLeaseAcquired       = 700
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,6 +34,7 @@
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/shares"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
 
@@ -74,6 +75,9 @@
 	Subset balance.Subset
 	// Notices holds what it knows of upstreams from reports and crashes.
 	Notices []feedback.Notice
+	// Demand is what its callers asked of each class of the competing services since its
+	// last call.
+	Demand []shares.Demand
 	// DesiredVersion is the version of the desired state in force on it; 0 if there is none.
 	DesiredVersion int64
 	// Wait is how long the callee may wait for new records before it replies.
@@ -101,6 +105,9 @@
 	// PeerLoads is the load of the other hosts of the data centre on the requested
 	// upstreams; empty if the callee is in another data centre.
 	PeerLoads []balance.PeerLoad
+	// Shares holds the calling host's shares of the competing services; empty if the callee
+	// is in another data centre or does not know the demand yet.
+	Shares []shares.Share
 	// Notices holds what the callee knows of upstreams beyond the notices in the request.
 	Notices []feedback.Notice
 	// DesiredVersion is the version of the desired state in force on the callee; 0 if there
@@ -127,6 +134,7 @@
 			LatencyMs: uint32(u.TotalLatency.Milliseconds())})
 	}
 	msg.Notices = encodeNotices(req.Notices)
+	msg.Demand = encodeDemand(req.Demand)
 	msg.UsingToken = req.Subset.Hash
 	if c.knownSubset(addr) != req.Subset.Hash {
 		msg.Using = req.Subset.IDs
@@ -143,7 +151,7 @@
 	}
 	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, ReceivedAt: receivedAt, Positions: decodePositions(reply.Positions, req.Positions), LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
 		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices),
-		DesiredVersion: reply.DesiredVersion}
+		DesiredVersion: reply.DesiredVersion, Shares: decodeShares(reply.Shares)}
 	for _, m := range reply.Batches {
 		b, ok, err := decodeBatch(m, req)
 		if err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,11 +13,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/keyload"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/shares"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 )
 
@@ -26,6 +28,7 @@
 func startServer(t *testing.T) (addr string, s *Server) {
 	t.Helper()
 	s = &Server{Replica: relay.NewReplica(), Feedback: feedback.NewTracker(), Fleet: fleet.New("dc"), OnKeyLoads: func([]ServiceLoad) {}, DesiredVersion: func() int64 { return 0 }, OnDesiredVersion: func(string, int64) {}, OnLoadStats: func(fleet.Host, []balance.LoadStats) {},
+		OnDemand: func(fleet.Host, []shares.Demand) {}, Shares: func(fleet.Host) []shares.Share { return nil },
 		ReplicaStatus: func(time.Time) (ReplicaStatus, bool) { return ReplicaStatus{IsPlanner: true}, true },
 		PeerLoads: func(_ fleet.Host, ids []string) []balance.PeerLoad {
 			out := make([]balance.PeerLoad, len(ids))
@@ -136,3 +139,27 @@
 		t.Errorf("an earlier build that lacks two versions got %v, error %v; want a reset with the whole value", old, err)
 	}
 }
+
+// Shares and demand must arrive as they were sent, in whole milliseconds. A share of zero
+// must not be taken for that of a service that is not scarce, which is not limited.
+func TestSharesAndDemandArrive(t *testing.T) {
+	addr, s := startServer(t)
+	class := desired.Class{Service: "pay", Priority: 1, Objective: 600 * time.Millisecond}
+	demand := []shares.Demand{{Class: class, Arrived: 9, Answered: 4, Latency: 700 * time.Millisecond, Promised: 2}, {Class: desired.Class{Service: "pay"}}}
+	want := []shares.Share{{Class: class, Work: 160 * time.Millisecond, AdmittedFraction: 1},
+		{Class: class, Work: 160 * time.Millisecond, Scarce: true, PerSecond: 1200 * time.Millisecond, Valid: shares.Validity, AdmittedFraction: 0.25},
+		{Class: class, Scarce: true, Valid: shares.Validity, AdmittedFraction: 1}}
+	var received []shares.Demand
+	s.OnDemand = func(_ fleet.Host, d []shares.Demand) { received = d }
+	s.Shares = func(fleet.Host) []shares.Share { return want }
+	reply, err := NewClient(http.DefaultClient).Follow(t.Context(), addr, FollowRequest{Self: fleet.Host{Name: "h"}, Demand: demand})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(received, demand) {
+		t.Errorf("demand %v arrived as %v", demand, received)
+	}
+	if !slices.Equal(reply.Shares, want) {
+		t.Errorf("shares %v arrived as %v", want, reply.Shares)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/shares"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 	"github.com/twitchtv/twirp"
 )
@@ -38,6 +39,9 @@
 	// the other hosts in the caller's data centre on each of the given upstreams.
 	OnLoadStats func(caller fleet.Host, loads []balance.LoadStats)
 	PeerLoads   func(caller fleet.Host, ids []string) []balance.PeerLoad
+	// OnDemand receives the caller's demand by class; Shares returns its shares.
+	OnDemand func(caller fleet.Host, demand []shares.Demand)
+	Shares   func(caller fleet.Host) []shares.Share
 	// DesiredVersion returns the version of the desired state in force on this host, 0 if there
 	// is none. OnDesiredVersion receives that of each caller.
 	DesiredVersion   func() int64
@@ -98,6 +102,7 @@
 	s.Fleet.RecordCall(caller, time.Now())
 	s.OnDesiredVersion(m.Host, m.DesiredVersion)
 	s.OnLoadStats(caller, decodeLoadStats(m.Uses))
+	s.OnDemand(caller, decodeDemand(m.Demand))
 	notices := decodeNotices(m.Notices)
 	s.Feedback.Merge(caller.Name, notices, time.Now())
 	reply := &peerpb.FollowReply{}
@@ -117,6 +122,7 @@
 		reply.UnderWay = append(reply.UnderWay, uint32(max(l.InFlight, 0)))
 		reply.WorkMs = append(reply.WorkMs, uint32(l.WorkTime.Milliseconds()))
 	}
+	reply.Shares = encodeShares(s.Shares(caller))
 	return reply, s.setReplyStatus(reply, caller)
 }
 
