shares: expected work learned without the queueing of an uneven load

Cause: in a fleet test the estimate counted as work what requests wait at one upstream while another has free slots, and for seconds after a rise of demand corrected with the mean load of the last 8 s. The estimate was 26 and 29 ms for 20 ms of work, and the hosts together used 4.9 of a room of 6.8. Change: queueing is subtracted by the load of the last second as responses arrive, and an estimate rises only while less than half of the slots are in use, or when the rise is more than uneven queueing explains.

--- a/internal/shares/divider.go
+++ b/internal/shares/divider.go
@@ -83,7 +83,7 @@
 // NewDivider returns a divider without data.
 func NewDivider() *Divider {
 	return &Divider{OnChange: func(Change) {}, hosts: map[string]*hostState{}, services: map[string]*serviceState{},
-		work: workEstimator{byClass: map[desired.Class]*responseSums{}}}
+		work: workEstimator{byClass: map[desired.Class]*classEstimate{}}}
 }
 
 // Record records the demand that a host states in a call: an entry for each class of the
--- a/internal/shares/divider_test.go
+++ b/internal/shares/divider_test.go
@@ -234,16 +234,17 @@
 // Queueing raises latencies by the same time for all classes. It must not count as work: the
 // demand would seem to grow while the upstreams do as much as before.
 func TestQueueingDoesNotCountAsWork(t *testing.T) {
-	e := workEstimator{byClass: map[desired.Class]*responseSums{}}
+	e := workEstimator{byClass: map[desired.Class]*classEstimate{}}
 	const queueing = 0.5
 	room := Room{Slots: 153, Capacity: 153} // 375*0.16 + 100*0.93: all slots are busy
 	now := epoch
+	var got map[desired.Class]float64
 	for range 300 {
 		now = now.Add(100 * time.Millisecond)
 		e.add(Demand{Class: payments, Answered: 37, Latency: seconds(37 * (0.16 + queueing))}, now)
 		e.add(Demand{Class: browsing, Answered: 10, Latency: seconds(10 * (0.93 + queueing))}, now)
+		got = e.estimate("pay", room, now)
 	}
-	got := e.estimate("pay", room, now)
 	for c, want := range classWork {
 		if got[c] < want*0.9 || got[c] > want*1.1 {
 			t.Errorf("priority %d: work %.3f s, want %.3f s", c.Priority, got[c], want)
@@ -253,3 +254,27 @@
 		t.Errorf("estimates %v without upstreams", got)
 	}
 }
+
+// Requests queue at some upstreams while others have free slots. Latencies that are longer by
+// a third than in calm times must not count as more work, or the gate refuses what fits; twice
+// as long ones must, as the work itself has become longer.
+func TestUnevenQueueingDoesNotCountAsWork(t *testing.T) {
+	e := workEstimator{byClass: map[desired.Class]*classEstimate{}}
+	now := epoch
+	for _, step := range []struct {
+		perSecond      int
+		latency, lower float64
+		upper          float64
+	}{{30, 0.16, 0.155, 0.165}, {300, 0.21, 0.155, 0.165}, {300, 0.32, 0.2, 0.23}, {30, 0.32, 0.3, 0.33}} {
+		var work float64
+		for range 300 {
+			now = now.Add(100 * time.Millisecond)
+			n := step.perSecond / 10
+			e.add(Demand{Class: payments, Answered: n, Latency: seconds(float64(n) * step.latency)}, now)
+			work = e.estimate("pay", Room{Slots: 100, Capacity: 100}, now)[payments]
+		}
+		if work < step.lower || work > step.upper {
+			t.Errorf("%d requests/s with a latency of %v s: work %.3f s, want %v to %v", step.perSecond, step.latency, work, step.lower, step.upper)
+		}
+	}
+}
