dispatch: requests beyond the host's share of a scarce service are refused

Cause: hosts have shares of scarce services, but nothing enforces them. Change: before its first attempt, a request without a key to a competing service needs room in the host's gate; otherwise it is refused as not run with the Retry-After of an overloaded upstream and a cause of its own. The most urgent class is served all the same while an upstream has a free slot by this host's view (balance.Picker.HasFreeSlot). Other services are not checked.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/ratelimit"
+	"github.com/papayatide/papayatide/internal/shares"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -76,6 +77,8 @@
 	hostCountKnown atomic.Bool
 	// SlowStartBounds limits what all hosts together send to a cold upstream.
 	SlowStartBounds ratelimit.Bounds
+	// Gate enforces this host's shares of scarce services; nil admits everything.
+	Gate *shares.Gate
 	// OnRequestDone is called after each request.
 	OnRequestDone func(*RequestSummary)
 	// OnBrokenSend is called after each broken send.
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -25,6 +25,9 @@
 // sendWithRetries makes attempts until one gets a response that is not retried, or
 // the request is refused.
 func (d *Dispatcher) sendWithRetries(ctx context.Context, req *request, summary *RequestSummary) (*upstream.Result, *Refusal) {
+	if refusal := d.shareRefusal(req, time.Now()); refusal != nil {
+		return nil, refusal
+	}
 	for {
 		if ctx.Err() != nil {
 			return nil, d.contextDoneRefusal(ctx, req)
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -193,6 +193,7 @@
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.picker, h.budget, h.controller.crashes.tracker, h.feedback,
 		ratelimit.NewLimiter(reportedLimitBounds, h.requestPermits))
 	h.dispatch.OnRequestDone, h.dispatch.OnBrokenSend = h.onRequestDone, h.onBrokenSend
+	h.dispatch.Gate = h.shares.gate
 	h.dispatch.SlowStartBounds = ratelimit.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack, Window: slowStartWindow}
 	h.controller.retirer = h.peers
 	h.controller.elector.fleetSize = func() int { return h.fleet.Size(time.Now()) }
--- a/internal/entryhost/shares_test.go
+++ b/internal/entryhost/shares_test.go
@@ -17,10 +17,12 @@
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/dispatch"
 	"github.com/papayatide/papayatide/internal/shares"
+	"github.com/papayatide/papayatide/internal/standin/rangeowner"
 )
 
-// loadOn has callers on each host send requests for d, each 5 ms after the last response. It
-// returns how many got a response of an upstream and how many did not.
+// loadOn has callers on each host send requests for d, each 5 ms after the last response,
+// or 30 ms after a refusal. It returns how many got a response of an upstream and how many
+// did not.
 func (f *testFleet) loadOn(hosts []*testHost, route string, callers int, d time.Duration) (served, refused int) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -36,6 +38,9 @@
 						refused++
 					}
 					mu.Unlock()
+					if status != http.StatusOK {
+						time.Sleep(25 * time.Millisecond)
+					}
 					time.Sleep(5 * time.Millisecond)
 				}
 			})
@@ -68,18 +73,42 @@
 	return sum
 }
 
-// contendedRoom is the room of the competing service's two upstreams with four slots each, and
-// 15% for the estimate of their speeds: the stand-ins run more requests at once than they have
-// slots, which differs between them and looks like a difference of speed.
-const contendedRoom = 2 * 4 * 0.85 * 1.15
+const (
+	contendedSlots, contendedWork = 4, 20 * time.Millisecond
+	// contendedRoom is the room of two upstreams of the competing service, in seconds of work
+	// a second.
+	contendedRoom = 2 * contendedSlots * 0.85
+	// speedTolerance is for the estimate of their speeds, which are equal.
+	speedTolerance = 1.1
+)
+
+// addContendedUpstream adds an upstream of the competing service, which runs contendedSlots
+// requests at once for contendedWork each and queues the others.
+func (f *testFleet) addContendedUpstream(id string) {
+	ln, err := f.net.Listen(id + ":80")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	u := rangeowner.StartOn(ln, id, testHeaders, 0)
+	slots := make(chan struct{}, contendedSlots)
+	u.CrashOn = func(*http.Request) bool {
+		slots <- struct{}{}
+		time.Sleep(contendedWork)
+		<-slots
+		return false
+	}
+	f.mu.Lock()
+	f.upstreams[u.Addr()] = u
+	f.mu.Unlock()
+	f.putEntry(u, catalogue.Upstream{Service: "contended", DataCentre: "dc", Slots: contendedSlots})
+}
 
 // newContendedFleet starts a fleet and two upstreams of the competing service, and waits
 // until all hosts serve.
 func newContendedFleet(t *testing.T, hosts int) *testFleet {
 	f := newFleet(t, hosts, 1)
-	for i := range 2 {
-		f.putEntry(f.startUpstream("contended", fmt.Sprint("c", i)), catalogue.Upstream{Service: "contended", DataCentre: "dc", Slots: 4})
-	}
+	f.addContendedUpstream("c0")
+	f.addContendedUpstream("c1")
 	for _, h := range f.hosts {
 		f.waitServed(h, startupTimeout)
 	}
@@ -105,11 +134,11 @@
 	runFleetTest(t, func(t *testing.T) {
 		f := newContendedFleet(t, 4)
 		var load sync.WaitGroup
-		load.Go(func() { f.loadOn(f.hosts, urgentRoute, 1, 15*time.Second) })
-		load.Go(func() { f.loadOn(f.hosts, relaxedRoute, 6, 15*time.Second) })
+		load.Go(func() { f.loadOn(f.hosts, urgentRoute, 1, 13*time.Second) })
+		load.Go(func() { f.loadOn(f.hosts, relaxedRoute, 6, 13*time.Second) })
 		time.Sleep(5 * time.Second)
 		sum, count := shareSum(t, f.hosts)
-		if count != len(f.hosts) || sum > contendedRoom || sum < contendedRoom*0.7 {
+		if count != len(f.hosts) || sum > contendedRoom*speedTolerance || sum < contendedRoom*0.7 {
 			t.Errorf("%d hosts share %.2f, want %d with at most %.2f", count, sum, len(f.hosts), contendedRoom)
 		}
 		var rest []*testHost
@@ -132,13 +161,41 @@
 			t.Errorf("without a divider %d requests were served and %d were not", served, refused)
 		}
 		time.Sleep(5 * time.Second)
-		if sum, count := shareSum(t, rest); count != len(rest) || sum > contendedRoom {
+		if sum, count := shareSum(t, rest); count != len(rest) || sum > contendedRoom*speedTolerance {
 			t.Errorf("by the new divider %d hosts share %.2f, want %d with at most %.2f", count, sum, len(rest), contendedRoom)
 		}
 		load.Wait()
 	})
 }
 
+// The demand of the urgent class is half of the room, that of the other one many times the
+// room. Nearly all urgent requests must be served, and the other class must get the rest of
+// the room, neither much more nor much less.
+func TestUrgentRequestsAreServedWhileTheServiceIsScarce(t *testing.T) {
+	runFleetTest(t, func(t *testing.T) {
+		f := newContendedFleet(t, 4)
+		const warmUp, measured = 4 * time.Second, 6 * time.Second
+		f.loadOn(f.hosts, urgentRoute, 1, warmUp)
+		f.loadOn(f.hosts, relaxedRoute, 1, warmUp)
+		var load sync.WaitGroup
+		load.Go(func() { f.loadOn(f.hosts, urgentRoute, 1, warmUp) })
+		f.loadOn(f.hosts, relaxedRoute, 6, warmUp)
+		load.Wait()
+		var urgentServed, urgentRefused int
+		load.Go(func() { urgentServed, urgentRefused = f.loadOn(f.hosts, urgentRoute, 1, measured) })
+		served, refused := f.loadOn(f.hosts, relaxedRoute, 6, measured)
+		load.Wait()
+		t.Logf("urgent: %d served, %d refused; relaxed: %d served, %d refused", urgentServed, urgentRefused, served, refused)
+		if urgentRefused > urgentServed/50 {
+			t.Errorf("%d urgent requests were refused, %d served", urgentRefused, urgentServed)
+		}
+		const room = contendedRoom * float64(measured) / float64(contendedWork) // requests
+		if rest := room - float64(urgentServed); float64(served) < rest*0.75 || float64(served) > rest*1.25 {
+			t.Errorf("%d relaxed requests were served, want %.0f", served, rest)
+		}
+	})
+}
+
 // A competing service with little demand must not count as scarce.
 func TestWithoutLoadNothingIsScarce(t *testing.T) {
 	runFleetTest(t, func(t *testing.T) {
