--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/reachability"
 	"github.com/papayatide/papayatide/internal/retryafter"
+	"github.com/papayatide/papayatide/internal/shares"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -87,6 +88,8 @@
 	// ExpectedWork returns how long an upstream of median speed works on a request of the
 	// class, and false if that is not known.
 	ExpectedWork func(desired.Class) (time.Duration, bool)
+	// Gate enforces this host's shares of scarce services; nil admits everything.
+	Gate *shares.Gate
 	// OnRequestDone is called after each request.
 	OnRequestDone func(*RequestSummary)
 	// OnBrokenSend is called after each broken send.
@@ -97,6 +100,8 @@
 // reports.
 type RequestSummary struct {
 	ID, Route, Service, Upstream string
+	// Class is the zero value if the request matched no route.
+	Class desired.Class
 	// Key is -1 for services that are not keyed.
 	Key int
 	// Status is the HTTP status of the response or the refusal.
@@ -173,6 +178,7 @@
 // setRequest copies what is recorded on the request into the summary.
 func (s *RequestSummary) setRequest(req *request) {
 	s.Route, s.Service, s.Key = req.route.Name, req.service.Name, req.key
+	s.Class = req.route.ClassFor(req.service.Name)
 	s.Upstream = cmp.Or(s.Upstream, req.lastUpstream)
 	s.Attempts, s.Err, s.FencingToken = req.attempts, req.lastErr, req.lastFencingToken
 	s.setScheduling(req)
--- a/internal/dispatch/retryafter.go
+++ b/internal/dispatch/retryafter.go
@@ -25,7 +25,7 @@
 		d.returns.Admitted(class, now)
 		return
 	}
-	if refusal.Cause != CauseOverloaded {
+	if refusal.Cause != CauseOverloaded && refusal.Cause != CauseShare {
 		return
 	}
 	left := req.deadline.Sub(now) - callerTransit
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -139,7 +139,7 @@
 	now, urgency := time.Now(), req.urgency
 	queueing, work, known := d.estimator.Estimate(u, urgency.class, now)
 	r := req.schedulingRequest()
-	urgency.queueing, urgency.result = queueing, scheduling.Result{ExpectedWait: limiter.State().ExpectedWait + queueing, ExpectedWork: work}
+	urgency.result = scheduling.Result{ExpectedWait: limiter.State().ExpectedWait + queueing, ExpectedWork: work}
 	if known && r.TooLate(queueing, work, now) {
 		return nil
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -82,6 +82,8 @@
 	// responds to this host, or one does again.
 	DataCentreUnreachable = 680
 	DataCentreReachable   = 681
+	ServiceScarce         = 670
+	ServiceScarceEnded    = 671
 
 	// 7xx: the planner.
 	PlannerLeaseAcquired       = 700
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/papayatide/papayatide/internal/ownership"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/shares"
 	"github.com/papayatide/papayatide/internal/worktime"
 	"github.com/papayatide/papayatide/rpc/peerpb"
 	"github.com/twitchtv/twirp"
@@ -42,6 +43,9 @@
 	// Speeds returns the speeds of upstreams of keyed services to send to the caller; nil if it
 	// gets none in this reply.
 	Speeds func(caller fleet.Host) []worktime.Speed
+	// OnDemand receives the caller's demand by class; Shares returns its shares.
+	OnDemand func(caller fleet.Host, demand []shares.Demand)
+	Shares   func(caller fleet.Host) []shares.Share
 	// DesiredVersion returns the version of the desired state in force on this host, 0 if there
 	// is none. OnDesiredVersion receives that of each caller.
 	DesiredVersion   func() int64
@@ -102,6 +106,7 @@
 	s.Fleet.RecordCall(caller, time.Now())
 	s.OnDesiredVersion(m.Host, m.DesiredVersion)
 	s.OnLoadStats(caller, decodeLoadStats(m.Uses))
+	s.OnDemand(caller, decodeDemand(m.Demand))
 	notices := decodeNotices(m.Notices)
 	s.Feedback.Merge(caller.Name, notices, time.Now())
 	reply := &peerpb.FollowReply{}
@@ -121,6 +126,7 @@
 	if s.Speeds != nil {
 		reply.Speeds = encodeSpeeds(s.Speeds(caller))
 	}
+	reply.Shares = encodeShares(s.Shares(caller))
 	return reply, s.setReplyStatus(reply, caller)
 }
 
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -115,6 +115,8 @@
 		ids[i] = u.ID
 	}
 	for i, h := range o.hosts {
+		h.picker.SetClassWork(payments, 160*time.Millisecond)
+		h.picker.SetClassWork(browsing, 930*time.Millisecond)
 		h.picker.SetPeerLoads(o.aggregator.PeerLoads(fmt.Sprint("h", i), ids, now), now)
 	}
 }
