scheduling: new requests are judged by the whole objective

Cause: new and returning requests were refused when their response was expected after 0.8 of the objective. Where the most urgent class alone exceeds the capacity, new ones were refused and came back late.

--- a/internal/scheduling/request.go
+++ b/internal/scheduling/request.go
@@ -47,21 +47,23 @@
 // LessUrgent reports whether the service has a class of higher priority.
 func (r *Request) LessUrgent() bool { return r.Class.Priority > r.MostUrgent.Priority }
 
-// inTimeFraction is the fraction of the objective by which a response is expected for the
-// request to be sent. The rest is for network transit, and for the deviation of a latency from
-// the expected one: at exactly the objective, half of the responses would be late.
-const inTimeFraction = 0.8
+// returningFraction is the fraction of the objective within which the response to a returning
+// caller must be expected. Such a caller is late anyway: with longer queues for it, new
+// requests would be refused, return, and be late too (TestBrowsingKeepsATenthOfTheWork).
+const returningFraction = 0.8
 
 // latestResponse returns the time by which the response of a request must be expected: within
-// the objective, counted from the arrival at this host, or, for a caller that has no time for
-// another retry, its deadline. A returning caller that can retry again is not served up to its
-// deadline: that would lengthen the queues beyond the objective of new requests, so that all of
-// them were refused at first, returned, and got a late response (TestBrowsingKeepsATenthOfTheWork).
+// the objective for a new request, earlier for a returning caller that can retry again, and up
+// to the deadline for one that cannot, to which a late response is still worth something.
 func (r *Request) latestResponse() time.Time {
-	if r.MayHaveRun || !r.Deadline.After(r.Arrived.Add(r.Class.Objective)) {
+	due := r.Arrived.Add(r.Class.Objective)
+	switch {
+	case r.MayHaveRun || !r.Deadline.After(due):
 		return r.Deadline
+	case r.Lost > 0:
+		return r.Arrived.Add(time.Duration(returningFraction * float64(r.Class.Objective)))
 	}
-	return r.Arrived.Add(time.Duration(inTimeFraction * float64(r.Class.Objective)))
+	return due
 }
 
 // holdFraction is the fraction of its objective that a less urgent request may wait for room
