scheduling: a timeout is usual only if a tenth of the callers state it

Cause: where callers of a route state various timeouts, the most frequent one was taken for usual, and callers with shorter ones for returning. Change: below a tenth of all, none is usual. The limiter looks for less urgent waiters only at competing services. Result: TestLostTime covers various timeouts.

--- a/internal/admission/ranked.go
+++ b/internal/admission/ranked.go
@@ -47,7 +47,10 @@
 // next takes the waiter whose turn it is: the first one, or the first of the less urgent ones
 // if they are due their share.
 func (l *Limiter) next() *waiter {
-	i := max(slices.IndexFunc(l.waiters, (*waiter).lessUrgent), 0)
+	i := 0
+	if l.waiters[0].request != nil {
+		i = max(slices.IndexFunc(l.waiters, (*waiter).lessUrgent), 0)
+	}
 	if i > 0 && !l.share.LessUrgentDue(l.latencyOf(l.waiters[i])) {
 		i = 0
 	}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -136,8 +136,8 @@
 	})
 }
 
-// Callers that return state less than the usual timeout. The lost time must be found where
-// most of the callers are new, without taking the spread of transit times for it.
+// Callers that return state less than the usual timeout. The lost time must be found without
+// taking the spread of transit times for it, and not where callers state various timeouts.
 func TestLostTime(t *testing.T) {
 	var timeouts Timeouts
 	if lost := timeouts.Lost(900*time.Millisecond, 1500*time.Millisecond); lost != 0 {
@@ -153,4 +153,10 @@
 	if lost := timeouts.Lost(800*time.Millisecond, 1500*time.Millisecond); lost < 360*time.Millisecond || lost > 410*time.Millisecond {
 		t.Errorf("lost %v, want about 400ms", lost)
 	}
+	var various Timeouts
+	for i := range 300 {
+		if lost := various.Lost(time.Duration(50+i*37%1450)*time.Millisecond, 1500*time.Millisecond); lost != 0 {
+			t.Fatalf("lost %v after %d various timeouts", lost, i)
+		}
+	}
 }
--- a/internal/scheduling/timeouts.go
+++ b/internal/scheduling/timeouts.go
@@ -11,6 +11,10 @@
 	maxTimeoutCount = 256
 	// minTimeoutCount is the number of timeouts before which none is taken for usual.
 	minTimeoutCount = 10
+	// minUsualShare is the share of the timeouts below which the most frequent one is not
+	// taken for usual: callers then state various ones for reasons of their own. In an
+	// overload, three of four requests are from returning callers.
+	minUsualShare = 0.1
 )
 
 // Timeouts learns the timeout that callers of a route usually state, the most frequent one:
@@ -45,7 +49,7 @@
 }
 
 // usual returns the bucket with the most timeouts, the longest of several; -1 if there are
-// too few.
+// too few, or none is frequent.
 func (t *Timeouts) usual() int {
 	if t.total < minTimeoutCount {
 		return -1
@@ -56,5 +60,8 @@
 			best = i
 		}
 	}
+	if float64(t.counts[best]) < minUsualShare*float64(t.total) {
+		return -1
+	}
 	return best
 }
