shares: an urgent class may use the less urgent shares ahead

Cause: requests of a small host arrive unevenly. A bucket filled at the mean rate of the urgent class refused 610 of 2,898 of its requests, as the less urgent class leaves no tokens. Change: a class that is admitted in full may go into debt by a second of the less urgent shares of its host, and their income pays the debt. The host's sum stays.

--- a/internal/shares/gate.go
+++ b/internal/shares/gate.go
@@ -13,10 +13,16 @@
 // calls, after which the share follows the demand.
 const burst = 300 * time.Millisecond
 
+// maxDebt is the time of the less urgent classes' shares that an urgent class may use ahead:
+// about that by which its own share lags behind its demand.
+const maxDebt = time.Second
+
 // bucket is the token bucket of a class. Tokens are seconds of work.
 type bucket struct {
-	class          desired.Class
-	tokens, rate   float64
+	class        desired.Class
+	tokens, rate float64
+	// income is what the refill in progress adds.
+	income         float64
 	work, fraction float64
 }
 
@@ -101,17 +107,34 @@
 	return nil
 }
 
-// refill adds the tokens since the last call. What a full bucket cannot take goes to the
-// others, the most urgent first: a share that its class does not use is not lost.
+// refill adds the tokens since the last call. The income of less urgent classes first pays the
+// debt of a class of which the service has room for all requests. What a full bucket cannot
+// take goes to the others, the most urgent first: a share that its class does not use is not
+// lost.
 func (s *serviceGate) refill(now time.Time) {
 	elapsed := now.Sub(s.refilledAt).Seconds()
 	if elapsed <= 0 {
 		return
 	}
 	s.refilledAt = now
+	for _, b := range s.buckets {
+		b.income = b.rate * elapsed
+	}
+	for _, b := range s.buckets {
+		if b.fraction < 1 {
+			continue
+		}
+		for _, other := range slices.Backward(s.buckets) {
+			if other.class.Priority > b.class.Priority {
+				moved := min(max(-b.tokens-b.income, 0), other.income)
+				other.income -= moved
+				b.income += moved
+			}
+		}
+	}
 	spare := 0.0
 	for _, b := range s.buckets {
-		b.tokens += b.rate * elapsed
+		b.tokens += b.income
 		if over := b.tokens - b.size(); over > 0 {
 			b.tokens -= over
 			spare += over
@@ -130,8 +153,8 @@
 //
 // A bucket admits a request while it has any tokens and may go into debt by one request: a
 // share of a small host is often less than one request in a burst. A class of which the
-// service has room for all requests also uses the tokens of less urgent ones, so that its
-// requests are not refused because they arrive unevenly.
+// service has room for all requests may go into debt by maxDebt of the less urgent ones, whose
+// income pays it, so that its requests are not refused because they arrive unevenly.
 func (g *Gate) Admit(class desired.Class, work time.Duration, now time.Time) (ok bool, wait time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -143,23 +166,24 @@
 	if cost <= 0 {
 		cost = own.work
 	}
-	if own.tokens > 0 {
-		own.tokens -= cost
-		return true, 0
-	}
 	s := g.services[class.Service]
+	rate, debt := own.rate, 0.0
 	if own.fraction >= 1 {
 		for _, b := range s.buckets {
-			if b.class.Priority > class.Priority && b.tokens > 0 {
-				b.tokens -= cost
-				return true, 0
+			if b.class.Priority > class.Priority {
+				rate += b.rate
+				debt += b.rate * maxDebt.Seconds()
 			}
 		}
 	}
-	if own.rate <= 0 {
+	if own.tokens > -debt {
+		own.tokens -= cost
+		return true, 0
+	}
+	if rate <= 0 {
 		return false, s.expiresAt.Sub(now)
 	}
-	return false, max(seconds(-own.tokens/own.rate), time.Millisecond)
+	return false, max(seconds((-debt-own.tokens)/rate), time.Millisecond)
 }
 
 // Work returns the expected work of a request of the class; false if it is not known. It
