--- a/internal/shares/gate_test.go
+++ b/internal/shares/gate_test.go
@@ -123,3 +123,12 @@
 		t.Errorf("work %v %v, want %v", w, ok, browsingShare.Work)
 	}
 }
+
+// BenchmarkAdmit measures what a request to a scarce service costs more.
+func BenchmarkAdmit(b *testing.B) {
+	g := NewGate()
+	g.Update([]Share{scarceShare(paymentShare, time.Second, 1), scarceShare(browsingShare, time.Second, 0.5)}, epoch)
+	for i := range b.N {
+		g.Admit(browsing, 0, epoch.Add(time.Duration(i%50000)*time.Millisecond))
+	}
+}
