shares: a class that becomes rationed does not pay for shares used ahead

Cause: a class that had used a second of the less urgent shares ahead would have paid for it out of its own share once it was no longer admitted in full, and refused all requests meanwhile. Change: its debt is then limited to one request. Result: in the unit test the next request is admitted within the work of one.

--- a/internal/shares/gate.go
+++ b/internal/shares/gate.go
@@ -74,6 +74,11 @@
 		if old := g.bucket(s.Class, now); old != nil {
 			b.tokens = min(old.tokens, b.size())
 		}
+		if b.fraction < 1 {
+			// From now on only its own income pays the class's debt. Paying what it used ahead of
+			// others' would have it refuse all requests for up to a second.
+			b.tokens = max(b.tokens, -b.work)
+		}
 		next.buckets = append(next.buckets, b)
 		next.expiresAt = now.Add(s.Valid)
 	}
--- a/internal/shares/gate_test.go
+++ b/internal/shares/gate_test.go
@@ -63,6 +63,10 @@
 		if n != want {
 			t.Errorf("admitted fraction %v: %d payments at once, want %d", fraction, n, want)
 		}
+		g.Update(both(0.5), epoch)
+		if ok, wait := g.Admit(payments, 0, epoch); ok || wait > paymentShare.Work {
+			t.Errorf("admitted fraction %v: once rationed, the next payment is admitted after %v", fraction, wait)
+		}
 	}
 }
 
