balance: bounded queueing time at upstreams that have never responded

Cause: at a silent upstream without any response to this host, the time since its last response was that since the zero time, which overflows. Change: the queueing time is at least that of the oldest request without a response. Result: a test with the fleet's value of a class's work and no response passes; balance, dispatch and inflight pass with the race detector.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -58,11 +58,8 @@
 		f := 1 + momentaryDelay(q+t, factor, reportWeight)/(q+t)
 		q, t = q*f, t*f
 	}
-	if st.work.isSilent(now) {
-		// How long an upstream stays silent is not known; on average it has done so for half
-		// of the time.
-		q = max(q, now.Sub(st.work.lastResponse).Seconds())
-	}
+	// How long an upstream stays silent is not known; on average, half of the time has passed.
+	q = max(q, st.work.silence(now).Seconds())
 	e.queueing, e.work = toDuration(q), toDuration(t)
 	return e
 }
--- a/internal/balance/estimate_test.go
+++ b/internal/balance/estimate_test.go
@@ -99,10 +99,18 @@
 		if (silences == 1) != k.want {
 			t.Errorf("%s: %d calls of OnSilent", k.name, silences)
 		}
-		if queueing, _, _ := p.Estimate(testUp, testClass, later); k.want && queueing < 300*time.Millisecond {
+		if queueing, _, _ := p.Estimate(testUp, testClass, later); k.want && (queueing < 300*time.Millisecond || queueing > time.Second) {
 			t.Errorf("%s: queueing time %v at a silent upstream", k.name, queueing)
 		}
 	}
+	// One that has never responded to this host, which has the fleet's value of the class's work.
+	p, now := NewPicker("h"), time.Unix(1000, 0)
+	p.SetClassWork(testClass, 100*time.Millisecond)
+	p.StartSend(testUp, testClass, now)
+	p.StartSend(testUp, testClass, now)
+	if queueing, _, _ := p.Estimate(testUp, testClass, now.Add(400*time.Millisecond)); queueing != 400*time.Millisecond {
+		t.Errorf("queueing time %v at an upstream that has never responded", queueing)
+	}
 }
 
 // The fleet's value must replace this host's own while it is current, and no longer: a host that
--- a/internal/balance/sending.go
+++ b/internal/balance/sending.go
@@ -66,25 +66,30 @@
 	return min(max(1-now.Sub(w.reportAt).Seconds()/loadReportTTL.Seconds(), 0), 1)
 }
 
-// isSilent reports whether the upstream has responded to none of several requests for
-// silenceFactor times the latency that was expected of each. Upstreams that report their load
-// never count as silent: they reject requests instead.
-func (w *upstreamWork) isSilent(now time.Time) bool {
+// silence returns for how long the upstream has been silent at least: for how long it has responded
+// to none of several requests, each of which has been there for silenceFactor times its expected
+// latency. It returns 0 if it is not. Upstreams that report their load never count as silent: they
+// reject requests instead.
+func (w *upstreamWork) silence(now time.Time) time.Duration {
 	if len(w.sendings) < silentSendings || w.report.Known() {
-		return false
+		return 0
 	}
-	n := 0
+	n, longest := 0, time.Duration(0)
 	for _, s := range w.sendings {
 		if s.overdue(now) && !w.lastResponse.After(s.sentAt) {
 			n++
+			longest = max(longest, now.Sub(s.sentAt))
 		}
 	}
-	return n >= silentSendings
+	if n < silentSendings {
+		return 0
+	}
+	return longest
 }
 
-// silent is isSilent for the named upstream's state, and reports a change to OnSilent.
+// silent reports whether the upstream is silent, and tells OnSilent when it becomes so.
 func (p *Picker) silent(id string, st *upstreamState, now time.Time) bool {
-	silent := st.work.isSilent(now)
+	silent := st.work.silence(now) > 0
 	if silent && !st.work.silentReported {
 		p.OnSilent(id)
 	}
