--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -115,7 +115,7 @@
 	subsets map[string]*serviceSubset
 	// work holds what is known of the work of competing services, by service.
 	work map[string]*serviceWork
-	// OnSilent is called when an upstream is found to be silent; see upstreamWork.silent. It is
+	// OnSilent is called when an upstream is found to be silent; see upstreamWork.silence. It is
 	// called with the lock held and must not call the picker.
 	OnSilent func(id string)
 }
