scheduling, dispatch: urgency decides only where classes really contend

Cause: a route of another priority with hardly any requests made a service competing. Change: scheduling.Mix counts arrivals by class; a service is contended while other priorities have a tenth of them. Scheduling, estimates by class, shares and scheduled returns apply only then; elsewhere requests go as before.

--- a/internal/dispatch/retryafter.go
+++ b/internal/dispatch/retryafter.go
@@ -16,9 +16,9 @@
 // admitted, or, if overloaded upstreams are the reason for its refusal, when its caller is to
 // return. It sets the refusal's Retry-After.
 //
-// Requests of competing classes of an unkeyed service get a place in the schedule. All others
-// keep the delay of retryAfterOverloaded unless more callers have been told to return than
-// this host admits.
+// Requests to a contended unkeyed service get a place in the schedule. Those to a contended keyed
+// one keep the delay of retryAfterOverloaded unless more callers have been told to return than this
+// host admits. All others keep that delay.
 func (d *Dispatcher) scheduleReturn(req *request, summary *RequestSummary, refusal *Refusal, now time.Time) {
 	class := req.route.ClassFor(req.service.Name)
 	if refusal == nil || req.mayHaveRun {
@@ -33,8 +33,10 @@
 	if latest <= 0 {
 		return // No return can be served before the deadline.
 	}
-	state := d.views.Load().Desired
-	if req.key < 0 && state != nil && state.Competing(class.Service) {
+	if req.urgency == nil {
+		return
+	}
+	if req.key < 0 {
 		earliest := max(refusal.roomIn, summary.LimiterState.ExpectedWait-time.Duration(queueWaitFraction*float64(class.Objective)), 0)
 		refusal.RetryAfter = d.returns.Promise(class, min(earliest, latest), latest, now)
 		return
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -14,7 +14,7 @@
 // an upstream, of any data centre, has a free slot by this host's own view.
 func (d *Dispatcher) shareRefusal(req *request, now time.Time) *Refusal {
 	v := d.views.Load()
-	if d.Gate == nil || req.key >= 0 || !v.Desired.Competing(req.service.Name) {
+	if d.Gate == nil || req.key >= 0 || req.urgency == nil {
 		return nil
 	}
 	if ok, _ := d.Gate.Admit(req.route.ClassFor(req.service.Name), 0, now); ok {
--- a/internal/dispatch/share_test.go
+++ b/internal/dispatch/share_test.go
@@ -24,6 +24,7 @@
 	h.views.Publish(func(v *view.View) {
 		v.Desired = desired.New(8, []*desired.Route{route("charge.example", 0), route("read.example", 1)}, services, desired.Limits{})
 	})
+	h.contend()
 	h.d.Gate = shares.NewGate()
 	return h
 }
--- a/internal/dispatch/uneven.go
+++ b/internal/dispatch/uneven.go
@@ -15,23 +15,12 @@
 	repeatedAtOwner    = metrics.NewCounter(`papayatide_repeated_at_owner_total`)
 )
 
-// competingClass returns the request's class if its service is competing, else the zero value.
+// competingClass returns the request's class if its service is contended, else the zero value.
 func (d *Dispatcher) competingClass(req *request) desired.Class {
-	if state := d.views.Load().Desired; state != nil && state.Competing(req.service.Name) {
-		return req.route.ClassFor(req.service.Name)
+	if req.urgency == nil {
+		return desired.Class{}
 	}
-	return desired.Class{}
-}
-
-// hasCompeting reports whether any service is competing.
-func (d *Dispatcher) hasCompeting() bool {
-	state := d.views.Load().Desired
-	for name := range state.Services {
-		if state.Competing(name) {
-			return true
-		}
-	}
-	return false
+	return req.urgency.class
 }
 
 // rejectedWithRoom reports whether an upstream rejected a request without running it although its
@@ -40,7 +29,7 @@
 // Deployments without competing services take every rejection for overload.
 func (d *Dispatcher) rejectedWithRoom(u *catalogue.Upstream, res *upstream.Result, now time.Time) bool {
 	return res.Outcome == upstream.NotRun && !res.Misdirected() && res.Report.Load.HasRoom() &&
-		res.Report.Backoff == 0 && res.Report.RateLimit == 0 && !u.Cold(now) && d.hasCompeting()
+		res.Report.Backoff == 0 && res.Report.RateLimit == 0 && !u.Cold(now) && d.views.Load().Desired.HasCompeting()
 }
 
 // repeatAtOwner reports whether a keyed request whose last attempt was rejectedWithRoom is sent to
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -25,6 +25,7 @@
 		}
 		v.Desired = desired.New(8, routes, v.Desired.Services, v.Desired.Limits)
 	})
+	h.contend()
 }
 
 // The owner of a key rejects a request although its load report shows room. A refusal would cost
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -55,10 +55,11 @@
 	mu        sync.Mutex
 	byService map[string]*scheduling.Service
 	byRoute   map[string]*scheduling.Timeouts
+	mixes     map[string]*scheduling.Mix
 }
 
 func newSchedulers() *schedulers {
-	return &schedulers{byService: map[string]*scheduling.Service{}, byRoute: map[string]*scheduling.Timeouts{}}
+	return &schedulers{byService: map[string]*scheduling.Service{}, byRoute: map[string]*scheduling.Timeouts{}, mixes: map[string]*scheduling.Mix{}}
 }
 
 // service returns the scheduler of the named service.
@@ -73,6 +74,18 @@
 	return sched
 }
 
+// contended counts a request of the class, and reports whether its service is contended.
+func (s *schedulers) contended(class desired.Class, now time.Time) bool {
+	s.mu.Lock()
+	mix := s.mixes[class.Service]
+	if mix == nil {
+		mix = &scheduling.Mix{}
+		s.mixes[class.Service] = mix
+	}
+	s.mu.Unlock()
+	return mix.Record(class, now)
+}
+
 // lost returns the time that a caller of the route has lost, by the timeout that it states.
 func (s *schedulers) lost(route *desired.Route, stated time.Duration) time.Duration {
 	s.mu.Lock()
@@ -86,9 +99,9 @@
 }
 
 // newUrgency returns the urgency of a request to the service with the given value of the
-// timeout header; nil if the service is not competing.
+// timeout header; nil if the service is not competing, or not contended at present.
 func (d *Dispatcher) newUrgency(state *desired.State, route *desired.Route, service, timeoutMs string) *urgency {
-	if !state.Competing(service) {
+	if !state.Competing(service) || !d.schedulers.contended(route.ClassFor(service), time.Now()) {
 		return nil
 	}
 	u := &urgency{class: route.ClassFor(service), mostUrgent: state.Classes(service)[0]}
--- a/internal/dispatch/urgency_test.go
+++ b/internal/dispatch/urgency_test.go
@@ -27,6 +27,19 @@
 	routes := []*desired.Route{route("charge.example", 1, testObjective), route("read.example", 2, 8*testObjective)}
 	services := map[string]*desired.Service{service: {Name: service, Keyed: service == "keyed"}}
 	h.views.Publish(func(v *view.View) { v.Desired = desired.New(8, routes, services, desired.Limits{}) })
+	h.contend()
+}
+
+// contend makes all classes of the competing services frequent.
+func (h *harness) contend() {
+	state := h.views.Load().Desired
+	for service := range state.Services {
+		for _, class := range state.Classes(service) {
+			for range 1000 {
+				h.d.schedulers.contended(class, time.Now())
+			}
+		}
+	}
 }
 
 // class returns the class of a competing route of compete.
