scheduling: urgent requests look at more upstreams, the others less often

A host of a large fleet learns little from its own requests. A payment was refused if it was too late at one of the few upstreams that it looked at, and held browsing requests of all hosts looked every 20 ms until one upstream looked free by the same load data. Change: a new request of the most urgent class looks up to three times before it is refused. The first less urgent waiter looks every 330 ms, as often as load data arrives, and when a request of this host ends.

--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -6,11 +6,20 @@
 	"time"
 )
 
-// pollInterval is how often the first waiter looks for room that no response of this host
-// announced: at upstreams whose requests in flight are other hosts', or whose limiter spaces
-// out requests. It is short against every objective, and 50 looks a second cost a host of 0.12
-// of a core less than a request.
-const pollInterval = 20 * time.Millisecond
+const (
+	// pollInterval is how often the first waiter of the most urgent class looks for room that
+	// no response of this host announced: at upstreams whose requests in flight are other
+	// hosts', or whose limiter spaces out requests. It is short against every objective, and
+	// 50 looks a second cost a host of 0.12 of a core less than a request.
+	pollInterval = 20 * time.Millisecond
+	// lessUrgentPollInterval is that of the less urgent classes, the interval of new load data:
+	// looking more often finds the same upstreams free, to which all hosts then send.
+	lessUrgentPollInterval = 330 * time.Millisecond
+	// maxLooks is how many times a new request of the most urgent class looks for an upstream
+	// that would respond in time before it is refused, each time among a few upstreams. A
+	// returning one looks once: it would be late, and take the room that new ones find.
+	maxLooks = 3
+)
 
 // Place finds and reserves room for one request.
 type Place interface {
@@ -63,13 +72,13 @@
 		now = time.Now()
 		isNext, shareDue := s.turn(w)
 		if isNext || !waited {
-			offer, ok := place.Find(now)
+			offer, what, ok := look(r, place, shareDue, now)
 			if !ok {
 				return Result{Outcome: NoUpstream}
 			}
 			res.ExpectedWait, res.ExpectedWork = wait+offer.Queueing, offer.Work
 			s.setWork(w, offer.Work)
-			switch decide(r, &offer, shareDue, now) {
+			switch what {
 			case refuse:
 				return res
 			case send:
@@ -90,6 +99,24 @@
 	}
 }
 
+// look finds an upstream and decides whether to send the request there; ok is false if there
+// is no upstream.
+func look(r *Request, place Place, shareDue bool, now time.Time) (offer Offer, what decision, ok bool) {
+	looks := 1
+	if !r.LessUrgent() && r.Lost == 0 {
+		looks = maxLooks
+	}
+	for range looks {
+		if offer, ok = place.Find(now); !ok {
+			return offer, refuse, false
+		}
+		if what = decide(r, &offer, shareDue, now); what == send {
+			break
+		}
+	}
+	return offer, what, true
+}
+
 // turn reports whether it is the waiter's turn, and whether the less urgent classes are due
 // their share.
 func (s *Service) turn(w *waiter) (isNext, shareDue bool) {
@@ -133,11 +160,11 @@
 }
 
 // await returns true when the waiter may look for room again: it was signalled, until has
-// come, or it is the first and pollInterval has passed. It returns false when ctx ends.
+// come, or it is the first and its poll interval has passed. It returns false when ctx ends.
 func (s *Service) await(ctx context.Context, w *waiter, until, now time.Time) bool {
 	wait := until.Sub(now)
 	if s.isFirst(w) {
-		wait = min(wait, pollInterval)
+		wait = min(wait, pollIntervalOf(w.request))
 	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
@@ -150,6 +177,13 @@
 	return true
 }
 
+func pollIntervalOf(r *Request) time.Duration {
+	if r.LessUrgent() {
+		return lessUrgentPollInterval
+	}
+	return pollInterval
+}
+
 func (s *Service) isFirst(w *waiter) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
