dispatch, entryhost: gauge of requests that wait in a service's queue

Cause: the length of the queue across a service's upstreams was not visible. Change: papayatide_competing_requests_waiting by service. The test of the order at a key's owner waits for the limiter's state instead of fixed times.

--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -78,6 +78,17 @@
 	return sched
 }
 
+// SchedulingQueues returns the number of waiting requests of each unkeyed competing service.
+func (d *Dispatcher) SchedulingQueues() map[string]int {
+	d.schedulers.mu.Lock()
+	defer d.schedulers.mu.Unlock()
+	out := make(map[string]int, len(d.schedulers.byService))
+	for name, s := range d.schedulers.byService {
+		out[name] = s.Waiting()
+	}
+	return out
+}
+
 // lost returns the time that a caller of the route has lost, by the timeout that it states.
 func (s *schedulers) lost(route *desired.Route, stated time.Duration) time.Duration {
 	s.mu.Lock()
--- a/internal/dispatch/urgency_test.go
+++ b/internal/dispatch/urgency_test.go
@@ -95,16 +95,25 @@
 // While the owner of a key is busy, a less urgent request for it waits. An urgent one that
 // arrives later must be sent first.
 func TestUrgentRequestGoesFirstAtTheOwner(t *testing.T) {
-	owner := startUpstream(t, slowEcho)
+	release := make(chan struct{})
+	owner := startUpstream(t, func(w io.Writer, c net.Conn, r *http.Request, number int64) bool {
+		if number == 1 {
+			<-release
+		}
+		return echo(w, c, r, number)
+	})
 	h := newHarness(t, newUpstream("u1", "keyed", owner))
 	h.competeFor("keyed")
 	h.limitToOneInFlight()
 	h.setOwner("u1", 5)
 	done := make(chan response)
-	for _, r := range []struct{ host, id string }{{"charge.example", "r1"}, {"read.example", "r2"}, {"charge.example", "r3"}} {
+	for i, r := range []struct{ host, id string }{{"charge.example", "r1"}, {"read.example", "r2"}, {"charge.example", "r3"}} {
 		go func() { done <- h.get(r.host, r.id) }()
-		time.Sleep(testObjective / 20)
+		for s := h.d.picker.Limiter("u1").State(); s.InFlight+s.Waiting <= i; s = h.d.picker.Limiter("u1").State() {
+			time.Sleep(time.Millisecond)
+		}
 	}
+	close(release)
 	var order []string
 	for range 3 {
 		resp := <-done
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -43,6 +43,9 @@
 	for service, left := range h.budget.Remaining(now) {
 		metrics.WriteGaugeFloat64(w, `papayatide_repeats_left{service="`+service+`"}`, left)
 	}
+	for service, waiting := range h.dispatch.SchedulingQueues() {
+		metrics.WriteGaugeUint64(w, `papayatide_competing_requests_waiting{service="`+service+`"}`, uint64(waiting))
+	}
 }
 
 func boolToUint64(b bool) uint64 {
