--- a/internal/retryafter/schedule_test.go
+++ b/internal/retryafter/schedule_test.go
@@ -1,7 +1,6 @@
 package retryafter
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -29,18 +28,6 @@
 	returned  bool
 }
 
-type arrivals []arrival
-
-func (a arrivals) Len() int           { return len(a) }
-func (a arrivals) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a arrivals) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *arrivals) Push(x any)        { *a = append(*a, x.(arrival)) }
-func (a *arrivals) Pop() any {
-	last := len(*a) - 1
-	defer func() { *a = (*a)[:last] }()
-	return (*a)[last]
-}
-
 // outcomes counts what callers got: served at once, refused and then served in time or late,
 // refused twice.
 type outcomes struct{ atOnce, inTime, late, refusedAgain int }
@@ -49,26 +36,30 @@
 // refuse what would queue longer than simQueue. Callers return once, to any host, after at
 // most a third of the time they have left.
 func simulate(demand func(time.Duration) float64, wait func(s *Schedule, queueing, left time.Duration, now time.Time) time.Duration) (o outcomes) {
-	rng := rand.New(rand.NewPCG(1, 2))
+	demanded, routed := rand.New(rand.NewPCG(1, 2)), rand.New(rand.NewPCG(1, 3)) // the demand is the same in all runs
 	var hosts [simHosts]*Schedule
 	var freeAt [simHosts]time.Time
 	for i := range hosts {
 		hosts[i] = New()
 	}
-	var queue arrivals
-	for t := time.Duration(0); t < 30*time.Second; t += time.Duration(rng.ExpFloat64() / demand(t) * float64(time.Second)) {
-		queue = append(queue, arrival{at: simStart.Add(t), first: simStart.Add(t)})
-	}
-	for len(queue) > 0 {
-		a := heap.Pop(&queue).(arrival)
-		h, left := rng.IntN(simHosts), simTimeout-a.at.Sub(a.first)
+	var returning []arrival // in order
+	end := simStart.Add(30 * time.Second)
+	for at := simStart; at.Before(end) || len(returning) > 0; {
+		a := arrival{at: at, first: at}
+		if len(returning) > 0 && (returning[0].at.Before(at) || !at.Before(end)) {
+			a, returning = returning[0], returning[1:]
+		} else {
+			at = at.Add(time.Duration(demanded.ExpFloat64() / demand(at.Sub(simStart)) * float64(time.Second)))
+		}
+		h, left := routed.IntN(simHosts), simTimeout-a.at.Sub(a.first)
 		freeAt[h] = later(freeAt[h], a.at)
 		switch queueing := freeAt[h].Sub(a.at); {
 		case queueing > simQueue && a.returned:
 			o.refusedAgain++
 		case queueing > simQueue:
-			pause := min(wait(hosts[h], queueing-simQueue, left, a.at), left/3)
-			heap.Push(&queue, arrival{at: a.at.Add(pause), first: a.first, returned: true})
+			a.at, a.returned = a.at.Add(min(wait(hosts[h], queueing-simQueue, left, a.at), left/3)), true
+			i, _ := slices.BinarySearchFunc(returning, a, func(x, y arrival) int { return x.at.Compare(y.at) })
+			returning = slices.Insert(returning, i, a)
 		default:
 			hosts[h].Admitted(simClass, a.at)
 			freeAt[h] = freeAt[h].Add(time.Duration(float64(time.Second) * simHosts / simCapacity))
