dispatch: reserve memory for request bodies before reading them

Cause: the bodies that a host buffers, up to 256 KB each, had no bound on their total. A host with 144 MB runs out of memory when uploads queue. Change: readBody moves to bodies.go. Where the desired state's largest body times the requests that the host may have in flight exceeds an eighth of its memory, a body reserves its Content-Length, or growing steps if it is chunked, before it is read. Without room the request is refused with 503 as not run; the connection is closed if more than 64 KB of the body are unread. The reservation ends with the request. Other deployments pay a few comparisons per request with a body.

--- /dev/null
+++ b/internal/dispatch/bodies_test.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/view"
+)
+
+// limitBodies gives the host a budget of 128 KB, and bodies of at most largest bytes.
+func (h *harness) limitBodies(t *testing.T, largest int64) {
+	t.Helper()
+	h.d.SetMemory(1)
+	h.views.Publish(func(v *view.View) {
+		state := *v.Desired
+		state.Limits = desired.Limits{BodyBytes: largest}
+		v.Desired = &state
+	})
+	h.front.Close()
+	h.front = httptest.NewUnstartedServer(h.d)
+	h.front.Config.ConnContext = WithCaller
+	h.front.Start()
+	t.Cleanup(h.front.Close)
+}
+
+// fillBudget leaves the host room for n bytes of bodies.
+func (h *harness) fillBudget(t *testing.T, n int64) {
+	t.Helper()
+	r := h.d.bodies.host.Reserve()
+	if !r.Grow(h.d.bodies.host.Limit() - n) {
+		t.Fatal("budget in use")
+	}
+	t.Cleanup(r.Release)
+}
+
+// caller is a caller's connection, on which a test sends a body piece by piece.
+type caller struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+// startPost sends the head of a request with a body of length bytes (-1: chunked) and its first part.
+func (h *harness) startPost(t *testing.T, host, id string, length int, part string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp4", h.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	caller := &caller{c, bufio.NewReader(c)}
+	caller.post(t, host, id, length, part)
+	return caller
+}
+
+func (c *caller) post(t *testing.T, host, id string, length int, part string) {
+	t.Helper()
+	framing := fmt.Sprintf("Content-Length: %d", length)
+	if length < 0 {
+		framing = "Transfer-Encoding: chunked"
+	}
+	if _, err := fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: %s\r\nX-Id: %s\r\nX-Key: 77\r\nX-Timeout-Ms: 5000\r\n%s\r\n\r\n%s", host, id, framing, part); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer reads the response and returns how long it took.
+func (c *caller) answer(t *testing.T) (response, time.Duration) {
+	t.Helper()
+	start := time.Now()
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		t.Fatalf("no response after %v: %v", time.Since(start), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if resp.Close {
+		resp.Header.Set("Connection", "close")
+	}
+	return response{resp.StatusCode, string(data), resp.Header, err}, time.Since(start)
+}
+
+// wantBudgetFree ends the test unless all bytes are given back shortly.
+func (h *harness) wantBudgetFree(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		inUse, _ := h.d.BodyBytes()
+		if inUse == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes in use after all requests have ended", inUse)
+		}
+	}
+}
+
+// The host has no room for a body. It must refuse the request before the body arrives, with a status
+// which guarantees that the request has not run, and must not read a long rest of the body.
+func TestBodyWithoutRoomIsRefusedBeforeItIsRead(t *testing.T) {
+	f := startUpstream(t, echo)
+	h := newHarness(t, newUpstream("u1", "plain", f))
+	h.limitBodies(t, 200<<10)
+	h.fillBudget(t, 1000)
+	c := h.startPost(t, "charge.example", "r1", 100<<10, "")
+	resp, took := c.answer(t)
+	resp.want(t, http.StatusServiceUnavailable, string(CauseNoBodyRoom)+"\n")
+	if resp.header.Get("Retry-After") == "" || resp.header.Get("Connection") != "close" || took > testObjective {
+		t.Errorf("headers %v after %v", resp.header, took)
+	}
+	c = h.startPost(t, "charge.example", "r2", 32<<10, strings.Repeat("x", 32<<10))
+	resp, _ = c.answer(t)
+	resp.want(t, http.StatusServiceUnavailable, "")
+	if resp.header.Get("Connection") == "close" {
+		t.Error("the connection was closed instead of reading 32 KB")
+	}
+	c.post(t, "charge.example", "r3", 900, strings.Repeat("x", 900))
+	resp, _ = c.answer(t)
+	resp.want(t, http.StatusOK, "answer to r3")
+	if n := f.requestCount.Load(); n != 1 {
+		t.Errorf("%d requests sent", n)
+	}
+}
+
+// Bodies of stated and of unknown length reserve what they hold while they are in flight, and give
+// it back after any end of the request. A leak would have the host refuse all bodies in the end.
+func TestBodiesReserveWhatTheyHold(t *testing.T) {
+	release := make(chan struct{})
+	f := startUpstream(t, func(w io.Writer, c net.Conn, r *http.Request, n int64) bool {
+		<-release
+		return echo(w, c, r, n)
+	})
+	h := newHarness(t, newUpstream("u1", "plain", f))
+	h.limitBodies(t, 200<<10)
+	body := strings.Repeat("x", 20<<10)
+	done := make(chan response, 2)
+	go func() { done <- h.callBody(t.Context(), "POST", "charge.example", "r1", strings.NewReader(body)) }()
+	go func() {
+		done <- h.callBody(t.Context(), "POST", "charge.example", "r2", io.MultiReader(strings.NewReader(body)))
+	}()
+	for range 2 {
+		if r := <-f.received; r.Body == nil {
+			t.Fatal("no body")
+		}
+	}
+	if inUse, _ := h.d.BodyBytes(); inUse != 20<<10+32<<10 {
+		t.Errorf("%d bytes in use", inUse)
+	}
+	close(release)
+	for range 2 {
+		(<-done).want(t, 200, "")
+	}
+	h.wantBudgetFree(t)
+	_ = h.startPost(t, "charge.example", "r3", 1000, "part").Close()
+	h.startPost(t, "nowhere.example", "r4", 1000, "part")
+	h.wantBudgetFree(t)
+}
+
+// A deployment whose bodies fit the host's budget anyway, and one whose desired state states no
+// largest body, are served without reservations.
+func TestBodiesAreNotLimitedWhereTheyFit(t *testing.T) {
+	f := startUpstream(t, echo)
+	h := newHarness(t, newUpstream("u1", "plain", f))
+	for _, largest := range []int64{0, 1000} {
+		h.limitBodies(t, largest)
+		h.fillBudget(t, 0)
+		h.post("charge.example", "r1").want(t, 200, "")
+	}
+	h.limitBodies(t, 200<<10)
+	h.fillBudget(t, 0)
+	h.post("charge.example", "r2").want(t, 503, "")
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,7 @@
 	shutdown              *shutdown
 	crashes               *crashes.Tracker
 	unresolvedBrokenSends unresolvedBrokenSendList
+	bodies                bodyBudgets
 	// feedback holds what upstreams report in response headers; rateLimiter
 	// enforces the rate limits that they report.
 	feedback    *feedback.Tracker
@@ -141,7 +142,10 @@
 		ctx, cancel := d.shutdown.requestContext(r.Context(), req.deadline)
 		res, refusal = d.forward(ctx, req, summary)
 		cancel()
+	}
+	if req != nil {
 		summary.setRequest(req)
+		req.finishBody(w.Header())
 	}
 	v := d.views.Load()
 	summary.ViewAge = time.Since(v.UpdatedAt)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,10 +1,7 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,10 +14,6 @@
 	"github.com/papayatide/papayatide/internal/upstream"
 )
 
-// maxBufferedBodyBytes is the size of the largest request body that is buffered, so
-// that the request can be retried. Larger bodies are streamed and sent once.
-const maxBufferedBodyBytes = 256 << 10
-
 // request is one caller's request and the progress of forwarding it.
 type request struct {
 	outbound *upstream.Request
@@ -37,8 +30,10 @@
 	// fingerprintBody is the part of the body that goes into the fingerprint: all of
 	// a buffered body, the first streamFingerprintBytes of a streamed one.
 	fingerprintBody []byte
-	arrived         time.Time
-	deadline        time.Time
+	// body is what the body holds of the budgets; nil if it is not limited or empty.
+	body     *limitedBody
+	arrived  time.Time
+	deadline time.Time
 	// attempts counts the attempts of which the upstream may have received a part,
 	// unsentAttempts those of which no byte left this host.
 	attempts, unsentAttempts int
@@ -88,7 +83,8 @@
 }
 
 // parseRequest matches the route, sets the deadline and reads the body. It returns a
-// refusal if the request cannot be served.
+// refusal if the request cannot be served, together with the request if that is because of its body
+// and the body is limited.
 func (d *Dispatcher) parseRequest(r *http.Request, arrived time.Time) (*request, *Refusal) {
 	state := d.views.Load().Desired
 	if state == nil {
@@ -118,48 +114,11 @@
 	}
 	req.outbound = &upstream.Request{ID: r.Header.Get(d.headers.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: endToEndHeaders(r.Header)}
-	if err := req.readBody(r); err != nil {
-		return nil, refusalWithStatus(CauseBadRequest, http.StatusBadRequest)
-	}
-	return req, nil
-}
-
-// streamFingerprintBytes is how much of a streamed body goes into the fingerprint.
-// The body's length does not: a caller may state it in one attempt and send chunks
-// in the next.
-const streamFingerprintBytes = 64 << 10
-
-// readBody buffers a body of up to maxBufferedBodyBytes and streams a larger one.
-func (req *request) readBody(r *http.Request) error {
-	outbound := req.outbound
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	if r.ContentLength > maxBufferedBodyBytes {
-		req.fingerprintBody = make([]byte, streamFingerprintBytes)
-		if _, err := io.ReadFull(r.Body, req.fingerprintBody); err != nil {
-			return err
-		}
-		outbound.Stream, outbound.Length = io.MultiReader(bytes.NewReader(req.fingerprintBody), r.Body), r.ContentLength
-		return nil
-	}
-	head, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBodyBytes))
-	if err != nil {
-		return err
-	}
-	req.fingerprintBody = head
-	var next [1]byte
-	n, err := r.Body.Read(next[:])
-	switch {
-	case n > 0:
-		req.fingerprintBody = head[:streamFingerprintBytes]
-		outbound.Stream, outbound.Length = io.MultiReader(bytes.NewReader(head), bytes.NewReader(next[:n]), r.Body), -1
-	case err == nil || errors.Is(err, io.EOF):
-		outbound.Body = head
-	default:
-		return err
+	refusal := d.readBody(req, r)
+	if refusal != nil && req.body == nil {
+		return nil, refusal
 	}
-	return nil
+	return req, refusal
 }
 
 // hopByHopHeaders concern a single connection and are not forwarded.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -191,6 +191,7 @@
 		ratelimit.NewLimiter(reportedLimitBounds, h.requestPermits))
 	h.dispatch.OnRequestDone, h.dispatch.OnBrokenSend = h.onRequestDone, h.onBrokenSend
 	h.dispatch.Reachability.OnChange = h.onReachabilityChange
+	h.dispatch.SetMemory(cfg.MemoryMB)
 	h.dispatch.SlowStartBounds = ratelimit.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack, Window: slowStartWindow}
 	h.controller.retirer = h.peers
 	h.controller.elector.fleetSize = func() int { return h.fleet.Size(time.Now()) }
