dispatch: bound the bytes of bodies at each upstream, stream before refusing

Cause: an upstream that holds too many bytes of requests crashes, and bodies of more than 256 KB are streamed to it without any bound. A host without room for a body refused requests that it could have streamed. Change: a host may have in flight at an upstream its slots and a queue of equal length times the largest body, divided among the hosts, but at least two of the largest bodies. A request without room there goes to another upstream, up to three, or is refused with 503 as not run; a keyed one is refused. A body without room at the host is streamed, and its fingerprint computed while it passes. Once a request has crashed an upstream the fingerprint is needed before the send, and such a body is refused.

--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -88,3 +88,44 @@
 
 // Bytes returns the number of reserved bytes.
 func (r *Reservation) Bytes() int64 { return r.bytes }
+
+// Upstreams counts the bytes of the requests that a host has in flight at each upstream. It is safe
+// for concurrent use.
+type Upstreams struct {
+	mu    sync.Mutex
+	inUse map[string]int64
+}
+
+// NewUpstreams returns an Upstreams with nothing in flight.
+func NewUpstreams() *Upstreams { return &Upstreams{inUse: map[string]int64{}} }
+
+// Take counts n bytes at the upstream id. It counts nothing and returns false if that would exceed
+// limit. The limit is passed each time because it follows the number of hosts.
+func (u *Upstreams) Take(id string, n, limit int64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if n > limit-u.inUse[id] {
+		return false
+	}
+	u.inUse[id] += n
+	return true
+}
+
+// Give ends the counting of n bytes at the upstream id.
+func (u *Upstreams) Give(id string, n int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.inUse[id] -= n; u.inUse[id] <= 0 {
+		delete(u.inUse, id)
+	}
+}
+
+// InUse returns the bytes in flight at all upstreams.
+func (u *Upstreams) InUse() (sum int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, n := range u.inUse {
+		sum += n
+	}
+	return sum
+}
--- a/internal/bodybudget/budget_test.go
+++ b/internal/bodybudget/budget_test.go
@@ -69,3 +69,17 @@
 		t.Error("Needed")
 	}
 }
+
+// Upstreams must not share room, a limit that falls with a growing fleet must hold at once, and an
+// upstream without requests must leave no entry behind: IDs change with each restart.
+func TestUpstreamsAreCountedSeparately(t *testing.T) {
+	u := NewUpstreams()
+	if !u.Take("a", 60, 100) || u.Take("a", 41, 100) || u.Take("a", 1, 50) || !u.Take("b", 100, 100) {
+		t.Errorf("in use %v", u.inUse)
+	}
+	u.Give("a", 60)
+	u.Give("b", 100)
+	if u.InUse() != 0 || len(u.inUse) != 0 {
+		t.Errorf("left %v", u.inUse)
+	}
+}
--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/papayatide/papayatide/internal/bodybudget"
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -30,16 +29,16 @@
 	// maxDiscardedBytes is how much of an unread body is read and discarded to keep the caller's
 	// connection. Reading more costs more than a new connection.
 	maxDiscardedBytes = 64 << 10
-	// discardTimeout bounds the wait for the rest of a body that is discarded: net/http reads it
-	// before it sends the response.
-	discardTimeout = time.Second
 )
 
 // bodyBudgets bounds the memory that request bodies use.
 type bodyBudgets struct {
 	// host is nil if the host's memory is not known. Nothing is limited then.
-	host *bodybudget.Budget
-	need atomic.Pointer[bodyNeed]
+	host      *bodybudget.Budget
+	upstreams *bodybudget.Upstreams
+	need      atomic.Pointer[bodyNeed]
+	// streamed counts the bodies that were streamed because the host's budget had no room.
+	streamed atomic.Int64
 }
 
 // bodyNeed is whether bodies are limited, and what that was derived from.
@@ -52,15 +51,25 @@
 // SetMemory derives the budget for buffered bodies from the host's memory. Call it before the
 // first request; without it bodies are not limited.
 func (d *Dispatcher) SetMemory(memoryMB int) {
-	d.bodies.host = bodybudget.New(bodybudget.HostLimit(memoryMB))
+	d.bodies.host, d.bodies.upstreams = bodybudget.New(bodybudget.HostLimit(memoryMB)), bodybudget.NewUpstreams()
 }
 
-// BodyBytes returns how many bytes bodies have reserved of the host's budget, and its size.
-func (d *Dispatcher) BodyBytes() (inUse, limit int64) {
-	if d.bodies.host == nil {
-		return 0, 0
+// BodyStats describes the bodies of the requests in flight, as far as they are limited.
+type BodyStats struct {
+	// HostBytes are reserved of the host's budget of HostLimit bytes. UpstreamBytes are in flight
+	// at upstreams.
+	HostBytes, HostLimit, UpstreamBytes int64
+	// Streamed counts the bodies that were streamed because the host's budget had no room.
+	Streamed int64
+}
+
+// BodyStats returns the present figures.
+func (d *Dispatcher) BodyStats() BodyStats {
+	b := &d.bodies
+	if b.host == nil {
+		return BodyStats{}
 	}
-	return d.bodies.host.InUse(), d.bodies.host.Limit()
+	return BodyStats{HostBytes: b.host.InUse(), HostLimit: b.host.Limit(), UpstreamBytes: b.upstreams.InUse(), Streamed: b.streamed.Load()}
 }
 
 // limitsBodies reports whether the bodies of all requests that this host may have in flight can
@@ -141,18 +150,26 @@
 type limitedBody struct {
 	reader    *callerBody
 	hostBytes *bodybudget.Reservation
+	// largest is the desired state's largest body.
+	largest int64
+	// upstream is where upstreamBytes are counted; empty if none are.
+	upstream      string
+	upstreamBytes int64
+	// fullUpstreams counts the upstreams that had no room for the body.
+	fullUpstreams int
 }
 
 var errNoBodyRoom = errors.New("no room for the body")
 
 // readLimitedBody reserves room for the body and reads it.
 func (d *Dispatcher) readLimitedBody(req *request, r *http.Request) *Refusal {
-	body := &limitedBody{reader: &callerBody{source: r.Body, conn: req.callerConn, left: r.ContentLength, deadline: req.deadline}, hostBytes: d.bodies.host.Reserve()}
+	body := &limitedBody{reader: &callerBody{source: r.Body, conn: req.callerConn, left: r.ContentLength, deadline: req.deadline}, hostBytes: d.bodies.host.Reserve(),
+		largest: d.views.Load().Desired.Limits.BodyBytes}
 	req.body = body
 	var err error
 	switch {
 	case r.ContentLength < 0:
-		err = req.readChunkedBody()
+		err = d.readChunkedBody(req)
 	case r.ContentLength > maxBufferedBodyBytes:
 		if req.fingerprintBody, err = body.read(streamFingerprintBytes); err == nil {
 			req.outbound.Stream, req.outbound.Length = io.MultiReader(bytes.NewReader(req.fingerprintBody), body.reader), r.ContentLength
@@ -161,6 +178,9 @@
 		req.outbound.Body, err = body.read(r.ContentLength)
 		req.fingerprintBody = req.outbound.Body
 	}
+	if errors.Is(err, errNoBodyRoom) && r.ContentLength >= 0 && d.streamForRoom(req, nil, r.ContentLength) {
+		return nil
+	}
 	switch {
 	case err == nil:
 		return nil
@@ -183,12 +203,15 @@
 }
 
 // readChunkedBody reads a body of unknown length, and reserves room for it in steps.
-func (req *request) readChunkedBody() error {
+func (d *Dispatcher) readChunkedBody(req *request) error {
 	body := req.body
 	var head []byte
 	for len(head) < maxBufferedBodyBytes {
 		step := max(len(head), firstChunkedBytes)
 		if !body.hostBytes.Grow(int64(step)) {
+			if d.streamForRoom(req, head, -1) {
+				return nil
+			}
 			return errNoBodyRoom
 		}
 		grown := make([]byte, len(head)+step)
@@ -207,92 +230,99 @@
 	return nil
 }
 
-// finishBody gives back what the request holds of the budgets. If a part of the body is unread,
-// it sees to it that the rest does not delay the response: a rest of up to maxDiscardedBytes is
-// read for discardTimeout at most, otherwise the caller's connection is closed.
-func (req *request) finishBody(h http.Header) {
-	body := req.body
-	if body == nil {
-		return
-	}
-	body.hostBytes.Release()
-	if ended, left := body.reader.finish(); !ended && (left < 0 || left > maxDiscardedBytes || req.outbound.Stream != nil) {
-		h.Set("Connection", "close")
+// streamForRoom has the body streamed because the host's budget has no room for the rest of it; head
+// is what has been read. It returns false if the fingerprint is needed before the request is sent,
+// to see whether the request crashes its upstream, which takes as many bytes of the body.
+func (d *Dispatcher) streamForRoom(req *request, head []byte, length int64) bool {
+	reader := req.body.reader
+	if len(head) >= streamFingerprintBytes {
+		req.fingerprintBody = head[:streamFingerprintBytes]
+	} else if d.crashes.HasCrashes() {
+		return false
+	} else {
+		reader.startDigest(head)
 	}
+	req.outbound.Body = nil
+	req.outbound.Stream, req.outbound.Length = io.MultiReader(bytes.NewReader(head), reader), length
+	d.bodies.streamed.Add(1)
+	return true
 }
 
-var errBodyFinished = errors.New("read of a body after the end of its request")
+// streamedFingerprint returns the fingerprint of a request whose body is streamed without keeping its
+// beginning. Until the beginning has been read, it is one that no other request has: the fingerprint
+// of less of the body could be that of another request.
+func (req *request) streamedFingerprint(r crashes.Request) crashes.Fingerprint {
+	body, final := req.body.reader.fingerprintBody()
+	if !final {
+		r.Body = []byte("unread body of " + req.outbound.ID)
+		return r.Fingerprint()
+	}
+	r.Body = body
+	req.cachedFingerprint = r.Fingerprint()
+	return req.cachedFingerprint
+}
 
-// callerBody reads a request's body from its caller.
-type callerBody struct {
-	source io.Reader
-	// conn is the caller's connection; nil if it is not known, and reads have no deadline then.
-	conn net.Conn
-	// deadline is that of the request.
-	deadline time.Time
-	// reading is held during a read of source.
-	reading sync.Mutex
+// hasDigest reports whether the request's fingerprint is computed while its body is streamed.
+func (req *request) hasDigest() bool { return req.body != nil && req.body.reader.digest != nil }
 
-	mu sync.Mutex
-	// left is the length of the part that is unread, or -1 if it is not known.
-	left            int64
-	ended, finished bool
-}
+// maxFullUpstreams bounds how many upstreams are tried for room for a body, so that the work per
+// request does not grow with their number.
+const maxFullUpstreams = 3
 
-// Read implements io.Reader.
-func (b *callerBody) Read(p []byte) (int, error) {
-	b.reading.Lock()
-	defer b.reading.Unlock()
-	b.mu.Lock()
-	if b.finished {
-		b.mu.Unlock()
-		return 0, errBodyFinished
+// reserveAtUpstream counts the request's body at the upstream. If that has no room, it returns a
+// refusal, or nil if another upstream is to be chosen.
+func (d *Dispatcher) reserveAtUpstream(req *request, u *catalogue.Upstream) (ok bool, refusal *Refusal) {
+	body := req.body
+	if body == nil {
+		return true, nil
 	}
-	b.setReadDeadline(b.deadline)
-	b.mu.Unlock()
-	n, err := b.source.Read(p)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.left >= 0 {
-		b.left -= int64(n)
+	n := int64(len(req.outbound.Body))
+	if req.outbound.Stream != nil {
+		if n = req.outbound.Length; n < 0 {
+			n = body.largest
+		}
 	}
-	b.ended = b.ended || errors.Is(err, io.EOF)
-	if !b.finished {
-		b.setReadDeadline(time.Time{}) // net/http reads on while the request is in flight
+	limit := bodybudget.UpstreamLimit(u.Slots, int(d.hostCount.Load()), body.largest)
+	n = min(n, limit) // a body beyond the stated largest would otherwise never be sent
+	if d.bodies.upstreams.Take(u.ID, n, limit) {
+		body.upstream, body.upstreamBytes = u.ID, n
+		return true, nil
 	}
-	return n, err
+	body.fullUpstreams++
+	if req.key >= 0 || req.attempts > 0 || body.fullUpstreams >= maxFullUpstreams {
+		return false, req.bodyRefusal()
+	}
+	req.attempted = append(req.attempted, u.ID)
+	return false, nil
 }
 
-func (b *callerBody) setReadDeadline(t time.Time) {
-	if b.conn != nil {
-		_ = b.conn.SetReadDeadline(t) // fails only on a closed connection
+// releaseAtUpstream ends the counting of the request's body at its upstream.
+func (d *Dispatcher) releaseAtUpstream(req *request) {
+	if body := req.body; body != nil && body.upstream != "" {
+		d.bodies.upstreams.Give(body.upstream, body.upstreamBytes)
+		body.upstream = ""
 	}
 }
 
-// hasEnded reports whether the whole body has been read.
-func (b *callerBody) hasEnded() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.ended
+// bodyRefusal returns the refusal of a request for whose body no upstream has room.
+func (req *request) bodyRefusal() *Refusal {
+	return req.refusal(CauseUpstreamBodies, req.retryAfterOverloaded())
 }
 
-// finish ends a read in progress and prevents further ones. It returns whether the whole body has
-// been read, and the length of the rest, -1 if that is not known.
-func (b *callerBody) finish() (ended bool, left int64) {
-	b.mu.Lock()
-	b.finished = true
-	if !b.ended {
-		b.setReadDeadline(time.Now())
-	}
-	b.mu.Unlock()
-	if b.conn != nil {
-		b.reading.Lock() // net/http would wait for the read before it writes the response
-		defer b.reading.Unlock()
+// upstreamsFull reports whether upstreams had no room for the request's body.
+func (req *request) upstreamsFull() bool { return req.body != nil && req.body.fullUpstreams > 0 }
+
+// finishBody gives back what the request holds of the budgets. If a part of the body is unread,
+// it sees to it that the rest does not delay the response: a rest of up to maxDiscardedBytes is
+// read for discardTimeout at most, otherwise the caller's connection is closed.
+func (req *request) finishBody(h http.Header) {
+	body := req.body
+	if body == nil {
+		return
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.ended && b.left >= 0 && b.left <= maxDiscardedBytes {
-		b.setReadDeadline(time.Now().Add(discardTimeout))
+	body.hostBytes.Release()
+	streamedTo := req.outbound.Stream != nil && req.lastUpstream != ""
+	if ended, left := body.reader.finish(); !ended && (left < 0 || left > maxDiscardedBytes || streamedTo) {
+		h.Set("Connection", "close")
 	}
-	return b.ended, b.left
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -244,6 +244,9 @@
 // noRetryRefusal returns the refusal of a request whose last attempt failed and that
 // is not retried.
 func (req *request) noRetryRefusal() *Refusal {
+	if req.attempts == 0 && req.upstreamsFull() {
+		return req.bodyRefusal()
+	}
 	if req.attempts == 0 {
 		return req.refusal(CauseUnreachable, req.retryAfterOverloaded())
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -47,6 +47,7 @@
 			return nil, d.notAdmittedRefusal(ctx, req)
 		}
 		if ok, refusal := d.permitSend(ctx, req, u); !ok {
+			d.releaseAtUpstream(req)
 			ticket.Done(admission.NoSignal, 0)
 			if refusal != nil {
 				return nil, refusal
@@ -72,6 +73,9 @@
 	if d.upstreamChanged(req, u) || d.refusedForUnlessTrial(req) > 0 {
 		return false, nil
 	}
+	if ok, refusal := d.reserveAtUpstream(req, u); !ok {
+		return false, refusal
+	}
 	if now := time.Now(); !d.picker.TakeSlowStartPermit(u, d.slowStart(req.service), now) {
 		return false, req.ifKeyed(req.coldRefusal(u, now))
 	}
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -19,6 +19,7 @@
 	CauseNoOwner            Cause = "nobody owns the key at the moment"
 	CauseOverloaded         Cause = "upstreams have no room"
 	CauseNoBodyRoom         Cause = "no memory left for the request's body"
+	CauseUpstreamBodies     Cause = "too many bytes of bodies at the upstream"
 	CauseMoved              Cause = "the key is changing hands"
 	CauseCold               Cause = "upstream has just started and can bear no more yet"
 	CauseRateLimited        Cause = "upstream has reached the rate limit that it reports"
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -60,7 +60,11 @@
 // nearly all requests finish without it.
 func (req *request) fingerprint() crashes.Fingerprint {
 	if req.cachedFingerprint == "" {
-		req.cachedFingerprint = crashes.Request{Method: req.outbound.Method, Host: req.outbound.Host, URI: req.outbound.URI, Key: req.key, Body: req.fingerprintBody}.Fingerprint()
+		r := crashes.Request{Method: req.outbound.Method, Host: req.outbound.Host, URI: req.outbound.URI, Key: req.key, Body: req.fingerprintBody}
+		if req.hasDigest() {
+			return req.streamedFingerprint(r)
+		}
+		req.cachedFingerprint = r.Fingerprint()
 	}
 	return req.cachedFingerprint
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -20,6 +20,7 @@
 	endSend := d.startSend(u, start)
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
 	endSend(res)
+	d.releaseAtUpstream(req)
 	took := time.Since(start)
 	outcome := sendOutcome(ctx, res)
 	now := time.Now()
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -41,9 +41,11 @@
 	metrics.WriteGaugeUint64(w, "papayatide_upstreams_limited", uint64(limited))
 	metrics.WriteGaugeUint64(w, "papayatide_upstreams_reported_leaving", uint64(leaving))
 	metrics.WriteGaugeUint64(w, "papayatide_data_centres_unreachable", uint64(h.dispatch.Reachability.Unreachable()))
-	bodyBytes, bodyLimit := h.dispatch.BodyBytes()
-	metrics.WriteGaugeUint64(w, "papayatide_body_bytes", uint64(bodyBytes))
-	metrics.WriteGaugeUint64(w, "papayatide_body_bytes_limit", uint64(bodyLimit))
+	bodies := h.dispatch.BodyStats()
+	metrics.WriteGaugeUint64(w, "papayatide_body_bytes", uint64(bodies.HostBytes))
+	metrics.WriteGaugeUint64(w, "papayatide_body_bytes_limit", uint64(bodies.HostLimit))
+	metrics.WriteGaugeUint64(w, "papayatide_body_bytes_at_upstreams", uint64(bodies.UpstreamBytes))
+	metrics.WriteCounterUint64(w, "papayatide_bodies_streamed_for_room_total", uint64(bodies.Streamed))
 	for service, left := range h.budget.Remaining(now) {
 		metrics.WriteGaugeFloat64(w, `papayatide_repeats_left{service="`+service+`"}`, left)
 	}
