dispatch: end the attempt of a caller that stops sending a streamed body

Change: a read of a streamed body that brings nothing for 1 s is ended. net/http then cancels the request's context, which resets the connection to the upstream; the caller gets 502 and the upstream is not blamed. Bytes that wait in the socket do not count as a stall: then this host was stalled.

--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -179,10 +179,11 @@
 		req.fingerprintBody = req.outbound.Body
 	}
 	if errors.Is(err, errNoBodyRoom) && r.ContentLength >= 0 && d.streamForRoom(req, nil, r.ContentLength) {
-		return nil
+		err = nil
 	}
 	switch {
 	case err == nil:
+		body.reader.startStreaming()
 		return nil
 	case errors.Is(err, errNoBodyRoom):
 		return req.refusal(CauseNoBodyRoom, req.retryAfterOverloaded())
@@ -309,6 +310,14 @@
 	return req.refusal(CauseUpstreamBodies, req.retryAfterOverloaded())
 }
 
+// callerGoneCause returns why the request's context was canceled, if this host is not stopping.
+func (req *request) callerGoneCause() Cause {
+	if req.body != nil && req.body.reader.hasStalled() {
+		return CauseCallerStalled
+	}
+	return CauseCallerDisconnected
+}
+
 // upstreamsFull reports whether upstreams had no room for the request's body.
 func (req *request) upstreamsFull() bool { return req.body != nil && req.body.fullUpstreams > 0 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -285,7 +285,7 @@
 	notRunCause, mayHaveRunCause := CauseTimeoutUnsent, CauseTimeout
 	if errors.Is(ctx.Err(), context.Canceled) {
 		if !d.shutdown.stopped() {
-			return refusalWithStatus(CauseCallerDisconnected, http.StatusBadGateway)
+			return refusalWithStatus(req.callerGoneCause(), http.StatusBadGateway)
 		}
 		notRunCause, mayHaveRunCause = CauseStopping, CauseStopping
 	}
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -32,6 +32,7 @@
 	CauseSuspect            Cause = "a server ended while it ran this request; one at a time is tried"
 	CauseStopping           Cause = "this host stops"
 	CauseCallerDisconnected Cause = "caller left"
+	CauseCallerStalled      Cause = "caller stopped sending the body"
 )
 
 // Refusal is a final response that this host writes itself.
