--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -25,6 +25,8 @@
 	Prefix string
 	// Idempotent reports whether the route's requests may run more than once.
 	Idempotent bool
+	// LargeBodies is set if operators expect large request bodies on the route.
+	LargeBodies bool
 	// Timeout is the longest that a caller waits for a response.
 	Timeout time.Duration
 	// LatencyObjective is the latency that responses should not exceed.
@@ -95,6 +97,7 @@
 	// classes holds the classes of the routes to each service, most urgent first.
 	classes      map[string][]Class
 	hasCompeting bool
+	largeBodies  bool
 }
 
 // New returns a state whose routes are indexed by host, longest prefix first.
@@ -102,6 +105,7 @@
 	s := &State{Version: version, Services: services, Limits: limits, routesByHost: map[string][]*Route{}, highestPriority: map[string]int{},
 		classes: map[string][]Class{}}
 	for _, r := range routes {
+		s.largeBodies = s.largeBodies || r.LargeBodies
 		host := strings.ToLower(r.Host)
 		s.routesByHost[host] = append(s.routesByHost[host], r)
 		for _, sh := range r.Shares {
@@ -156,6 +160,9 @@
 	return len(classes) > 1 && classes[0].Priority != classes[len(classes)-1].Priority
 }
 
+// HasLargeBodies reports whether operators expect large request bodies on any route.
+func (s *State) HasLargeBodies() bool { return s.largeBodies }
+
 // HasCompeting reports whether any service is competing.
 func (s *State) HasCompeting() bool { return s.hasCompeting }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,6 +71,7 @@
 	shutdown              *shutdown
 	crashes               *crashes.Tracker
 	unresolvedBrokenSends unresolvedBrokenSendList
+	bodies                bodyBudgets
 	// feedback holds what upstreams report in response headers; rateLimiter
 	// enforces the rate limits that they report.
 	feedback    *feedback.Tracker
@@ -157,7 +158,10 @@
 		res, refusal = d.forward(ctx, req, summary)
 		cancel()
 		d.scheduleReturn(req, summary, refusal, time.Now())
+	}
+	if req != nil {
 		summary.setRequest(req)
+		req.finishBody(w.Header())
 	}
 	v := d.views.Load()
 	summary.ViewAge = time.Since(v.UpdatedAt)
@@ -265,6 +269,9 @@
 // noRetryRefusal returns the refusal of a request whose last attempt failed and that
 // is not retried.
 func (req *request) noRetryRefusal() *Refusal {
+	if req.attempts == 0 && req.upstreamsFull() {
+		return req.bodyRefusal()
+	}
 	if req.attempts == 0 {
 		return req.refusal(CauseUnreachable, req.retryAfterOverloaded())
 	}
@@ -303,7 +310,7 @@
 	notRunCause, mayHaveRunCause := CauseTimeoutUnsent, CauseTimeout
 	if errors.Is(ctx.Err(), context.Canceled) {
 		if !d.shutdown.stopped() {
-			return refusalWithStatus(CauseCallerDisconnected, http.StatusBadGateway)
+			return refusalWithStatus(req.callerGoneCause(), http.StatusBadGateway)
 		}
 		notRunCause, mayHaveRunCause = CauseStopping, CauseStopping
 	}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -145,6 +145,7 @@
 			MaxAttempts: 2, Shares: []desired.Share{{Service: service, Weight: 1}}}
 	}
 	routes := []*desired.Route{route("read.example", true, "plain"), route("charge.example", false, "plain"), route("keyed.example", true, "keyed")}
+	routes[1].LargeBodies = true
 	services := map[string]*desired.Service{"plain": {Name: "plain"}, "keyed": {Name: "keyed", Keyed: true}}
 	h.views.Publish(func(v *view.View) { v.Desired = desired.New(7, routes, services, desired.Limits{}) })
 	h.setUpstreams(ups...)
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -19,6 +19,8 @@
 	CauseNoOwner            Cause = "nobody owns the key at the moment"
 	CauseOverloaded         Cause = "upstreams have no room"
 	CauseShare              Cause = "this host's share of the scarce service is used up"
+	CauseNoBodyRoom         Cause = "no memory left for the request's body"
+	CauseUpstreamBodies     Cause = "too many bytes of bodies at the upstream"
 	CauseMoved              Cause = "the key is changing hands"
 	CauseCold               Cause = "upstream has just started and can bear no more yet"
 	CauseRateLimited        Cause = "upstream has reached the rate limit that it reports"
@@ -32,6 +34,7 @@
 	CauseSuspect            Cause = "a server ended while it ran this request; one at a time is tried"
 	CauseStopping           Cause = "this host stops"
 	CauseCallerDisconnected Cause = "caller left"
+	CauseCallerStalled      Cause = "caller stopped sending the body"
 )
 
 // Refusal is a final response that this host writes itself.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -26,6 +26,7 @@
 	sending := d.picker.StartSend(u, d.competingClass(req), start)
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
 	endSend(res)
+	d.releaseAtUpstream(req)
 	took := time.Since(start)
 	outcome := sendOutcome(ctx, res)
 	now := time.Now()
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -47,6 +47,11 @@
 	metrics.WriteCounterUint64(w, "papayatide_returns_promised_total", returns.Promised)
 	metrics.WriteCounterUint64(w, "papayatide_returns_without_place_total", returns.WithoutPlace)
 	metrics.WriteCounterUint64(w, "papayatide_returns_kept_total", returns.Kept)
+	bodies := h.dispatch.BodyStats()
+	metrics.WriteGaugeUint64(w, "papayatide_body_bytes", uint64(bodies.HostBytes))
+	metrics.WriteGaugeUint64(w, "papayatide_body_bytes_limit", uint64(bodies.HostLimit))
+	metrics.WriteGaugeUint64(w, "papayatide_body_bytes_at_upstreams", uint64(bodies.UpstreamBytes))
+	metrics.WriteCounterUint64(w, "papayatide_bodies_streamed_for_room_total", uint64(bodies.Streamed))
 	for service, left := range h.budget.Remaining(now) {
 		metrics.WriteGaugeFloat64(w, `papayatide_repeats_left{service="`+service+`"}`, left)
 	}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -202,6 +202,7 @@
 	h.dispatch.Reachability.OnChange = h.onReachabilityChange
 	h.dispatch.Gate, h.dispatch.ExpectedWork = h.shares.gate, h.shares.gate.Work
 	h.shares.promised, h.shares.onClassWork = h.dispatch.PromisedReturns, h.picker.SetClassWork
+	h.dispatch.SetMemory(cfg.MemoryMB)
 	h.dispatch.SlowStartBounds = ratelimit.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack, Window: slowStartWindow}
 	h.controller.retirer = h.peers
 	h.controller.elector.fleetSize = func() int { return h.fleet.Size(time.Now()) }
