dispatch: a rejection by an upstream that responds in time is no overload

Change: without a load report, a rejection counts as one with room if the upstream's recent responses took at most half of the objective: a queue delays responses before it is full. Contended services only.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -30,7 +30,7 @@
 	took := time.Since(start)
 	outcome := sendOutcome(ctx, res)
 	now := time.Now()
-	if req.rejectedWithRoom = d.rejectedWithRoom(u, res, now); req.rejectedWithRoom {
+	if req.rejectedWithRoom = d.rejectedWithRoom(req, u, res, now); req.rejectedWithRoom {
 		rejectionsWithRoom.Inc()
 		outcome = balance.Inconclusive
 	}
--- a/internal/dispatch/uneven.go
+++ b/internal/dispatch/uneven.go
@@ -23,15 +23,31 @@
 	return req.urgency.class
 }
 
-// rejectedWithRoom reports whether an upstream rejected a request without running it although its
-// load report shows room, and nothing else in the response explains the rejection. That is no sign
-// of overload. Cold upstreams reject requests above their rate limit, whatever their load.
-// Deployments without competing services take every rejection for overload.
-func (d *Dispatcher) rejectedWithRoom(u *catalogue.Upstream, res *upstream.Result, now time.Time) bool {
-	return res.Outcome == upstream.NotRun && !res.Misdirected() && res.Report.Load.HasRoom() &&
-		res.Report.Backoff == 0 && res.Report.RateLimit == 0 && !u.Cold(now) && d.views.Load().Desired.HasCompeting()
+// rejectedWithRoom reports whether an upstream rejected a request without running it although it has
+// room, and nothing else in the response explains the rejection. That is no sign of overload. Cold
+// upstreams reject requests above their rate limit, whatever their load. Deployments without
+// competing services take every rejection for overload.
+func (d *Dispatcher) rejectedWithRoom(req *request, u *catalogue.Upstream, res *upstream.Result, now time.Time) bool {
+	if res.Outcome != upstream.NotRun || res.Misdirected() || res.Report.Backoff > 0 || res.Report.RateLimit > 0 ||
+		u.Cold(now) || !d.views.Load().Desired.HasCompeting() {
+		return false
+	}
+	if res.Report.Load.Known() {
+		return res.Report.Load.HasRoom()
+	}
+	return req.urgency != nil && d.respondsInTime(u, req.route.LatencyObjective)
 }
 
+// respondsInTime reports whether the upstream's recent responses took at most inTimeFraction of the
+// objective. Without a load report this shows room: a queue must have delayed responses before it
+// is full.
+func (d *Dispatcher) respondsInTime(u *catalogue.Upstream, objective time.Duration) bool {
+	return d.picker.Limiter(u.ID).State().Latency <= time.Duration(inTimeFraction*float64(objective))
+}
+
+// inTimeFraction leaves callers time for a second attempt within the objective.
+const inTimeFraction = 0.5
+
 // repeatAtOwner reports whether a keyed request whose last attempt was rejectedWithRoom is sent to
 // the owner of its key once more. The key has no other owner, and the place that was taken when
 // the request arrived is probably free by now.
