--- a/internal/dispatch/bodies_test.go
+++ b/internal/dispatch/bodies_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
 
@@ -242,6 +243,35 @@
 	}
 }
 
+// The fingerprint of a body that is streamed for lack of room must be the same for the same body,
+// however it arrives, and must not depend on how much has been read: that of a beginning could be the
+// fingerprint of another request, which would be refused in place of the one that crashes upstreams.
+func TestFingerprintOfABodyThatIsNotKept(t *testing.T) {
+	fingerprint := func(id, head, rest string, read int64) crashes.Fingerprint {
+		req := &request{key: -1, outbound: &upstream.Request{ID: id}, body: &limitedBody{reader: &callerBody{source: strings.NewReader(rest), left: -1}}}
+		req.body.reader.startDigest([]byte(head))
+		early := req.fingerprint()
+		_, _ = io.CopyN(io.Discard, req.body.reader, read)
+		complete := req.body.reader.hasEnded() || read >= streamFingerprintBytes
+		if complete == (req.fingerprint() == early) {
+			t.Errorf("%d bytes of %q read: the fingerprint must change once the beginning is complete", read, id)
+		}
+		return req.fingerprint()
+	}
+	long := strings.Repeat("x", streamFingerprintBytes)
+	for _, same := range []bool{
+		fingerprint("1", "", "abc", 9) == fingerprint("2", "ab", "c", 9),
+		fingerprint("1", "", long+"a", 1<<20) == fingerprint("2", "x", long, 1<<20),
+		fingerprint("1", "", "abc", 9) != fingerprint("2", "", "abd", 9),
+		fingerprint("1", "", long, 5) != fingerprint("2", "", long, 5),
+		fingerprint("1", "", long, 5) != fingerprint("2", "", "xxxxx", 9),
+	} {
+		if !same {
+			t.Error("fingerprints differ for one content, or are equal for two")
+		}
+	}
+}
+
 // An upstream without room for a body must not get it. An unkeyed request must go to another one; a
 // keyed one, and one for which no upstream has room, must be refused as not run.
 func TestFullUpstreamGetsNoFurtherBody(t *testing.T) {
