balance, inflight: remove the work of classes that only tests read

Cause: the expected work of a class that hosts share comes from shares.Divider. Picker.FlushClassWork, ClassWork and Aggregator.WorkScale date from before that; only tests called them.

Change: they are removed, with the fields answered, answeredWeight and answeredWork.

--- a/internal/balance/sending.go
+++ b/internal/balance/sending.go
@@ -192,9 +192,6 @@
 	}
 	cw := w.class(s.class)
 	cw.learnt++
-	cw.answered++
-	cw.answeredWeight += weight
-	cw.answeredWork += weight * taken * s.speed
 	cw.responses.Add(weight, classTimeConstant, now)
 	cw.work.Add(weight*taken*s.speed, classTimeConstant, now)
 	st.work.expected.Add(weight*work, classTimeConstant, now)
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -35,10 +35,8 @@
 	responses, work decay.Sum
 	// latencies holds the latencies that the work was learnt from.
 	latencies latencySums
-	// learnt is the number of all responses, answered that since the last FlushClassWork, and
-	// answeredWeight and answeredWork the sums of the latter's weights and weighted work.
-	learnt, answered             int
-	answeredWeight, answeredWork float64
+	// learnt is the number of all responses.
+	learnt int
 	// fleetWork is the value of SetClassWork, 0 if there is none, fleetWorkAt its first use.
 	fleetWork   time.Duration
 	fleetWorkAt time.Time
@@ -109,34 +107,6 @@
 	return cw != nil && cw.fleetWork > 0 && now.Sub(cw.fleetWorkAt) <= fleetWorkTTL
 }
 
-// ClassWork is what this host's responses of a class show of the class's expected work.
-type ClassWork struct {
-	Class     desired.Class
-	Responses int
-	// Work is the sum of the responses' work at an upstream of median speed, without queueing.
-	Work time.Duration
-}
-
-// FlushClassWork returns the work of the responses since its last call, by class. The mean over
-// the hosts, times inflight.Aggregator.WorkScale, is the value for SetClassWork: a host that refuses
-// most requests of a class learns little of its work.
-func (p *Picker) FlushClassWork() []ClassWork {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []ClassWork
-	for _, w := range p.work {
-		for class, cw := range w.classes {
-			if cw.answered == 0 || cw.answeredWeight == 0 {
-				continue
-			}
-			mean := max(cw.answeredWork/cw.answeredWeight, 0)
-			out = append(out, ClassWork{class, cw.answered, toDuration(mean * float64(cw.answered))})
-			cw.answered, cw.answeredWeight, cw.answeredWork = 0, 0, 0
-		}
-	}
-	return out
-}
-
 // ExpectedWork returns the expected work of a class, and whether it is known.
 func (p *Picker) ExpectedWork(class desired.Class, now time.Time) (time.Duration, bool) {
 	p.mu.Lock()
--- a/internal/inflight/aggregator.go
+++ b/internal/inflight/aggregator.go
@@ -78,23 +78,6 @@
 	return s.work.Value(meanWorkTimeConstant, now) / n
 }
 
-// WorkScale returns by how much the work of a competing service's responses, by Little's law from
-// the load of all hosts, exceeds the work that the hosts expected; 1 if it is not known. Hosts
-// cannot tell queueing that they do not expect from work.
-func (a *Aggregator) WorkScale(service string, now time.Time) float64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.update(now)
-	mean := a.meanWork(service, now)
-	if mean == 0 {
-		return 1
-	}
-	return min(max(a.estimator.Median(a.upstreams().ForService(service), now)/mean, minWorkScale), maxWorkScale)
-}
-
-// minWorkScale and maxWorkScale bound WorkScale: estimates approach the result in several steps.
-const minWorkScale, maxWorkScale = 0.5, 2.0
-
 // New returns an aggregator without load statistics. upstreams returns the upstreams in
 // the catalogue.
 func New(upstreams func() *catalogue.Snapshot, now time.Time) *Aggregator {
