--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+)
 
 // peerLoadTTL is how long the other hosts' load counts. It is updated three times a
 // second; after a second without an update the host that adds up the hosts' load
@@ -73,3 +77,18 @@
 		st.peerLoad, st.peerLoadAt = load, now
 	}
 }
+
+// HasFreeSlot reports whether a request to the upstream would run at once: the upstream is
+// neither ejected nor overloaded, this host's limiter has no queue, and the requests in flight
+// from all hosts of the data centre leave a slot free. It is false if the load of the other
+// hosts is not known.
+func (p *Picker) HasFreeSlot(u *catalogue.Upstream, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	st := p.state(u.ID)
+	if !st.hasPeerLoad(now) || now.Before(st.ejectedUntil) || now.Before(st.overloadedUntil) {
+		return false
+	}
+	s := st.limiter.State()
+	return s.ExpectedWait == 0 && s.InFlight+st.peerLoad.InFlight < u.Slots
+}
