scheduling: classes contend only if the less urgent one can wait longer

Change: a service is contended only while two classes have a tenth of its requests each, one of higher priority and with a shorter objective than the other. Silence and rejections are still judged by class for all competing services.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -23,7 +23,7 @@
 	} else {
 		req.outbound.ConnectBy = time.Time{}
 	}
-	sending := d.picker.StartSend(u, d.competingClass(req), start)
+	sending := d.picker.StartSend(u, d.classOf(req), start)
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
 	endSend(res)
 	d.releaseAtUpstream(req)
--- a/internal/dispatch/uneven.go
+++ b/internal/dispatch/uneven.go
@@ -15,8 +15,16 @@
 	repeatedAtOwner    = metrics.NewCounter(`papayatide_repeated_at_owner_total`)
 )
 
-// competingClass returns the request's class if its service is contended, else the zero value.
-func (d *Dispatcher) competingClass(req *request) desired.Class {
+// classOf returns the request's class if its service is competing, else the zero value.
+func (d *Dispatcher) classOf(req *request) desired.Class {
+	if state := d.views.Load().Desired; state != nil && state.Competing(req.service.Name) {
+		return req.route.ClassFor(req.service.Name)
+	}
+	return desired.Class{}
+}
+
+// contendedClass returns the request's class if its service is contended, else the zero value.
+func (d *Dispatcher) contendedClass(req *request) desired.Class {
 	if req.urgency == nil {
 		return desired.Class{}
 	}
@@ -35,7 +43,7 @@
 	if res.Report.Load.Known() {
 		return res.Report.Load.HasRoom()
 	}
-	return req.urgency != nil && d.respondsInTime(u, req.route.LatencyObjective)
+	return d.classOf(req) != (desired.Class{}) && d.respondsInTime(u, req.route.LatencyObjective)
 }
 
 // respondsInTime reports whether the upstream's recent responses took at most inTimeFraction of the
