dispatch: services that are not contended take no part in scheduled returns

Cause: each request of every deployment took the lock of the schedule of promised returns and was counted there, although only contended services use it. Change: scheduleReturn returns at once for all others; one comment is wrapped.

--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -73,8 +73,8 @@
 }
 
 // limitsBodies reports whether bodies are limited: operators expect large ones, and those of all
-// requests that this host may have in flight can exceed its budget. It is derived anew only when the desired state or the number of hosts or
-// upstreams changes, so that a request costs a few comparisons.
+// requests that this host may have in flight can exceed its budget. It is derived anew only when
+// the desired state or the number of hosts or upstreams changes.
 func (d *Dispatcher) limitsBodies(v *view.View) bool {
 	if d.bodies.host == nil || v.Desired == nil || !v.Desired.HasLargeBodies() || v.Desired.Limits.BodyBytes <= 0 {
 		return false
--- a/internal/dispatch/retryafter.go
+++ b/internal/dispatch/retryafter.go
@@ -16,6 +16,9 @@
 // overloaded upstreams are the reason for its refusal, when its caller is to return, and sets the
 // refusal's Retry-After. Only contended services deviate from retryAfterOverloaded.
 func (d *Dispatcher) scheduleReturn(req *request, summary *RequestSummary, refusal *Refusal, now time.Time) {
+	if req.urgency == nil {
+		return
+	}
 	class := req.route.ClassFor(req.service.Name)
 	if refusal == nil || req.mayHaveRun {
 		d.returns.Admitted(class, now)
@@ -29,9 +32,6 @@
 	if latest <= 0 {
 		return // No return can be served before the deadline.
 	}
-	if req.urgency == nil {
-		return
-	}
 	if req.key < 0 {
 		earliest := max(refusal.roomIn, summary.LimiterState.ExpectedWait-time.Duration(queueWaitFraction*float64(class.Objective)), 0)
 		refusal.RetryAfter = d.returns.Promise(class, min(earliest, latest), latest, now)
