planner: read the ownership stream before counting as its only writer

Cause: a host that starts during an outage of the log service may acquire the planner lease with its first call that succeeds, before it has read the ownership stream. It counted as the sole writer, so it skipped reading the stream, while a takeover waits for that read: no term started, the lease was renewed, and no key was served any more. Change: SoleWriter requires that the stream has been read in the present era. The new test fails before the change and passes after it.

--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -27,14 +27,19 @@
 }
 
 // SoleWriter reports whether this host knows every record of the ownership
-// stream: it renewed the lease within recentRenewalAge, is not shutting down, and
-// no append has failed and no upstream has shown a newer planner's token after the end
-// of the stream was last known. Otherwise only a read shows where the stream ends;
-// without it every later append would conflict.
+// stream: it renewed the lease within recentRenewalAge, is not shutting down, has read
+// the stream in the log's present era, and no append has failed and no upstream has shown
+// a newer planner's token after the end of the stream was last known. Otherwise only a read
+// shows where the stream ends; without it every later append would conflict, and a term
+// would not start at all.
 func (p *Planner) SoleWriter(now bootclock.Time) bool {
-	return p.IsPlanner(now) && !p.shuttingDown && !p.streamEndUncertain && now.Sub(p.lease.renewedAt) <= recentRenewalAge
+	endKnown := !p.streamEndUncertain && p.streamEndInPresentEra()
+	return p.IsPlanner(now) && !p.shuttingDown && endKnown && now.Sub(p.lease.renewedAt) <= recentRenewalAge
 }
 
+// streamEndInPresentEra reports whether the stream has been read in the log's present era.
+func (p *Planner) streamEndInPresentEra() bool { return p.streamEnd.Era == p.era }
+
 // dueAcquireLease returns the next lease request if it is due, or nil.
 func (p *Planner) dueAcquireLease(now bootclock.Time, v *view.View) Action {
 	if p.shuttingDown || p.lease.requestInFlight || now.Before(p.lease.nextRequestAt) || v.Desired == nil || len(v.Desired.KeyedServices()) == 0 {
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -61,6 +61,24 @@
 	}
 }
 
+// A host that starts during an outage of the log service acquires the lease with its first
+// call that succeeds, before it has read the ownership stream. If it then counted as the sole
+// writer, it would never read the stream, could not start a term, and would keep the lease.
+func TestPlannerThatHasNotReadTheStreamReadsIt(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.p.ObserveEra(3, h.now)
+	h.simulate(time.Second, succeedAll)
+	if !h.p.IsPlanner(h.now) || h.p.SoleWriter(h.now) {
+		t.Fatal("a planner that has not read the ownership stream does not read it")
+	}
+	h.streamEnd = metastore.Position{Era: 3, Offset: 7}
+	h.p.AdvanceStreamEnd(h.streamEnd)
+	h.simulate(3*time.Second, succeedAll)
+	if h.table == nil || !h.p.SoleWriter(h.now) {
+		t.Error("the planner has not started a term after reading the ownership stream")
+	}
+}
+
 // The lease is lost while grants are in flight and regained without another planner in
 // between. Their results arrive while the service has no term and must be counted all the
 // same. If they were dropped, their owners would count as having a grant in flight
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -43,8 +43,8 @@
 		t.p.lease.nextRequestAt = min(t.p.lease.nextRequestAt, now)
 		return nil
 	}
-	if t.p.streamEnd.Era != t.p.era {
-		return nil // the stream has not been read in the log's present era
+	if !t.p.streamEndInPresentEra() {
+		return nil
 	}
 	base := t.table
 	if base == nil {
