entryhost, planner: the lease goes to no unused member and to no host behind a partition

Cause: a host that restarts does not know the fleet's size and joined the planner election as two members. In a fleet of 24 hosts or more it then renewed only one; if the group had assigned the lease to the other, no host held it until that membership lapsed, after 2.4 s. Hosts that are no candidates requested the lease every second while a network partition kept them from the log service. At its end all of them joined, and the lease moved again. Change: the first request is for one member; a member that is no longer needed leaves the election; a non-candidate requests the lease only while it can read the log.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -258,6 +258,7 @@
 	if c.evacuations.confirmEntriesRead(c.replica.CurrentAt(metastore.StreamUpstreams), wallNow) || expired || ended {
 		c.publishUpstreams()
 	}
+	c.planner.ObserveLog(len(c.streamLostSince) == 0)
 	for _, a := range c.planner.Tick(now, c.views.Load()) {
 		c.execute(ctx, a)
 	}
--- a/internal/entryhost/elector.go
+++ b/internal/entryhost/elector.go
@@ -26,19 +26,22 @@
 	// era is that of the last call: generations of an earlier one mean nothing.
 	generations []int64
 	era         int64
-	// fleetSize returns the number of hosts.
+	// joined holds for each member whether it has joined and not left.
+	joined []bool
+	// fleetSize returns the number of hosts, as far as it is known.
 	fleetSize func() int
 }
 
 func newPlannerElector(store metastore.Store, host string) *plannerElector {
 	return &plannerElector{store: store, memberNames: []string{host, host + "/2"}, generations: make([]int64, groupMembersPerHost),
-		fleetSize: func() int { return 1 }}
+		joined: make([]bool, groupMembersPerHost), fleetSize: func() int { return 1 }}
 }
 
 // tryAcquireOrRenew acquires or renews the planner lease and reports whether
 // this host holds it, and in which era of the log. It must not be called concurrently.
 func (e *plannerElector) tryAcquireOrRenew(ctx context.Context, ttl time.Duration) (held bool, era int64, err error) {
-	for i, name := range e.activeMemberNames() {
+	active := e.activeMembers()
+	for i, name := range e.memberNames[:active] {
 		result, err := e.store.JoinElection(ctx, name, ttl, e.generations[i])
 		if err != nil {
 			return false, e.era, err
@@ -47,21 +50,34 @@
 			e.era = result.Era
 			clear(e.generations)
 		}
-		e.generations[i] = result.Generation
-		if result.Held {
-			return true, e.era, nil
+		e.generations[i], e.joined[i] = result.Generation, true
+		if held = result.Held; held {
+			break
 		}
 	}
-	return false, e.era, nil
+	e.leaveInactive(ctx, active)
+	return held, e.era, nil
 }
 
-// activeMemberNames returns the members that the host has at the current fleet
-// size.
-func (e *plannerElector) activeMemberNames() []string {
-	if e.fleetSize() >= singleMemberFleetSize {
-		return e.memberNames[:1]
+// activeMembers returns how many members the host has at the current fleet size. Its first
+// request is always for one member, because the host usually learns the size from the planner
+// before its second.
+func (e *plannerElector) activeMembers() int {
+	if !e.joined[0] || e.fleetSize() >= singleMemberFleetSize {
+		return 1
+	}
+	return len(e.memberNames)
+}
+
+// leaveInactive removes members that the host no longer needs from the group. Until their
+// memberships lapsed, the group could assign the lease to one of them, and no host would know
+// that it holds it. A failed call is repeated after the next request.
+func (e *plannerElector) leaveInactive(ctx context.Context, active int) {
+	for i := active; i < len(e.memberNames); i++ {
+		if e.joined[i] && e.store.LeaveElection(ctx, e.memberNames[i]) == nil {
+			e.joined[i] = false
+		}
 	}
-	return e.memberNames
 }
 
 // leave removes all members of this host from the group.
--- a/internal/entryhost/elector_test.go
+++ b/internal/entryhost/elector_test.go
@@ -16,7 +16,7 @@
 	metastore.Store
 	holder        string
 	failingMember string
-	joined        []string
+	joined, left  []string
 }
 
 func (s *electionStore) JoinElection(_ context.Context, member string, _ time.Duration, generation int64) (metastore.JoinResult, error) {
@@ -27,12 +27,20 @@
 	return metastore.JoinResult{Generation: generation + 1, Held: member == s.holder}, nil
 }
 
+func (s *electionStore) LeaveElection(_ context.Context, member string) error {
+	s.left = append(s.left, member)
+	return nil
+}
+
 // A host holds the planner lease as its second member, and a renewal fails. This
 // must be reported as an error: if it counted as the loss of the lease, it would end the
 // term of a planner that still holds it.
 func TestFailedRenewalOfSecondMemberIsAnError(t *testing.T) {
 	store := &electionStore{holder: "h/2"}
 	elector := newPlannerElector(store, "h")
+	if _, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
+		t.Fatal(err)
+	}
 	if held, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !held || err != nil {
 		t.Fatalf("held %v, error %v", held, err)
 	}
@@ -54,3 +62,30 @@
 		t.Errorf("joined as %v", store.joined)
 	}
 }
+
+// A host that restarts in a large fleet does not know the fleet's size yet. If it joined as two
+// members and then renewed only one, the group could assign the lease to the other one, and the
+// fleet would have no planner until that membership lapsed, after 2.4 s.
+func TestStartingHostLeavesNoUnusedMember(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		sizes        []int
+		joined, left []string
+	}{
+		{"size known by the second request", []int{1, singleMemberFleetSize}, []string{"h", "h"}, nil},
+		{"size known by the third request", []int{1, 1, singleMemberFleetSize, singleMemberFleetSize}, []string{"h", "h", "h/2", "h", "h"}, []string{"h/2"}},
+		{"small fleet", []int{1, 6}, []string{"h", "h", "h/2"}, nil},
+	} {
+		store := &electionStore{}
+		elector := newPlannerElector(store, "h")
+		for _, size := range tt.sizes {
+			elector.fleetSize = func() int { return size }
+			if _, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !slices.Equal(store.joined, tt.joined) || !slices.Equal(store.left, tt.left) {
+			t.Errorf("%s: joined as %v, left as %v; want %v and %v", tt.name, store.joined, store.left, tt.joined, tt.left)
+		}
+	}
+}
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -48,7 +48,9 @@
 	if p.plannerSeenAt == 0 || !p.plannerExpected(now, v) {
 		p.plannerSeenAt = now // a planner may not have published a table yet
 	}
-	if !p.opts.Candidate && !p.lease.held && now.Sub(p.plannerSeenAt) < noPlannerTimeout {
+	if !p.opts.Candidate && !p.lease.held && (p.logUnreachable || now.Sub(p.plannerSeenAt) < noPlannerTimeout) {
+		// With logUnreachable: at the end of a network partition, the lease requests of all
+		// non-candidates behind it would arrive before any of them found the planner.
 		return nil
 	}
 	p.lease.requestInFlight, p.lease.member = true, true
--- a/internal/planner/noncandidate_test.go
+++ b/internal/planner/noncandidate_test.go
@@ -25,6 +25,27 @@
 	}
 }
 
+// A network partition separates non-candidates from the log service and from the planner for
+// longer than noPlannerTimeout. If they requested the lease meanwhile, the requests that succeed
+// first at the end of the partition would all join the election and replace the planner.
+func TestNonCandidateWaitsAfterAPartition(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.p.opts.Candidate = false
+	h.p.ObserveLog(false)
+	if got := h.simulate(2*noPlannerTimeout, succeedAll); len(got) > 0 {
+		t.Fatalf("a non-candidate that cannot read the log made a call of type %T", got[0])
+	}
+	h.p.ObserveLog(true)
+	h.p.LogReconnected(h.now)
+	if got := h.simulate(noPlannerTimeout-simStep, succeedAll); len(got) > 0 {
+		t.Fatalf("a non-candidate made a call of type %T before it could have found the planner", got[0])
+	}
+	h.simulate(noPlannerTimeout, succeedAll)
+	if !h.p.IsPlanner(h.now) {
+		t.Error("no host is the planner")
+	}
+}
+
 // When a fleet starts, there is no table until a candidate has acquired the lease and
 // written its first record. plannerExpected allows for that until minRegistrationWait
 // after the first upstream was listed. A non-candidate must not request the lease
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -52,6 +52,8 @@
 	// planner was last seen, or since when this host would have seen one if
 	// there was one.
 	plannerSeenAt bootclock.Time
+	// logUnreachable is set while this host's reads of the log service fail.
+	logUnreachable bool
 	// registrations holds the registration times by service.
 	registrations map[string]registrations
 }
@@ -286,6 +288,10 @@
 // PlannerSeen records that another host is the planner.
 func (p *Planner) PlannerSeen(now bootclock.Time) { p.plannerSeenAt = now }
 
+// ObserveLog records whether this host's reads of the log service succeed. While they fail, it
+// cannot know whether there is a planner.
+func (p *Planner) ObserveLog(reachable bool) { p.logUnreachable = !reachable }
+
 // LogReconnected records that this host reaches the log service again. It may
 // have missed a planner during the outage, so noPlannerTimeout restarts.
 func (p *Planner) LogReconnected(now bootclock.Time) { p.plannerSeenAt = now }
