entryhost, planner: request the lease again soon after the group has changed

Cause: a partition that a change of the group has moved is assigned once its previous member has joined again. Hosts repeated their requests after 0.84 s, so that a lease whose holder had been killed was with nobody for longer. Change: a request that shows that the group has changed is followed by the next after 0.2 s (LeaseMayMove, before PlannerLost).

--- a/internal/entryhost/actions.go
+++ b/internal/entryhost/actions.go
@@ -19,13 +19,16 @@
 	switch a := a.(type) {
 	case *planner.AcquireLease:
 		go func() {
-			held, era, err := c.elector.tryAcquireOrRenew(ctx, a.TTL)
+			result, err := c.elector.tryAcquireOrRenew(ctx, a.TTL)
 			c.post(ctx, func() {
-				c.observeEra(era)
-				if era < c.era && err == nil {
+				c.observeEra(result.era)
+				if result.era < c.era && err == nil {
 					err = metastore.ErrEraChanged // the lease of a lost history
 				}
-				c.planner.AcquireLeaseDone(a, held, err, c.clock())
+				c.planner.AcquireLeaseDone(a, result.held, err, c.clock())
+				if result.rebalanced {
+					c.planner.LeaseMayMove()
+				}
 			})
 		}()
 	case *planner.LeaveElection:
--- a/internal/entryhost/elector.go
+++ b/internal/entryhost/elector.go
@@ -37,26 +37,36 @@
 		joined: make([]bool, groupMembersPerHost), fleetSize: func() int { return 1 }}
 }
 
-// tryAcquireOrRenew acquires or renews the planner lease and reports whether
-// this host holds it, and in which era of the log. It must not be called concurrently.
-func (e *plannerElector) tryAcquireOrRenew(ctx context.Context, ttl time.Duration) (held bool, era int64, err error) {
-	active := e.activeMembers()
+// electionResult is the result of a lease request.
+type electionResult struct {
+	// held reports whether this host holds the planner lease, in the given era of the log.
+	held bool
+	era  int64
+	// rebalanced reports whether the group has changed since this host's last request. A partition
+	// that the change has moved is assigned only once its previous member has joined again.
+	rebalanced bool
+}
+
+// tryAcquireOrRenew acquires or renews the planner lease. It must not be called concurrently.
+func (e *plannerElector) tryAcquireOrRenew(ctx context.Context, ttl time.Duration) (electionResult, error) {
+	active, held, rebalanced := e.activeMembers(), false, false
 	for i, name := range e.memberNames[:active] {
 		result, err := e.store.JoinElection(ctx, name, ttl, e.generations[i])
 		if err != nil {
-			return false, e.era, err
+			return electionResult{era: e.era}, err
 		}
 		if result.Era != e.era {
 			e.era = result.Era
 			clear(e.generations)
 		}
+		rebalanced = rebalanced || result.Generation != e.generations[i]
 		e.generations[i], e.joined[i] = result.Generation, true
 		if held = result.Held; held {
 			break
 		}
 	}
 	e.leaveInactive(ctx, active)
-	return held, e.era, nil
+	return electionResult{held, e.era, rebalanced}, nil
 }
 
 // activeMembers returns how many members the host has at the current fleet size. Its first
--- a/internal/entryhost/elector_test.go
+++ b/internal/entryhost/elector_test.go
@@ -38,14 +38,14 @@
 func TestFailedRenewalOfSecondMemberIsAnError(t *testing.T) {
 	store := &electionStore{holder: "h/2"}
 	elector := newPlannerElector(store, "h")
-	if _, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
+	if _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
 		t.Fatal(err)
 	}
-	if held, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !held || err != nil {
-		t.Fatalf("held %v, error %v", held, err)
+	if result, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !result.held || err != nil {
+		t.Fatalf("result %+v, error %v", result, err)
 	}
 	store.failingMember = "h/2"
-	if _, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !errors.Is(err, metastore.ErrNoResponse) {
+	if _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); !errors.Is(err, metastore.ErrNoResponse) {
 		t.Errorf("error %v", err)
 	}
 }
@@ -55,7 +55,7 @@
 	store := &electionStore{}
 	elector := newPlannerElector(store, "h")
 	elector.fleetSize = func() int { return singleMemberFleetSize }
-	if _, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
+	if _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
 		t.Fatal(err)
 	}
 	if !slices.Equal(store.joined, []string{"h"}) {
@@ -80,7 +80,7 @@
 		elector := newPlannerElector(store, "h")
 		for _, size := range tt.sizes {
 			elector.fleetSize = func() int { return size }
-			if _, _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
+			if _, err := elector.tryAcquireOrRenew(context.Background(), time.Second); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/entryhost/loadsampler.go
+++ b/internal/entryhost/loadsampler.go
@@ -161,7 +161,7 @@
 		onSpeeds:       func(speeds []worktime.Speed) { h.receiveSpeeds(ctx, speeds) },
 		desiredVersion: h.desiredVersion, onDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
 		apply:          func(b relay.Batch) { h.controller.applyAndWait(ctx, b) },
-		onFollowFailed: func() { h.controller.post(ctx, h.controller.planner.PlannerLost) },
+		onFollowFailed: func() { h.controller.post(ctx, h.controller.planner.LeaseMayMove) },
 		onStaleReplica: func() { h.controller.post(ctx, func() { h.controller.planner.PlannerSeen(h.controller.clock()) }) },
 		onPlannerFollowed: func(logReachableFor time.Duration) {
 			h.controller.post(ctx, func() { h.controller.onPlannerFollowed(logReachableFor) })
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -111,15 +111,15 @@
 }
 
 // After a crash of the planner's host the election assigns the lease to this host, which
-// learns that only from its next lease request. PlannerLost must bring that request
+// learns that only from its next lease request. LeaseMayMove must bring that request
 // forward; until then there is no planner.
-func TestPlannerLostBringsLeaseRequestForward(t *testing.T) {
+func TestLeaseMayMoveBringsLeaseRequestForward(t *testing.T) {
 	h := newHarness(t, "a")
 	h.simulate(simStep, func(Action) error { return metastore.ErrRejected })
 	if got := h.simulate(minAcquireInterval+simStep, succeedAll); len(got) > 0 {
 		t.Fatalf("made a call of type %T before the planner was lost", got[0])
 	}
-	h.p.PlannerLost()
+	h.p.LeaseMayMove()
 	h.simulate(simStep, succeedAll)
 	if !h.p.IsPlanner(h.now) {
 		t.Error("the lease was not requested and acquired after the planner was lost")
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -296,11 +296,11 @@
 // have missed a planner during the outage, so noPlannerTimeout restarts.
 func (p *Planner) LogReconnected(now bootclock.Time) { p.plannerSeenAt = now }
 
-// PlannerLost brings the next lease request forward, because the planner did
-// not respond or is no longer the planner. The election reassigns the lease
-// whenever a member joins or leaves; this host may hold it already and learns
-// that only from its next request.
-func (p *Planner) PlannerLost() {
+// LeaseMayMove brings the next lease request forward, because the planner did
+// not respond or is no longer the planner, or because the members of the election
+// have changed. The election reassigns the lease whenever a member joins or leaves;
+// this host may hold it already and learns that only from its next request.
+func (p *Planner) LeaseMayMove() {
 	if earliest := p.lease.lastCompletedAt.Add(minAcquireInterval); !p.lease.held && earliest.Before(p.lease.nextRequestAt) {
 		p.lease.nextRequestAt = earliest
 	}
