retryafter: play callers that are refused several times

Change: TestReturnsAfterOverload also plays callers that return until their timeout, refuses what would end after it, and checks that no promise is later than its caller returns. Cases run in a fixed order, so that the draws, which they share, are the same in each run.

--- a/internal/retryafter/schedule_test.go
+++ b/internal/retryafter/schedule_test.go
@@ -1,6 +1,7 @@
 package retryafter
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -25,17 +26,27 @@
 // arrival is a request that reaches a host; first is when its caller first sent it.
 type arrival struct {
 	at, first time.Time
-	returned  bool
+	returns   int
 }
 
-// outcomes counts what callers got: served at once, refused and then served in time or late,
-// refused twice.
-type outcomes struct{ atOnce, inTime, late, refusedAgain int }
+// outcomes counts callers: served at once, after a refusal in time or late, or never. refusedAgain
+// counts the refusals after a caller's first, and waited is how long the callers that were served
+// after a refusal waited in all.
+type outcomes struct {
+	atOnce, inTime, late, never, refusedAgain int
+	waited                                    time.Duration
+}
+
+func (o *outcomes) String() string {
+	returned := o.inTime + o.late
+	return fmt.Sprintf("%d at once, %d in time after a refusal, %d late, %d never; %d refused again; served after %v",
+		o.atOnce, o.inTime, o.late, o.never, o.refusedAgain, (o.waited / time.Duration(returned)).Round(time.Millisecond))
+}
 
 // simulate plays 30 s of demand at hosts that each start an equal share of the capacity and
-// refuse what would queue longer than simQueue. Callers return once, to any host, after at
-// most a third of the time they have left.
-func simulate(demand func(time.Duration) float64, wait func(s *Schedule, queueing, left time.Duration, now time.Time) time.Duration) (o outcomes) {
+// refuse what would queue longer than simQueue or end after the caller's timeout. Callers return up
+// to maxReturns times, to any host, after at most a third of the time they have left.
+func simulate(demand func(time.Duration) float64, maxReturns int, wait func(s *Schedule, queueing, left time.Duration, now time.Time) time.Duration) (o outcomes) {
 	demanded, routed := rand.New(rand.NewPCG(1, 2)), rand.New(rand.NewPCG(1, 3)) // the demand is the same in all runs
 	var hosts [simHosts]*Schedule
 	var freeAt [simHosts]time.Time
@@ -53,37 +64,50 @@
 		}
 		h, left := routed.IntN(simHosts), simTimeout-a.at.Sub(a.first)
 		freeAt[h] = later(freeAt[h], a.at)
-		switch queueing := freeAt[h].Sub(a.at); {
-		case queueing > simQueue && a.returned:
-			o.refusedAgain++
-		case queueing > simQueue:
-			a.at, a.returned = a.at.Add(min(wait(hosts[h], queueing-simQueue, left, a.at), left/3)), true
-			i, _ := slices.BinarySearchFunc(returning, a, func(x, y arrival) int { return x.at.Compare(y.at) })
-			returning = slices.Insert(returning, i, a)
-		default:
+		if queueing := freeAt[h].Sub(a.at); queueing <= min(simQueue, left-simWork) {
 			hosts[h].Admitted(simClass, a.at)
 			freeAt[h] = freeAt[h].Add(time.Duration(float64(time.Second) * simHosts / simCapacity))
-			if !a.returned {
+			if a.returns == 0 {
 				o.atOnce++
-			} else if simTimeout-left+queueing+simWork <= simClass.Objective {
+				continue
+			}
+			o.waited += simTimeout - left + queueing
+			if simTimeout-left+queueing+simWork <= simClass.Objective {
 				o.inTime++
 			} else {
 				o.late++
 			}
+			continue
 		}
+		if a.returns > 0 {
+			o.refusedAgain++
+		}
+		if a.returns++; a.returns > maxReturns || left <= simWork {
+			o.never++
+			continue
+		}
+		a.at = a.at.Add(min(wait(hosts[h], max(freeAt[h].Sub(a.at)-simQueue, 0), left, a.at), left/3))
+		i, _ := slices.BinarySearchFunc(returning, a, func(x, y arrival) int { return x.at.Compare(y.at) })
+		returning = slices.Insert(returning, i, a)
 	}
 	return o
 }
 
 // Guards against callers that return while the demand that refused them lasts and are refused again,
-// and against a schedule that loses anything in lasting overload, where nothing can be gained.
+// against a schedule that loses anything in lasting overload, where nothing can be gained if each
+// returns once, and against one that is filled by callers that return until their timeout.
 func TestReturnsAfterOverload(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
 	quarter := func(*Schedule, time.Duration, time.Duration, time.Time) time.Duration {
 		return time.Duration((0.75 + 0.5*rng.Float64()) * float64(simClass.Objective) / 4)
 	}
 	scheduled := func(s *Schedule, queueing, left time.Duration, now time.Time) time.Duration {
-		return s.Promise(simClass, queueing, min(left/3, left-simWork), now)
+		latest := min(left/3, left-simWork)
+		d := s.Promise(simClass, min(queueing, latest), latest, now)
+		if d > latest {
+			t.Errorf("promised %v, the caller returns after %v and leaves its place in the schedule", d, latest)
+		}
+		return d
 	}
 	bursts := func(t time.Duration) float64 {
 		if t%(3*time.Second) < 600*time.Millisecond {
@@ -92,17 +116,19 @@
 		return 0.6 * simCapacity
 	}
 	lasting := func(time.Duration) float64 { return 1.3 * simCapacity }
-	for name, c := range map[string]struct {
+	for _, c := range []struct {
+		name       string
 		demand     func(time.Duration) float64
+		maxReturns int
 		maxRefused float64
-	}{"bursts": {bursts, 0.85}, "lasting": {lasting, 1.02}} {
-		before, after := simulate(c.demand, quarter), simulate(c.demand, scheduled)
-		t.Logf("%s: quarter of the objective %+v, schedule %+v", name, before, after)
+	}{{"bursts", bursts, 1, 0.85}, {"lasting", lasting, 1, 1.02}, {"bursts, many returns", bursts, 100, 0.6}, {"lasting, many returns", lasting, 100, 0.75}} {
+		before, after := simulate(c.demand, c.maxReturns, quarter), simulate(c.demand, c.maxReturns, scheduled)
+		t.Logf("%s: quarter of the objective: %v; schedule: %v", c.name, &before, &after)
 		if float64(after.refusedAgain) > c.maxRefused*float64(before.refusedAgain) {
-			t.Errorf("%s: %d refused again, %d with a quarter of the objective", name, after.refusedAgain, before.refusedAgain)
+			t.Errorf("%s: %d refused again, %d with a quarter of the objective", c.name, after.refusedAgain, before.refusedAgain)
 		}
 		if served := before.atOnce + before.inTime + before.late; after.atOnce+after.inTime+after.late < served*98/100 {
-			t.Errorf("%s: %+v served fewer than %+v", name, after, before)
+			t.Errorf("%s: %v served fewer than %v", c.name, &after, &before)
 		}
 	}
 }
