--- a/internal/inflight/aggregator_test.go
+++ b/internal/inflight/aggregator_test.go
@@ -8,6 +8,16 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 )
 
+// newAggregator returns an aggregator of the load at the given upstreams.
+func newAggregator(now time.Time, ups ...*catalogue.Upstream) *Aggregator {
+	byID := map[string]*catalogue.Upstream{}
+	for _, u := range ups {
+		byID[u.ID] = u
+	}
+	snapshot := catalogue.NewSnapshot(byID)
+	return New(func() *catalogue.Snapshot { return snapshot }, now)
+}
+
 // peerLoad returns the load of the other hosts at an upstream.
 func peerLoad(a *Aggregator, host, id string, now time.Time) balance.PeerLoad {
 	return a.PeerLoads(host, []string{id}, now)[0]
@@ -45,9 +55,8 @@
 // Twenty hosts each receive one response from a slow and one from a fast upstream.
 // Their load statistics together must yield different work times.
 func TestWorkTimesCombineLoadStatsOfHosts(t *testing.T) {
-	snapshot := catalogue.NewSnapshot(map[string]*catalogue.Upstream{"slow": {ID: "slow", Service: "s", Slots: 3}, "fast": {ID: "fast", Service: "s", Slots: 3}})
 	now := time.Unix(1000, 0)
-	a := New(func() *catalogue.Snapshot { return snapshot }, now)
+	a := newAggregator(now, &catalogue.Upstream{ID: "slow", Service: "s", Slots: 3}, &catalogue.Upstream{ID: "fast", Service: "s", Slots: 3})
 	for i := range 20 {
 		now = now.Add(200 * time.Millisecond)
 		a.Record(string(rune('a'+i)), []balance.LoadStats{{ID: "slow", Responses: 1, TotalLatency: 500 * time.Millisecond},
@@ -62,9 +71,8 @@
 // Guards against an upstream that gets long requests looking slow, and against requests of hosts of
 // earlier builds, which state no work, counting other than as mean ones.
 func TestWorkTimesDoNotDependOnTheMix(t *testing.T) {
-	snapshot := catalogue.NewSnapshot(map[string]*catalogue.Upstream{"short": {ID: "short", Service: "s", Slots: 6}, "long": {ID: "long", Service: "s", Slots: 6}})
 	now := time.Unix(1000, 0)
-	a := New(func() *catalogue.Snapshot { return snapshot }, now)
+	a := newAggregator(now, &catalogue.Upstream{ID: "short", Service: "s", Slots: 6}, &catalogue.Upstream{ID: "long", Service: "s", Slots: 6})
 	for range 40 {
 		now = now.Add(250 * time.Millisecond)
 		a.Record("h", []balance.LoadStats{{ID: "short", InFlight: 1, WorkInFlight: 160 * time.Millisecond, Responses: 2, TotalLatency: 320 * time.Millisecond, AnsweredWork: 320 * time.Millisecond},
@@ -80,7 +88,7 @@
 	if want := 160*time.Millisecond + 3*mean; (short.WorkInFlight-want).Abs() > 10*time.Millisecond || long.WorkInFlight != 1860*time.Millisecond {
 		t.Errorf("expected work in flight: %v and %v, want %v and 1.86s", short.WorkInFlight, long.WorkInFlight, want)
 	}
-	if r := a.estimator.Median(snapshot.ForService("s"), now) / mean.Seconds(); r < 0.95 || r > 1.05 {
+	if r := a.estimator.Median(a.upstreams().ForService("s"), now) / mean.Seconds(); r < 0.95 || r > 1.05 {
 		t.Errorf("median work time is %v of the mean expected work", r)
 	}
 }
--- a/internal/inflight/room_test.go
+++ b/internal/inflight/room_test.go
@@ -11,19 +11,12 @@
 // The room must not include upstreams of other data centres and services or those that are
 // leaving, and must count a slow upstream by its speed.
 func TestRoomCountsSlotsBySpeed(t *testing.T) {
-	all := map[string]*catalogue.Upstream{}
-	add := func(id, service, dataCentre string, leaving bool) {
-		all[id] = &catalogue.Upstream{ID: id, Service: service, DataCentre: dataCentre, Slots: 6, Leaving: leaving}
+	upstream := func(id, service, dataCentre string, leaving bool) *catalogue.Upstream {
+		return &catalogue.Upstream{ID: id, Service: service, DataCentre: dataCentre, Slots: 6, Leaving: leaving}
 	}
-	add("slow", "s", "dc", false)
-	add("a", "s", "dc", false)
-	add("b", "s", "dc", false)
-	add("leaving", "s", "dc", true)
-	add("remote", "s", "other", false)
-	add("other", "t", "dc", false)
-	snapshot := catalogue.NewSnapshot(all)
 	now := time.Unix(1e9, 0)
-	a := New(func() *catalogue.Snapshot { return snapshot }, now)
+	a := newAggregator(now, upstream("slow", "s", "dc", false), upstream("a", "s", "dc", false), upstream("b", "s", "dc", false),
+		upstream("leaving", "s", "dc", true), upstream("remote", "s", "other", false), upstream("other", "t", "dc", false))
 	if room := a.Room("s", "dc", now); room.Slots != 18 || room.Capacity < 17.99 || room.Capacity > 18.01 {
 		t.Errorf("room without measurements %+v, want 18 slots of speed 1", room)
 	}
--- a/internal/inflight/simulation_test.go
+++ b/internal/inflight/simulation_test.go
@@ -122,127 +122,155 @@
 	earlyInTime, early               int
 }
 
-// maxAttempts is how many upstreams a request may be sent to.
-const maxAttempts = 3
-
 // run sends requests through the hosts and counts their outcomes.
 func (s simulation) run(seed uint64) results {
 	rng := rand.New(rand.NewPCG(seed, 11))
-	var upstreams []*catalogue.Upstream
-	servers := map[string]*simServer{}
+	f := newSimFleet(s.hosts, s.upstreams, s.slots, "u%03d", func(int) float64 { return s.speeds[rng.IntN(len(s.speeds))] })
+	f.shareLoads, f.maxAttempts = s.shareLoads, 3
 	capacity := 0.0 // requests per second
-	for i := range s.upstreams {
-		id := fmt.Sprintf("u%03d", i)
-		speed := s.speeds[rng.IntN(len(s.speeds))]
-		upstreams = append(upstreams, &catalogue.Upstream{ID: id, Service: "s", Slots: s.slots, DataCentre: "dc"})
-		servers[id] = &simServer{slots: s.slots, queueLimit: 4 * s.slots, speed: speed}
-		capacity += float64(s.slots) * speed / s.workTime.Seconds()
-	}
-	pickers := make([]*balance.Picker, s.hosts)
-	for i := range pickers {
-		pickers[i] = balance.NewPicker(fmt.Sprint("host", i))
-	}
-	done := make(chan struct{})
-	defer close(done)
-	if s.shareLoads {
-		go exchangeLoads(pickers, upstreams, newSimDemand(), done)
+	for _, u := range f.upstreams {
+		capacity += float64(s.slots) * f.servers[u.ID].speed / s.workTime.Seconds()
 	}
 	var res results
 	var mu sync.Mutex
-	var wg sync.WaitGroup
-	start := time.Now()
-	for time.Since(start) < s.duration {
-		time.Sleep(time.Duration(rng.ExpFloat64() / (capacity * s.load) * float64(time.Second)))
-		b := pickers[rng.IntN(s.hosts)]
+	f.play(rng, capacity*s.load, s.duration, func(b *balance.Picker, elapsed time.Duration) func() {
 		work := time.Duration(float64(s.workTime) * (0.6 + 0.8*rng.Float64()))
-		early := time.Since(start) < s.earlyPeriod
-		wg.Go(func() {
-			ok, took := s.sendRequest(b, upstreams, servers, work)
+		return func() {
+			start := time.Now()
+			ok, _ := f.send(b, balance.Criteria{LocalDataCentre: "dc", RemotePenalty: s.latencyObjective / 4}, s.latencyObjective, work)
+			inTime := ok && time.Since(start) <= s.latencyObjective
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
 			case !ok:
 				res.refused++
-			case took > s.latencyObjective:
-				res.late++
-			default:
+			case inTime:
 				res.inTime++
+			default:
+				res.late++
 			}
-			if early {
+			if elapsed < s.earlyPeriod {
 				res.early++
-				if ok && took <= s.latencyObjective {
+				if inTime {
 					res.earlyInTime++
 				}
 			}
-		})
-	}
-	wg.Wait()
-	for _, srv := range servers {
+		}
+	})
+	for _, srv := range f.servers {
 		res.queueFull += srv.queueFull
 	}
 	return res
 }
 
+// simFleet is the hosts and upstreams of one data centre.
+type simFleet struct {
+	pickers   []*balance.Picker
+	upstreams []*catalogue.Upstream
+	servers   map[string]*simServer
+	demand    *simDemand
+	// shareLoads makes the hosts exchange their load statistics, reports makes the upstreams
+	// report their load.
+	shareLoads, reports bool
+	// maxAttempts is how many upstreams a request may be sent to.
+	maxAttempts int
+}
+
+// newSimFleet returns a fleet whose upstreams have IDs of the given format and the given speeds.
+func newSimFleet(hosts, upstreams, slots int, id string, speed func(i int) float64) *simFleet {
+	f := &simFleet{servers: map[string]*simServer{}, demand: newSimDemand(), maxAttempts: 1}
+	for i := range upstreams {
+		u := &catalogue.Upstream{ID: fmt.Sprintf(id, i), Service: "s", Slots: slots, DataCentre: "dc"}
+		f.upstreams = append(f.upstreams, u)
+		f.servers[u.ID] = &simServer{slots: slots, queueLimit: 4 * slots, speed: speed(i)}
+	}
+	for i := range hosts {
+		f.pickers = append(f.pickers, balance.NewPicker(fmt.Sprint("host", i)))
+	}
+	return f
+}
+
+// play makes requests arrive at random hosts for the given time, and waits until all have ended.
+// arrive returns what sends one that arrives elapsed after the start.
+func (f *simFleet) play(rng *rand.Rand, perSecond float64, duration time.Duration, arrive func(b *balance.Picker, elapsed time.Duration) (send func())) {
+	done := make(chan struct{})
+	defer close(done)
+	if f.shareLoads {
+		go f.exchangeLoads(done)
+	}
+	var wg sync.WaitGroup
+	for start := time.Now(); time.Since(start) < duration; {
+		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+		wg.Go(arrive(f.pickers[rng.IntN(len(f.pickers))], time.Since(start)))
+	}
+	wg.Wait()
+}
+
 // exchangeInterval is how often a host sends its load statistics and receives the load
 // of the others.
 const exchangeInterval = 300 * time.Millisecond
 
 // exchangeLoads makes the hosts send their load statistics one after another, each once
 // per exchangeInterval.
-func exchangeLoads(pickers []*balance.Picker, upstreams []*catalogue.Upstream, demand *simDemand, done chan struct{}) {
-	byID := map[string]*catalogue.Upstream{}
-	for _, u := range upstreams {
-		byID[u.ID] = u
-	}
-	snapshot := catalogue.NewSnapshot(byID)
-	agg := New(func() *catalogue.Snapshot { return snapshot }, time.Now())
+func (f *simFleet) exchangeLoads(done chan struct{}) {
+	agg := newAggregator(time.Now(), f.upstreams...)
 	for {
-		for i, b := range pickers {
+		for i, b := range f.pickers {
 			select {
 			case <-done:
 				return
-			case <-time.After(exchangeInterval / time.Duration(len(pickers))):
+			case <-time.After(exchangeInterval / time.Duration(len(f.pickers))):
 			}
 			name := fmt.Sprint(i)
 			agg.Record(name, b.FlushLoadStats(), time.Now())
 			b.SetPeerLoads(agg.PeerLoads(name, b.Subset().IDs, time.Now()), time.Now())
-			demand.exchange(name, b, agg, time.Now())
+			f.demand.exchange(name, b, agg, time.Now())
 		}
 	}
 }
 
-// sendRequest makes up to maxAttempts attempts at a request. It returns whether the
-// request was served and how long that took.
-func (s simulation) sendRequest(b *balance.Picker, upstreams []*catalogue.Upstream, servers map[string]*simServer, work time.Duration) (bool, time.Duration) {
+// send makes up to maxAttempts attempts at a request. It returns whether the request was served and
+// how long the last attempt took.
+func (f *simFleet) send(b *balance.Picker, c balance.Criteria, objective, work time.Duration) (ok bool, took time.Duration) {
 	start := time.Now()
-	c := balance.Criteria{LocalDataCentre: "dc", RemotePenalty: s.latencyObjective / 4}
-	for range maxAttempts {
-		u := b.Pick(upstreams, c, time.Now())
-		if b.ExpectedLatency(u, time.Now()) > s.latencyObjective {
-			return false, time.Since(start) // the dispatcher refuses it if this is the first attempt
+	for range f.maxAttempts {
+		u := b.Pick(f.upstreams, c, time.Now())
+		expected := b.ExpectedLatency(u, time.Now())
+		if c.Class.Service != "" {
+			queueing, atWork, _ := b.Estimate(u, c.Class, time.Now())
+			expected = queueing + atWork
 		}
-		maxWait := max(s.latencyObjective/2-time.Since(start), 0)
-		ticket := b.Limiter(u.ID).Acquire(context.Background(), maxWait, admission.HostLimitRange(u.Slots, 0, s.hosts))
+		if expected > objective {
+			return false, took // the dispatcher refuses it if this is the first attempt
+		}
+		maxWait := max(objective/2-time.Since(start), 0)
+		ticket := b.Limiter(u.ID).Acquire(context.Background(), maxWait, admission.HostLimitRange(u.Slots, 0, len(f.pickers)))
 		if ticket == nil {
-			return false, time.Since(start)
+			return false, took
 		}
 		sent := time.Now()
-		ok := servers[u.ID].serve(work)
-		took := time.Since(sent)
+		sending := b.StartSend(u, c.Class, sent)
+		ok = f.servers[u.ID].serve(work)
+		took = time.Since(sent)
 		signal, outcome := admission.InTime, balance.Served
 		if !ok {
 			signal, outcome = admission.Overloaded, balance.Overloaded
-		} else if took > s.latencyObjective*8/10 {
+		} else if took > objective*8/10 {
 			signal = admission.Late
 		}
+		var report feedback.Load
+		if f.reports {
+			report = f.servers[u.ID].load()
+		}
 		b.Done(u.ID, outcome, took, time.Now())
+		b.FinishSend(sending, outcome, took, report, time.Now())
 		ticket.Done(signal, took)
 		if ok {
-			return true, time.Since(start)
+			return true, took
 		}
 		c.Excluded = append(c.Excluded, u.ID)
 	}
-	return false, time.Since(start)
+	return false, took
 }
 
 var (
--- a/internal/inflight/uneven_test.go
+++ b/internal/inflight/uneven_test.go
@@ -1,7 +1,6 @@
 package inflight
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -9,11 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/papayatide/papayatide/internal/admission"
 	"github.com/papayatide/papayatide/internal/balance"
-	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
-	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/shares"
 )
 
@@ -45,61 +41,54 @@
 }
 
 type unevenResult struct {
-	pickers         []*balance.Picker
-	ups             []*catalogue.Upstream
+	*simFleet
 	inTime, arrived [2]int
 }
 
+// unevenSpeeds are those of the upstreams, in turn.
+var unevenSpeeds = []float64{0.6, 1.0, 1.4}
+
 func (s unevenSimulation) run(seed uint64) *unevenResult {
 	rng := rand.New(rand.NewPCG(seed, 5))
-	res, servers := &unevenResult{}, map[string]*simServer{}
-	speeds := []float64{0.6, 1.0, 1.4}
-	for i := range s.upstreams {
-		u := &catalogue.Upstream{ID: fmt.Sprintf("u%02d", i), Service: "s", Slots: 6, DataCentre: "dc"}
-		res.ups = append(res.ups, u)
-		servers[u.ID] = &simServer{slots: u.Slots, queueLimit: 24, speed: speeds[i%3]}
-		if s.slowMoments {
-			servers[u.ID].slowMoments = rand.New(rand.NewPCG(seed, uint64(i)))
+	f := newSimFleet(s.hosts, s.upstreams, 6, "u%02d", func(i int) float64 { return unevenSpeeds[i%3] })
+	f.shareLoads, f.reports, f.demand.knownWork = s.shareLoads, s.reports, s.knownWork
+	if s.slowMoments {
+		for i, u := range f.upstreams {
+			f.servers[u.ID].slowMoments = rand.New(rand.NewPCG(seed, uint64(i)))
 		}
 	}
-	for i := range s.hosts {
-		res.pickers = append(res.pickers, balance.NewPicker(fmt.Sprint("host", i)))
-	}
-	done := make(chan struct{})
-	defer close(done)
-	demand := newSimDemand()
-	demand.knownWork = s.knownWork
-	if s.shareLoads {
-		go exchangeLoads(res.pickers, res.ups, demand, done)
-	}
 	meanWork := 0.0
 	for _, c := range unevenClasses {
 		meanWork += c.share * c.work.Seconds()
 	}
-	perSecond := s.load * float64(6*s.upstreams) / meanWork
+	res := &unevenResult{simFleet: f}
 	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for start := time.Now(); time.Since(start) < s.duration; {
-		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
-		p, class := res.pickers[rng.IntN(s.hosts)], 0
+	f.play(rng, s.load*float64(6*s.upstreams)/meanWork, s.duration, func(p *balance.Picker, elapsed time.Duration) func() {
+		class := 0
 		if rng.Float64() > unevenClasses[0].share {
 			class = 1
 		}
-		work := time.Duration(float64(unevenClasses[class].work) * (0.6 + 0.8*rng.Float64()))
-		counted := time.Since(start) > s.duration/3
-		wg.Go(func() {
-			ok := s.send(p, res.ups, servers, unevenClasses[class], work, demand)
+		c := unevenClasses[class]
+		work := time.Duration(float64(c.work) * (0.6 + 0.8*rng.Float64()))
+		return func() {
+			start, criteria := time.Now(), balance.Criteria{LocalDataCentre: "dc"}
+			if s.byClass {
+				criteria.Class = c.Class
+			}
+			ok, took := f.send(p, criteria, c.Objective, work)
+			if s.byClass {
+				f.demand.count(p, c.Class, ok, took)
+			}
 			mu.Lock()
 			defer mu.Unlock()
-			if counted {
+			if elapsed > s.duration/3 {
 				res.arrived[class]++
-				if ok {
+				if ok && time.Since(start) <= c.Objective {
 					res.inTime[class]++
 				}
 			}
-		})
-	}
-	wg.Wait()
+		}
+	})
 	return res
 }
 
@@ -161,49 +150,6 @@
 	}
 }
 
-// send makes one attempt and reports whether there was a response in time.
-func (s unevenSimulation) send(p *balance.Picker, ups []*catalogue.Upstream, servers map[string]*simServer, c unevenClass, work time.Duration, demand *simDemand) bool {
-	start, answered, took := time.Now(), false, time.Duration(0)
-	if s.byClass {
-		defer func() { demand.count(p, c.Class, answered, took) }()
-	}
-	criteria := balance.Criteria{LocalDataCentre: "dc"}
-	if s.byClass {
-		criteria.Class = c.Class
-	}
-	u := p.Pick(ups, criteria, start)
-	expected := p.ExpectedLatency(u, start)
-	if s.byClass {
-		queueing, atWork, _ := p.Estimate(u, c.Class, start)
-		expected = queueing + atWork
-	}
-	if expected > c.Objective {
-		return false
-	}
-	ticket := p.Limiter(u.ID).Acquire(context.Background(), c.Objective/2, admission.HostLimitRange(u.Slots, 0, s.hosts))
-	if ticket == nil {
-		return false
-	}
-	sent := time.Now()
-	sending := p.StartSend(u, criteria.Class, sent)
-	ok := servers[u.ID].serve(work)
-	answered, took = ok, time.Since(sent)
-	signal, outcome := admission.InTime, balance.Served
-	if !ok {
-		signal, outcome = admission.Overloaded, balance.Overloaded
-	} else if took > c.Objective*8/10 {
-		signal = admission.Late
-	}
-	var report feedback.Load
-	if s.reports {
-		report = servers[u.ID].load()
-	}
-	p.Done(u.ID, outcome, took, time.Now())
-	p.FinishSend(sending, outcome, took, report, time.Now())
-	ticket.Done(signal, took)
-	return ok && time.Since(start) <= c.Objective
-}
-
 // share is the fraction of a class's requests that were in time.
 func (r *unevenResult) share(class int) float64 {
 	return float64(r.inTime[class]) / float64(r.arrived[class])
@@ -212,18 +158,17 @@
 // checkEstimates checks the expected work time of each class at each upstream.
 func (r *unevenResult) checkEstimates(t *testing.T, tolerance float64) {
 	t.Helper()
-	speeds := []float64{0.6, 1.0, 1.4}
 	for _, c := range unevenClasses {
 		sums, n := [3]float64{}, [3]float64{}
 		for _, p := range r.pickers {
-			for i, u := range r.ups {
+			for i, u := range r.upstreams {
 				if _, work, known := p.Estimate(u, c.Class, time.Now()); known {
 					sums[i%3] += work.Seconds()
 					n[i%3]++
 				}
 			}
 		}
-		for i, speed := range speeds {
+		for i, speed := range unevenSpeeds {
 			got, want := sums[i]/n[i], c.work.Seconds()/speed
 			t.Logf("class of %v at speed %v: expected %.3f s, is %.3f s (%v estimates)", c.work, speed, got, want, n[i])
 			if !(got > want*(1-tolerance) && got < want*(1+tolerance)) {
