scheduling: shorter set-up in the overload test

Cause: the overload test formatted host names in three places and rebuilt the list of upstream IDs at each exchange of loads; the test of contended services declared its own two classes. Change: hosts and fleet keep them, and the test uses the classes of the package.

--- a/internal/scheduling/mix_test.go
+++ b/internal/scheduling/mix_test.go
@@ -10,15 +10,14 @@
 // A route of another priority with hardly any requests must not change how a service is served,
 // and one with a third of them must count within seconds, until its requests end.
 func TestServiceIsContendedByItsRequests(t *testing.T) {
-	orders, look := desired.Class{Service: "s", Priority: 1, Objective: time.Second}, desired.Class{Service: "s", Priority: 2, Objective: 2 * time.Second}
 	var m Mix
 	now := time.Unix(1000, 0)
 	play := func(requests, every int) (contended bool) {
 		for i := range requests {
 			now = now.Add(20 * time.Millisecond)
-			class := orders
+			class := urgentClass
 			if i%every == 0 {
-				class = look
+				class = otherClass
 			}
 			contended = m.Record(class, now)
 		}
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -45,6 +45,7 @@
 
 // simHost is a host with its own scheduler and picker.
 type simHost struct {
+	name      string
 	scheduler scheduling.Service
 	picker    *balance.Picker
 	mu        sync.Mutex
@@ -71,6 +72,7 @@
 	hosts     []*simHost
 	upstreams map[string]*simUpstream
 	list      []*catalogue.Upstream
+	ids       []string
 	// aggregator combines the load statistics of the hosts.
 	aggregator *inflight.Aggregator
 	// capacity is the work that the upstreams do per second, in seconds.
@@ -84,14 +86,15 @@
 		u := &catalogue.Upstream{ID: fmt.Sprint("u", i), Service: "s", DataCentre: "dc", Slots: 6}
 		speed := 0.65 + 0.85*float64(i)/float64(upstreams-1)
 		f.upstreams[u.ID] = &simUpstream{make(chan struct{}, u.Slots), make(chan struct{}, u.Slots+24), 1 / speed}
-		f.list = append(f.list, u)
+		f.list, f.ids = append(f.list, u), append(f.ids, u.ID)
 		byID[u.ID] = u
 		f.capacity += float64(u.Slots) * speed
 	}
 	snapshot := catalogue.NewSnapshot(byID)
 	f.aggregator = inflight.New(func() *catalogue.Snapshot { return snapshot }, time.Now())
 	for i := range hosts {
-		f.hosts = append(f.hosts, &simHost{picker: balance.NewPicker(fmt.Sprint("h", i)), timeouts: map[desired.Class]*scheduling.Timeouts{payments: {}, browsing: {}}})
+		name := fmt.Sprint("h", i)
+		f.hosts = append(f.hosts, &simHost{name: name, picker: balance.NewPicker(name), timeouts: map[desired.Class]*scheduling.Timeouts{payments: {}, browsing: {}}})
 	}
 	return f
 }
@@ -99,17 +102,13 @@
 // shareLoads gives each host the load of the others and the fleet's expected work, as Follow does.
 func (f *fleet) shareLoads() {
 	now := time.Now()
-	for i, h := range f.hosts {
-		f.aggregator.Record(fmt.Sprint("h", i), h.picker.FlushLoadStats(), now)
+	for _, h := range f.hosts {
+		f.aggregator.Record(h.name, h.picker.FlushLoadStats(), now)
 	}
-	ids := make([]string, len(f.list))
-	for i, u := range f.list {
-		ids[i] = u.ID
-	}
-	for i, h := range f.hosts {
+	for _, h := range f.hosts {
 		h.picker.SetClassWork(payments, 160*time.Millisecond)
 		h.picker.SetClassWork(browsing, 930*time.Millisecond)
-		h.picker.SetPeerLoads(f.aggregator.PeerLoads(fmt.Sprint("h", i), ids, now), now)
+		h.picker.SetPeerLoads(f.aggregator.PeerLoads(h.name, f.ids, now), now)
 	}
 }
 
