pipeline: tests read the record of events in one place

Cause: four places locked the record of events, and two tests built the same request. Change: recorded returns a copy of the events, frontRequest is shared. Checks are unchanged.

--- a/internal/pipeline/bench_test.go
+++ b/internal/pipeline/bench_test.go
@@ -66,7 +66,6 @@
 		s := &Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
 			Idempotent: func(*http.Request) bool { return true }, Stopping: func() bool { return false }}
 		c := &Conn{Conn: &chunkConn{input: input, sizes: sizes}, s: s}
-		front, _ := http.NewRequest(http.MethodGet, "http://read/0", http.NoBody)
 		var got []byte
 		entered := false
 		for i := 0; ; i++ {
@@ -81,7 +80,7 @@
 			case step == 2:
 				p = p[:2+i%50]
 			case step == 3 && !entered:
-				c.enter(front)
+				c.enter(frontRequest)
 				entered = true
 			case step == 4 && entered:
 				c.exit()
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -51,17 +51,16 @@
 	s.events = append(s.events, event)
 }
 
-// started returns the requests whose handlers have started, sorted.
-func (s *testServer) started() []string {
+// recorded returns the events so far.
+func (s *testServer) recorded() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Sorted(slices.Values(slices.DeleteFunc(slices.Clone(s.events), func(e string) bool { return !strings.HasPrefix(e, "start") })))
+	return slices.Clone(s.events)
 }
 
-func (s *testServer) ended(path string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Contains(s.events, "end "+path)
+// started returns the requests whose handlers have started, sorted.
+func (s *testServer) started() []string {
+	return slices.Sorted(slices.Values(slices.DeleteFunc(s.recorded(), func(e string) bool { return !strings.HasPrefix(e, "start") })))
 }
 
 func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -103,6 +102,9 @@
 	return c
 }
 
+// frontRequest is the request of get("/0") as net/http would pass it to its handler.
+var frontRequest, _ = http.NewRequest(http.MethodGet, "http://read/0", http.NoBody)
+
 func get(target string) string { return "GET " + target + " HTTP/1.1\r\nHost: read\r\n\r\n" }
 
 // want reads n responses, fails unless the i-th is to /i, and returns their Close flags.
@@ -142,14 +144,12 @@
 	c := s.dial(t, input)
 	eventually(t, "not run ahead", func() bool { return len(s.started()) > maxAhead })
 	time.Sleep(20 * time.Millisecond)
-	if got := s.started(); len(got) > 1+maxAhead && !s.ended("/0") {
+	if got := s.started(); len(got) > 1+maxAhead && !slices.Contains(s.recorded(), "end /0") {
 		t.Errorf("%q run while the first does", got)
 	}
 	want(t, bufio.NewReader(c), 20)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if slices.Index(s.events, "start /17") > slices.Index(s.events, "end /9") {
-		t.Errorf("no further request is run ahead as room is made: %q", s.events)
+	if events := s.recorded(); slices.Index(events, "start /17") > slices.Index(events, "end /9") {
+		t.Errorf("no further request is run ahead as room is made: %q", events)
 	}
 }
 
@@ -161,8 +161,7 @@
 	if n, _ := c.Read(p); string(p[:n]) != get("/0") {
 		t.Fatalf("%q", p[:n])
 	}
-	front, _ := http.NewRequest(http.MethodGet, "http://read/0", http.NoBody)
-	c.enter(front)
+	c.enter(frontRequest)
 	if n, err := c.Read(p[:1]); n != 1 || err != nil || len(c.held) != maxHeldBytes-1 || cap(c.held) > 2*maxHeldBytes {
 		t.Errorf("read %d, %v; %d bytes held, capacity %d", n, err, len(c.held), cap(c.held))
 	}
@@ -175,11 +174,9 @@
 		s := startServer(t, true)
 		c := s.dial(t, get("/0?sleep=20ms")+middle+get("/2"))
 		want(t, bufio.NewReader(c), 3)
-		s.mu.Lock()
-		if got := strings.Join(s.events[:5], " "); got != "start /0 end /0 start /1 end /1 start /2" {
+		if got := strings.Join(s.recorded()[:5], " "); got != "start /0 end /0 start /1 end /1 start /2" {
 			t.Error(got)
 		}
-		s.mu.Unlock()
 	}
 }
 
