balance: tests build their upstreams in one place

Change: manyUpstreams serves them, and the estimate by class uses testClass. Checks are unchanged; IDs a and b are now u0 and u1.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -8,32 +8,27 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
-	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/feedback"
 )
 
-func twoUpstreams() []*catalogue.Upstream {
-	return []*catalogue.Upstream{{ID: "a", Slots: 3, DataCentre: "dc"}, {ID: "b", Slots: 3, DataCentre: "dc"}}
-}
-
 // This host's admission limit for one of two upstreams has shrunk until the next request
 // must wait, though none is in flight. Pick must return the other upstream: by its requests
 // in flight the first looks idle, but its limiter would delay or refuse the request.
 func TestPickAvoidsUpstreamAtItsAdmissionLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, ups := NewPicker("h"), twoUpstreams()
+		p, ups := NewPicker("h"), manyUpstreams(2)
 		limitRange := admission.HostLimitRange(3, 0, 100)
 		for range 40 {
-			if tk := p.Limiter("a").Acquire(context.Background(), 0, limitRange); tk != nil {
+			if tk := p.Limiter("u0").Acquire(context.Background(), 0, limitRange); tk != nil {
 				tk.Done(admission.Overloaded, time.Millisecond)
 			}
 			time.Sleep(time.Millisecond)
 		}
-		if s := p.Limiter("a").State(); s.ExpectedWait == 0 {
-			t.Fatalf("upstream a still admits a request at once: %+v", s)
+		if s := p.Limiter("u0").State(); s.ExpectedWait == 0 {
+			t.Fatalf("upstream u0 still admits a request at once: %+v", s)
 		}
-		if u := p.Pick(ups, Criteria{LocalDataCentre: "dc"}, time.Now()); u.ID != "b" {
-			t.Errorf("picked %s, want b", u.ID)
+		if u := p.Pick(ups, Criteria{LocalDataCentre: "dc"}, time.Now()); u.ID != "u1" {
+			t.Errorf("picked %s, want u1", u.ID)
 		}
 	})
 }
@@ -43,26 +38,26 @@
 // excluded one.
 func TestPick(t *testing.T) {
 	now := time.Now()
-	p, ups := NewPicker("h"), twoUpstreams()
+	p, ups := NewPicker("h"), manyUpstreams(2)
 	ups[0].DataCentre = "far"
 	c := Criteria{LocalDataCentre: "dc", RemotePenalty: 100 * time.Millisecond}
-	if u := p.Pick(ups, c, now); u.ID != "b" {
+	if u := p.Pick(ups, c, now); u.ID != "u1" {
 		t.Errorf("picked the remote upstream though both are idle")
 	}
 	for range ejectionThreshold {
-		p.Done("b", Failed, 0, now)
+		p.Done("u1", Failed, 0, now)
 	}
-	if u := p.Pick(ups, c, now); u.ID != "a" || !p.IsEjected("b", now) {
-		t.Errorf("picked %s though b is ejected", u.ID)
+	if u := p.Pick(ups, c, now); u.ID != "u0" || !p.IsEjected("u1", now) {
+		t.Errorf("picked %s though u1 is ejected", u.ID)
 	}
-	if u := p.Pick(ups, c, now.Add(maxEjectionTime)); u.ID != "b" {
+	if u := p.Pick(ups, c, now.Add(maxEjectionTime)); u.ID != "u1" {
 		t.Errorf("the local upstream is not picked after its ejection")
 	}
 	ups[1].Leaving = true
-	if u := p.Pick(ups, c, now.Add(maxEjectionTime)); u.ID != "a" {
+	if u := p.Pick(ups, c, now.Add(maxEjectionTime)); u.ID != "u0" {
 		t.Errorf("picked the draining upstream")
 	}
-	c.Excluded = []string{"a"}
+	c.Excluded = []string{"u0"}
 	if u := p.Pick(ups, c, now); u != nil {
 		t.Errorf("picked %s though it is excluded", u.ID)
 	}
@@ -79,9 +74,9 @@
 }
 
 func benchmarkPick(b *testing.B, n int, competing bool) {
-	p, ups := NewPicker("h"), make([]*catalogue.Upstream, n)
-	for i := range ups {
-		ups[i] = &catalogue.Upstream{ID: fmt.Sprint("u", i), Service: "s", Slots: 3, DataCentre: fmt.Sprint("dc", i%3)}
+	p, ups := NewPicker("h"), manyUpstreams(n)
+	for i, u := range ups {
+		u.DataCentre = fmt.Sprint("dc", i%3)
 	}
 	c := Criteria{LocalDataCentre: "dc0", RemotePenalty: 100 * time.Millisecond}
 	now := time.Now()
--- a/internal/balance/estimate_class_test.go
+++ b/internal/balance/estimate_class_test.go
@@ -9,16 +9,11 @@
 	"github.com/papayatide/papayatide/internal/feedback"
 )
 
-var (
-	payments = desired.Class{Service: "s", Priority: 1, Objective: 600 * time.Millisecond}
-	browsing = desired.Class{Service: "s", Priority: 2, Objective: 5 * time.Second}
-)
-
 // Guards against one mean over all classes, which refused payments of 160 ms because browsing takes
 // 930 ms, and against queueing or an upstream's speed being taken for work of a class.
 func TestEstimateByClass(t *testing.T) {
-	now := time.Now()
-	p := NewPicker("h")
+	payments, browsing := testClass, desired.Class{Service: "s", Priority: 2, Objective: 5 * time.Second}
+	p, now := NewPicker("h"), time.Now()
 	ups := []*catalogue.Upstream{{ID: "fast", Service: "s", Slots: 6, DataCentre: "dc"}, {ID: "mid", Service: "s", Slots: 6, DataCentre: "dc"}, {ID: "slow", Service: "s", Slots: 6, DataCentre: "dc"}}
 	p.Pick(ups, Criteria{LocalDataCentre: "dc"}, now)
 	loads := []PeerLoad{{ID: "fast", WorkTime: 200 * time.Millisecond}, {ID: "mid", WorkTime: 400 * time.Millisecond, InFlight: 5}, {ID: "slow", WorkTime: 800 * time.Millisecond, InFlight: 17}}
