retryafter: say why a caller that is refused again holds one place

Cause: nothing in the code said that the bound on promises keeps a caller from holding two places in the schedule. Change: a doc comment of Promise. Measured: TestReturnsAfterOverload passes, which checks the bound.

--- a/internal/retryafter/schedule.go
+++ b/internal/retryafter/schedule.go
@@ -93,7 +93,9 @@
 
 // Promise returns how long the caller of a refused request of the class is to wait: until the
 // first free place at least earliest from now, or, if there is none within latest, until the
-// last moment within latest that is not promised to another caller.
+// last moment within latest that is not promised to another caller. latest must not exceed the
+// time after which the caller returns whatever it is told: the place of a caller that is refused
+// again is then due and delays no other.
 func (s *Schedule) Promise(class desired.Class, earliest, latest time.Duration, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
