dispatch: derive a request's class once

The class was derived when the request arrived, and for each send from the desired state in force at that time. It is now kept in the request for competing services. contendedClass only selects it.

Sends to services that compete but are not contended at present are still recorded with the picker. Silent upstreams are found by the expected latency of the requests there, also in services that are never contended: with contended services only, TestSilentOwnerGetsNoFurtherRequests got a 504 from a silent owner in an uncontended service, and a 503 at once otherwise. The test now includes that case.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -32,7 +32,7 @@
 func (d *Dispatcher) pickUpstream(req *request) (*catalogue.Upstream, *Refusal) {
 	v := d.views.Load()
 	criteria := balance.Criteria{LocalDataCentre: d.localDataCentre, RemotePenalty: req.route.LatencyObjective / 4, Excluded: req.attempted, SlowStart: d.slowStart(req.service),
-		Class: d.contendedClass(req),
+		Class: req.contendedClass(),
 		Unavailable: func(id string) bool {
 			wait, _ := d.unavailableFor(id, time.Now())
 			u := v.Upstreams.ByID[id]
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -25,7 +25,9 @@
 	highestPriority bool
 	// callerConn is the caller's connection; nil if it is not known.
 	callerConn net.Conn
-	// urgency is nil unless the service is competing (see desired.State.Competing).
+	// class is the request's class if its service is competing (see desired.State.Competing), else
+	// the zero value. urgency is nil unless the service is contended.
+	class   desired.Class
 	urgency *urgency
 	// key is -1 for services that are not keyed.
 	key int
@@ -114,7 +116,10 @@
 	req.deadline = d.shutdown.clampDeadline(req.deadline)
 	req.service = state.Services[d.splitter.pick(state.Version, route)]
 	req.highestPriority = route.Priority <= state.HighestPriority(req.service.Name)
-	req.urgency = d.newUrgency(state, route, req.service.Name, r.Header.Get(d.headers.TimeoutMs))
+	if state.Competing(req.service.Name) {
+		req.class = route.ClassFor(req.service.Name)
+		req.urgency = d.newUrgency(state, route, req.class, r.Header.Get(d.headers.TimeoutMs))
+	}
 	if req.service.Keyed {
 		key, err := strconv.Atoi(r.Header.Get(d.headers.Key))
 		if err != nil || key < 0 || key >= ownership.KeySpaceSize {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -23,7 +23,9 @@
 	} else {
 		req.outbound.ConnectBy = time.Time{}
 	}
-	sending := d.picker.StartSend(u, d.classOf(req), start)
+	// Services that are not contended at present are included: upstreams that become silent are found by
+	// the expected latency of the requests there.
+	sending := d.picker.StartSend(u, req.class, start)
 	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
 	endSend(res)
 	d.releaseAtUpstream(req)
--- a/internal/dispatch/uneven.go
+++ b/internal/dispatch/uneven.go
@@ -15,20 +15,12 @@
 	repeatedAtOwner    = metrics.NewCounter(`papayatide_repeated_at_owner_total`)
 )
 
-// classOf returns the request's class if its service is competing, else the zero value.
-func (d *Dispatcher) classOf(req *request) desired.Class {
-	if state := d.views.Load().Desired; state != nil && state.Competing(req.service.Name) {
-		return req.route.ClassFor(req.service.Name)
-	}
-	return desired.Class{}
-}
-
 // contendedClass returns the request's class if its service is contended, else the zero value.
-func (d *Dispatcher) contendedClass(req *request) desired.Class {
+func (req *request) contendedClass() desired.Class {
 	if req.urgency == nil {
 		return desired.Class{}
 	}
-	return req.urgency.class
+	return req.class
 }
 
 // rejectedWithRoom reports whether an upstream rejected a request without running it although it has
@@ -43,7 +35,7 @@
 	if res.Report.Load.Known() {
 		return res.Report.Load.HasRoom()
 	}
-	return d.classOf(req) != (desired.Class{}) && d.respondsInTime(u, req.route.LatencyObjective)
+	return req.class != (desired.Class{}) && d.respondsInTime(u, req.route.LatencyObjective)
 }
 
 // respondsInTime reports whether the upstream's recent responses took at most inTimeFraction of the
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -15,9 +15,16 @@
 	"github.com/papayatide/papayatide/internal/view"
 )
 
-// setCompeting makes both services competing: browse.example is a less urgent route to plain,
-// browse-keyed.example one to keyed.
+// setCompeting makes both services competing and contended: browse.example is a less urgent route to
+// plain, browse-keyed.example one to keyed.
 func (h *harness) setCompeting() {
+	h.addLessUrgentRoutes()
+	h.contend()
+}
+
+// addLessUrgentRoutes makes both services competing. They are contended once they get requests of both
+// classes.
+func (h *harness) addLessUrgentRoutes() {
 	h.views.Publish(func(v *view.View) {
 		routes := []*desired.Route{v.Desired.Match("read.example", "/"), v.Desired.Match("charge.example", "/"), v.Desired.Match("keyed.example", "/")}
 		for i, host := range []string{"browse.example", "browse-keyed.example"} {
@@ -27,7 +34,6 @@
 		}
 		v.Desired = desired.New(8, routes, v.Desired.Services, v.Desired.Limits)
 	})
-	h.contend()
 }
 
 // Guards against refusing a caller after one rejection by an owner with room, and against repeating it
@@ -118,9 +124,10 @@
 }
 
 // Guards against requests that time out at an owner which stopped responding instead of being refused
-// at once, against never trying it again, and against refusals where no classes compete.
+// at once, also while a competing service is not contended, against never trying it again, and against
+// refusals where no classes compete.
 func TestSilentOwnerGetsNoFurtherRequests(t *testing.T) {
-	for _, competing := range []bool{true, false} {
+	for _, c := range []struct{ competing, contended bool }{{true, true}, {true, false}, {false, false}} {
 		var silent atomic.Bool
 		release := make(chan struct{})
 		f := startUpstream(t, func(w io.Writer, c net.Conn, r *http.Request, n int64) bool {
@@ -130,8 +137,11 @@
 			return echo(w, c, r, n)
 		})
 		h := newHarness(t, newUpstream("k1", "keyed", f))
-		if h.setOwner("k1", 1); competing {
-			h.setCompeting()
+		if h.setOwner("k1", 1); c.competing {
+			h.addLessUrgentRoutes()
+		}
+		if c.contended {
+			h.contend()
 		}
 		for range 6 {
 			h.get("keyed.example", "r").want(t, http.StatusOK, "")
@@ -145,7 +155,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(testObjective / 4)
-		if competing {
+		if c.competing {
 			h.get("keyed.example", "r").want(t, http.StatusServiceUnavailable, string(CauseOverloaded)+"\n")
 		} else {
 			calls.Go(func() { h.get("keyed.example", "sent") })
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -22,7 +22,7 @@
 	FreeSlots(u *catalogue.Upstream, now time.Time) int
 }
 
-// urgency is what the requests to a competing service are scheduled by.
+// urgency is what the requests to a contended service are scheduled by.
 type urgency struct {
 	class desired.Class
 	// mostUrgent is the most urgent class of the service.
@@ -109,13 +109,13 @@
 	return timeouts.Lost(stated, route.Timeout)
 }
 
-// newUrgency returns the urgency of a request to the service with the given value of the
-// timeout header; nil if the service is not competing, or not contended at present.
-func (d *Dispatcher) newUrgency(state *desired.State, route *desired.Route, service, timeoutMs string) *urgency {
-	if !state.Competing(service) || !d.schedulers.contended(route.ClassFor(service), time.Now()) {
+// newUrgency returns the urgency of a request of the class to a competing service, with the given
+// value of the timeout header; nil if the service is not contended at present.
+func (d *Dispatcher) newUrgency(state *desired.State, route *desired.Route, class desired.Class, timeoutMs string) *urgency {
+	if !d.schedulers.contended(class, time.Now()) {
 		return nil
 	}
-	u := &urgency{class: route.ClassFor(service), mostUrgent: state.Classes(service)[0]}
+	u := &urgency{class: class, mostUrgent: state.Classes(class.Service)[0]}
 	if ms, err := strconv.Atoi(timeoutMs); err == nil {
 		u.lost = d.schedulers.lost(route, time.Duration(ms)*time.Millisecond)
 	}
