inflight, balance: find upstreams that respond to no host

Cause: a host takes an upstream for silent only when two of its own requests there are late at the same time. Among 63 hosts that share an upstream, this is rare, so requests go on being sent to one that responds to nobody. Change: the host that the others follow finds silent upstreams from the load statistics that they send already, now also of competing keyed services that report no load. It needs requests of two hosts, so that a host that is cut off shows nothing by itself. A notice ends with the first response to any host, or after four work times. Picker.SetSilenceNotices takes notices; a host with a later response ignores them.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -118,11 +118,14 @@
 	// OnSilent is called when an upstream is found to be silent; see upstreamWork.silence. It is
 	// called with the lock held and must not call the picker.
 	OnSilent func(id string)
+	// OnSilenceNotice is called, like OnSilent, when an upstream counts as silent by a notice.
+	OnSilenceNotice func(id string, silence time.Duration)
+	noticed         map[string]bool // upstreams of the last SetSilenceNotices
 }
 
 // NewPicker returns a picker without state for the named host.
 func NewPicker(host string) *Picker {
-	return &Picker{host: host, states: map[string]*upstreamState{}, subsets: map[string]*serviceSubset{}, work: map[string]*serviceWork{}, OnSilent: func(string) {}}
+	return &Picker{host: host, states: map[string]*upstreamState{}, subsets: map[string]*serviceSubset{}, work: map[string]*serviceWork{}, OnSilent: func(string) {}, OnSilenceNotice: func(string, time.Duration) {}}
 }
 
 // state returns the upstream's state and creates it if there is none.
@@ -301,7 +304,7 @@
 		if u.DataCentre != c.LocalDataCentre {
 			cost += c.RemotePenalty
 		}
-		if now.Before(st.ejectedUntil) || now.Before(st.overloadedUntil) || p.silent(u.ID, st, now) {
+		if now.Before(st.ejectedUntil) || now.Before(st.overloadedUntil) || p.silent(u.ID, st, now) || st.work.noticedSilence(now) > 0 {
 			fallback.consider(u, cost)
 			continue
 		}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -70,7 +70,7 @@
 		q, t = q*f, t*f
 	}
 	// How long an upstream stays silent is not known; on average, half of the time has passed.
-	q = max(q, st.work.silence(now).Seconds())
+	q = max(q, st.work.silence(now).Seconds(), st.work.noticedSilence(now).Seconds())
 	e.queueing, e.work = toDuration(q), toDuration(t)
 	return e
 }
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -44,8 +44,9 @@
 	WorkInFlight time.Duration
 }
 
-// FlushLoadStats returns this host's load on the upstreams that Pick has returned, and
-// resets their counts of responses. It leaves out upstreams without load.
+// FlushLoadStats returns this host's load on the upstreams that Pick has returned and, for
+// SilenceNotice, on those of competing keyed services that report no load, and resets their counts
+// of responses. It leaves out upstreams without load.
 func (p *Picker) FlushLoadStats() []LoadStats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -54,7 +55,14 @@
 		stats := LoadStats{ID: id, InFlight: st.limiter.InFlight(), Responses: st.responses, TotalLatency: st.totalLatency,
 			WorkInFlight: st.work.inFlight, AnsweredWork: st.work.answered}
 		stats.Reported, stats.HasReport = st.work.takeReport()
-		if !st.picked || (stats.InFlight == 0 && stats.Responses == 0 && !stats.HasReport) {
+		if !st.picked && (st.work.report.Known() || (len(st.work.sendings) == 0 && st.work.answered == 0)) {
+			st.responses, st.totalLatency = 0, 0 // of a time when the service was not competing
+			continue
+		}
+		if !st.picked {
+			stats.InFlight = len(st.work.sendings)
+		}
+		if stats.InFlight == 0 && stats.Responses == 0 && !stats.HasReport {
 			continue
 		}
 		out = append(out, stats)
--- a/internal/balance/sending.go
+++ b/internal/balance/sending.go
@@ -48,6 +48,8 @@
 	inFlight, answered time.Duration
 	lastResponse       time.Time
 	silentReported     bool
+	// notice is the other hosts' last notice that the upstream is silent.
+	notice silenceNotice
 	// report is the newest load report, received at reportAt, when this host had
 	// sendingsAtReport requests there.
 	report           feedback.Load
--- a/internal/inflight/aggregator.go
+++ b/internal/inflight/aggregator.go
@@ -51,6 +51,7 @@
 	unknown map[string]unknownLoad
 	// services holds the services that are competing, by name.
 	services  map[string]*serviceWork
+	silences  silences
 	estimator *worktime.Estimator
 	// workTimes holds the estimates of the last update, made at updatedAt, by
 	// upstream ID.
@@ -82,7 +83,8 @@
 // the catalogue.
 func New(upstreams func() *catalogue.Snapshot, now time.Time) *Aggregator {
 	return &Aggregator{upstreams: upstreams, hosts: map[string]hostLoadStats{}, inFlight: map[string]int{},
-		workInFlight: map[string]time.Duration{}, unknown: map[string]unknownLoad{}, services: map[string]*serviceWork{}, estimator: worktime.New(now)}
+		workInFlight: map[string]time.Duration{}, unknown: map[string]unknownLoad{}, services: map[string]*serviceWork{},
+		silences: silences{upstreams: map[string]*upstreamSilence{}}, estimator: worktime.New(now)}
 }
 
 // Record replaces the host's previous load statistics with loads. For a competing service, each
@@ -113,7 +115,9 @@
 			a.estimator.Add(l.ID, weight, l.TotalLatency.Seconds(), now)
 		}
 	}
+	previous := a.hosts[host].loads
 	a.replaceLoadStats(host, hostLoadStats{now, loads})
+	a.silences.record(host, previous, loads, func(id string) time.Duration { return a.expectedWorkTime(id, now) }, now)
 	a.observeReports(loads, now)
 }
 
@@ -188,6 +192,7 @@
 			delete(a.inFlight, id)
 			delete(a.workInFlight, id)
 			delete(a.unknown, id)
+			delete(a.silences.upstreams, id)
 			continue
 		}
 		if a.meanWork(u.Service, now) > 0 {
