peer, entryhost: send notices of silent upstreams in Follow replies

Cause: notices of package inflight did not reach the hosts. Change: a reply carries them as entries of its notices that have rest_left_ms and ended_age_ms alone; hosts of earlier builds ignore these. Event 637, papayatide_silence_notices_total and papayatide_upstreams_noticed_silent show them.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -182,6 +182,7 @@
 		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: plat.peerTransport()}})}
 	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
 	h.picker.OnSilent = (&silenceLogger{zl: zl}).onSilent
+	h.picker.OnSilenceNotice = (&silenceLogger{zl: zl}).onSilenceNotice
 	if plat.Net != nil {
 		h.client.Dial = plat.Net.Dial
 	}
@@ -249,8 +250,9 @@
 	peers := http.NewServeMux()
 	ps := peerpb.NewPeerServer(&peer.Server{Replica: h.controller.replica, ReplicaStatus: h.replicaStatus, Fleet: h.fleet, Name: h.cfg.Host, HostStatus: h.status, RetireTermsBefore: h.retire,
 		OnKeyLoads: func(l []peer.ServiceLoad) { h.receiveKeyLoads(workCtx, l) }, OnLoadStats: h.inFlightAggregator.recordStats, PeerLoads: h.inFlightAggregator.peerLoads,
-		Speeds:   func(caller fleet.Host) []worktime.Speed { return h.speeds.forCaller(caller, time.Now()) },
-		OnDemand: h.shares.recordDemand, Shares: h.shares.sharesFor,
+		SilenceNotices: h.inFlightAggregator.silenceNotices,
+		Speeds:         func(caller fleet.Host) []worktime.Speed { return h.speeds.forCaller(caller, time.Now()) },
+		OnDemand:       h.shares.recordDemand, Shares: h.shares.sharesFor,
 		DesiredVersion: h.desiredVersion, OnDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
 		Feedback: h.feedback, IssuePermits: h.issuePermits})
 	peers.Handle(ps.PathPrefix(), ps)
--- a/internal/entryhost/inflight.go
+++ b/internal/entryhost/inflight.go
@@ -41,6 +41,7 @@
 	if a.ownStatsDue(now) {
 		a.aggregator.Record(a.host, a.picker.FlushLoadStats(), now)
 		a.picker.SetPeerLoads(a.aggregator.PeerLoads(a.host, a.picker.Subset().IDs, now), now)
+		a.picker.SetSilenceNotices(a.aggregator.SilenceNotices(now), now)
 	}
 }
 
@@ -66,6 +67,15 @@
 	return a.aggregator.PeerLoads(caller.Name, ids, time.Now())
 }
 
+// silenceNotices returns the upstreams that respond to none of several hosts of the caller's data
+// centre; nil for a caller in another data centre.
+func (a *inFlightAggregator) silenceNotices(caller fleet.Host) []balance.SilenceNotice {
+	if caller.DataCentre != a.dataCentre {
+		return nil
+	}
+	return a.aggregator.SilenceNotices(time.Now())
+}
+
 // room returns what the upstreams of a service in this data centre can process.
 func (a *inFlightAggregator) room(service string, now time.Time) shares.Room {
 	return a.aggregator.Room(service, a.dataCentre, now)
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -283,6 +283,7 @@
 	s.onSpeeds(reply.Speeds)
 	if !isRelay {
 		s.picker.SetPeerLoads(reply.PeerLoads, time.Now())
+		s.picker.SetSilenceNotices(reply.Silences, reply.ReceivedAt)
 		s.shares.update(reply.Shares, reply.ReceivedAt)
 	}
 	if s.followedReplicaStale = reply.Age > maxAge; s.followedReplicaStale {
--- a/internal/entryhost/uneven.go
+++ b/internal/entryhost/uneven.go
@@ -12,13 +12,16 @@
 	"github.com/papayatide/papayatide/internal/events"
 )
 
-var silentUpstreams = metrics.NewCounter(`papayatide_silent_upstreams_total`)
+var (
+	silentUpstreams = metrics.NewCounter(`papayatide_silent_upstreams_total`)
+	silenceNotices  = metrics.NewCounter(`papayatide_silence_notices_total`)
+)
 
 // silenceLogInterval is the least time between log lines about silent upstreams, which requests
 // trigger.
 const silenceLogInterval = time.Second
 
-// silenceLogger logs that upstreams have become silent.
+// silenceLogger logs that upstreams have become silent, each cause with a logger of its own.
 type silenceLogger struct {
 	zl *zap.Logger
 
@@ -28,22 +31,32 @@
 }
 
 // onSilent is the picker's OnSilent.
-func (l *silenceLogger) onSilent(id string) { l.log(id, time.Now()) }
-
-func (l *silenceLogger) log(id string, now time.Time) {
+func (l *silenceLogger) onSilent(id string) {
 	silentUpstreams.Inc()
+	l.log("upstream is silent; sending elsewhere", events.UpstreamSilent, id, time.Now())
+}
+
+// onSilenceNotice is the picker's OnSilenceNotice.
+func (l *silenceLogger) onSilenceNotice(id string, silence time.Duration) {
+	silenceNotices.Inc()
+	l.log("upstream responds to no host; sending elsewhere", events.UpstreamSilentToAll, id, time.Now(), zap.Duration("silent_for", silence))
+}
+
+func (l *silenceLogger) log(message string, event int, id string, now time.Time, fields ...zap.Field) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now.Sub(l.loggedAt) < silenceLogInterval {
 		l.suppressed++
 		return
 	}
-	l.zl.Info("upstream is silent; sending elsewhere", zap.Int("event", events.UpstreamSilent), zap.String("peer", id), zap.Int("untold", l.suppressed))
+	l.zl.Info(message, append(fields, zap.Int("event", event), zap.String("peer", id), zap.Int("untold", l.suppressed))...)
 	l.loggedAt, l.suppressed = now, 0
 }
 
-// writeWorkGauges writes the expected work of the classes of competing services.
+// writeWorkGauges writes the number of upstreams that are silent by notices, and the expected work
+// of the classes of competing services.
 func (h *host) writeWorkGauges(w io.Writer, now time.Time) {
+	metrics.WriteGaugeUint64(w, "papayatide_upstreams_noticed_silent", uint64(h.picker.NoticedSilences(now)))
 	st := h.views.Load().Desired
 	if st == nil {
 		return
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -69,6 +69,7 @@
 	UpstreamRestarted       = 634
 	UpstreamReported        = 635
 	UpstreamSilent          = 636
+	UpstreamSilentToAll     = 637
 	OwnershipAdopted        = 640
 	OwnershipRejected       = 641
 	OwnershipChangeRejected = 642
--- a/internal/peer/feedback.go
+++ b/internal/peer/feedback.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
 
+	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/ratelimit"
 	"github.com/papayatide/papayatide/rpc/peerpb"
@@ -47,9 +48,34 @@
 	return out
 }
 
+// isSilence reports whether the message is a balance.SilenceNotice. Earlier builds ignore it: they
+// read RestLeftMs only with RestHosts, and EndedAgeMs only with Ended.
+func isSilence(m *peerpb.UpstreamNotice) bool { return m.RestHosts == 0 && m.RestLeftMs > 0 }
+
+func encodeSilences(ns []balance.SilenceNotice) []*peerpb.UpstreamNotice {
+	var out []*peerpb.UpstreamNotice
+	for _, n := range ns {
+		out = append(out, &peerpb.UpstreamNotice{Id: n.ID, EndedAgeMs: uint32(max(n.For, 0).Milliseconds()), RestLeftMs: uint32(max(n.Left.Milliseconds(), 1))})
+	}
+	return out
+}
+
+func decodeSilences(ms []*peerpb.UpstreamNotice) []balance.SilenceNotice {
+	var out []balance.SilenceNotice
+	for _, m := range ms {
+		if isSilence(m) {
+			out = append(out, balance.SilenceNotice{ID: m.Id, For: time.Duration(m.EndedAgeMs) * time.Millisecond, Left: time.Duration(m.RestLeftMs) * time.Millisecond})
+		}
+	}
+	return out
+}
+
 func decodeNotices(ms []*peerpb.UpstreamNotice) []feedback.Notice {
 	var out []feedback.Notice
 	for _, m := range ms {
+		if isSilence(m) {
+			continue
+		}
 		n := feedback.Notice{Upstream: m.Id, RateLimit: m.Limit, RateLimitAge: -1, Leaving: m.Leaving,
 			LeavingAge:   time.Duration(m.LeavingAgeMs) * time.Millisecond,
 			BackoffHosts: int(m.RestHosts), BackoffLeft: time.Duration(m.RestLeftMs) * time.Millisecond,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 //	AnsweredWorkMs                 AnsweredWork in LoadStats
 //	RestHosts, RestLeftMs          feedback.Notice.BackoffHosts, BackoffLeft
 //	Ended, EndedAgeMs              feedback.Notice.Crashed, CrashAge
+//	RestLeftMs without RestHosts   balance.SilenceNotice.Left; EndedAgeMs is its For
 package peer
 
 import (
@@ -116,6 +117,9 @@
 	Shares []shares.Share
 	// Notices holds what the callee knows of upstreams beyond the notices in the request.
 	Notices []feedback.Notice
+	// Silences holds the upstreams that respond to none of several hosts of the data centre; empty
+	// if the callee is in another data centre.
+	Silences []balance.SilenceNotice
 	// DesiredVersion is the version of the desired state in force on the callee; 0 if there
 	// is none or the callee does not state it.
 	DesiredVersion int64
@@ -156,7 +160,7 @@
 		return nil, eris.Wrapf(err, "peer %s: follow", addr)
 	}
 	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, ReceivedAt: receivedAt, Positions: decodePositions(reply.Positions, req.Positions), LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
-		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices), Speeds: decodeSpeeds(reply.Speeds),
+		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices), Silences: decodeSilences(reply.Notices), Speeds: decodeSpeeds(reply.Speeds),
 		DesiredVersion: reply.DesiredVersion, Shares: decodeShares(reply.Shares)}
 	for _, m := range reply.Batches {
 		b, ok, err := decodeBatch(m, req)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -214,3 +214,25 @@
 		t.Errorf("shares %v arrived as %v", want, reply.Shares)
 	}
 }
+
+// Notices of silent upstreams must arrive beside the others, and hosts of earlier builds, which take
+// them for notices of feedback, must ignore them.
+func TestSilenceNoticesAreTransferred(t *testing.T) {
+	addr, s := startServer(t)
+	want := balance.SilenceNotice{ID: "u", For: 1200 * time.Millisecond, Left: 900 * time.Millisecond}
+	s.SilenceNotices = func(fleet.Host) []balance.SilenceNotice { return []balance.SilenceNotice{want} }
+	s.Feedback.RecordCrash("u", time.Now())
+	reply, err := NewClient(http.DefaultClient).Follow(t.Context(), addr, FollowRequest{Self: fleet.Host{Name: "h"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(reply.Silences) != 1 || reply.Silences[0] != want || len(reply.Notices) != 1 || !reply.Notices[0].Crashed {
+		t.Errorf("received %+v and %+v", reply.Silences, reply.Notices)
+	}
+	earlier := feedback.NewTracker()
+	earlier.OnChange = func(c feedback.Change) { t.Errorf("change %+v", c) }
+	earlier.Merge("h", []feedback.Notice{{Upstream: "u", RateLimitAge: -1, CrashAge: want.For, BackoffLeft: want.Left}}, time.Now())
+	if n := earlier.Notices(time.Now()); n != nil {
+		t.Errorf("an earlier build passes on %+v", n)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -40,6 +40,9 @@
 	// the other hosts in the caller's data centre on each of the given upstreams.
 	OnLoadStats func(caller fleet.Host, loads []balance.LoadStats)
 	PeerLoads   func(caller fleet.Host, ids []string) []balance.PeerLoad
+	// SilenceNotices returns the upstreams that respond to none of several hosts of the caller's
+	// data centre.
+	SilenceNotices func(caller fleet.Host) []balance.SilenceNotice
 	// Speeds returns the speeds of upstreams of keyed services to send to the caller; nil if it
 	// gets none in this reply.
 	Speeds func(caller fleet.Host) []worktime.Speed
@@ -123,6 +126,9 @@
 	subset := s.subsetOf(m)
 	reply.UsingToken = subset.Hash
 	setPeerLoads(reply, s.PeerLoads(caller, subset.IDs))
+	if s.SilenceNotices != nil {
+		reply.Notices = append(reply.Notices, encodeSilences(s.SilenceNotices(caller))...)
+	}
 	if s.Speeds != nil {
 		reply.Speeds = encodeSpeeds(s.Speeds(caller))
 	}
