dispatch: refuse keyed requests whose owner is silent by a notice

Cause: a request for a key of an owner that responds to no host was sent there and failed at its timeout. Change: it is refused at once if its objective ends before the owner is expected to respond: silence as long as that so far, and the work of its class. Measured: the new test fails without the check; the tests of dispatch pass.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -78,7 +78,7 @@
 			if d.picker.IsEjected(u.ID, now) || !d.reachable(u, now) {
 				return nil, req.refusal(CauseUnreachable, retryAfterNoOwner)
 			}
-			if d.picker.Silent(u.ID, now) {
+			if d.picker.Silent(u.ID, now) || d.silentBeyondObjective(req, u, now) {
 				return nil, req.refusal(CauseOverloaded, req.retryAfterOverloaded())
 			}
 			if wait, cause := d.unavailableFor(u.ID, now); wait > 0 {
--- a/internal/dispatch/uneven.go
+++ b/internal/dispatch/uneven.go
@@ -31,6 +31,17 @@
 	return req.urgency.class
 }
 
+// silentBeyondObjective reports whether the upstream, which is silent by a notice of other hosts, is
+// expected to respond only after the request's objective.
+func (d *Dispatcher) silentBeyondObjective(req *request, u *catalogue.Upstream, now time.Time) bool {
+	silence := d.picker.NoticedSilence(u.ID, now)
+	if silence == 0 {
+		return false
+	}
+	_, work, _ := d.picker.Estimate(u, d.classOf(req), now)
+	return silence+work > req.arrived.Add(req.route.LatencyObjective).Sub(now)
+}
+
 // rejectedWithRoom reports whether an upstream rejected a request without running it although it has
 // room, and nothing else in the response explains the rejection. That is no sign of overload. Cold
 // upstreams reject requests above their rate limit, whatever their load. Deployments without
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
+	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -159,3 +160,20 @@
 		h.get("keyed.example", "r").want(t, http.StatusOK, "")
 	}
 }
+
+// Guards against requests being sent to an owner that other hosts know to be silent, against refusing
+// those that have time left, and against refusals after the owner has responded to this host.
+func TestNoticedSilentOwnerGetsOnlyRequestsWithTime(t *testing.T) {
+	h := newHarness(t, newUpstream("k1", "keyed", startUpstream(t, echo)))
+	h.setOwner("k1", 1)
+	h.setCompeting()
+	notice := balance.SilenceNotice{ID: "k1", For: 2 * testObjective, Left: time.Minute}
+	h.d.picker.SetSilenceNotices([]balance.SilenceNotice{notice}, time.Now())
+	h.get("keyed.example", "r").want(t, http.StatusServiceUnavailable, string(CauseOverloaded)+"\n")
+	h.get("browse-keyed.example", "b").want(t, http.StatusOK, "")
+	h.get("keyed.example", "r").want(t, http.StatusOK, "")
+	// Package inflight finds silent owners by these statistics.
+	if stats := h.d.picker.FlushLoadStats(); len(stats) != 1 || stats[0].Responses != 2 || stats[0].AnsweredWork == 0 {
+		t.Errorf("load statistics %+v", stats)
+	}
+}
