entryhost: test that all hosts are told of a silent upstream

Cause: nothing tested that a notice reaches the host that finds it and those that follow it. Change: a fleet of four hosts with an upstream whose slots are taken.

--- a/internal/entryhost/uneven_test.go
+++ b/internal/entryhost/uneven_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,3 +79,32 @@
 		})
 	}
 }
+
+// Guards against notices of silent upstreams that do not reach all hosts: the one that finds them, and
+// those that follow it.
+func TestAllHostsAreToldOfSilentUpstream(t *testing.T) {
+	runFleetTest(t, func(t *testing.T) {
+		f, told := newFleet(t, 4, 1), make([]float64, 4)
+		f.addContendedUpstream("c0", 150*time.Millisecond)
+		slots := f.addContendedUpstream("c1", 150*time.Millisecond)
+		f.waitServed(f.hosts[0], startupTimeout)
+		var load sync.WaitGroup
+		load.Go(func() { f.loadOn(f.hosts, urgentRoute, 1, 8*time.Second) })
+		load.Go(func() { f.loadOn(f.hosts, relaxedRoute, 1, 8*time.Second) })
+		time.Sleep(4 * time.Second)
+		for range contendedSlots {
+			slots <- struct{}{}
+		}
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			for i, h := range f.hosts {
+				told[i] = max(told[i], h.gauge(t, "papayatide_upstreams_noticed_silent"))
+			}
+		}
+		for range contendedSlots {
+			<-slots
+		}
+		if load.Wait(); slices.Min(told) == 0 {
+			t.Errorf("silent upstreams by the notices that each host got: %v", told)
+		}
+	})
+}
