balance: fit the queueing correction to all responses at once

Cause: the model kept five decaying sums for each class besides four for the service, more than its benefit justifies. Change: one regression over the latencies beyond the work time; the sums of the classes are gone. Without the fleet's value of a class's work, in the first second of a divider, differences between classes now count for the slope.

--- a/internal/balance/sending.go
+++ b/internal/balance/sending.go
@@ -199,8 +199,6 @@
 	st.work.expected.Add(weight*work, classTimeConstant, now)
 	st.work.taken.Add(weight*taken, classTimeConstant, now)
 	if s.workTime > 0 {
-		latency := took.Seconds() * s.speed
-		cw.latencies.add(latency, s.expected.computed, now)
-		w.queueing.add(latency, s.workTime.Seconds()*s.speed, s.expected.computed, s.expected.occupancy, now)
+		w.queueing.add(took.Seconds()*s.speed, s.workTime.Seconds()*s.speed, s.expected.computed, s.expected.occupancy, now)
 	}
 }
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -33,8 +33,6 @@
 // upstream of median speed, in seconds.
 type classWork struct {
 	responses, work decay.Sum
-	// latencies holds the latencies that the work was learnt from.
-	latencies latencySums
 	// learnt is the number of all responses.
 	learnt int
 	// fleetWork is the value of SetClassWork, 0 if there is none, fleetWorkAt its first use.
@@ -42,12 +40,10 @@
 	fleetWorkAt time.Time
 }
 
-type classWorks map[desired.Class]*classWork
-
 // serviceWork is the expected work of the classes of one service, and the medians of its
 // upstreams.
 type serviceWork struct {
-	classes classWorks
+	classes map[desired.Class]*classWork
 	// upstreams holds those that this host has sent requests to, by ID.
 	upstreams map[string]*upstreamState
 	// peerMedian is the median work time of the upstreams by the load of all hosts; ownMedian the
@@ -69,7 +65,7 @@
 func (p *Picker) serviceWork(service string) *serviceWork {
 	w := p.work[service]
 	if w == nil {
-		w = &serviceWork{classes: classWorks{}, upstreams: map[string]*upstreamState{}}
+		w = &serviceWork{classes: map[desired.Class]*classWork{}, upstreams: map[string]*upstreamState{}}
 		p.work[service] = w
 	}
 	return w
@@ -172,7 +168,7 @@
 	}
 	w.refreshedAt = now
 	w.refreshMean(now)
-	w.queueing.update(w.classes, w.mean, now)
+	w.queueing.update(w.mean, now)
 	var peer, own []float64
 	for _, st := range w.upstreams {
 		if st.hasPeerLoad(now) && st.peerLoad.WorkTime > 0 {
