--- a/internal/balance/sending.go
+++ b/internal/balance/sending.go
@@ -48,6 +48,8 @@
 	inFlight, answered time.Duration
 	lastResponse       time.Time
 	silentReported     bool
+	// notice is the other hosts' last notice that the upstream is silent.
+	notice silenceNotice
 	// report is the newest load report, received at reportAt, when this host had
 	// sendingsAtReport requests there.
 	report           feedback.Load
@@ -199,8 +201,6 @@
 	st.work.expected.Add(weight*work, classTimeConstant, now)
 	st.work.taken.Add(weight*taken, classTimeConstant, now)
 	if s.workTime > 0 {
-		latency := took.Seconds() * s.speed
-		cw.latencies.add(latency, s.expected.computed, now)
-		w.queueing.add(latency, s.workTime.Seconds()*s.speed, s.expected.computed, s.expected.occupancy, now)
+		w.queueing.add(took.Seconds()*s.speed, s.workTime.Seconds()*s.speed, s.expected.computed, s.expected.occupancy, now)
 	}
 }
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/admission"
+	"github.com/papayatide/papayatide/internal/balance"
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -169,3 +170,15 @@
 		h.get("keyed.example", "r").want(t, http.StatusOK, "")
 	}
 }
+
+// Guards against requests being sent to an owner that other hosts know to be silent, against refusing
+// those that have time left, and against refusals after the owner has responded to this host.
+func TestNoticedSilentOwnerGetsOnlyRequestsWithTime(t *testing.T) {
+	h := newHarness(t, newUpstream("k1", "keyed", startUpstream(t, echo)))
+	h.setOwner("k1", 1)
+	h.setCompeting()
+	h.d.picker.SetSilenceNotices([]balance.SilenceNotice{{ID: "k1", For: 2 * testObjective, Left: time.Minute}}, time.Now())
+	h.get("keyed.example", "r").want(t, http.StatusServiceUnavailable, string(CauseOverloaded)+"\n")
+	h.get("browse-keyed.example", "b").want(t, http.StatusOK, "")
+	h.get("keyed.example", "r").want(t, http.StatusOK, "")
+}
