entryhost: count the time of a failed read towards its retry delay

Cause: a read that was sent just before the end of a network partition timed out 0.6 s after it (immediateReadTimeout), and the full backoff of up to 0.45 s came on top. Upstreams with missing entries are spared for 2 s from the next read on, so one that had left counted as staying for up to 3.05 s; 3 s are required.

Change: the delay before the retry is the backoff less the time that the failed read took, at least 50 ms. The bound is now 0.65 s + 2 s. Reads that fail at once are spaced as before; those that time out follow each other after 0.65 s instead of 0.75 to 1.05 s, on hosts that read the log service themselves.

--- a/internal/entryhost/streamreader.go
+++ b/internal/entryhost/streamreader.go
@@ -27,9 +27,9 @@
 	// of a network partition.
 	defaultLongPoll = 1500 * time.Millisecond
 	// minReadRetryDelay and maxReadRetryDelay bound the backoff after a failed
-	// read. They are short: within 3 s of the end of a network partition a host
-	// must have read what it missed, and for 2 s of that (relistGracePeriod) it
-	// can't tell expired entries from upstreams that have left.
+	// read; see retryDelay. They are short: within 3 s of the end of a network
+	// partition a host must have read what it missed, and for 2 s of that
+	// (relistGracePeriod) it can't tell expired entries from upstreams that have left.
 	minReadRetryDelay = 100 * time.Millisecond
 	maxReadRetryDelay = 300 * time.Millisecond
 	// maxRecoveryWait is how long the other readers wait for the recovery reader to
@@ -137,6 +137,7 @@
 		if noWait {
 			wait = 0
 		}
+		sentAt := time.Now()
 		records, err := r.read(ctx, wait)
 		if ctx.Err() != nil {
 			return
@@ -147,7 +148,7 @@
 			r.health.setReachable(err == nil)
 		}
 		if err != nil {
-			sleep(ctx, backoff/2+rand.N(backoff))
+			sleep(ctx, retryDelay(backoff, time.Since(sentAt)))
 			backoff = min(backoff*2, maxReadRetryDelay)
 			if !r.isRecoveryReader {
 				r.health.awaitRecovery(ctx, maxRecoveryWait)
@@ -161,6 +162,14 @@
 	}
 }
 
+// retryDelay returns the delay after a read that failed after the given time, which counts
+// towards the backoff. A read that timed out has already spaced the calls: with the full backoff
+// on top, a read sent just before the end of a network partition would delay the next one until
+// 1.05 s after it, which leaves less than the 2 s of relistGracePeriod.
+func retryDelay(backoff, readDuration time.Duration) time.Duration {
+	return max(backoff/2+rand.N(backoff)-readDuration, minReadRetryDelay/2)
+}
+
 // readOnce makes one read that does not wait for a record.
 func (r *streamReader) readOnce(ctx context.Context) error {
 	_, err := r.read(ctx, 0)
