balance: let the other hosts' estimate replace an unmeasured latency

Cause: the cost of an upstream is the mean of this host's latency there and the other hosts' estimate. Before a host has measured any, it assumes 150 ms. A host that works with upstreams of 20 ms then never sends to another one: (150 + 20)/2 = 85 ms stays above their cost. In three traced failures of TestUpstreamRateLimitHoldsAcrossHosts (plain_limit_8), 8 or 9 of 12 hosts had never measured the upstream whose rate limit had ended and sent it nothing; all requests came from the other three or four hosts.

Change: the share that the assumed latency still has in the smoothed one is replaced by the other hosts' estimate, where there is one. Nothing changes without that estimate, nor for a host that has measured an upstream some 20 times, nor for competing services, which have their own estimate.

The new test of package balance fails without the change.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -39,8 +39,8 @@
 	// minDecreaseInterval is the minimum time between two decreases: requests
 	// already in flight at a decrease don't reflect the new limit.
 	minDecreaseInterval = 150 * time.Millisecond
-	// initialLatency is assumed before the first response.
-	initialLatency = 150 * time.Millisecond
+	// InitialLatency is assumed before the first response.
+	InitialLatency = 150 * time.Millisecond
 	// startRateTau is the time constant over which requests started are
 	// averaged. A host of a large fleet may send an upstream only one request
 	// in several seconds.
@@ -76,9 +76,11 @@
 	firstStart   time.Time
 	recentStarts decay.Sum
 	inFlight     int
-	// latency is the smoothed response time of the upstream.
-	latency     time.Duration
-	decreasedAt time.Time
+	// latency is the smoothed response time of the upstream; assumedShare is the share
+	// that InitialLatency still has in it.
+	latency      time.Duration
+	assumedShare float64
+	decreasedAt  time.Time
 	// nextStart is the earliest start of the next request while the limit is
 	// below 1.
 	nextStart time.Time
@@ -95,7 +97,7 @@
 
 // NewLimiter returns a limiter for an upstream of which nothing is known.
 func NewLimiter() *Limiter {
-	return &Limiter{limit: initialLimit, limitRange: LimitRange{MaxLimit: maxLimit, MinLimit: maxMinLimit}, latency: initialLatency}
+	return &Limiter{limit: initialLimit, limitRange: LimitRange{MaxLimit: maxLimit, MinLimit: maxMinLimit}, latency: InitialLatency, assumedShare: 1}
 }
 
 // LimitRange is the range of a host's limit for an upstream that all hosts of a
@@ -230,6 +232,8 @@
 	Limit             float64
 	InFlight, Waiting int
 	Latency           time.Duration
+	// AssumedShare is the share of InitialLatency in Latency: 1 before the first response.
+	AssumedShare float64
 	// ExpectedWait is how long a further request would wait for its turn.
 	ExpectedWait time.Duration
 }
@@ -238,7 +242,7 @@
 func (l *Limiter) State() State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := State{Limit: l.effectiveLimit(), InFlight: l.inFlight, Waiting: len(l.waiters), Latency: l.latency}
+	s := State{Limit: l.effectiveLimit(), InFlight: l.inFlight, Waiting: len(l.waiters), Latency: l.latency, AssumedShare: l.assumedShare}
 	if now := time.Now(); s.Waiting > 0 || !l.hasRoom(now) {
 		s.ExpectedWait = l.expectedWait(now)
 	}
@@ -342,6 +346,7 @@
 // observeLatency adds a sample to the smoothed latency.
 func (l *Limiter) observeLatency(elapsed time.Duration) {
 	l.latency += time.Duration(latencySmoothing * float64(elapsed-l.latency))
+	l.assumedShare *= 1 - latencySmoothing
 }
 
 // decrease multiplies the part of the limit that was in use by factor: a limit
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -361,9 +361,14 @@
 // requests, more recent in a small fleet, where each host sends to an upstream often, and one
 // from the load of all hosts of the data centre, more accurate in a large one. It includes the
 // wait for this host's limiter: without it, Pick would prefer an idle upstream to which the
-// limiter admits no request yet.
+// limiter admits no request yet. The other hosts' estimate replaces the latency that the limiter
+// assumes before it has measured any: a host that works with upstreams of 20 ms would otherwise
+// never send to another one that it has not measured, and not notice the end of its rate limit.
 func (st *upstreamState) cost(u *catalogue.Upstream, now time.Time) time.Duration {
 	s := st.limiter.State()
+	if st.hasPeerLoad(now) && st.peerLoad.WorkTime > 0 {
+		s.Latency += time.Duration(s.AssumedShare * float64(st.peerLoad.WorkTime-admission.InitialLatency))
+	}
 	c := s.Latency + s.Latency*time.Duration(s.InFlight)/time.Duration(u.Slots)
 	if st.hasPeerLoad(now) {
 		inFlight := s.InFlight + st.peerLoad.InFlight
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -38,6 +38,27 @@
 	})
 }
 
+// Guards against a host never sending to an upstream that it has not measured: the latency
+// assumed for it is several times that of the measured one, which keeps being preferred while
+// it has requests in flight. The other hosts' estimate must count instead.
+func TestPickUsesUnmeasuredUpstreamThatOtherHostsMeasured(t *testing.T) {
+	const workTime = 20 * time.Millisecond
+	now := time.Now()
+	p, ups := NewPicker("h"), twoUpstreams()
+	limitRange := admission.HostLimitRange(3, 0, 1)
+	for range 50 {
+		p.Limiter("a").Acquire(context.Background(), 0, limitRange).Done(admission.InTime, workTime)
+	}
+	if u := p.Pick(ups, Criteria{LocalDataCentre: "dc"}, now); u.ID != "a" {
+		t.Errorf("picked %s, of which nothing is known, instead of an idle upstream", u.ID)
+	}
+	p.SetPeerLoads([]PeerLoad{{ID: "a", WorkTime: workTime}, {ID: "b", WorkTime: workTime}}, now)
+	p.Limiter("a").Acquire(context.Background(), 0, limitRange)
+	if u := p.Pick(ups, Criteria{LocalDataCentre: "dc"}, now); u.ID != "b" {
+		t.Errorf("picked %s, which has a request in flight, instead of one that is idle and as fast", u.ID)
+	}
+}
+
 // Traffic between data centres is expensive: Pick prefers the local of two idle upstreams.
 // It returns the remote one while the local one is ejected or draining, and never an
 // excluded one.
