dispatch: detect the crash of an upstream by its idle connections

Cause: hosts learned of a crash only from requests to the upstream.

Change: every 200 ms a host looks for idle connections that the upstream has closed before their idle timeout, and tries to connect once. If that is refused, it records and announces the crash as it does for a request. An upstream that accepts, or that is leaving, is not recorded; the connection of the check is not kept. A server that is back within 200 ms is not detected. The cost is one MSG_PEEK for each upstream with idle connections in 200 ms.

The test gets two further cases, in which no host is busy while the server is down.

--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -63,6 +63,28 @@
 	d.OnBrokenSend(broken)
 }
 
+// CheckIdleConnections looks for upstreams that have closed an idle connection to this host and
+// refuse a new one, and records them as crashed. Without it, an upstream to which no host
+// happens to send between its crash and its restart counts as warm while the log service is
+// away, and gets its usual share of the requests at once.
+func (d *Dispatcher) CheckIdleConnections(ctx context.Context) {
+	upstreams := d.views.Load().Upstreams
+	for _, t := range d.client.ClosedIdle(time.Now()) {
+		if u := upstreams.ByID[t.ID]; u == nil || u.Draining() || u.Addr != t.Addr {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+			defer cancel()
+			if d.client.RefusesConnections(ctx, t) {
+				now := time.Now()
+				d.picker.RecordCrash(t.ID, now)
+				d.feedback.RecordCrash(t.ID, now)
+			}
+		}()
+	}
+}
+
 const (
 	// crashDetectionTimeout bounds the time from a crash until this host reads that the
 	// upstream's entry was removed from the log: three missed heartbeats of about 0.9 s,
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -96,6 +96,10 @@
 	readHeaderTimeout = 5 * time.Second
 	maxHeaderBytes    = 64 << 10
 	housekeepInterval = time.Second
+	// idleCheckInterval is how often the idle connections to upstreams are checked. A server
+	// is down for about a second when it restarts, and notices of its crash take up to 0.6 s
+	// to reach all hosts.
+	idleCheckInterval = 200 * time.Millisecond
 	// gcPercent is below Go's default of 100: memory use is billed, and the extra
 	// collections cost little CPU time.
 	gcPercent = 50
@@ -159,6 +163,7 @@
 	h.logSyncer = h.newLogSyncer(workCtx)
 	g.Add(func() error { h.logSyncer.run(workCtx); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.housekeep(workCtx, reload); return nil }, func(error) { cancel() })
+	g.Add(func() error { h.checkIdleConnections(workCtx); return nil }, func(error) { cancel() })
 	if err := h.listen(workCtx, &g); err != nil {
 		cancel()
 		return err
@@ -364,6 +369,21 @@
 	}
 }
 
+// checkIdleConnections checks the idle connections to upstreams once an idleCheckInterval
+// until ctx ends.
+func (h *host) checkIdleConnections(ctx context.Context) {
+	t := time.NewTicker(idleCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			h.dispatch.CheckIdleConnections(ctx)
+		}
+	}
+}
+
 // fleetSizeKnown reports whether the fleet size can be relied on: it came from
 // the planner, or this host is the planner and the other hosts have had
 // fleetDiscoveryTime to call it.
--- a/internal/entryhost/slowstart_test.go
+++ b/internal/entryhost/slowstart_test.go
@@ -115,12 +115,13 @@
 
 // A server crashes during an outage of the log service and restarts under its ID. It
 // is cold, but its entry can't be read. Hosts must not send it as much as its earlier
-// incarnation got, not even those that did not detect the crash.
+// incarnation got, not even those that did not detect the crash, and not if no host sent
+// it a request while it was down.
 func TestRestartedServerIsColdDuringLogOutage(t *testing.T) {
 	for _, c := range []struct {
 		service, route string
 		busy           int
-	}{{"sheets", "read.example", 4}, {"plain", unkeyedRoute, 4}, {"plain", unkeyedRoute, 1}} {
+	}{{"sheets", "read.example", 4}, {"plain", unkeyedRoute, 4}, {"plain", unkeyedRoute, 1}, {"sheets", "read.example", 0}, {"plain", unkeyedRoute, 0}} {
 		t.Run(fmt.Sprint(c.service, " with ", c.busy, " busy hosts"), func(t *testing.T) {
 			runFleetTest(t, func(t *testing.T) {
 				f := newFleet(t, 4, 0)
@@ -131,6 +132,9 @@
 				f.log.SetDown(true)
 				f.killUpstream(old)
 				f.generateLoadOn(f.hosts[:c.busy], c.route, time.Second)
+				if c.busy == 0 {
+					time.Sleep(time.Second)
+				}
 				restartedAt := time.Now()
 				restarted := f.startUpstream(c.service, "server")
 				const coldFor = 3 * time.Second
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -179,6 +180,32 @@
 	return res
 }
 
+// ClosedIdle returns the upstreams that have closed an idle connection before its idle timeout,
+// since the last call or the last request: their processes may have ended.
+func (c *Client) ClosedIdle(now time.Time) []Target {
+	c.mu.Lock()
+	pools := maps.Clone(c.pools)
+	c.mu.Unlock()
+	var out []Target
+	for t, p := range pools {
+		if p.closedByUpstream(now) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// RefusesConnections is PortClosed without keeping the connection: an upstream that closes idle
+// connections early would soon close that one too.
+func (c *Client) RefusesConnections(ctx context.Context, t Target) bool {
+	nc, err := c.Dial(ctx, "tcp4", t.Addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = nc.Close()
+	return false
+}
+
 // PortClosed reports whether t refuses connections, which means that its process has
 // ended. If a connection opens it is pooled for the next request.
 func (c *Client) PortClosed(ctx context.Context, t Target) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -100,6 +100,43 @@
 	p.idle = kept
 }
 
+// closedByUpstream reports whether the upstream has closed an idle connection before its idle
+// timeout. It drops the connections that it finds closed, most recently used first up to the
+// first open one: the end of a process closes all of them. A connection is out of the pool
+// while it is checked, so that no lock is held then.
+func (p *pool) closedByUpstream(now time.Time) bool {
+	for found := false; ; found = true {
+		c := p.pop()
+		if c == nil {
+			return found
+		}
+		if !now.Before(c.idleUntil) || !c.closed() {
+			p.put(c)
+			return found
+		}
+		_ = c.Close()
+	}
+}
+
+// closed reports whether the peer has closed or reset the idle connection.
+func (c *conn) closed() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	state := peek.ConnState(c.Conn)
+	if state != peek.Unknown {
+		return state == peek.Closed
+	}
+	// A connection in memory has no socket; its Read returns the end before a past deadline.
+	if err := c.SetReadDeadline(time.Now()); err != nil {
+		return true
+	}
+	if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return true
+	}
+	return c.SetReadDeadline(time.Time{}) != nil
+}
+
 // healthy reports whether the connection is open with nothing to read. Bytes that
 // arrived while it was idle belong to no request. After an end of file the upstream
 // has closed the connection, and a request sent now would have an unknown outcome.
