soak: competing classes, uneven upstreams and callers that pipeline

Cause: the soak had one class for each service, upstreams of uniform speed and callers that send one request at a time, so none of the code for hard load ran under faults. New checks: nothing behind a response that closes the connection ran; each route is served in the quiet period; upstreams received the right body.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -21,6 +21,7 @@
 type outcome struct {
 	id         string
 	host       *Host
+	vhost      string
 	idempotent bool
 	status     int
 	body       string
@@ -30,7 +31,12 @@
 	// responseOptional is set if no check requires a response: the caller may have
 	// cancelled the request, or the request is fatal.
 	responseOptional bool
-	began, ended     time.Time
+	// delayed is set if the response may wait for others on the connection, or for a
+	// caller that reads slowly.
+	delayed bool
+	// followsClose is set if an earlier response on the connection closed it.
+	followsClose bool
+	began, ended time.Time
 }
 
 const (
@@ -172,19 +178,27 @@
 // normalPath is the path of requests that crash no upstream.
 const normalPath = "/x"
 
-// roundTrip sends the request once and stores its result in o. The request has a key
-// unless it goes to unkeyedService.
-func (o *outcome) roundTrip(ctx context.Context, hc *http.Client, method, vhost, path string, body io.Reader, key int) {
+// newRequest returns the request. It has a key if it goes to keyedService.
+func (o *outcome) newRequest(ctx context.Context, method, vhost, path string, body io.Reader, key int) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.host.Front.Addr()+path, body)
 	if err != nil {
-		o.err = err
-		return
+		return nil, err
 	}
-	req.Host = vhost
+	o.vhost, req.Host = vhost, vhost
 	req.Header.Set(platform.Headers.RequestID, o.id)
-	if vhost != unkeyedVHost {
+	if vhost == readVHost || vhost == chargeVHost {
 		req.Header.Set(platform.Headers.Key, strconv.Itoa(key))
 	}
+	return req, nil
+}
+
+// roundTrip sends the request once and stores its result in o.
+func (o *outcome) roundTrip(ctx context.Context, hc *http.Client, method, vhost, path string, body io.Reader, key int) {
+	req, err := o.newRequest(ctx, method, vhost, path, body, key)
+	if err != nil {
+		o.err = err
+		return
+	}
 	resp, err := hc.Do(req)
 	if err != nil {
 		o.err = err
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -53,7 +53,7 @@
 		if o.interruptedByStop(r, in) {
 			bad = append(bad, fmt.Sprintf("%s: LOST: %s, forwarded by %s, which was shutting down gracefully, has no response: %v", o.began.Format(timestampFormat), o.id, o.host.Name, o.err))
 		}
-		if took := o.ended.Sub(o.began); took > routeTimeout && in.faultFree(o.host, o.began.Add(-settleTime), o.ended, "") {
+		if took := o.ended.Sub(o.began); !o.delayed && took > routeTimeout && in.faultFree(o.host, o.began.Add(-settleTime), o.ended, "") {
 			slow++
 			if took > routeTimeout+timeoutSlack {
 				late++
@@ -78,6 +78,9 @@
 	if !o.idempotent && r.count > 1 {
 		bad = append(bad, fmt.Sprintf("TWICE: ran %d times", r.count))
 	}
+	if o.followsClose && r.count > 0 {
+		bad = append(bad, fmt.Sprintf("UNASKED: ran at %s, although an earlier response closed the connection", r.upstreamID))
+	}
 	if o.err != nil {
 		return bad
 	}
@@ -86,7 +89,7 @@
 	}
 	switch o.status {
 	case http.StatusOK:
-		if r.count == 0 || !strings.HasSuffix(o.body, " ran "+o.id) || o.header.Get(platform.Headers.Signature) == "" {
+		if r.count == 0 || !strings.HasSuffix(o.body, o.ranSuffix()) || o.header.Get(platform.Headers.Signature) == "" {
 			bad = append(bad, fmt.Sprintf("MIXED: success with body %q, ran %d times", o.body, r.count))
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
@@ -103,6 +106,9 @@
 	return bad
 }
 
+// ranSuffix is how the body of a successful response ends.
+func (o *outcome) ranSuffix() string { return " ran " + o.id }
+
 // interruptedByStop reports whether the host forwarded the request and interrupted it by
 // a graceful shutdown, with no other fault nearby.
 func (o *outcome) interruptedByStop(r requestRuns, in *injector) bool {
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -27,7 +28,7 @@
 	// Requests to keyedService have a key, those to unkeyedService have none.
 	// readVHost and chargeVHost are the Host headers of the idempotent and the
 	// non-idempotent route to keyedService, unkeyedVHost is that of the only route
-	// to unkeyedService.
+	// to unkeyedService; see hardLoadRoutes for the others of Options.HardLoad.
 	keyedService, unkeyedService = "keyed", "plain"
 	readVHost, chargeVHost       = "read.example", "charge.example"
 	unkeyedVHost                 = "plain.example"
@@ -36,6 +37,8 @@
 	routeTimeout = time.Second
 	// workTime is how long an upstream takes to run a request.
 	workTime = 20 * time.Millisecond
+	// slots is the number of slots in the upstreams' entries.
+	slots = 6
 	// clockDriftFactor is the factor by which an upstream exceeds the TTL of each grant:
 	// its clock may run 2% slow.
 	clockDriftFactor = 1.02
@@ -54,6 +57,8 @@
 	current *incarnation
 	// starts counts the incarnations.
 	starts int
+	// pace is nil unless Options.HardLoad is set.
+	pace *pace
 }
 
 // incarnation is one run of an upstream, from its start until it is killed.
@@ -86,6 +91,8 @@
 	version int
 	// slowStart applies to upstreams that start or become cold during the run.
 	slowStart desired.SlowStart
+	// routes are those of the desired state.
+	routes []standin.Route
 	// crashOn, if set, is called when an upstream begins to run a request. It
 	// returns true if it has crashed the upstream.
 	crashOn func(*incarnation, *http.Request) bool
@@ -98,9 +105,14 @@
 
 // newEnvironment starts the log service and the given numbers of upstreams of
 // keyedService and unkeyedService, every other one in farDC, and publishes the first
-// desired state.
-func newEnvironment(keyed, unkeyed int, slow desired.SlowStart) (*Environment, error) {
-	env := &Environment{log: memstore.New(), slowStart: slow, grantsByToken: map[int64][]acceptedGrant{}}
+// desired state. hardLoad draws the paces of Options.HardLoad; nil without it.
+func newEnvironment(keyed, unkeyed int, slow desired.SlowStart, hardLoad *rand.Rand) (*Environment, error) {
+	env := &Environment{log: memstore.New(), slowStart: slow, grantsByToken: map[int64][]acceptedGrant{}, routes: plainRoutes}
+	paces := make([]*pace, keyed+unkeyed)
+	if hardLoad != nil {
+		env.routes = hardLoadRoutes
+		paces = append(drawPaces(hardLoad, keyed), drawPaces(hardLoad, unkeyed)...)
+	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "log service")
@@ -113,7 +125,7 @@
 		if i >= keyed {
 			service = unkeyedService
 		}
-		if err := env.addEndpoint(service); err != nil {
+		if err := env.addEndpoint(service, paces[i]); err != nil {
 			return nil, err
 		}
 	}
@@ -121,12 +133,12 @@
 }
 
 // addEndpoint adds an endpoint of a service and starts its first incarnation.
-func (env *Environment) addEndpoint(service string) error {
+func (env *Environment) addEndpoint(service string, p *pace) error {
 	addr, err := ports.FreeAddr()
 	if err != nil {
 		return err
 	}
-	ep := &endpoint{service: service, dataCentre: nearDC}
+	ep := &endpoint{service: service, dataCentre: nearDC, pace: p}
 	if len(env.endpoints)%2 == 1 {
 		ep.dataCentre = farDC
 	}
@@ -154,13 +166,16 @@
 	return f != nil && f(inc, r)
 }
 
+// plainRoutes are the routes without Options.HardLoad.
+var plainRoutes = []standin.Route{{Host: readVHost, Service: keyedService, Idempotent: true},
+	{Host: chargeVHost, Service: keyedService}, {Host: unkeyedVHost, Service: unkeyedService}}
+
 // publish writes the next version of the desired state to the log.
 func (env *Environment) publish() error {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.version++
-	doc, err := standin.DesiredRecord(env.version, []standin.Route{{Host: readVHost, Service: keyedService, Idempotent: true},
-		{Host: chargeVHost, Service: keyedService}, {Host: unkeyedVHost, Service: unkeyedService}}, map[string]bool{keyedService: true}, routeTimeout, env.slowStart)
+	doc, err := standin.DesiredRecord(env.version, env.routes, map[string]bool{keyedService: true}, routeTimeout, env.slowStart)
 	if err != nil {
 		return eris.Wrap(err, "desired state")
 	}
@@ -182,6 +197,9 @@
 	if ep.starts > 1 {
 		inc.coldFrom = time.Now()
 	}
+	if ep.pace != nil {
+		u.Processing = rangeowner.NewProcessing(slots, ep.pace.reportsLoad, ep.pace.work)
+	}
 	u.CrashOn = func(r *http.Request) bool { return env.crashedBy(inc, r) }
 	inc.srv = &http.Server{Handler: standin.GrantHandler(id, &auditedGrantee{env, inc}, u)}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -199,7 +217,7 @@
 // writeEntry writes the upstream's entry, its record in the upstreams' stream, to the log.
 func (env *Environment) writeEntry(inc *incarnation, leaving bool) {
 	env.log.Put(metastore.StreamUpstreams, inc.ID, standin.UpstreamRecord(&catalogue.Upstream{ID: catalogue.IncarnationID(inc.ID, inc.startNumber), Service: inc.endpoint.service,
-		Addr: inc.endpoint.proxy.Addr(), DataCentre: inc.endpoint.dataCentre, Slots: 6, Leaving: leaving, SlowUntil: inc.coldFrom.Add(env.slowStart.Duration)}))
+		Addr: inc.endpoint.proxy.Addr(), DataCentre: inc.endpoint.dataCentre, Slots: slots, Leaving: leaving, SlowUntil: inc.coldFrom.Add(env.slowStart.Duration)}))
 }
 
 // kill closes the endpoint's current incarnation at once and returns it. The entry
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,9 @@
 	Evacuate bool
 	// Reports adds upstreams that report rate limits, backoffs and that they are leaving.
 	Reports bool
+	// HardLoad adds competing classes, uneven upstreams and callers that pipeline, read
+	// slowly, disconnect in the middle of a pipeline and upload bodies.
+	HardLoad bool
 	// LogReturns has the log service return from older copies.
 	LogReturns bool
 	// Hosts, Keyed, Unkeyed and Callers are the numbers of entry hosts, upstreams
@@ -47,6 +50,8 @@
 	Faults []string
 	// Requests counts the callers' requests, Served those with status 200.
 	Requests, Served int
+	// ByRoute counts the requests of each route, by its Host header.
+	ByRoute map[string]*routeCount
 	// Recovered is how long the run waited until every probed key was served through
 	// every host, or until recoveryTimeout had passed. The wait begins at the end of
 	// the last fault, with Options.Evacuate at the end of the slow starts after it.
@@ -72,7 +77,11 @@
 	if opts.Evacuate {
 		slow = slowStart
 	}
-	env, err := newEnvironment(opts.Keyed, opts.Unkeyed, slow)
+	var paceRNG *rand.Rand
+	if opts.HardLoad {
+		paceRNG = rand.New(rand.NewPCG(opts.Seed, 9))
+	}
+	env, err := newEnvironment(opts.Keyed, opts.Unkeyed, slow, paceRNG)
 	if err != nil {
 		return nil, err
 	}
@@ -116,6 +125,12 @@
 	for i := range opts.Callers {
 		wg.Go(func() { c.run(cctx, opts.Seed*1000+uint64(i)) })
 	}
+	if opts.HardLoad {
+		wg.Go(func() { env.varyPaces(cctx, opts.Seed) })
+		for i := range pipeliningCallers {
+			wg.Go(func() { c.runPipelining(cctx, opts.Seed*1000+uint64(i)) })
+		}
+	}
 	in := &injector{env: env, hosts: hosts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), forgeSeed: opts.Seed,
 		downtimeRNG: rand.New(rand.NewPCG(opts.Seed, 3)), busy: map[any]bool{}}
 	fctx, cancel := context.WithTimeout(ctx, opts.FaultDuration)
@@ -171,6 +186,8 @@
 	if float64(quietServed) < minServedShare*float64(quiet) {
 		r.Violations = append(r.Violations, fmt.Sprintf("RECOVER: %d of %d requests served in the quiet period after the faults", quietServed, quiet))
 	}
+	r.ByRoute = countByRoute(c.outcomes, quietFrom)
+	r.Violations = append(r.Violations, env.checkClasses(r.ByRoute)...)
 	r.Violations = append(r.Violations, checkOutcomes(c.outcomes, env.runsByRequest(), in)...)
 	r.Violations = append(r.Violations, in.checkFatalRequests(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkColdUpstreams()...)
