--- a/internal/entryhost/shares.go
+++ b/internal/entryhost/shares.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// maxOverrun is how long after its deadline a request ends at most on a host that keeps running: the
+// host cancels it then. The latency of a request during which the host was frozen, 5 s in one case,
+// would raise the expected work of its class many times over.
+const maxOverrun = 200 * time.Millisecond
+
 // countRequest counts a finished or refused request as demand of its class.
 func (s *serviceShares) countRequest(e *dispatch.RequestSummary) {
 	state := s.state()
@@ -79,7 +84,7 @@
 	defer s.mu.Unlock()
 	d := s.demand[e.Class]
 	d.Arrived++
-	if e.Refusal == nil && e.Status < 500 && e.UpstreamTime > 0 {
+	if e.Refusal == nil && e.Status < 500 && e.UpstreamTime > 0 && e.TimeLeft > -maxOverrun {
 		d.Answered++
 		d.Latency += e.UpstreamTime - e.ConnectTime
 	}
--- a/internal/entryhost/shares_test.go
+++ b/internal/entryhost/shares_test.go
@@ -200,6 +200,23 @@
 	})
 }
 
+// Guards against the latency of requests during which the host was frozen: it raised the expected
+// work of a class from 47 to 714 ms, and the service counted as scarce.
+func TestRequestsOfAFrozenHostDoNotCountAsAnswered(t *testing.T) {
+	state, err := decoder{}.Desired("state", []byte("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newServiceShares("h", "dc", zap.NewNop(), func() *desired.State { return state }, nil)
+	class := state.Classes("contended")[0]
+	now := time.Now()
+	s.flushDemand(now)
+	s.countRequest(&dispatch.RequestSummary{Service: class.Service, Class: class, Key: -1, Status: 200, UpstreamTime: 5 * time.Second, TimeLeft: -4 * time.Second})
+	if got, want := s.flushDemand(now.Add(time.Second))[0], (shares.Demand{Class: class, Arrived: 1}); got != want {
+		t.Errorf("demand %+v, want %+v", got, want)
+	}
+}
+
 // Guards against demand sent where no service is competing, and against counts kept while this host
 // followed none: minutes of demand would look like that of a moment.
 func TestDemandSentToTheDivider(t *testing.T) {
