--- a/internal/balance/staleness.go
+++ b/internal/balance/staleness.go
@@ -35,13 +35,8 @@
 
 // peersInFlight returns the expected number of the other hosts' requests at the upstream, and the
 // sum of their expected work in seconds. each is the mean expected work of a request, in seconds; 0
-// if it is not known.
-//
-// Load data is some 300 ms old. Of the requests in it, those that the upstream has finished since
-// count no more; in their place counts the same part of the upstream's mean load. Otherwise all
-// hosts send short requests to the upstream that was the least busy, until the next data shows
-// them that it is full: two upstreams with requests of 20 ms took turns at being idle and had 0.68
-// of their slots in use.
+// if it is not known. Of the requests in the load data, the part that the upstream has finished since
+// is replaced by the same part of its mean load; see docs/design/uneven-upstreams.md.
 func (st *upstreamState) peersInFlight(slots, each, pace float64, now time.Time) (n, work float64) {
 	n, work = float64(max(st.peerLoad.InFlight, 0)), st.peerLoad.WorkInFlight.Seconds()
 	if work <= 0 {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -96,10 +96,6 @@
 	readHeaderTimeout = 5 * time.Second
 	maxHeaderBytes    = 64 << 10
 	housekeepInterval = time.Second
-	// idleCheckInterval is how often the idle connections to upstreams are checked. A server
-	// is down for about a second when it restarts, and notices of its crash take up to 0.6 s
-	// to reach all hosts.
-	idleCheckInterval = 200 * time.Millisecond
 	// gcPercent is below Go's default of 100: memory use is billed, and the extra
 	// collections cost little CPU time.
 	gcPercent = 50
@@ -371,21 +367,6 @@
 	}
 }
 
-// checkIdleConnections checks the idle connections to upstreams once an idleCheckInterval
-// until ctx ends.
-func (h *host) checkIdleConnections(ctx context.Context) {
-	t := time.NewTicker(idleCheckInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			h.dispatch.CheckIdleConnections(ctx)
-		}
-	}
-}
-
 // fleetSizeKnown reports whether the fleet size can be relied on: it came from
 // the planner, or this host is the planner and the other hosts have had
 // fleetDiscoveryTime to call it.
--- /dev/null
+++ b/internal/entryhost/idleconnections.go
@@ -0,0 +1,26 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+)
+
+// idleCheckInterval is how often the idle connections to upstreams are checked. A server
+// is down for about a second when it restarts, and notices of its crash take up to 0.6 s
+// to reach all hosts.
+const idleCheckInterval = 200 * time.Millisecond
+
+// checkIdleConnections checks the idle connections to upstreams once an idleCheckInterval
+// until ctx ends.
+func (h *host) checkIdleConnections(ctx context.Context) {
+	t := time.NewTicker(idleCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			h.dispatch.CheckIdleConnections(ctx)
+		}
+	}
+}
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -27,12 +27,12 @@
 }
 
 // SoleWriter reports whether this host knows every record of the ownership
-// stream: it renewed the lease within recentRenewalAge, is not shutting down, has read
-// the stream in the log's present era, and no append has failed and no upstream has shown
-// a newer planner's token after the end of the stream was last known. Otherwise only a read
-// shows where the stream ends; without it every later append would conflict, and a term
-// would not start at all.
+// stream: it renewed the lease within recentRenewalAge, is not shutting down, and
+// no append has failed and no upstream has shown a newer planner's token after the end
+// of the stream was last known.
 func (p *Planner) SoleWriter(now bootclock.Time) bool {
+	// Otherwise only a read shows where the stream ends: every later append would conflict, and
+	// without any read in the present era no term would start.
 	endKnown := !p.streamEndUncertain && p.streamEndInPresentEra()
 	return p.IsPlanner(now) && !p.shuttingDown && endKnown && now.Sub(p.lease.renewedAt) <= recentRenewalAge
 }
--- a/internal/retryafter/schedule_test.go
+++ b/internal/retryafter/schedule_test.go
@@ -43,7 +43,7 @@
 		o.atOnce, o.inTime, o.late, o.never, o.refusedAgain, (o.waited / time.Duration(returned)).Round(time.Millisecond))
 }
 
-// simulate plays 30 s of demand at hosts that each start an equal share of the capacity and
+// simulate sends 30 s of demand at hosts that each start an equal share of the capacity and
 // refuse what would queue longer than simQueue or end after the caller's timeout. Callers return up
 // to maxReturns times, to any host, after at most a third of the time they have left.
 func simulate(demand func(time.Duration) float64, maxReturns int, wait func(s *Schedule, queueing, left time.Duration, now time.Time) time.Duration) (o outcomes) {
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -186,10 +186,10 @@
 	}
 }
 
-// playOverload plays payments and browsing at 1.3 times the capacity for 20 s, in which
+// simulateOverload sends payments and browsing at 1.3 times the capacity for 20 s, in which
 // payments have the given share, and counts the callers that arrive after 5 s. Twenty hosts
 // and upstreams are about one data centre of a large deployment.
-func playOverload(t *testing.T, paymentShare float64) (pay, browse *callers) {
+func simulateOverload(t *testing.T, paymentShare float64) (pay, browse *callers) {
 	pay = &callers{class: payments, work: 160 * time.Millisecond, timeout: 1200 * time.Millisecond}
 	browse = &callers{class: browsing, work: 930 * time.Millisecond, timeout: 5 * time.Second}
 	synctest.Test(t, func(t *testing.T) {
@@ -222,7 +222,7 @@
 // Guards against three quarters of the payments, a quarter of the demand, being refused and no browsing
 // request, as by one mean latency; browsing must get most of the rest of the capacity.
 func TestPaymentsAreServedBeforeBrowsing(t *testing.T) {
-	pay, browse := playOverload(t, 0.27)
+	pay, browse := simulateOverload(t, 0.27)
 	if pay.value() < 0.78 {
 		t.Errorf("callers of payments get %.3f of their value, want 0.78", pay.value())
 	}
@@ -237,7 +237,7 @@
 // Guards against browsing getting nothing by priority alone when payments exceed the capacity, and
 // against payments not being served, if late, after their callers return.
 func TestBrowsingKeepsATenthOfTheWork(t *testing.T) {
-	pay, browse := playOverload(t, 0.85)
+	pay, browse := simulateOverload(t, 0.85)
 	if browse.value() < 0.4 {
 		t.Errorf("callers of browsing get %.3f of their value, want 0.4", browse.value())
 	}
--- a/internal/shares/workestimate.go
+++ b/internal/shares/workestimate.go
@@ -135,13 +135,13 @@
 	return l
 }
 
-// observe adds the latencies since the last estimate, less queueing for each response, to the sums.
-// The requests beyond the slots show the mean queueing time of all classes, but a class that is
-// refused where queues are long waits less than others. The work of a settled class therefore
-// decreases only as far as its latency shows, or as the work of all classes together exceeds the
-// slots: fitting is the fraction of it that fits.
+// observe adds the latencies since the last estimate to the sums, less queueing, the mean of all
+// classes, for each response. fitting is the fraction of the work of all classes together that
+// fits into the slots.
 func (s *classEstimate) observe(queueing, fitting float64, now time.Time) {
 	busy := max(s.latency-s.responses*queueing, s.latency*minWorkFraction)
+	// A class that is refused where queues are long waits less than the mean, so the work of a settled
+	// class decreases only as far as its latency or the work beyond the slots shows.
 	if s.settled && queueing > 0 {
 		busy = max(busy, min(s.responses*s.work*fitting, s.latency))
 	}
