--- a/internal/inflight/silence.go
+++ b/internal/inflight/silence.go
@@ -83,16 +83,9 @@
 	}
 	for _, list := range [][]balance.LoadStats{previous, loads} {
 		for _, l := range list {
-			u := s.upstreams[l.ID]
-			if u == nil {
-				continue
-			}
-			if u.observe(func() time.Duration { return expected(l.ID) }, now) && u.noticeUntil.After(s.until) {
+			if u := s.upstreams[l.ID]; u != nil && u.observe(func() time.Duration { return expected(l.ID) }, now) && u.noticeUntil.After(s.until) {
 				s.until = u.noticeUntil
 			}
-			if len(u.waiting) == 0 && now.Sub(u.noticeUntil) > renewalPeriod {
-				delete(s.upstreams, l.ID) // perhaps it has left
-			}
 		}
 	}
 }
