dispatch: check idle connections only where cold upstreams have a limit; one class per request

Cause: the check of idle connections ran on every host every 200 ms, also in deployments whose services do not limit cold upstreams, for which it was written. The request's class was kept twice and derived a third time; a crash was recorded by the same two calls in two places. Change: the check ends at once without such a service and leaves out the others; urgency holds no class of its own; recordUpstreamCrash serves both places.

--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -52,8 +52,7 @@
 	now := time.Now()
 	broken.Crashed = d.client.PortClosed(ctx, upstream.Target{ID: u.ID, Addr: u.Addr})
 	if broken.Crashed {
-		d.picker.RecordCrash(u.ID, now)
-		d.feedback.RecordCrash(u.ID, now)
+		d.recordUpstreamCrash(u.ID, now)
 		broken.Crashes = d.crashes.RecordCrash(crashes.Crash{Fingerprint: broken.Fingerprint, Server: u.ID, At: now})
 	} else if !u.Leaving {
 		send := crashes.Crash{Fingerprint: broken.Fingerprint, Server: u.ID, At: now}
@@ -63,23 +62,32 @@
 	d.OnBrokenSend(broken)
 }
 
+// recordUpstreamCrash has the upstream count as cold here, and on the hosts that are told of it.
+func (d *Dispatcher) recordUpstreamCrash(id string, now time.Time) {
+	d.picker.RecordCrash(id, now)
+	d.feedback.RecordCrash(id, now)
+}
+
 // CheckIdleConnections looks for upstreams that have closed an idle connection to this host and
 // refuse a new one, and records them as crashed. Without it, an upstream to which no host
 // happens to send between its crash and its restart counts as warm while the log service is
-// away, and gets its usual share of the requests at once.
+// away, and gets its usual share of the requests at once. Only upstreams whose rate is limited
+// while they are cold are checked.
 func (d *Dispatcher) CheckIdleConnections(ctx context.Context) {
-	upstreams := d.views.Load().Upstreams
+	v := d.views.Load()
+	if !limitsColdUpstreams(v.Desired) {
+		return
+	}
 	for _, t := range d.client.ClosedIdle(time.Now()) {
-		if u := upstreams.ByID[t.ID]; u == nil || u.Draining() || u.Addr != t.Addr {
+		u := v.Upstreams.ByID[t.ID]
+		if u == nil || u.Draining() || u.Addr != t.Addr || !limitsCold(v.Desired.Services[u.Service]) {
 			continue
 		}
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 			defer cancel()
 			if d.client.RefusesConnections(ctx, t) {
-				now := time.Now()
-				d.picker.RecordCrash(t.ID, now)
-				d.feedback.RecordCrash(t.ID, now)
+				d.recordUpstreamCrash(t.ID, time.Now())
 			}
 		}()
 	}
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -11,12 +11,30 @@
 
 // slowStart returns the limits for this host's requests to cold upstreams of the service.
 func (d *Dispatcher) slowStart(service *desired.Service) balance.SlowStart {
-	if service.SlowStart.PerSecond == 0 {
+	if !limitsCold(service) {
 		return balance.SlowStart{}
 	}
 	return balance.SlowStart{Duration: service.SlowStart.Duration, Share: func() ratelimit.HostRate { return d.coldHostRate(service.SlowStart.PerSecond) }}
 }
 
+// limitsCold reports whether the rate of the service's cold upstreams is limited; service may be nil.
+func limitsCold(service *desired.Service) bool {
+	return service != nil && service.SlowStart.PerSecond != 0
+}
+
+// limitsColdUpstreams reports whether that holds for any service; state may be nil.
+func limitsColdUpstreams(state *desired.State) bool {
+	if state == nil {
+		return false
+	}
+	for _, service := range state.Services {
+		if limitsCold(service) {
+			return true
+		}
+	}
+	return false
+}
+
 // coldHostRate returns this host's share of the rate perSecond that a cold upstream
 // takes from all hosts. It is zero while the number of hosts is unknown, so that a new
 // host cannot exceed the limit.
--- a/internal/dispatch/idle_connections_test.go
+++ b/internal/dispatch/idle_connections_test.go
@@ -6,17 +6,22 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
 )
 
 // An upstream ends while this host has only idle connections to it. The host must record that
 // it crashed and tell the others, before it restarts under its ID and counts as warm. It must
-// not do so for an upstream that closes an idle connection but listens, or that is leaving.
+// not do so for an upstream that closes an idle connection but listens, that is leaving, or whose
+// service does not limit cold upstreams.
 func TestUpstreamThatEndsWhileIdleHasCrashed(t *testing.T) {
 	for _, c := range []struct {
 		name                  string
 		stopsListening, leave bool
+		coldLimit             float64
 		wantCrashed           bool
-	}{{"ends", true, false, true}, {"closes an idle connection", false, false, false}, {"ends after leaving", true, true, false}} {
+	}{{"ends", true, false, 4, true}, {"closes an idle connection", false, false, 4, false}, {"ends after leaving", true, true, 4, false},
+		{"ends in a service without limit", true, false, 0, false}} {
 		t.Run(c.name, func(t *testing.T) {
 			conns := make(chan net.Conn, 1)
 			f := startUpstream(t, func(w io.Writer, conn net.Conn, r *http.Request, n int64) bool {
@@ -25,6 +30,7 @@
 			})
 			u := newUpstream("u1", "plain", f)
 			h := newHarness(t, u)
+			h.views.Load().Desired.Services["plain"].SlowStart = desired.SlowStart{Duration: time.Second, PerSecond: c.coldLimit}
 			h.get("read.example", "r1").want(t, http.StatusOK, "")
 			h.d.CheckIdleConnections(t.Context())
 			if c.leave {
--- a/internal/dispatch/retryafter.go
+++ b/internal/dispatch/retryafter.go
@@ -19,7 +19,7 @@
 	if req.urgency == nil {
 		return
 	}
-	class := req.route.ClassFor(req.service.Name)
+	class := req.class
 	if refusal == nil || req.mayHaveRun {
 		d.returns.Admitted(class, now)
 		return
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -13,7 +13,7 @@
 	if d.Gate == nil || req.key >= 0 || req.urgency == nil {
 		return nil
 	}
-	if ok, _ := d.Gate.Admit(req.urgency.class, 0, now); ok || req.highestPriority || d.hasFreeSlot(req, now) {
+	if ok, _ := d.Gate.Admit(req.class, 0, now); ok || req.highestPriority || d.hasFreeSlot(req, now) {
 		return nil
 	}
 	return req.refusal(CauseShare, req.retryAfterOverloaded())
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -24,7 +24,6 @@
 
 // urgency is what the requests to a contended service are scheduled by.
 type urgency struct {
-	class desired.Class
 	// mostUrgent is the most urgent class of the service.
 	mostUrgent desired.Class
 	// lost is the time that the caller has lost by earlier refusals; 0 for a new request.
@@ -45,7 +44,7 @@
 // setScheduling copies the scheduling of the request into the summary.
 func (s *RequestSummary) setScheduling(req *request) {
 	if u := req.urgency; u != nil {
-		s.Scheduling = &SchedulingSummary{Priority: u.class.Priority, Lost: u.lost, ExpectedWait: u.result.ExpectedWait, ExpectedWork: u.result.ExpectedWork}
+		s.Scheduling = &SchedulingSummary{Priority: req.class.Priority, Lost: u.lost, ExpectedWait: u.result.ExpectedWait, ExpectedWork: u.result.ExpectedWork}
 	}
 }
 
@@ -115,7 +114,7 @@
 	if !d.schedulers.contended(class, time.Now()) {
 		return nil
 	}
-	u := &urgency{class: class, mostUrgent: state.Classes(class.Service)[0]}
+	u := &urgency{mostUrgent: state.Classes(class.Service)[0]}
 	if ms, err := strconv.Atoi(timeoutMs); err == nil {
 		u.lost = d.schedulers.lost(route, time.Duration(ms)*time.Millisecond)
 	}
@@ -138,10 +137,10 @@
 	if p.refusal != nil {
 		return scheduling.Offer{}, false
 	}
-	urgency, e := p.req.urgency, p.d.estimator
+	e := p.d.estimator
 	o := scheduling.Offer{Slots: p.upstream.Slots, FreeSlots: e.FreeSlots(p.upstream, now)}
-	o.Queueing, o.Work, o.Known = e.Estimate(p.upstream, urgency.class, now)
-	_, o.UrgentWork, _ = e.Estimate(p.upstream, urgency.mostUrgent, now)
+	o.Queueing, o.Work, o.Known = e.Estimate(p.upstream, p.req.class, now)
+	_, o.UrgentWork, _ = e.Estimate(p.upstream, p.req.urgency.mostUrgent, now)
 	return o, true
 }
 
@@ -154,14 +153,14 @@
 // schedulingRequest describes the request for scheduling.
 func (req *request) schedulingRequest() *scheduling.Request {
 	u := req.urgency
-	return &scheduling.Request{Class: u.class, MostUrgent: u.mostUrgent, Arrived: req.arrived, Deadline: req.deadline, Lost: u.lost, MayHaveRun: req.mayHaveRun}
+	return &scheduling.Request{Class: req.class, MostUrgent: u.mostUrgent, Arrived: req.arrived, Deadline: req.deadline, Lost: u.lost, MayHaveRun: req.mayHaveRun}
 }
 
 // acquireRanked waits for admission of a request to a keyed competing service at the owner of
 // its key. It returns nil if the request cannot be served in time.
 func (d *Dispatcher) acquireRanked(ctx context.Context, req *request, u *catalogue.Upstream, limiter *admission.Limiter) *admission.Ticket {
 	now, urgency := time.Now(), req.urgency
-	queueing, work, known := d.estimator.Estimate(u, urgency.class, now)
+	queueing, work, known := d.estimator.Estimate(u, req.class, now)
 	r := req.schedulingRequest()
 	urgency.result = scheduling.Result{ExpectedWait: limiter.State().ExpectedWait + queueing, ExpectedWork: work}
 	if known && r.TooLate(queueing, work, now) {
