soak: FAILBACK states which host sent to the cold upstream, and when

Cause: the line named the upstream only; the hosts' logs sample served requests, so the host whose knowledge was too old could not be found. Change: arrivals by host, in seconds after the upstream became cold; one index of requests by host for three checks.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -36,6 +36,15 @@
 	return out
 }
 
+// hostsByRequest returns the host that each request was sent to, by request ID.
+func hostsByRequest(outcomes []*outcome) map[string]*Host {
+	out := make(map[string]*Host, len(outcomes))
+	for _, o := range outcomes {
+		out[o.id] = o.host
+	}
+	return out
+}
+
 // checkOutcomes returns the violations that single outcomes show, late responses and
 // requests that ran without being sent.
 func checkOutcomes(outcomes []*outcome, runs map[string]requestRuns, in *injector) []string {
--- a/internal/soak/evacuate.go
+++ b/internal/soak/evacuate.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/standin/rangeowner"
 	"github.com/papayatide/papayatide/platform/standin"
 )
 
@@ -84,8 +85,8 @@
 
 // checkColdUpstreams returns the cold upstreams that received more than
 // maxColdPerSecond requests in a second.
-func (in *injector) checkColdUpstreams() (bad []string) {
-	env := in.env
+func (in *injector) checkColdUpstreams(outcomes []*outcome) (bad []string) {
+	env, hostOf := in.env, hostsByRequest(outcomes)
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	if env.slowStart.PerSecond == 0 {
@@ -96,19 +97,30 @@
 			continue
 		}
 		if n := inc.PeakInSecond(inc.coldFrom, inc.coldFrom.Add(env.slowStart.Duration)); float64(n) > maxColdPerSecond {
-			bad = append(bad, fmt.Sprintf("%s: FAILBACK: %d requests in a second at %s, cold; at most %v", inc.coldFrom.Format(timestampFormat), n, inc.ID, maxColdPerSecond))
+			bad = append(bad, fmt.Sprintf("%s: FAILBACK: %d requests in a second at %s, cold; at most %v; by host, seconds after that: %s", inc.coldFrom.Format(timestampFormat), n, inc.ID, maxColdPerSecond,
+				arrivalsByHost(inc.Arrivals(inc.coldFrom, inc.coldFrom.Add(env.slowStart.Duration)), inc.coldFrom, hostOf)))
 		}
 	}
 	return bad
 }
 
+// arrivalsByHost lists for each host when its requests arrived, in seconds after from.
+func arrivalsByHost(arrivals []rangeowner.Arrival, from time.Time, hostOf map[string]*Host) string {
+	times := map[string][]string{}
+	for _, a := range arrivals {
+		name := "unknown"
+		if h := hostOf[a.ID]; h != nil {
+			name = h.Name
+		}
+		times[name] = append(times[name], fmt.Sprintf("%.2f", a.At.Sub(from).Seconds()))
+	}
+	return fmt.Sprint(times)
+}
+
 // checkEvacuated returns the requests that reached farDC later than evacuationTimeout
 // after the order to evacuate it, through a host without faults since the order.
 func (in *injector) checkEvacuated(outcomes []*outcome) (bad []string) {
-	hostOf := map[string]*Host{}
-	for _, o := range outcomes {
-		hostOf[o.id] = o.host
-	}
+	hostOf := hostsByRequest(outcomes)
 	in.env.mu.Lock()
 	defer in.env.mu.Unlock()
 	for _, e := range in.evacuations {
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -89,10 +89,7 @@
 // checkFatalRequests returns a violation for each fingerprint whose fatal requests
 // crashed too many upstreams.
 func (in *injector) checkFatalRequests(outcomes []*outcome) []string {
-	hostOf := map[string]*Host{}
-	for _, o := range outcomes {
-		hostOf[o.id] = o.host
-	}
+	hostOf := hostsByRequest(outcomes)
 	byVHost := map[string][]crash{}
 	for _, c := range in.crashes {
 		byVHost[c.vhost] = append(byVHost[c.vhost], c)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -190,7 +190,7 @@
 	r.Violations = append(r.Violations, env.checkClasses(r.ByRoute)...)
 	r.Violations = append(r.Violations, checkOutcomes(c.outcomes, env.runsByRequest(), in)...)
 	r.Violations = append(r.Violations, in.checkFatalRequests(c.outcomes)...)
-	r.Violations = append(r.Violations, in.checkColdUpstreams()...)
+	r.Violations = append(r.Violations, in.checkColdUpstreams(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkReports(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkEvacuated(c.outcomes)...)
 	env.mu.Lock()
