dispatch, balance: an upstream whose connections all ended may have restarted

Cause: hosts took an upstream for crashed only if its port refused a connection. One that was back within the 200 ms between two checks, or behind a proxy that keeps listening, was found open and counted as warm, since its entry could not be read. Leaving upstreams were not checked at all, although a planned stop is the common way to a new process. Change: if all connections older than the last use of a closed one have ended, and the entries that the host has read are stale (1.5 s), the upstream is in slow start until its entry has been read or a response on an older connection shows the same process (event 638). The time up to which entries count as read leaves out the 2 s after an outage or a return of the log in which upstreams write them again. While the entries are fresh nothing changes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -48,9 +48,6 @@
 	// maxEjectionTime.
 	baseEjectionTime = 500 * time.Millisecond
 	maxEjectionTime  = 2 * time.Second
-	// maxEntryWriteDelay is the longest time from an upstream's start until it has written
-	// its entry to the log service, from which hosts read their catalogue of upstreams.
-	maxEntryWriteDelay = 2 * time.Second
 	// sampleSize is how many upstreams of the local data centre, and how many of the
 	// others, are compared for a request. The best of all would be the same upstream
 	// on every host of a large fleet, as the hosts share their load statistics.
@@ -78,30 +75,11 @@
 	peerLoadAt time.Time
 	// slowStartLimiter limits requests while the upstream is cold.
 	slowStartLimiter ratelimit.IntervalLimiter
-	// crashedAt is when the upstream last seemed to have crashed, recoveredAt when it
-	// first responded after that; see slowStartUntil.
-	crashedAt, recoveredAt time.Time
+	restart          restartEvidence
 	// work holds the expected work at an upstream of a competing service.
 	work upstreamWork
 }
 
-// slowStartUntil returns when the upstream's slow start ends: u.SlowUntil, as its entry
-// states. If the upstream seemed to have crashed, a later incarnation may already listen at
-// its address, with an entry that this host has not read yet. Until the first response after
-// the crash, the slow start is taken to begin now and ends at now+slowStart. From then on it
-// ends at recoveredAt+slowStart or u.SlowUntil, whichever is later.
-func (st *upstreamState) slowStartUntil(u *catalogue.Upstream, slowStart time.Duration, now time.Time) time.Time {
-	switch {
-	case st.crashedAt.IsZero():
-		return u.SlowUntil
-	case st.recoveredAt.Before(st.crashedAt):
-		return now.Add(slowStart)
-	case st.recoveredAt.Add(slowStart).After(u.SlowUntil):
-		return st.recoveredAt.Add(slowStart)
-	}
-	return u.SlowUntil
-}
-
 // Picker chooses among upstreams by their state. It is safe for concurrent use.
 type Picker struct {
 	// host is this host's name; it selects the host's subset of a service's upstreams.
@@ -157,9 +135,7 @@
 		st.consecutiveFailures = 0
 		st.responses++
 		st.totalLatency += took
-		if st.recoveredAt.Before(st.crashedAt) {
-			st.recoveredAt = now
-		}
+		st.restart.responded(now)
 	case Overloaded:
 		st.consecutiveFailures = 0
 		st.overloadedUntil = now.Add(overloadBackoff)
@@ -168,7 +144,7 @@
 	case Failed, Broken, Crashed:
 		st.consecutiveFailures++
 		if crashed = o == Crashed || (o == Broken && st.consecutiveFailures >= ejectionThreshold); crashed {
-			st.crashedAt = now
+			st.restart.crashedAt = now
 		}
 		if st.consecutiveFailures >= ejectionThreshold {
 			st.ejectedUntil = now.Add(min(baseEjectionTime<<min(st.consecutiveFailures-ejectionThreshold, 4), maxEjectionTime))
@@ -178,31 +154,6 @@
 	return crashed
 }
 
-// RecordCrash records that the upstream crashed at the given time. It ignores a crash
-// so old that the entry of the restarted server has been read since; see MarkSynced.
-func (p *Picker) RecordCrash(id string, at time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if st := p.state(id); at.After(st.crashedAt) && p.syncedUntil.Sub(at) <= maxEntryWriteDelay {
-		st.crashedAt = at
-	}
-}
-
-// MarkSynced records that this host has read all entries that upstreams wrote to the log
-// service until the given time. It clears crashes that are more than maxEntryWriteDelay
-// older: a server that restarted after one of them has a new entry by then, which states
-// its slow start.
-func (p *Picker) MarkSynced(until time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.syncedUntil = until
-	for _, st := range p.states {
-		if until.Sub(st.crashedAt) > maxEntryWriteDelay {
-			st.crashedAt, st.recoveredAt = time.Time{}, time.Time{}
-		}
-	}
-}
-
 // IsEjected reports whether the upstream is ejected at now because of consecutive
 // failures.
 func (p *Picker) IsEjected(id string, now time.Time) bool {
@@ -284,7 +235,7 @@
 			continue
 		}
 		st := p.state(u.ID)
-		if !st.slowStartAllows(u, c.SlowStart, now) {
+		if !p.slowStartAllows(st, u, c.SlowStart, now) {
 			continue
 		}
 		if c.Unavailable != nil && c.Unavailable(u.ID) {
--- /dev/null
+++ b/internal/balance/restart.go
@@ -0,0 +1,118 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+)
+
+const (
+	// maxEntryWriteDelay is the longest time from an upstream's start until it has written
+	// its entry to the log service, from which hosts read their catalogue of upstreams.
+	maxEntryWriteDelay = 2 * time.Second
+	// maxSyncAge is the age of the newest entries that this host has read, above which a
+	// restart may have gone unnoticed. While the log service is reachable they are younger.
+	maxSyncAge = 1500 * time.Millisecond
+	// maxDetectionDelay is the longest time from the end of a process until a host records it.
+	maxDetectionDelay = time.Second
+)
+
+// restartEvidence is what this host knows of restarts of an upstream that its entry may not
+// show yet.
+type restartEvidence struct {
+	// crashedAt is when the upstream last seemed to have crashed.
+	crashedAt time.Time
+	// connsLostAt is when all connections to the upstream last ended unexpectedly, although it
+	// accepts new ones: it may have restarted.
+	connsLostAt time.Time
+	// recoveredAt is the first response after the last possible restart.
+	recoveredAt time.Time
+}
+
+// possibleRestart returns when the upstream may have restarted without its entry showing it;
+// zero if that is not known or the entries have been read since. Crashes count at once. Lost
+// connections count only while the entries are stale, because a restart otherwise shows there
+// within moments, and other causes are more frequent.
+func (p *Picker) possibleRestart(st *upstreamState, now time.Time) time.Time {
+	if st.restart.connsLostAt.After(st.restart.crashedAt) && now.Sub(p.syncedUntil) > maxSyncAge {
+		return st.restart.connsLostAt
+	}
+	return st.restart.crashedAt
+}
+
+// slowStartUntil returns when the upstream's slow start ends: u.SlowUntil, as its entry
+// states. If the upstream may have restarted, a later incarnation may already listen at
+// its address, with an entry that this host has not read yet. Until the first response after
+// the restart, the slow start is taken to begin now and ends at now+slowStart. From then on it
+// ends at recoveredAt+slowStart or u.SlowUntil, whichever is later.
+func (p *Picker) slowStartUntil(st *upstreamState, u *catalogue.Upstream, slowStart time.Duration, now time.Time) time.Time {
+	at := p.possibleRestart(st, now)
+	switch {
+	case at.IsZero():
+		return u.SlowUntil
+	case st.restart.recoveredAt.Before(at):
+		return now.Add(slowStart)
+	case st.restart.recoveredAt.Add(slowStart).After(u.SlowUntil):
+		return st.restart.recoveredAt.Add(slowStart)
+	}
+	return u.SlowUntil
+}
+
+// responded records a response at now.
+func (r *restartEvidence) responded(now time.Time) {
+	if r.recoveredAt.Before(r.crashedAt) || r.recoveredAt.Before(r.connsLostAt) {
+		r.recoveredAt = now
+	}
+}
+
+// RecordCrash records that the upstream crashed at the given time. It ignores a crash
+// so old that the entry of the restarted server has been read since; see MarkSynced.
+func (p *Picker) RecordCrash(id string, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.state(id); at.After(st.restart.crashedAt) && p.syncedUntil.Sub(at) <= maxEntryWriteDelay {
+		st.restart.crashedAt = at
+	}
+}
+
+// RecordLostConnections records that all of this host's connections to the upstream have ended
+// unexpectedly, although it accepts new ones.
+func (p *Picker) RecordLostConnections(id string, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(id).restart.connsLostAt = at
+}
+
+// RecordSameProcess records a response to a request that was sent at sent on a connection
+// that had been opened at opened: the upstream has not restarted between the two.
+func (p *Picker) RecordSameProcess(id string, opened, sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := &p.state(id).restart
+	for _, at := range []*time.Time{&r.crashedAt, &r.connsLostAt} {
+		if at.After(opened.Add(maxDetectionDelay)) && at.Before(sent) {
+			*at = time.Time{}
+		}
+	}
+}
+
+// MarkSynced records that this host has read all entries that upstreams wrote to the log
+// service until the given time. It clears possible restarts that are more than
+// maxEntryWriteDelay older: a server that restarted then has a new entry by now, which states
+// its slow start.
+func (p *Picker) MarkSynced(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.syncedUntil = until
+	for _, st := range p.states {
+		r := &st.restart
+		for _, at := range []*time.Time{&r.crashedAt, &r.connsLostAt} {
+			if until.Sub(*at) > maxEntryWriteDelay {
+				*at = time.Time{}
+			}
+		}
+		if r.crashedAt.IsZero() && r.connsLostAt.IsZero() {
+			r.recoveredAt = time.Time{}
+		}
+	}
+}
--- a/internal/balance/sending.go
+++ b/internal/balance/sending.go
@@ -131,7 +131,7 @@
 	defer p.mu.Unlock()
 	st, w := p.state(u.ID), p.serviceWork(class.Service)
 	w.upstreams[u.ID] = st
-	s := &Sending{upstream: u, class: class, sentAt: now, cold: u.Cold(now) || !st.crashedAt.IsZero()}
+	s := &Sending{upstream: u, class: class, sentAt: now, cold: u.Cold(now) || !p.possibleRestart(st, now).IsZero()}
 	s.expected = p.estimate(st, u, class, now)
 	s.work, _ = w.expected(class, now)
 	s.speed = w.speed(st, now)
--- a/internal/balance/slowstart.go
+++ b/internal/balance/slowstart.go
@@ -22,12 +22,12 @@
 func (p *Picker) SlowStartAllows(u *catalogue.Upstream, s SlowStart, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state(u.ID).slowStartAllows(u, s, now)
+	return p.slowStartAllows(p.state(u.ID), u, s, now)
 }
 
 // slowStartAllows is SlowStartAllows for the upstream of this state.
-func (st *upstreamState) slowStartAllows(u *catalogue.Upstream, s SlowStart, now time.Time) bool {
-	until := st.slowStartUntil(u, s.Duration, now)
+func (p *Picker) slowStartAllows(st *upstreamState, u *catalogue.Upstream, s SlowStart, now time.Time) bool {
+	until := p.slowStartUntil(st, u, s.Duration, now)
 	return s.Share == nil || !now.Before(until) || st.slowStartLimiter.Allows(s.Share(), until, now)
 }
 
@@ -37,6 +37,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	st := p.state(u.ID)
-	until := st.slowStartUntil(u, s.Duration, now)
+	until := p.slowStartUntil(st, u, s.Duration, now)
 	return s.Share == nil || !now.Before(until) || st.slowStartLimiter.Take(s.Share(), until, now)
 }
--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/upstream"
@@ -37,6 +39,8 @@
 	return res.Outcome == upstream.OutcomeUnknown && ctx.Err() == nil && !errors.Is(res.Err, os.ErrDeadlineExceeded)
 }
 
+var lostConnections = metrics.NewCounter(`papayatide_upstream_connections_lost_total`)
+
 // crashCheckTimeout bounds the check of whether an upstream crashed, which delays the
 // caller's next attempt. A closed port refuses within a millisecond or two.
 const crashCheckTimeout = 100 * time.Millisecond
@@ -50,7 +54,9 @@
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	now := time.Now()
-	broken.Crashed = d.client.PortClosed(ctx, upstream.Target{ID: u.ID, Addr: u.Addr})
+	target := upstream.Target{ID: u.ID, Addr: u.Addr}
+	sameProcess := d.client.HasOpenConnection(target, now.Add(-took))
+	broken.Crashed = d.client.PortClosed(ctx, target)
 	if broken.Crashed {
 		d.recordUpstreamCrash(u.ID, now)
 		broken.Crashes = d.crashes.RecordCrash(crashes.Crash{Fingerprint: broken.Fingerprint, Server: u.ID, At: now})
@@ -59,6 +65,9 @@
 		d.crashes.RecordBrokenSend(send)
 		d.unresolvedBrokenSends.add(send)
 	}
+	if !broken.Crashed && !sameProcess {
+		d.recordLostConnections(u, now)
+	}
 	d.OnBrokenSend(broken)
 }
 
@@ -68,9 +77,18 @@
 	d.feedback.RecordCrash(id, now)
 }
 
-// CheckIdleConnections looks for upstreams that have closed an idle connection to this host and
-// refuse a new one, and records them as crashed. Without it, an upstream to which no host
-// happens to send between its crash and its restart counts as warm while the log service is
+// recordLostConnections has the upstream count as cold while the log service cannot show whether
+// it has restarted: it may have done so within the time between two checks of its port.
+func (d *Dispatcher) recordLostConnections(u *catalogue.Upstream, now time.Time) {
+	lostConnections.Inc()
+	d.picker.RecordLostConnections(u.ID, now)
+	d.OnLostConnections(u)
+}
+
+// CheckIdleConnections looks for upstreams that have closed an idle connection to this host. If
+// one refuses a new connection it is recorded as crashed, unless it is leaving; if it accepts it
+// and no other connection is open, it may have restarted meanwhile. Without this, an upstream to
+// which no host happens to send between its end and its restart counts as warm while the log service is
 // away, and gets its usual share of the requests at once. Only upstreams whose rate is limited
 // while they are cold are checked.
 func (d *Dispatcher) CheckIdleConnections(ctx context.Context) {
@@ -78,18 +96,26 @@
 	if !limitsColdUpstreams(v.Desired) {
 		return
 	}
-	for _, t := range d.client.ClosedIdle(time.Now()) {
-		u := v.Upstreams.ByID[t.ID]
-		if u == nil || u.Draining() || u.Addr != t.Addr || !limitsCold(v.Desired.Services[u.Service]) {
+	now := time.Now()
+	for _, closed := range d.client.ClosedIdle(now) {
+		u := v.Upstreams.ByID[closed.ID]
+		if u == nil || u.Addr != closed.Addr || !limitsCold(v.Desired.Services[u.Service]) {
 			continue
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-			defer cancel()
-			if d.client.RefusesConnections(ctx, t) {
-				d.recordUpstreamCrash(t.ID, time.Now())
-			}
-		}()
+		go d.checkEnded(ctx, u, closed, now)
+	}
+}
+
+// checkEnded records what closed connections, found at now, show: a crash, a possible restart or
+// nothing.
+func (d *Dispatcher) checkEnded(ctx context.Context, u *catalogue.Upstream, closed upstream.ClosedIdle, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	switch {
+	case !u.Draining() && d.client.RefusesConnections(ctx, closed.Target):
+		d.recordUpstreamCrash(u.ID, now)
+	case closed.AllOlder:
+		d.recordLostConnections(u, now)
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -95,6 +95,9 @@
 	OnRequestDone func(*RequestSummary)
 	// OnBrokenSend is called after each broken send.
 	OnBrokenSend func(*BrokenSend)
+	// OnLostConnections is called when all connections to the upstream have ended although it
+	// accepts new ones, so that it may have restarted.
+	OnLostConnections func(*catalogue.Upstream)
 }
 
 // RequestSummary describes a finished request for logs, metrics and load
@@ -141,7 +144,7 @@
 		crashes: crashTracker, feedback: feedbackTracker, rateLimiter: rateLimiter,
 		splitter: &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(), returns: retryafter.New(),
 		Reachability: reachability.NewTracker(), ExpectedWork: func(desired.Class) (time.Duration, bool) { return 0, false },
-		OnRequestDone: func(*RequestSummary) {}, OnBrokenSend: func(*BrokenSend) {}}
+		OnRequestDone: func(*RequestSummary) {}, OnBrokenSend: func(*BrokenSend) {}, OnLostConnections: func(*catalogue.Upstream) {}}
 	d.SetHostCount(1, false)
 	return d
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -40,6 +40,9 @@
 	if d.picker.Done(u.ID, outcome, took, now) {
 		d.feedback.RecordCrash(u.ID, now)
 	}
+	if outcome == balance.Served && !res.NewConn {
+		d.picker.RecordSameProcess(u.ID, res.ConnOpenedAt, start)
+	}
 	d.picker.FinishSend(sending, outcome, took, res.Report.Load, now)
 	if res.Status != 0 && !res.Misdirected() {
 		d.feedback.Record(u.ID, res.Report, start, now)
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -126,6 +126,9 @@
 	// soleWriter is set while only this host writes the ownership stream, which
 	// then needs no reading.
 	soleWriter atomic.Bool
+	// onEntriesRead is called when entriesReadUntil has changed, with the new time.
+	onEntriesRead func(until time.Time)
+	entriesRead   time.Time
 	// hasLiveCandidate reports whether another host that is a candidate has
 	// called this one recently, which it does while it follows this host.
 	hasLiveCandidate func() bool
@@ -145,7 +148,7 @@
 	}
 	c.planner.OnEvent = c.logPlannerEvent
 	c.planner.Cold = c.isCold
-	c.hasLiveCandidate = func() bool { return false }
+	c.hasLiveCandidate, c.onEntriesRead = func() bool { return false }, func(time.Time) {}
 	return c
 }
 
@@ -255,7 +258,11 @@
 	wallNow := time.Now()
 	expired := c.registry.expireSuspects(lost, wallNow)
 	ended := c.endMissingEvacuations(wallNow)
-	if c.evacuations.confirmEntriesRead(c.replica.CurrentAt(metastore.StreamUpstreams), wallNow) || expired || ended {
+	if until := c.entriesReadUntil(); !until.Equal(c.entriesRead) {
+		c.entriesRead = until
+		c.onEntriesRead(until)
+	}
+	if c.evacuations.confirmEntriesRead(c.entriesRead, wallNow) || expired || ended {
 		c.publishUpstreams()
 	}
 	c.planner.ObserveLog(len(c.streamLostSince) == 0)
@@ -264,6 +271,18 @@
 	}
 }
 
+// entriesReadUntil returns the time up to which this host has read all entries that upstreams wrote.
+// Within relistGracePeriod of an outage of the log service, or of its return from a copy, their
+// entries may still be missing or older than what they wrote before; it then returns the time
+// that was valid before.
+func (c *controller) entriesReadUntil() time.Time {
+	current := c.replica.CurrentAt(metastore.StreamUpstreams)
+	if current.Before(c.logRecoveredAt.Add(relistGracePeriod)) {
+		return c.entriesRead
+	}
+	return current
+}
+
 // newStreamReaders returns the reader of the ownership stream and those of the
 // other streams.
 func (c *controller) newStreamReaders(ctx context.Context) (ownershipReader *streamReader, others []*streamReader) {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -182,8 +182,8 @@
 		candidate: cfg.CPUCores >= candidateMinCPU && cfg.LinkMbps >= candidateMinLinkMbps,
 		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: plat.peerTransport()}})}
 	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
-	h.picker.OnSilent = (&silenceLogger{zl: zl}).onSilent
-	h.picker.OnSilenceNotice = (&silenceLogger{zl: zl}).onSilenceNotice
+	h.picker.OnSilent = (&limitedLogger{zl: zl}).onSilent
+	h.picker.OnSilenceNotice = (&limitedLogger{zl: zl}).onSilenceNotice
 	if plat.Net != nil {
 		h.client.Dial = plat.Net.Dial
 	}
@@ -201,12 +201,14 @@
 	h.dispatch = dispatch.New(plat.Headers, cfg.DataCentre, h.views, h.client, h.picker, h.budget, h.controller.crashes.tracker, h.feedback,
 		ratelimit.NewLimiter(reportedLimitBounds, h.requestPermits))
 	h.dispatch.OnRequestDone, h.dispatch.OnBrokenSend = h.onRequestDone, h.onBrokenSend
+	h.dispatch.OnLostConnections = (&limitedLogger{zl: zl}).onLostConnections
 	h.dispatch.Reachability.OnChange = h.onReachabilityChange
 	h.dispatch.Gate, h.dispatch.ExpectedWork = h.shares.gate, h.shares.gate.Work
 	h.shares.promised, h.shares.onClassWork = h.dispatch.PromisedReturns, h.picker.SetClassWork
 	h.dispatch.SetMemory(cfg.MemoryMB)
 	h.dispatch.SlowStartBounds = ratelimit.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack, Window: slowStartWindow}
 	h.controller.retirer = h.peers
+	h.controller.onEntriesRead = h.picker.MarkSynced
 	h.controller.elector.fleetSize = func() int { return h.fleet.Size(time.Now()) }
 	h.controller.hasLiveCandidate = func() bool { return h.fleet.HasLiveCandidate(time.Now()) }
 	return h
@@ -360,7 +362,6 @@
 			known := knownIn(h.views.Load().Upstreams)
 			h.client.Prune(now, known)
 			h.picker.Prune(known)
-			h.picker.MarkSynced(h.controller.replica.CurrentAt(metastore.StreamUpstreams))
 			h.feedback.Prune(known, now)
 			h.dispatch.Prune()
 		}
--- a/internal/entryhost/idleconnections.go
+++ b/internal/entryhost/idleconnections.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/events"
 )
 
 // idleCheckInterval is how often the idle connections to upstreams are checked. A server
@@ -24,3 +27,8 @@
 		}
 	}
 }
+
+// onLostConnections logs that an upstream may have restarted.
+func (l *limitedLogger) onLostConnections(u *catalogue.Upstream) {
+	l.log("all connections to the upstream ended; it may have restarted", events.UpstreamConnectionsLost, u.ID, time.Now())
+}
--- a/internal/entryhost/uneven.go
+++ b/internal/entryhost/uneven.go
@@ -17,12 +17,12 @@
 	silenceNotices  = metrics.NewCounter(`papayatide_silence_notices_total`)
 )
 
-// silenceLogInterval is the least time between log lines about silent upstreams, which requests
-// trigger.
-const silenceLogInterval = time.Second
+// limitedLogInterval is the least time between two lines of a limitedLogger.
+const limitedLogInterval = time.Second
 
-// silenceLogger logs that upstreams have become silent, each cause with a logger of its own.
-type silenceLogger struct {
+// limitedLogger logs one kind of event of upstreams that requests trigger, at most once a
+// limitedLogInterval.
+type limitedLogger struct {
 	zl *zap.Logger
 
 	mu         sync.Mutex
@@ -31,21 +31,21 @@
 }
 
 // onSilent is the picker's OnSilent.
-func (l *silenceLogger) onSilent(id string) {
+func (l *limitedLogger) onSilent(id string) {
 	silentUpstreams.Inc()
 	l.log("upstream is silent; sending elsewhere", events.UpstreamSilent, id, time.Now())
 }
 
 // onSilenceNotice is the picker's OnSilenceNotice.
-func (l *silenceLogger) onSilenceNotice(id string, silence time.Duration) {
+func (l *limitedLogger) onSilenceNotice(id string, silence time.Duration) {
 	silenceNotices.Inc()
 	l.log("upstream responds to no host; sending elsewhere", events.UpstreamSilentToAll, id, time.Now(), zap.Duration("silent_for", silence))
 }
 
-func (l *silenceLogger) log(message string, event int, id string, now time.Time, fields ...zap.Field) {
+func (l *limitedLogger) log(message string, event int, id string, now time.Time, fields ...zap.Field) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.loggedAt) < silenceLogInterval {
+	if now.Sub(l.loggedAt) < limitedLogInterval {
 		l.suppressed++
 		return
 	}
--- a/internal/entryhost/uneven_test.go
+++ b/internal/entryhost/uneven_test.go
@@ -20,11 +20,11 @@
 // Requests find silent upstreams; when many become silent at once, that must not flood the log.
 func TestSilentUpstreamsAreLoggedOnceASecond(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
-	l, now := &silenceLogger{zl: zap.New(core)}, time.Unix(1000, 0)
+	l, now := &limitedLogger{zl: zap.New(core)}, time.Unix(1000, 0)
 	for range 50 {
 		l.log("silent", 636, "u", now)
 	}
-	l.log("silent", 636, "u", now.Add(silenceLogInterval))
+	l.log("silent", 636, "u", now.Add(limitedLogInterval))
 	if logs.Len() != 2 || logs.All()[1].ContextMap()["untold"] != int64(49) {
 		t.Errorf("logged %v", logs.All())
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -70,6 +70,7 @@
 	UpstreamReported        = 635
 	UpstreamSilent          = 636
 	UpstreamSilentToAll     = 637
+	UpstreamConnectionsLost = 638
 	OwnershipAdopted        = 640
 	OwnershipRejected       = 641
 	OwnershipChangeRejected = 642
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -80,6 +80,8 @@
 	NewConn bool
 	// ConnectTime is how long opening the connection took.
 	ConnectTime time.Duration
+	// ConnOpenedAt is when the connection of the attempt was opened; zero if there was none.
+	ConnOpenedAt time.Time
 	// ConnRejected is set if a new connection was reset or closed, or received data,
 	// before the request was sent; usually the upstream has too many connections.
 	ConnRejected bool
@@ -164,6 +166,7 @@
 	connectTime := time.Since(dialStart)
 	stop := context.AfterFunc(ctx, cn.abort)
 	res, reusable := c.roundTrip(ctx, cn, t, req)
+	res.ConnOpenedAt = cn.openedAt
 	if res.NewConn = newConn; newConn {
 		res.ConnectTime = connectTime
 	} else {
@@ -180,21 +183,34 @@
 	return res
 }
 
-// ClosedIdle returns the upstreams that have closed an idle connection before its idle timeout,
-// since the last call or the last request: their processes may have ended.
-func (c *Client) ClosedIdle(now time.Time) []Target {
+// ClosedIdle describes idle connections that an upstream has closed before their idle timeout.
+type ClosedIdle struct {
+	Target
+	// AllOlder is set if no idle connection is open that is older than a closed one's last use.
+	AllOlder bool
+}
+
+// ClosedIdle returns the upstreams that have closed the most recently used idle connection, or all
+// that are older than a closed one's last use: their processes may have ended.
+func (c *Client) ClosedIdle(now time.Time) []ClosedIdle {
 	c.mu.Lock()
 	pools := maps.Clone(c.pools)
 	c.mu.Unlock()
-	var out []Target
+	var out []ClosedIdle
 	for t, p := range pools {
-		if p.closedByUpstream(now) {
-			out = append(out, t)
+		if found, allOlder := p.closedByUpstream(now); found || allOlder {
+			out = append(out, ClosedIdle{t, allOlder})
 		}
 	}
 	return out
 }
 
+// HasOpenConnection reports whether an idle connection to t is open that was opened by the given
+// time. The end of a process closes all of its connections.
+func (c *Client) HasOpenConnection(t Target, openedBy time.Time) bool {
+	return c.poolFor(t).hasOpen(openedBy)
+}
+
 // RefusesConnections is PortClosed without keeping the connection: an upstream that closes idle
 // connections early would soon close that one too.
 func (c *Client) RefusesConnections(ctx context.Context, t Target) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +40,8 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// openedAt is when the connection was opened, lastUsedAt when it was put into the pool last.
+	openedAt, lastUsedAt time.Time
 	// lastRequestID is the ID of the previous request on this connection; a second
 	// response to it may still arrive.
 	lastRequestID string
@@ -81,6 +84,7 @@
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.lastUsedAt = time.Now()
 	p.idle = append(p.idle, c)
 }
 
@@ -100,24 +104,65 @@
 	p.idle = kept
 }
 
-// closedByUpstream reports whether the upstream has closed an idle connection before its idle
-// timeout. It drops the connections that it finds closed, most recently used first up to the
-// first open one: the end of a process closes all of them. A connection is out of the pool
-// while it is checked, so that no lock is held then.
-func (p *pool) closedByUpstream(now time.Time) bool {
-	for found := false; ; found = true {
-		c := p.pop()
-		if c == nil {
-			return found
-		}
-		if !now.Before(c.idleUntil) || !c.closed() {
-			p.put(c)
-			return found
+// closedByUpstream looks for idle connections that the upstream has closed before their idle
+// timeout. found is set if the most recently used one is closed; those are dropped up to the first
+// open one. allOlder is set if no idle connection is open that was opened before a closed one was
+// last used, as the end of a process closes all of its connections; all closed ones are then dropped.
+func (p *pool) closedByUpstream(now time.Time) (found, allOlder bool) {
+	idle := p.takeIdle() // checked outside the pool, so that no lock is held
+	defer func() { p.putIdle(idle) }()
+	closed := map[*conn]bool{}
+	var lastUsed time.Time
+	for _, c := range idle {
+		if now.Before(c.idleUntil) && c.closed() {
+			closed[c] = true
+			if c.lastUsedAt.After(lastUsed) {
+				lastUsed = c.lastUsedAt
+			}
 		}
-		_ = c.Close()
 	}
+	allOlder = len(closed) > 0 && !slices.ContainsFunc(idle, func(c *conn) bool { return !closed[c] && c.openedBy(lastUsed) })
+	for n := len(idle); n > 0 && closed[idle[n-1]]; n-- {
+		found = true
+		_ = idle[n-1].Close()
+		idle = idle[:n-1]
+	}
+	if allOlder {
+		idle = slices.DeleteFunc(idle, func(c *conn) bool {
+			if closed[c] {
+				_ = c.Close()
+			}
+			return closed[c]
+		})
+	}
+	return found, allOlder
+}
+
+// hasOpen reports whether an idle connection is open that was opened by t.
+func (p *pool) hasOpen(t time.Time) bool {
+	idle := p.takeIdle()
+	defer p.putIdle(idle)
+	return slices.ContainsFunc(idle, func(c *conn) bool { return c.openedBy(t) && !c.closed() })
 }
 
+// takeIdle takes all connections out of the pool, putIdle puts them back.
+func (p *pool) takeIdle() []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle
+	p.idle = nil
+	return idle
+}
+
+func (p *pool) putIdle(idle []*conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(idle, p.idle...)
+}
+
+// openedBy reports whether the connection was opened at t or before.
+func (c *conn) openedBy(t time.Time) bool { return !c.openedAt.After(t) }
+
 // closed reports whether the peer has closed or reset the idle connection.
 func (c *conn) closed() bool {
 	if c.br.Buffered() > 0 {
@@ -194,7 +239,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), openedAt: time.Now()}, nil
 }
 
 // dialBy is dial with a further deadline, unless that is zero.
