balance, entryhost: after a stall, upstreams may have restarted unseen

Cause: a host whose process was stopped for some seconds took upstreams for warm as it had left them. Its idle connections had timed out, so that none showed an end. Change: detectStall records the gap. While the entries are stale, an upstream counts as cold until its first response after the gap plus the slow start, unless a response on a connection from before the gap shows the same process.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -89,6 +89,7 @@
 	// syncedUntil is the time up to which this host has read all entries that upstreams
 	// wrote to the log service; see MarkSynced.
 	syncedUntil time.Time
+	gap         observationGap
 	// subsets holds the upstreams that this host uses, by service.
 	subsets map[string]*serviceSubset
 	// work holds what is known of the work of competing services, by service.
@@ -135,7 +136,7 @@
 		st.consecutiveFailures = 0
 		st.responses++
 		st.totalLatency += took
-		st.restart.responded(now)
+		st.restart.responded(now, p.gap.to)
 	case Overloaded:
 		st.consecutiveFailures = 0
 		st.overloadedUntil = now.Add(overloadBackoff)
--- a/internal/balance/restart.go
+++ b/internal/balance/restart.go
@@ -27,17 +27,31 @@
 	connsLostAt time.Time
 	// recoveredAt is the first response after the last possible restart.
 	recoveredAt time.Time
+	// confirmedAt is when a request was sent whose response showed that the upstream has not
+	// restarted in the last observation gap.
+	confirmedAt time.Time
 }
 
+// observationGap is a time in which this host observed no upstream: before its start, with a
+// zero from, or while its process was stopped.
+type observationGap struct{ from, to time.Time }
+
 // possibleRestart returns when the upstream may have restarted without its entry showing it;
 // zero if that is not known or the entries have been read since. Crashes count at once. Lost
-// connections count only while the entries are stale, because a restart otherwise shows there
-// within moments, and other causes are more frequent.
+// connections and gaps count only while the entries are stale, because a restart otherwise shows
+// there within moments, and other causes are more frequent.
 func (p *Picker) possibleRestart(st *upstreamState, now time.Time) time.Time {
-	if st.restart.connsLostAt.After(st.restart.crashedAt) && now.Sub(p.syncedUntil) > maxSyncAge {
-		return st.restart.connsLostAt
+	at := st.restart.crashedAt
+	if now.Sub(p.syncedUntil) <= maxSyncAge {
+		return at
+	}
+	if st.restart.connsLostAt.After(at) {
+		at = st.restart.connsLostAt
+	}
+	if p.gap.to.After(at) && p.gap.to.After(st.restart.confirmedAt) {
+		at = p.gap.to
 	}
-	return st.restart.crashedAt
+	return at
 }
 
 // slowStartUntil returns when the upstream's slow start ends: u.SlowUntil, as its entry
@@ -58,9 +72,9 @@
 	return u.SlowUntil
 }
 
-// responded records a response at now.
-func (r *restartEvidence) responded(now time.Time) {
-	if r.recoveredAt.Before(r.crashedAt) || r.recoveredAt.Before(r.connsLostAt) {
+// responded records a response at now; gapEnd is the end of the last observation gap.
+func (r *restartEvidence) responded(now, gapEnd time.Time) {
+	if r.recoveredAt.Before(r.crashedAt) || r.recoveredAt.Before(r.connsLostAt) || r.recoveredAt.Before(gapEnd) {
 		r.recoveredAt = now
 	}
 }
@@ -94,6 +108,16 @@
 			*at = time.Time{}
 		}
 	}
+	if opened.Before(p.gap.from) && sent.After(p.gap.to) {
+		r.confirmedAt = sent
+	}
+}
+
+// RecordGap records that this host has observed no upstream from one time to another.
+func (p *Picker) RecordGap(from, to time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gap = observationGap{from, to}
 }
 
 // MarkSynced records that this host has read all entries that upstreams wrote to the log
@@ -104,6 +128,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.syncedUntil = until
+	if until.Sub(p.gap.to) > maxEntryWriteDelay {
+		p.gap = observationGap{}
+	}
 	for _, st := range p.states {
 		r := &st.restart
 		for _, at := range []*time.Time{&r.crashedAt, &r.connsLostAt} {
@@ -111,7 +138,7 @@
 				*at = time.Time{}
 			}
 		}
-		if r.crashedAt.IsZero() && r.connsLostAt.IsZero() {
+		if r.crashedAt.IsZero() && r.connsLostAt.IsZero() && p.gap.to.IsZero() {
 			r.recoveredAt = time.Time{}
 		}
 	}
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -126,6 +126,8 @@
 	// soleWriter is set while only this host writes the ownership stream, which
 	// then needs no reading.
 	soleWriter atomic.Bool
+	// onGap is called after a time in which this host observed no upstream, with its start and end.
+	onGap func(from, to time.Time)
 	// onEntriesRead is called when entriesReadUntil has changed, with the new time.
 	onEntriesRead func(until time.Time)
 	entriesRead   time.Time
@@ -148,7 +150,7 @@
 	}
 	c.planner.OnEvent = c.logPlannerEvent
 	c.planner.Cold = c.isCold
-	c.hasLiveCandidate, c.onEntriesRead = func() bool { return false }, func(time.Time) {}
+	c.hasLiveCandidate, c.onEntriesRead, c.onGap = func() bool { return false }, func(time.Time) {}, func(_, _ time.Time) {}
 	return c
 }
 
@@ -216,6 +218,7 @@
 	if gap := now.Sub(c.lastRun); c.lastRun != 0 && gap > stallThreshold {
 		c.logRecoveredAt = time.Now()
 		c.replica.RecordLogFailure(c.logRecoveredAt)
+		c.onGap(c.logRecoveredAt.Add(-gap), c.logRecoveredAt)
 		c.zl.Warn("host stalled: its control loop did not run", zap.Int("event", events.HostStalled), zap.Duration("age", gap))
 	}
 	c.lastRun = now
