balance, entryhost: gaps of a host's evidence at its start, in an outage's first second, and after two losses

Change: a host that has just started records a gap if its reads had failed, or if the ownership tables that it reads are of an earlier era than the log (event 616); a fleet that starts whole with a healthy log loses nothing. Reads that fail make entries stale at once, on followers by the reply of the followed host. Only open connections prove a process; losses are kept one by one.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -89,6 +89,7 @@
 	// syncedUntil is the time up to which this host has read all entries that upstreams
 	// wrote to the log service; see MarkSynced.
 	syncedUntil time.Time
+	logFailing  bool
 	gap         observationGap
 	// subsets holds the upstreams that this host uses, by service.
 	subsets map[string]*serviceSubset
--- a/internal/balance/restart.go
+++ b/internal/balance/restart.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
@@ -15,6 +16,8 @@
 	maxSyncAge = 1500 * time.Millisecond
 	// maxDetectionDelay is the longest time from the end of a process until a host records it.
 	maxDetectionDelay = time.Second
+	// maxLosses bounds the losses of connections that are kept for each upstream.
+	maxLosses = 16
 )
 
 // restartEvidence is what this host knows of restarts of an upstream that its entry may not
@@ -22,9 +25,9 @@
 type restartEvidence struct {
 	// crashedAt is when the upstream last seemed to have crashed.
 	crashedAt time.Time
-	// connsLostAt is when all connections to the upstream last ended unexpectedly, although it
-	// accepts new ones: it may have restarted.
-	connsLostAt time.Time
+	// connsLost holds when all connections to the upstream ended unexpectedly, although it accepted
+	// new ones, in order: each time it may have restarted.
+	connsLost []time.Time
 	// recoveredAt is the first response after the last possible restart.
 	recoveredAt time.Time
 	// confirmedAt is when a request was sent whose response showed that the upstream has not
@@ -42,11 +45,11 @@
 // there within moments, and other causes are more frequent.
 func (p *Picker) possibleRestart(st *upstreamState, now time.Time) time.Time {
 	at := st.restart.crashedAt
-	if now.Sub(p.syncedUntil) <= maxSyncAge {
+	if !p.logFailing && now.Sub(p.syncedUntil) <= maxSyncAge {
 		return at
 	}
-	if st.restart.connsLostAt.After(at) {
-		at = st.restart.connsLostAt
+	if lost := st.restart.lastLost(); lost.After(at) {
+		at = lost
 	}
 	if p.gap.to.After(at) && p.gap.to.After(st.restart.confirmedAt) {
 		at = p.gap.to
@@ -74,11 +77,27 @@
 
 // responded records a response at now; gapEnd is the end of the last observation gap.
 func (r *restartEvidence) responded(now, gapEnd time.Time) {
-	if r.recoveredAt.Before(r.crashedAt) || r.recoveredAt.Before(r.connsLostAt) || r.recoveredAt.Before(gapEnd) {
+	if r.recoveredAt.Before(r.crashedAt) || r.recoveredAt.Before(r.lastLost()) || r.recoveredAt.Before(gapEnd) {
 		r.recoveredAt = now
 	}
 }
 
+// lastLost returns when the connections were last lost; zero if they were not.
+func (r *restartEvidence) lastLost() time.Time {
+	if len(r.connsLost) == 0 {
+		return time.Time{}
+	}
+	return r.connsLost[len(r.connsLost)-1]
+}
+
+// discard removes the possible restarts for which match returns true.
+func (r *restartEvidence) discard(match func(at time.Time) bool) {
+	r.connsLost = slices.DeleteFunc(r.connsLost, match)
+	if match(r.crashedAt) {
+		r.crashedAt = time.Time{}
+	}
+}
+
 // RecordCrash records that the upstream crashed at the given time. It ignores a crash
 // so old that the entry of the restarted server has been read since; see MarkSynced.
 func (p *Picker) RecordCrash(id string, at time.Time) {
@@ -94,7 +113,11 @@
 func (p *Picker) RecordLostConnections(id string, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(id).restart.connsLostAt = at
+	r := &p.state(id).restart
+	if len(r.connsLost) == maxLosses {
+		r.connsLost = r.connsLost[:maxLosses-1]
+	}
+	r.connsLost = append(r.connsLost, at)
 }
 
 // RecordSameProcess records a response to a request that was sent at sent on a connection
@@ -103,11 +126,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := &p.state(id).restart
-	for _, at := range []*time.Time{&r.crashedAt, &r.connsLostAt} {
-		if at.After(opened.Add(maxDetectionDelay)) && at.Before(sent) {
-			*at = time.Time{}
-		}
-	}
+	r.discard(func(at time.Time) bool { return at.After(opened.Add(maxDetectionDelay)) && at.Before(sent) })
 	if opened.Before(p.gap.from) && sent.After(p.gap.to) {
 		r.confirmedAt = sent
 	}
@@ -118,6 +137,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gap = observationGap{from, to}
+	if p.syncedUntil.After(from) {
+		p.syncedUntil = from
+	}
+}
+
+// SetLogFailing records whether the last read of the entries from the log service failed.
+func (p *Picker) SetLogFailing(failing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.logFailing = failing
 }
 
 // MarkSynced records that this host has read all entries that upstreams wrote to the log
@@ -133,12 +162,8 @@
 	}
 	for _, st := range p.states {
 		r := &st.restart
-		for _, at := range []*time.Time{&r.crashedAt, &r.connsLostAt} {
-			if until.Sub(*at) > maxEntryWriteDelay {
-				*at = time.Time{}
-			}
-		}
-		if r.crashedAt.IsZero() && r.connsLostAt.IsZero() && p.gap.to.IsZero() {
+		r.discard(func(at time.Time) bool { return until.Sub(at) > maxEntryWriteDelay })
+		if r.crashedAt.IsZero() && len(r.connsLost) == 0 && p.gap.to.IsZero() {
 			r.recoveredAt = time.Time{}
 		}
 	}
--- a/internal/balance/restart_test.go
+++ b/internal/balance/restart_test.go
@@ -25,7 +25,12 @@
 		{"entries are fresh", func(p *Picker) { p.MarkSynced(after(4 * time.Second)) }, 5 * time.Second, 0},
 		{"entries were read since", func(p *Picker) { p.MarkSynced(after(4*time.Second + maxEntryWriteDelay + 1)) }, 20 * time.Second, 0},
 		{"response on an older connection", func(p *Picker) { p.RecordSameProcess(u.ID, after(time.Second), after(5*time.Second)) }, 5 * time.Second, 0},
+		{"gap after it", func(p *Picker) { p.RecordGap(after(5*time.Second), after(6*time.Second)) }, 7 * time.Second, 10 * time.Second},
 		{"response to an earlier request", func(p *Picker) { p.RecordSameProcess(u.ID, after(time.Second), after(3*time.Second)) }, 5 * time.Second, 8 * time.Second},
+		{"response on a connection opened between two losses", func(p *Picker) {
+			p.RecordLostConnections(u.ID, after(6*time.Second))
+			p.RecordSameProcess(u.ID, after(4500*time.Millisecond), after(7*time.Second))
+		}, 8 * time.Second, 11 * time.Second},
 		{"response on a connection of that moment", func(p *Picker) { p.RecordSameProcess(u.ID, after(3500*time.Millisecond), after(5*time.Second)) }, 5 * time.Second, 8 * time.Second},
 	} {
 		p := NewPicker("host")
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -126,8 +126,12 @@
 	// soleWriter is set while only this host writes the ownership stream, which
 	// then needs no reading.
 	soleWriter atomic.Bool
+	// startedAt is when this host started.
+	startedAt time.Time
 	// onGap is called after a time in which this host observed no upstream, with its start and end.
 	onGap func(from, to time.Time)
+	// onLogFailing is called with whether the last read of upstreams' entries failed.
+	onLogFailing func(failing bool)
 	// onEntriesRead is called when entriesReadUntil has changed, with the new time.
 	onEntriesRead func(until time.Time)
 	entriesRead   time.Time
@@ -150,7 +154,9 @@
 	}
 	c.planner.OnEvent = c.logPlannerEvent
 	c.planner.Cold = c.isCold
-	c.hasLiveCandidate, c.onEntriesRead, c.onGap = func() bool { return false }, func(time.Time) {}, func(_, _ time.Time) {}
+	c.startedAt = time.Now()
+	c.hasLiveCandidate = func() bool { return false }
+	c.onEntriesRead, c.onGap, c.onLogFailing = func(time.Time) {}, func(_, _ time.Time) {}, func(bool) {}
 	return c
 }
 
@@ -224,6 +230,18 @@
 	c.lastRun = now
 }
 
+// detectUnreliableStart handles a sign that the log service had failed, or returned from a copy, when
+// this host started: the entries that it reads first may be from before a restart.
+func (c *controller) detectUnreliableStart() {
+	now := time.Now()
+	if !c.entriesRead.IsZero() && now.Sub(c.startedAt) > relistGracePeriod {
+		return
+	}
+	c.logRecoveredAt, c.entriesRead = now, time.Time{}
+	c.onGap(time.Time{}, now)
+	c.zl.Info("upstreams count as cold until their entries are complete", zap.Int("event", events.EntriesUnreliable), zap.Duration("age", now.Sub(c.startedAt)))
+}
+
 // drainInbox runs all queued functions, so that a burst costs one tick.
 func (c *controller) drainInbox() {
 	for {
@@ -378,6 +396,9 @@
 // to fail and when they succeed again.
 func (c *controller) onStreamResult(s metastore.Stream, err error) {
 	since, wasLost := c.streamLostSince[s]
+	if s == metastore.StreamUpstreams {
+		c.onLogFailing(err != nil)
+	}
 	if err != nil {
 		c.replica.RecordLogFailure(time.Now())
 	}
@@ -391,6 +412,9 @@
 		if now := time.Now(); now.Sub(c.logRecoveredAt) > relistGracePeriod {
 			c.logRecoveredAt = now
 		}
+		if s == metastore.StreamUpstreams {
+			c.detectUnreliableStart()
+		}
 		c.zl.Info("log stream readable again", zap.Int("event", events.StreamRecovered), zap.String("stream", string(s)),
 			zap.Duration("lost_for", time.Since(since)))
 	}
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -280,6 +280,7 @@
 	}
 	s.fleet.SetPlannerFleetSize(reply.HostCount)
 	s.feedback.Merge(addr, reply.Notices, time.Now())
+	s.picker.SetLogFailing(reply.LogReachableFor < reply.Age) // it has failed since the last read
 	s.onSpeeds(reply.Speeds)
 	if !isRelay {
 		s.picker.SetPeerLoads(reply.PeerLoads, time.Now())
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -140,6 +140,9 @@
 	if current != nil && t.MaxFencingToken <= current.MaxFencingToken {
 		return
 	}
+	if current == nil && t.Era != 0 && t.Era < c.era {
+		c.detectUnreliableStart()
+	}
 	c.ownershipHistory.add(current, t)
 	c.views.Publish(func(v *view.View) {
 		tables := map[string]*ownership.Table{t.Service: t}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -55,6 +55,7 @@
 	ReplicaFollowStopped = 613
 	HostStalled          = 614
 	LogReturned          = 615
+	EntriesUnreliable    = 616
 	DesiredAdopted       = 620
 	DesiredRejected      = 621
 	EvacuationBegun      = 622
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -111,17 +111,20 @@
 func (p *pool) closedByUpstream(now time.Time) (found, allOlder bool) {
 	idle := p.takeIdle() // checked outside the pool, so that no lock is held
 	defer func() { p.putIdle(idle) }()
-	closed := map[*conn]bool{}
+	open, closed := map[*conn]bool{}, map[*conn]bool{}
 	var lastUsed time.Time
 	for _, c := range idle {
-		if now.Before(c.idleUntil) && c.closed() {
+		switch {
+		case !c.closed():
+			open[c] = true
+		case now.Before(c.idleUntil):
 			closed[c] = true
 			if c.lastUsedAt.After(lastUsed) {
 				lastUsed = c.lastUsedAt
 			}
 		}
 	}
-	allOlder = len(closed) > 0 && !slices.ContainsFunc(idle, func(c *conn) bool { return !closed[c] && c.openedBy(lastUsed) })
+	allOlder = len(closed) > 0 && !slices.ContainsFunc(idle, func(c *conn) bool { return open[c] && c.openedBy(lastUsed) })
 	for n := len(idle); n > 0 && closed[idle[n-1]]; n-- {
 		found = true
 		_ = idle[n-1].Close()
