feedback: carry reports since a restart over to the upstream's next incarnation

Cause: reports are kept by incarnation. While the log service is away a host takes the next process at the same address for the old one, and keeps its reports under the old ID; once the new entry is read they were forgotten. Evidence: host-1 logs "leaving" for ...13005-1@2 at 53.190, 0.7 s after that process had been replaced; the entry of @3 is read at 57.008 (634), requests follow at 57.120. Change: when an entry replaces an older incarnation, reports that came after its last possible restart are carried over; a carried report of leaving ends after 20 s if the upstream does not repeat it, and is not told to other hosts. A rejected connection without another open one is a sign of a restart too, as a proxy accepts connections while the server is down. New test TestReportsSinceARestartAreCarriedOver.

--- a/internal/balance/restart.go
+++ b/internal/balance/restart.go
@@ -44,10 +44,15 @@
 // connections and gaps count only while the entries are stale, because a restart otherwise shows
 // there within moments, and other causes are more frequent.
 func (p *Picker) possibleRestart(st *upstreamState, now time.Time) time.Time {
-	at := st.restart.crashedAt
 	if !p.logFailing && now.Sub(p.syncedUntil) <= maxSyncAge {
-		return at
+		return st.restart.crashedAt
 	}
+	return p.lastRestart(st)
+}
+
+// lastRestart is possibleRestart if the entries are stale.
+func (p *Picker) lastRestart(st *upstreamState) time.Time {
+	at := st.restart.crashedAt
 	if lost := st.restart.lastLost(); lost.After(at) {
 		at = lost
 	}
@@ -57,6 +62,14 @@
 	return at
 }
 
+// LastRestart returns when the upstream may last have restarted since the entries that this host
+// has read were written; zero if that is not known.
+func (p *Picker) LastRestart(id string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastRestart(p.state(id))
+}
+
 // slowStartUntil returns when the upstream's slow start ends: u.SlowUntil, as its entry
 // states. If the upstream may have restarted, a later incarnation may already listen at
 // its address, with an entry that this host has not read yet. Until the first response after
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -40,8 +40,11 @@
 	if d.picker.Done(u.ID, outcome, took, now) {
 		d.feedback.RecordCrash(u.ID, now)
 	}
-	if outcome == balance.Served && !res.NewConn {
+	switch {
+	case outcome == balance.Served && !res.NewConn:
 		d.picker.RecordSameProcess(u.ID, res.ConnOpenedAt, start)
+	case outcome == balance.ConnRejected && !d.client.HasOpenConnection(upstream.Target{ID: u.ID, Addr: u.Addr}, start):
+		d.picker.RecordLostConnections(u.ID, now) // a proxy in front of it accepts connections while it is down
 	}
 	d.picker.FinishSend(sending, outcome, took, res.Report.Load, now)
 	if res.Status != 0 && !res.Misdirected() {
--- a/internal/entryhost/feedback.go
+++ b/internal/entryhost/feedback.go
@@ -33,10 +33,7 @@
 // onUpstreamChange handles a change in what is known of an upstream: from a report
 // in a response to this host, or from another host's notice of a report or a crash.
 func (h *host) onUpstreamChange(ctx context.Context, c feedback.Change) {
-	upstreamReports.Inc()
-	h.zl.Info("upstream state changed", zap.Int("event", events.UpstreamReported), zap.String("peer", c.Upstream),
-		zap.Float64("limit", c.RateLimit), zap.Float64("limit_before", c.PreviousRateLimit), zap.Bool("leaving", c.Leaving),
-		zap.Duration("rest", c.Backoff), zap.Bool("ended", !c.CrashedAt.IsZero()), zap.String("from", c.From))
+	h.logUpstreamChange(c)
 	if !c.CrashedAt.IsZero() {
 		h.picker.RecordCrash(c.Upstream, c.CrashedAt)
 	}
@@ -45,6 +42,22 @@
 	}
 }
 
+// onUpstreamReplaced handles the entry of an upstream's next incarnation, which may have sent
+// reports before this host read it. It is called on the control goroutine, before the upstreams
+// are published.
+func (h *host) onUpstreamReplaced(old, next string) {
+	if c, changed := h.feedback.CarryOver(old, next, h.picker.LastRestart(old)); changed {
+		h.logUpstreamChange(c)
+	}
+}
+
+func (h *host) logUpstreamChange(c feedback.Change) {
+	upstreamReports.Inc()
+	h.zl.Info("upstream state changed", zap.Int("event", events.UpstreamReported), zap.String("peer", c.Upstream),
+		zap.Float64("limit", c.RateLimit), zap.Float64("limit_before", c.PreviousRateLimit), zap.Bool("leaving", c.Leaving),
+		zap.Duration("rest", c.Backoff), zap.Bool("ended", !c.CrashedAt.IsZero()), zap.String("from", c.From))
+}
+
 // drainMargin allows for network delay: the last request to a leaving upstream
 // is sent this much before the end of the drain timeout.
 const drainMargin = 300 * time.Millisecond
--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -33,10 +33,13 @@
 	// outage. Both are by upstream ID.
 	unlisted map[string]time.Time
 	suspects map[string]time.Time
+	// onReplaced is called when an incarnation replaces an older one, with their upstream IDs.
+	onReplaced func(old, next string)
 }
 
 func newUpstreamRegistry(zl *zap.Logger) *upstreamRegistry {
-	return &upstreamRegistry{zl: zl, upstreams: map[string]*catalogue.Upstream{}, incarnations: map[string]string{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{}}
+	return &upstreamRegistry{zl: zl, upstreams: map[string]*catalogue.Upstream{}, incarnations: map[string]string{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
+		onReplaced: func(_, _ string) {}}
 }
 
 // register records an upstream's entry. A newer incarnation replaces the older
@@ -49,6 +52,7 @@
 	}
 	if ok && known != u.ID {
 		r.forget(known)
+		r.onReplaced(known, u.ID)
 		r.zl.Info("upstream restarted", zap.Int("event", events.UpstreamRestarted), zap.String("peer", u.ID), zap.String("service", u.Service))
 	}
 	r.incarnations[server] = u.ID
--- a/internal/feedback/tracker.go
+++ b/internal/feedback/tracker.go
@@ -17,11 +17,13 @@
 	rateLimit   float64
 	rateLimitAt time.Time
 	// leavingSince is when a host first received a report that the upstream is
-	// leaving; zero if none did.
-	leavingSince time.Time
-	// backoffUntil is the end of this host's own backoff. followerBackoffs holds
-	// the backoffs in the notices of hosts that follow this one, by host name.
+	// leaving; zero if none did. leavingCarried is set by CarryOver.
+	leavingSince   time.Time
+	leavingCarried bool
+	// backoffUntil is the end of this host's own backoff, requested at backoffAt. followerBackoffs
+	// holds the backoffs in the notices of hosts that follow this one, by host name.
 	backoffUntil     time.Time
+	backoffAt        time.Time
 	followerBackoffs map[string]followerBackoff
 	// lastBackoffEnd is the end, past or future, of the last known backoff. A new
 	// backoff of this host sets it even if a follower's ends later.
@@ -151,18 +153,54 @@
 		s.leavingSince, c.Leaving = now, true
 	}
 	if until := now.Add(r.Backoff); r.Backoff > 0 && until.After(s.backoffUntil) {
-		s.backoffUntil, s.lastBackoffEnd = until, until
+		s.backoffUntil, s.backoffAt, s.lastBackoffEnd = until, now, until
 	}
 	t.mu.Unlock()
 	t.notify(c)
 }
 
 func (t *Tracker) notify(c Change) {
-	if c.RateLimit != c.PreviousRateLimit || c.Leaving || c.Backoff > 0 || !c.CrashedAt.IsZero() {
+	if c.isAny() {
 		t.OnChange(c)
 	}
 }
 
+// isAny reports whether anything has changed.
+func (c Change) isAny() bool {
+	return c.RateLimit != c.PreviousRateLimit || c.Leaving || c.Backoff > 0 || !c.CrashedAt.IsZero()
+}
+
+// CarryOver applies to the incarnation next what a server has reported since restartedAt, when it
+// may have restarted. The reports were taken for those of its previous incarnation, old, whose
+// entry had not been replaced yet. It returns the change of next, and false if there is none. It
+// does not call OnChange.
+func (t *Tracker) CarryOver(old, next string, restartedAt time.Time) (Change, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.upstreams[old]
+	if s == nil || restartedAt.IsZero() {
+		return Change{}, false
+	}
+	n := t.stateOf(next)
+	c := Change{Upstream: next, PreviousRateLimit: n.rateLimit}
+	if s.rateLimitAt.After(restartedAt) && s.rateLimitAt.After(n.rateLimitAt) {
+		n.rateLimit, n.rateLimitAt = s.rateLimit, s.rateLimitAt
+	}
+	if s.backoffAt.After(restartedAt) && s.backoffUntil.After(n.backoffUntil) {
+		n.backoffUntil, n.backoffAt, n.lastBackoffEnd = s.backoffUntil, s.backoffAt, s.lastBackoffEnd
+		c.Backoff = time.Until(n.backoffUntil)
+	}
+	if s.leavingSince.After(restartedAt) && n.leavingSince.IsZero() {
+		n.leavingSince, n.leavingCarried, c.Leaving = s.leavingSince, true, true
+	}
+	c.RateLimit = n.rateLimit
+	return c, c.isAny()
+}
+
+// carriedLeavingTTL is how long CarryOver's assumption that an upstream is leaving holds without
+// a report of its own. It is sent no requests that could disprove it.
+const carriedLeavingTTL = 20 * time.Second
+
 // RecordCrash records that this host observed a crash of the upstream at now.
 func (t *Tracker) RecordCrash(id string, now time.Time) {
 	t.mu.Lock()
@@ -258,7 +296,7 @@
 	defer t.mu.Unlock()
 	var out []Notice
 	for id, s := range t.upstreams {
-		n := Notice{Upstream: id, RateLimit: s.rateLimit, RateLimitAge: -1, Leaving: !s.leavingSince.IsZero(), Crashed: s.recentlyCrashed(now)}
+		n := Notice{Upstream: id, RateLimit: s.rateLimit, RateLimitAge: -1, Leaving: !s.leavingSince.IsZero() && !s.leavingCarried, Crashed: s.recentlyCrashed(now)}
 		if n.BackoffHosts, n.BackoffLeft = s.activeBackoffs(now); s.rateLimitAt.IsZero() && !n.Leaving && n.BackoffHosts == 0 && !n.Crashed {
 			continue
 		}
@@ -362,6 +400,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.upstreams {
+		if s.leavingCarried && now.Sub(s.leavingSince) > carriedLeavingTTL {
+			s.leavingSince, s.leavingCarried = time.Time{}, false
+		}
 		if !keep(id) || !s.hasRecentState(now) {
 			delete(t.upstreams, id)
 		}
--- a/internal/feedback/tracker_test.go
+++ b/internal/feedback/tracker_test.go
@@ -97,3 +97,44 @@
 		t.Errorf("%d upstreams kept without recent state", len(tr.upstreams))
 	}
 }
+
+// Guards against new requests to an upstream that has restarted under its ID during an outage of the
+// log service and reported then that it is leaving: once its new entry was read, hosts had forgotten the
+// report. What the previous incarnation had reported must not count for the next.
+func TestReportsSinceARestartAreCarriedOver(t *testing.T) {
+	restarted := time.Now()
+	before, after := restarted.Add(-time.Second), restarted.Add(time.Second)
+	for _, c := range []struct {
+		name              string
+		report            Report
+		reported, restart time.Time
+		wantLeaving       bool
+		wantLimit         float64
+		wantBackoff       bool
+	}{
+		{"leaving", Report{Leaving: true}, after, restarted, true, 0, false},
+		{"leaving before the restart", Report{Leaving: true}, before, restarted, false, 0, false},
+		{"leaving, without a known restart", Report{Leaving: true}, after, time.Time{}, false, 0, false},
+		{"limit", Report{RateLimit: 2}, after, restarted, false, 2, false},
+		{"limit before the restart", Report{RateLimit: 2}, before, restarted, false, 0, false},
+		{"backoff", Report{Backoff: time.Minute}, after, restarted, false, 0, true},
+		{"backoff before the restart", Report{Backoff: time.Minute}, before, restarted, false, 0, false},
+	} {
+		tr := NewTracker()
+		tr.Record("u@1", c.report, c.reported, c.reported)
+		_, changed := tr.CarryOver("u@1", "u@2", c.restart)
+		_, leaving := tr.LeavingSince("u@2")
+		if limit, backoff := tr.RateLimit("u@2"), tr.Backoff("u@2", after) > 0; leaving != c.wantLeaving || limit != c.wantLimit || backoff != c.wantBackoff {
+			t.Errorf("%s: leaving %v, limit %v, backoff %v", c.name, leaving, limit, backoff)
+		}
+		if want := c.wantLeaving || c.wantLimit > 0 || c.wantBackoff; changed != want {
+			t.Errorf("%s: changed %v, want %v", c.name, changed, want)
+		}
+		all := func(string) bool { return true }
+		if tr.Prune(all, after.Add(carriedLeavingTTL+1)); leaving {
+			if _, still := tr.LeavingSince("u@2"); still {
+				t.Errorf("%s: still leaving %v after the report", c.name, carriedLeavingTTL)
+			}
+		}
+	}
+}
