entryhost: the planner reads the ownership stream until its replica holds its end

Cause: the planner appends to the ownership stream, applies the record to its own replica, and skips reading the stream while it is its only writer. If it had appended before its first read had returned, the replica dropped the record as one that does not continue it, and every later one. Followers ask the replica, and never got an owner of any key. Change: the stream is skipped only while the replica holds it up to the end that the planner knows.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -274,7 +274,7 @@
 		c.planner.StepDown(now)
 	}
 	c.isPlanner.Store(c.planner.IsPlanner(now))
-	c.soleWriter.Store(c.planner.SoleWriter(now))
+	c.soleWriter.Store(c.planner.SoleWriter(now) && c.holdsOwnershipStream())
 	_, lost := c.streamLostSince[metastore.StreamUpstreams]
 	wallNow := time.Now()
 	expired := c.registry.expireSuspects(lost, wallNow)
@@ -304,6 +304,14 @@
 	return current
 }
 
+// holdsOwnershipStream reports whether this host's replica has the ownership stream up to the
+// end that the planner knows. A record that was appended before the stream was first read does not
+// continue the replica; if the stream were not read then, followers would never get that record
+// or a later one.
+func (c *controller) holdsOwnershipStream() bool {
+	return !c.replica.Next(metastore.StreamOwnership).Before(c.planner.StreamEnd())
+}
+
 // newStreamReaders returns the reader of the ownership stream and those of the
 // other streams.
 func (c *controller) newStreamReaders(ctx context.Context) (ownershipReader *streamReader, others []*streamReader) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -117,6 +117,9 @@
 	return out
 }
 
+// StreamEnd returns the last known end of the ownership stream.
+func (p *Planner) StreamEnd() metastore.Position { return p.streamEnd }
+
 // AdvanceStreamEnd records that the ownership stream extends at least to end.
 func (p *Planner) AdvanceStreamEnd(end metastore.Position) {
 	if p.streamEnd.Before(end) {
