--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -40,11 +40,8 @@
 	if d.picker.Done(u.ID, outcome, took, now) {
 		d.feedback.RecordCrash(u.ID, now)
 	}
-	switch {
-	case outcome == balance.Served && !res.NewConn:
-		d.picker.RecordSameProcess(u.ID, res.ConnOpenedAt, start)
-	case outcome == balance.ConnRejected && !d.client.HasOpenConnection(upstream.Target{ID: u.ID, Addr: u.Addr}, start):
-		d.picker.RecordLostConnections(u.ID, now) // a proxy in front of it accepts connections while it is down
+	if limitsCold(req.service) {
+		d.recordConnection(u, res, outcome, start, now)
 	}
 	d.picker.FinishSend(sending, outcome, took, res.Report.Load, now)
 	if res.Status != 0 && !res.Misdirected() {
@@ -73,6 +70,16 @@
 	return res, took
 }
 
+// recordConnection records what the connection of an attempt shows of restarts of the upstream.
+func (d *Dispatcher) recordConnection(u *catalogue.Upstream, res *upstream.Result, outcome balance.Outcome, sent, now time.Time) {
+	switch {
+	case outcome == balance.Served && !res.NewConn:
+		d.picker.RecordSameProcess(u.ID, res.ConnOpenedAt, sent)
+	case outcome == balance.ConnRejected && !d.client.HasOpenConnection(upstream.Target{ID: u.ID, Addr: u.Addr}, sent):
+		d.picker.RecordLostConnections(u.ID, now) // a proxy in front of it accepts connections while it is down
+	}
+}
+
 // sendOutcome classifies the result of an attempt for the picker.
 func sendOutcome(ctx context.Context, res *upstream.Result) balance.Outcome {
 	switch {
--- a/internal/entryhost/uneven.go
+++ b/internal/entryhost/uneven.go
@@ -20,8 +20,7 @@
 // limitedLogInterval is the least time between two lines of a limitedLogger.
 const limitedLogInterval = time.Second
 
-// limitedLogger logs one kind of event of upstreams that requests trigger, at most once a
-// limitedLogInterval.
+// limitedLogger logs events of one kind, which requests trigger, at most one a limitedLogInterval.
 type limitedLogger struct {
 	zl *zap.Logger
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,18 +14,19 @@
 fi
 go vet ./...
 go run "$staticcheck" ./...
-# Tests listed in KNOWN-RED.txt have known failures that are not fixed yet. They are
-# skipped, and the list is printed.
-known_red=$(awk -F ' [|] ' 'NF > 1 { print $1 }' KNOWN-RED.txt | paste -sd '|')
-if [ -n "$known_red" ]; then
-  echo "skipped, with known failures:"; cat KNOWN-RED.txt
+# KNOWN-RED.txt lists known failures that are not fixed yet. Just these are skipped, and the list is
+# printed: an entry that begins with "TEST, cases PATTERN" skips those subtests of TEST, one that begins
+# with "TEST, fresh seed" nothing, as CI does not run the seed, and any other the whole test.
+known_red=$(awk -F ' [|] ' 'NF > 1 && $1 !~ /, fresh seed/ { n = split($1, part, ", cases "); print "^" part[1] "$" (n > 1 ? "/" part[2] : "") }' KNOWN-RED.txt | paste -sd '|')
+if [ -s KNOWN-RED.txt ]; then
+  echo "known failures, passed over where CI would run them:"; cat KNOWN-RED.txt
 fi
 # The race detector's runtime aborts at times when goroutines of internal/entryhost, whose
 # tests run several hosts on a fake clock, run on several processors. That package is
 # therefore race-tested on one, and run without the detector on all of them.
-go test -race -count=1 ${known_red:+-skip "^($known_red)\$"} $(go list ./... | grep -v /internal/entryhost$)
-go test -race -count=1 -cpu 1 ${known_red:+-skip "^($known_red)\$"} ./internal/entryhost
-go test -count=1 ${known_red:+-skip "^($known_red)\$"} ./internal/entryhost
+go test -race -count=1 ${known_red:+-skip "$known_red"} $(go list ./... | grep -v /internal/entryhost$)
+go test -race -count=1 -cpu 1 ${known_red:+-skip "$known_red"} ./internal/entryhost
+go test -count=1 ${known_red:+-skip "$known_red"} ./internal/entryhost
 for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream platform:FuzzEra internal/settings:FuzzParseEntry internal/dispatch:FuzzRequest internal/feedback:FuzzDecode internal/valuecodec:FuzzDecode internal/pipeline:FuzzSplit; do
   go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime "$fuzz_time" "./${target%:*}"
 done
