planner: a line tells why released keys wait for their next owner

Change: event 710 states the reason for the first of the moves whose keys have been released for a second; safeToReassign became blockedBy, with the same conditions.

--- a/internal/entryhost/plannerevents.go
+++ b/internal/entryhost/plannerevents.go
@@ -22,6 +22,7 @@
 	planner.UpstreamLost:   {events.OwnerLost, "upstream lost: it does not respond to grants; its keys move once its grants have expired"},
 	planner.GrantRejected:  {events.GrantRejected, "grant rejected"},
 	planner.ReleaseFailed:  {events.ReleaseFailed, "release failed"},
+	planner.MoveBlocked:    {events.MoveBlocked, "released keys wait for their next owner"},
 }
 
 // logPlannerEvent logs a planner event.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -99,6 +99,7 @@
 	GrantRejected              = 707
 	ReleaseFailed              = 708
 	PreviousPlannerUnreachable = 709
+	MoveBlocked                = 710
 
 	// 8xx: requests.
 	RequestServed  = 800
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -22,6 +22,7 @@
 	// once one got a response, or if there is no owner.
 	releaseInFlight *Release
 	released        bool
+	releasedAt      bootclock.Time
 	handoverToken   string
 	nextRelease     bootclock.Time
 	// releaseFailed is set once a release failed. Until relistUntil an owner
@@ -312,7 +313,7 @@
 	if errors.Is(err, ownership.ErrRejected) {
 		// Upstreams never reject a release, so another process responds at the
 		// address: the old owner has ended, and its grants with it.
-		m.released = true
+		m.released, m.releasedAt = true, now
 		return
 	}
 	if err != nil {
@@ -324,7 +325,7 @@
 	if t.restoreOwner(r.Range.Owner, now) {
 		return
 	}
-	m.released, m.handoverToken = true, handoverToken
+	m.released, m.releasedAt, m.handoverToken = true, now, handoverToken
 	if m.releaseFailed {
 		m.relistUntil = now.Add(relistGrace)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -97,6 +97,8 @@
 	UpstreamLost
 	GrantRejected
 	ReleaseFailed
+	// MoveBlocked: released keys wait for their next owner.
+	MoveBlocked
 )
 
 // New returns a Planner for a host that does not hold the lease yet.
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -3,33 +3,56 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/ownership"
 )
 
-// safeToReassign reports whether the move's old owner can no longer hold its
-// keys; the package comment explains the conditions.
-func (t *term) safeToReassign(m *move, now bootclock.Time) bool {
+// blockedBy returns why the move's old owner may still hold its keys, or "" if it can no longer;
+// the package comment explains the conditions.
+func (t *term) blockedBy(m *move, now bootclock.Time) string {
 	if m.old.Owner == "" {
-		return true // not unproven, as no move of such a range starts
+		return "" // not unproven, as no move of such a range starts
 	}
 	if m.releaseInFlight == nil && catalogue.IsLaterIncarnation(m.dest, m.old.Owner) {
-		return true
+		return ""
 	}
 	maxValidity := t.p.opts.maxGrantValidity()
 	srv := t.server(m.old.Owner)
-	if srv.grantsInFlight > 0 || m.releaseInFlight != nil || now.Before(m.relistUntil) {
-		return false
-	}
-	if m.old.FencingToken <= t.firstFencingToken && !t.previousGrantsExpired(m, now) {
-		return false
-	}
-	if srv.hadNoResponse && now.Sub(srv.noResponseAt) <= maxValidity {
-		return false
+	switch {
+	case srv.grantsInFlight > 0:
+		return "grant in flight"
+	case m.releaseInFlight != nil:
+		return "release in flight"
+	case now.Before(m.relistUntil):
+		return "owner may return"
+	case m.old.FencingToken <= t.firstFencingToken && !t.previousGrantsExpired(m, now):
+		return "grants of a previous planner"
+	case srv.hadNoResponse && now.Sub(srv.noResponseAt) <= maxValidity:
+		return "grant without a response"
+	case !m.released && srv.grantSent && now.Sub(srv.maybeGrantedAt) <= maxValidity:
+		return "not released"
+	}
+	return ""
+}
+
+const (
+	// blockedMoveDelay is how long a move may wait once its owner has released the keys, which
+	// have no owner meanwhile, before that is reported.
+	blockedMoveDelay = time.Second
+	// blockedReportInterval is the least time between two such reports of a term.
+	blockedReportInterval = time.Second
+)
+
+// reportBlocked emits an event for a move that waits although its owner has released the keys.
+func (t *term) reportBlocked(m *move, reason string, now bootclock.Time) {
+	if !m.released || now.Sub(m.releasedAt) < blockedMoveDelay || now.Sub(t.blockedReportedAt) < blockedReportInterval {
+		return
 	}
-	return m.released || !srv.grantSent || now.Sub(srv.maybeGrantedAt) > maxValidity
+	t.blockedReportedAt = now
+	t.p.OnEvent(Event{Kind: MoveBlocked, Service: t.name, Upstream: m.old.Owner, Cause: reason, Age: now.Sub(m.releasedAt)})
 }
 
 // previousGrantsExpired reports whether no grant of a previous planner can keep
@@ -68,7 +91,11 @@
 	var ready []ownership.Move
 	cause, urgent := "", false
 	for _, m := range t.moves {
-		if !t.safeToReassign(m, now) || (m.lacksHandover() && !t.limiter.allow(m.span, now)) {
+		if reason := t.blockedBy(m, now); reason != "" {
+			t.reportBlocked(m, reason, now)
+			continue
+		}
+		if m.lacksHandover() && !t.limiter.allow(m.span, now) {
 			continue
 		}
 		if u := t.upstreams[m.dest]; u == nil || t.drainingOrCold(u) || t.unavailable(m.dest, now) {
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -50,6 +50,8 @@
 	pendingAppend    *Append
 	appendNeedsRetry bool
 	nextAppendAt     bootclock.Time
+	// blockedReportedAt is when reportBlocked emitted its last event.
+	blockedReportedAt bootclock.Time
 	// lastRecordAt is when the last append other than the term's first was started.
 	lastRecordAt bootclock.Time
 
