entryhost: an unreliable start does not restart the grace period of missing entries

Cause: since each stream that recovers on a host that has just started set logRecoveredAt anew, so that upstreams that had left were kept for up to 2 s longer. Change: the time stays if it lies within the grace period, as in onStreamResult.

--- a/internal/entryhost/evidence.go
+++ b/internal/entryhost/evidence.go
@@ -36,7 +36,10 @@
 	if !c.entriesRead.IsZero() && now.Sub(c.startedAt) > relistGracePeriod {
 		return
 	}
-	c.logRecoveredAt, c.entriesRead = now, time.Time{}
+	if now.Sub(c.logRecoveredAt) > relistGracePeriod { // as in onStreamResult, the first recovered stream counts
+		c.logRecoveredAt = now
+	}
+	c.entriesRead = time.Time{}
 	c.onGap(time.Time{}, now)
 	c.zl.Info("upstreams count as cold until their entries are complete", zap.Int("event", events.EntriesUnreliable), zap.Duration("age", now.Sub(c.startedAt)))
 }
