--- a/internal/entryhost/testhosts_test.go
+++ b/internal/entryhost/testhosts_test.go
@@ -44,6 +44,11 @@
 // startHostOn starts a host on the given network. It calls the log service through store,
 // or directly if store is nil.
 func (f *testFleet) startHostOn(name string, cores float64, network Network, store metastore.Store) *testHost {
+	return f.startHostOver(name, cores, network, store, directGranter{f})
+}
+
+// startHostOver is startHostOn with the granter through which the host calls upstreams.
+func (f *testFleet) startHostOver(name string, cores float64, network Network, store metastore.Store, granter Granter) *testHost {
 	cfg := &settings.EntryHost{Host: name, DataCentre: "dc", Listen: name + ".front:80", ReadyListen: name + ".ready:80", PeerListen: name + ".peer:80",
 		MetricsListen: name + ".metrics:80", LogLevel: "info", MemoryMB: 284, CPUCores: cores, LinkMbps: 1000, MinLeaseTTL: 300 * time.Millisecond, MaxGrantTTL: 10 * time.Second,
 		ShutdownGrace: 6 * time.Second, RetryBudgetRatio: 0.5, RetryBudgetSlack: 500, RetryBudgetWindow: 10 * time.Second,
@@ -53,7 +58,7 @@
 	if store == nil {
 		store = h.log
 	}
-	plat := Platform{Store: store, Decoder: decoder{}, Granter: directGranter{f}, Headers: testHeaders, ReadyPath: "/ready", DroppedLogLines: func() int64 { return 0 },
+	plat := Platform{Store: store, Decoder: decoder{}, Granter: granter, Headers: testHeaders, ReadyPath: "/ready", DroppedLogLines: func() int64 { return 0 },
 		Net: network, Clock: fleetClock}
 	go func() { h.done <- Run(ctx, cfg, plat, nil, zap.NewNop()) }()
 	f.hosts = append(f.hosts, h)
