--- a/internal/planner/actions.go
+++ b/internal/planner/actions.go
@@ -56,6 +56,8 @@
 	// ExistingConnOnly restricts the grant to a connection that is already
 	// open; see the package comment.
 	ExistingConnOnly bool
+	// Indirect has another host send the grant; see the package comment.
+	Indirect bool
 	// server is the state that counts the grant as in flight.
 	server *serverState
 	// closing is set for the last renewal of a term that the log's return has ended.
@@ -66,6 +68,8 @@
 type Release struct {
 	Service, Addr string
 	Range         ownership.Range
+	// Indirect has another host send the release.
+	Indirect bool
 }
 
 func (*LeaveElection) action() {}
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -96,6 +96,31 @@
 // planner lives through the return keep their owners; if no process remembers, they are without
 // one for MaxRenewalAge plus maxGrantValidity.
 //
+// # Upstreams that the planner does not reach
+//
+// A planner may lose its paths to upstreams that other hosts reach, to one or to all of them, and go
+// on renewing its lease. It then has another host, a helper, send its grants and releases (indirect.go).
+// For the argument above these are its own: each one
+//
+//   - is decided within the planner's lease, and only while the lease was renewed within
+//     recentRenewalAge, so that a planner restricted to open connections uses no helper;
+//   - is sent by the helper no later than the planner itself might have sent it, and its call ends
+//     no later. The planner states both times by the helper's clock, which it knows from a call of the
+//     helper: the reading is older than the call's arrival, so that the times come out early
+//     by the call's delay. The helper compares them right before it sends;
+//   - counts as in flight until the helper's reply, or until the call's end. A reply that says that
+//     nothing was sent is as good as the planner's own failure to connect; any failure of the call to
+//     the helper counts as a grant without a response;
+//   - reaches whichever incarnation listens, as one that the planner sends over a new connection.
+//
+// A planner that stops while a helper sends its grant leaves that grant in flight for at most
+// relayedGrantLifetime. A process that has started less than that ago therefore does not confirm that its host
+// has retired, and counts its own predecessor's grants as in flight for as long.
+//
+// An upstream is unresponsive only if it responded neither directly nor through a helper. A planner that has lost
+// its paths to all upstreams and has no helper knows nothing of them: it marks none as unresponsive and
+// starts no move. The grants expire, and are renewed for the same owners once there is a path.
+//
 // # Handover
 //
 // An upstream that responds to a release returns a handover token, and the grant to
--- /dev/null
+++ b/internal/planner/indirect.go
@@ -0,0 +1,86 @@
+package planner
+
+import (
+	"errors"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/bootclock"
+	"github.com/papayatide/papayatide/internal/ownership"
+)
+
+const (
+	// directRetryInterval is how long grants to an upstream go through a helper before one is sent
+	// directly again.
+	directRetryInterval = 3 * time.Second
+	// relayedGrantLifetime is how long after this host decided on a grant a helper may be sending it.
+	// A process that has just started counts grants of the one before it as in flight for that long.
+	relayedGrantLifetime = 300 * time.Millisecond
+)
+
+// paths is what this host knows of the ways to reach upstreams.
+type paths struct {
+	// cutOff is set while this host has lost its paths to all upstreams, hasHelper while another host
+	// can send grants for it.
+	cutOff, hasHelper bool
+}
+
+// blind reports whether no failed grant shows anything about an upstream.
+func (p paths) blind() bool { return p.cutOff && !p.hasHelper }
+
+// ObservePaths records whether this host has lost its paths to all upstreams, and whether another host
+// can send grants for it.
+func (p *Planner) ObservePaths(cutOff, hasHelper bool) { p.paths = paths{cutOff, hasHelper} }
+
+// route is the way by which calls reach a server.
+type route struct {
+	// indirect is set if the next call goes through a helper; directAt is when one is sent directly
+	// again.
+	indirect bool
+	directAt bootclock.Time
+	// directFailed and indirectFailed are set once a grant sent in that way got no response since the
+	// server last responded.
+	directFailed, indirectFailed bool
+}
+
+// next reports whether the next call goes through a helper.
+func (r *route) next(p paths, now bootclock.Time) bool {
+	if r.indirect && !p.cutOff && !now.Before(r.directAt) {
+		r.indirect = false
+	}
+	return p.hasHelper && (p.cutOff || r.indirect)
+}
+
+// record records the result of a call. After one without a response the next goes the other way.
+func (r *route) record(indirect bool, err error, now bootclock.Time) {
+	if !errors.Is(err, ownership.ErrNotSent) && !errors.Is(err, ownership.ErrNoResponse) {
+		r.directFailed, r.indirectFailed = false, false
+		return
+	}
+	if indirect {
+		r.indirect, r.indirectFailed = false, true
+	} else {
+		r.indirect, r.directFailed = true, true
+		r.directAt = now.Add(directRetryInterval)
+	}
+}
+
+// failed reports whether the server got no grant in any of the ways that there are.
+func (r *route) failed(p paths) bool {
+	switch {
+	case p.blind():
+		return false
+	case p.cutOff:
+		return r.indirectFailed
+	case p.hasHelper:
+		return r.directFailed && r.indirectFailed
+	}
+	return true
+}
+
+// startedBy returns when this process first ticked, now if it has not yet.
+func (p *Planner) startedBy(now bootclock.Time) bootclock.Time {
+	if p.startedAt == 0 {
+		p.startedAt = now
+	}
+	return p.startedAt
+}
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -72,7 +72,7 @@
 
 // planMoves starts the moves that the current owners and load require.
 func (t *term) planMoves(now bootclock.Time) {
-	if t.awaitingRegistrations(now) {
+	if t.awaitingRegistrations(now) || t.p.paths.blind() {
 		return
 	}
 	if now.Before(t.nextNewOwnerCheck) || (now.Before(t.nextRebalance) && !t.hasKeysNeedingNewOwner(now)) {
@@ -296,7 +296,8 @@
 		if m.released || m.releaseInFlight != nil || u == nil || now.Before(m.nextRelease) || t.server(m.old.Owner).grantsInFlight > 0 || !t.mayRelease(m, now) {
 			continue
 		}
-		m.releaseInFlight = &Release{Service: t.name, Addr: u.Addr, Range: m.old}
+		existingConnOnly := now.Sub(t.p.lease.renewedAt) > recentRenewalAge
+		m.releaseInFlight = &Release{Service: t.name, Addr: u.Addr, Range: m.old, Indirect: !existingConnOnly && t.server(m.old.Owner).route.next(t.p.paths, now)}
 		out = append(out, m.releaseInFlight)
 	}
 	return out
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -30,6 +30,9 @@
 	Cold func(*catalogue.Upstream) bool
 
 	lease plannerLease
+	paths paths
+	// startedAt is when this process first ticked; see startedBy.
+	startedAt bootclock.Time
 	// shuttingDown is set by BeginShutdown.
 	shuttingDown bool
 	// terms holds the current terms by service, while this host is the planner.
@@ -131,6 +134,7 @@
 
 // Tick returns the calls to make now.
 func (p *Planner) Tick(now bootclock.Time, v *view.View) []Action {
+	p.startedBy(now)
 	p.observeView(now, v)
 	var out []Action
 	if a := p.dueAcquireLease(now, v); a != nil {
@@ -277,6 +281,7 @@
 // the old owner returned; see the package comment.
 func (p *Planner) ReleaseDone(r *Release, handoverToken string, err error, now bootclock.Time) {
 	if t := p.terms[r.Service]; t != nil {
+		t.server(r.Range.Owner).route.record(r.Indirect, err, now)
 		t.releaseDone(r, handoverToken, err, now)
 	}
 }
--- a/internal/planner/retire.go
+++ b/internal/planner/retire.go
@@ -40,7 +40,7 @@
 		if host.Host == t.p.opts.Host {
 			// This process, whose earlier terms have ended, or an earlier
 			// process of this host, which has exited.
-			prev.markStopped(now)
+			prev.markStopped(max(now, t.p.startedBy(now).Add(relayedGrantLifetime)))
 		}
 		out = append(out, prev)
 	}
@@ -117,6 +117,9 @@
 	if c != nil && !c.done() {
 		return false, nil
 	}
+	if now.Sub(p.startedBy(now)) < relayedGrantLifetime {
+		return false, nil
+	}
 	if t := p.pastTerms[service]; t != nil && t.grantsInFlight() > 0 {
 		return false, nil
 	}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -15,6 +15,7 @@
 	// Acknowledgements by earlier ones do not count for it.
 	incarnation    string
 	grantsInFlight int
+	route          route
 	// maybeGrantedAt is when the last grant that may have reached the server completed.
 	maybeGrantedAt bootclock.Time
 	grantSent      bool
@@ -38,8 +39,8 @@
 	// grant. Until excludedUntil it gets no keys.
 	exclusions    int
 	excludedUntil bootclock.Time
-	// unresponsive is set when a grant fails and respondedAt is longer ago than
-	// unresponsiveAfterFraction of the grant TTL.
+	// unresponsive is set when a grant fails, respondedAt is longer ago than
+	// unresponsiveAfterFraction of the grant TTL, and route.failed.
 	unresponsive bool
 }
 
@@ -55,6 +56,9 @@
 // later term may continue to use the state.
 func (srv *serverState) recordResult(g *Grant, err error, now bootclock.Time) {
 	srv.grantsInFlight--
+	if g.closing == nil {
+		srv.route.record(g.Indirect, err, now)
+	}
 	if !errors.Is(err, ownership.ErrNotSent) {
 		srv.maybeGrantedAt = now
 	}
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -45,6 +45,8 @@
 	allowDials bool
 	// overstayFactor multiplies the time for which upstreams keep a grant.
 	overstayFactor float64
+	// relayLate makes hosts send relayed grants whenever they get to it.
+	relayLate bool
 	// granted is set when an upstream accepts a grant.
 	granted bool
 }
@@ -74,6 +76,9 @@
 	unreachableUntil map[string]bootclock.Time
 	// connectedTo is the incarnation of each upstream to which a connection is open.
 	connectedTo map[string]int
+	// cutOffUntil is when the host reaches upstreams again after it lost its paths to all of them.
+	// It knows of the beginning and the end pathDetectionDelay later.
+	cutOffFrom, cutOffUntil bootclock.Time
 	// starts counts the starts of the host's Planner.
 	starts int
 }
@@ -188,6 +193,7 @@
 	if !s.now.Before(h.logOutageUntil) {
 		s.updateView(h)
 	}
+	h.planner.ObservePaths(h.knowsCutOff(s.now), len(s.helpers(h)) > 0)
 	for _, a := range h.planner.Tick(s.now, h.publisher.Load()) {
 		s.execute(h, a)
 	}
@@ -252,10 +258,20 @@
 			deliver(func() { planner.GrantDone(a, ownership.ErrNotSent, s.now) })
 			return
 		}
+		if a.Indirect {
+			s.relay(h, a.Addr, a.DecidedAt.Add(maxGrantDelay), func(arrived bootclock.Time) error { return s.grant(a, arrived) }, 0,
+				func(err error) { deliver(func() { planner.GrantDone(a, err, s.now) }) })
+			return
+		}
 		h.connectedTo[a.Addr] = s.upstream(a.Addr).incarnation
 		s.callUpstream(h, a.Addr, func(arrived bootclock.Time) error { return s.grant(a, arrived) }, 0, true,
 			func(err error) { deliver(func() { planner.GrantDone(a, err, s.now) }) })
 	case *Release:
+		if a.Indirect {
+			s.relay(h, a.Addr, s.now.Add(maxGrantDelay), func(bootclock.Time) error { return s.release(a) }, s.randomDuration(0, 1500*time.Millisecond),
+				func(err error) { deliver(func() { planner.ReleaseDone(a, "token", err, s.now) }) })
+			return
+		}
 		s.callUpstream(h, a.Addr, func(bootclock.Time) error { return s.release(a) }, s.randomDuration(0, 1500*time.Millisecond), false,
 			func(err error) { deliver(func() { planner.ReleaseDone(a, "token", err, s.now) }) })
 	}
@@ -348,7 +364,7 @@
 // responds after work. If mayExecuteLate is set, a fault can make it execute the call 2
 // to 12 s after the arrival and never respond.
 func (s *simulation) callUpstream(h *simHost, id string, do func(arrived bootclock.Time) error, work time.Duration, mayExecuteLate bool, done func(error)) {
-	if s.now.Before(h.unreachableUntil[id]) || !s.upstream(id).up {
+	if s.now.Before(h.unreachableUntil[id]) || s.now.Before(h.cutOffUntil) || !s.upstream(id).up {
 		err := ownership.ErrNotSent
 		if s.rng.IntN(3) == 0 {
 			err = ownership.ErrNoResponse
--- a/internal/planner/simfaults_test.go
+++ b/internal/planner/simfaults_test.go
@@ -24,6 +24,7 @@
 	leave              float64 // per second: an upstream starts to leave; a new one registers
 	hostRestart        float64 // per second: a host restarts
 	logReturn          float64 // per second: the log returns from a copy of the last seconds
+	cutOff             float64 // per second: a host loses its paths to all upstreams for a while
 	killAll            float64 // per log return: all hosts restart within a second of it
 }
 
@@ -57,6 +58,9 @@
 			}
 		}
 	}
+	if f.cutOff > 0 {
+		s.injectCutOffs()
+	}
 	s.injectUpstreamFaults()
 	if !s.steadyLoad && s.rng.IntN(100) == 0 {
 		clear(s.loadByKey)
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -266,8 +266,9 @@
 		srv.grantsInFlight++
 		srv.grantSent = true
 		ag.inFlight = true
+		existingConnOnly := now.Sub(t.p.lease.renewedAt) > recentRenewalAge
 		out = append(out, &Grant{Service: t.name, Addr: u.Addr, Range: ag.rng, TTL: t.p.opts.GrantTTL, DecidedAt: now,
-			ExistingConnOnly: now.Sub(t.p.lease.renewedAt) > recentRenewalAge, server: srv})
+			ExistingConnOnly: existingConnOnly, Indirect: !existingConnOnly && srv.route.next(t.p.paths, now), server: srv})
 	}
 	return out
 }
@@ -293,7 +294,7 @@
 	if ag != nil {
 		ag.nextSendAt = now.Add(grantRetryDelay)
 	}
-	if !srv.unresponsive && !srv.forPastIncarnation(g) && now.Sub(srv.respondedAt) > time.Duration(unresponsiveAfterFraction*float64(t.p.opts.GrantTTL)) {
+	if !srv.unresponsive && !srv.forPastIncarnation(g) && srv.route.failed(t.p.paths) && now.Sub(srv.respondedAt) > time.Duration(unresponsiveAfterFraction*float64(t.p.opts.GrantTTL)) {
 		srv.unresponsive = true
 		t.p.OnEvent(Event{Kind: UpstreamLost, Service: t.name, Upstream: g.Range.Owner, Age: now.Sub(srv.respondedAt), Err: err})
 	}
