--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -164,6 +164,18 @@
 	return now.Before(p.state(id).ejectedUntil)
 }
 
+// ForgetFailures drops failures since the given time, because this host had lost its paths to all
+// upstreams: ejections, possible crashes, and requests without a response.
+func (p *Picker) ForgetFailures(since, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, st := range p.states {
+		st.consecutiveFailures, st.ejectedUntil, st.overloadedUntil = 0, time.Time{}, time.Time{}
+		st.restart.discard(func(at time.Time) bool { return at.After(since) })
+		st.work.lastResponse = now
+	}
+}
+
 // Prune drops the state of upstreams for which keep returns false, unless they have
 // requests in flight.
 func (p *Picker) Prune(keep func(id string) bool) {
--- a/internal/balance/restart.go
+++ b/internal/balance/restart.go
@@ -155,6 +155,13 @@
 	}
 }
 
+// RecordPathGap is RecordGap for a host that has read upstreams' entries meanwhile.
+func (p *Picker) RecordPathGap(from, to time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gap = observationGap{from, to}
+}
+
 // SetLogFailing records whether the last read of the entries from the log service failed.
 func (p *Picker) SetLogFailing(failing bool) {
 	p.mu.Lock()
--- a/internal/cli/peers_test.go
+++ b/internal/cli/peers_test.go
@@ -29,6 +29,10 @@
 	return &peerpb.RetireReply{}, nil
 }
 
+func (p stubPeer) RelayGrant(context.Context, *peerpb.RelayGrantRequest) (*peerpb.RelayGrantReply, error) {
+	return &peerpb.RelayGrantReply{}, nil
+}
+
 // status --peer must print a host's role, the age of its view, the owners with their
 // fencing tokens, lost owners and the last change with its cause. If a host is
 // unreachable, the command must fail and name it.
--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,18 +46,37 @@
 // caller's next attempt. A closed port refuses within a millisecond or two.
 const crashCheckTimeout = 100 * time.Millisecond
 
-// recordBrokenSend records a broken send and checks at once, before any retry, whether
-// the upstream crashed: after a crash a new incarnation listens at the same address
-// within about a second. If the port is open the send goes to unresolvedBrokenSends.
-func (d *Dispatcher) recordBrokenSend(ctx context.Context, req *request, u *catalogue.Upstream, took time.Duration) {
-	broken := &BrokenSend{ID: req.outbound.ID, Service: req.service.Name, Upstream: u.ID, Key: req.key, FencingToken: req.lastFencingToken,
-		Fingerprint: req.fingerprint(), UpstreamTime: took, Err: req.lastErr}
+// brokenCheck is what was found of an upstream right after a broken send.
+type brokenCheck struct {
+	// sameProcess is set if a connection older than the send is open.
+	sameProcess bool
+	// err is why no new connection opened; nil if one did.
+	err error
+}
+
+// checkBrokenSend checks at once, before any retry, whether the upstream crashed: after a crash a
+// new incarnation listens at the same address within about a second.
+func (d *Dispatcher) checkBrokenSend(ctx context.Context, u *catalogue.Upstream, took time.Duration) *brokenCheck {
+	if d.Paths.CutOff() {
+		return &brokenCheck{}
+	}
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	now := time.Now()
 	target := upstream.Target{ID: u.ID, Addr: u.Addr}
-	sameProcess := d.client.HasOpenConnection(target, now.Add(-took))
-	broken.Crashed = d.client.PortClosed(ctx, target)
+	check := &brokenCheck{sameProcess: d.client.HasOpenConnection(target, time.Now().Add(-took))}
+	check.err = d.client.Connect(ctx, target)
+	return check
+}
+
+// portClosed reports whether the upstream refused a new connection.
+func (c *brokenCheck) portClosed() bool { return errors.Is(c.err, syscall.ECONNREFUSED) }
+
+// recordBrokenSend records a broken send and what the check right after it showed. If the port is open
+// the send goes to unresolvedBrokenSends.
+func (d *Dispatcher) recordBrokenSend(req *request, u *catalogue.Upstream, took time.Duration, check *brokenCheck) {
+	broken := &BrokenSend{ID: req.outbound.ID, Service: req.service.Name, Upstream: u.ID, Key: req.key, FencingToken: req.lastFencingToken,
+		Fingerprint: req.fingerprint(), UpstreamTime: took, Err: req.lastErr, Crashed: check.portClosed()}
+	now := time.Now()
 	if broken.Crashed {
 		d.recordUpstreamCrash(u.ID, now)
 		broken.Crashes = d.crashes.RecordCrash(crashes.Crash{Fingerprint: broken.Fingerprint, Server: u.ID, At: now})
@@ -65,7 +85,7 @@
 		d.crashes.RecordBrokenSend(send)
 		d.unresolvedBrokenSends.add(send)
 	}
-	if !broken.Crashed && !sameProcess {
+	if !broken.Crashed && !check.sameProcess {
 		d.recordLostConnections(u, now)
 	}
 	d.OnBrokenSend(broken)
@@ -93,7 +113,7 @@
 // while they are cold are checked.
 func (d *Dispatcher) CheckIdleConnections(ctx context.Context) {
 	v := d.views.Load()
-	if !limitsColdUpstreams(v.Desired) {
+	if !limitsColdUpstreams(v.Desired) || d.Paths.CutOff() {
 		return
 	}
 	now := time.Now()
@@ -109,10 +129,12 @@
 // checkEnded records what closed connections, found at now, show: a crash, a possible restart or
 // nothing.
 func (d *Dispatcher) checkEnded(ctx context.Context, u *catalogue.Upstream, closed upstream.ClosedIdle, now time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	checkCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
+	refused := d.client.RefusesConnections(checkCtx, closed.Target)
 	switch {
-	case !u.Draining() && d.client.RefusesConnections(ctx, closed.Target):
+	case refused && d.Paths.Explains(ctx, u.ID, true) || d.Paths.CutOff():
+	case refused && !u.Draining():
 		d.recordUpstreamCrash(u.ID, now)
 	case closed.AllOlder:
 		d.recordLostConnections(u, now)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -82,6 +82,9 @@
 	// included. While hostCountKnown is false it is only an assumption.
 	hostCount      atomic.Int64
 	hostCountKnown atomic.Bool
+	detours        detours
+	// Paths infers whether this host can reach any upstream.
+	Paths *reachability.Paths
 	// Reachability tracks which data centres this host can reach.
 	Reachability *reachability.Tracker
 	// SlowStartBounds limits what all hosts together send to a cold upstream.
@@ -133,6 +136,9 @@
 	// LimiterState is the state of the upstream's limiter if it did not admit the
 	// request.
 	LimiterState admission.State
+	// Via is the address of the last helper to which the request was passed on, ForwardedBy the
+	// host that passed it on to this one.
+	Via, ForwardedBy string
 	// Scheduling is nil unless the service is competing.
 	Scheduling *SchedulingSummary
 }
@@ -143,24 +149,36 @@
 	d := &Dispatcher{headers: h, localDataCentre: localDataCentre, views: views, client: client, picker: picker, estimator: picker, schedulers: newSchedulers(), retryBudget: retryBudget,
 		crashes: crashTracker, feedback: feedbackTracker, rateLimiter: rateLimiter,
 		splitter: &splitter{}, rejectedGrants: newRejectedGrants(), shutdown: newShutdown(), returns: retryafter.New(),
-		Reachability: reachability.NewTracker(), ExpectedWork: func(desired.Class) (time.Duration, bool) { return 0, false },
+		detours: detours{pausedUntil: map[string]time.Time{}}, Paths: reachability.NewPaths(localDataCentre), Reachability: reachability.NewTracker(), ExpectedWork: func(desired.Class) (time.Duration, bool) { return 0, false },
 		OnRequestDone: func(*RequestSummary) {}, OnBrokenSend: func(*BrokenSend) {}, OnLostConnections: func(*catalogue.Upstream) {}}
+	d.Paths.Probe, d.Paths.OnChange = d.ProbeUpstream, d.OnPathChange
+	d.Paths.Upstreams = func() *catalogue.Snapshot { return views.Load().Upstreams }
 	d.SetHostCount(1, false)
 	return d
 }
 
 // ServeHTTP implements http.Handler.
-func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) { d.serve(w, r, nil) }
+
+// serve handles a request; from is nil unless another host passes it on.
+func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, from *forwarding) {
 	arrived := time.Now()
 	summary := &RequestSummary{ID: r.Header.Get(d.headers.RequestID), Key: -1}
 	req, refusal := d.parseRequest(r, arrived)
+	if req != nil && from != nil {
+		req.forwarded, req.earlierAttempts, summary.ForwardedBy = true, from.attempts, from.by
+	}
 	var res *upstream.Result
 	if refusal == nil {
-		d.retryBudget.RecordRequest(req.service.Name, arrived)
+		if !d.needsDetour(req) { // otherwise the helper counts the request
+			d.retryBudget.RecordRequest(req.service.Name, arrived)
+		}
 		ctx, cancel := d.shutdown.requestContext(r.Context(), req.deadline)
 		res, refusal = d.forward(ctx, req, summary)
 		cancel()
-		d.scheduleReturn(req, summary, refusal, time.Now())
+		if summary.Via == "" {
+			d.scheduleReturn(req, summary, refusal, time.Now())
+		}
 	}
 	if req != nil {
 		summary.setRequest(req)
@@ -174,6 +192,9 @@
 	summary.Refusal, summary.Took = refusal, time.Since(arrived)
 	if refusal != nil {
 		summary.Status = refusal.Status
+		if from != nil {
+			w.Header().Set(refusalHeader, string(refusal.Cause))
+		}
 		refusal.write(w, d.headers.RequestID, summary.ID)
 	} else {
 		summary.Status = res.Status
@@ -256,7 +277,7 @@
 // hasAttemptsLeft reports whether the route allows one more attempt and the body is
 // buffered; a streamed one is sent once. Whether a retry is safe is not checked here.
 func (req *request) hasAttemptsLeft() bool {
-	return req.outbound.Stream == nil && req.attempts < req.route.MaxAttempts
+	return req.outbound.Stream == nil && req.earlierAttempts+req.attempts < req.route.MaxAttempts
 }
 
 // mayRetryAfterRun reports whether a request that may have run can be retried: its
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -25,8 +25,10 @@
 // sendWithRetries makes attempts until one gets a response that is not retried, or
 // the request is refused.
 func (d *Dispatcher) sendWithRetries(ctx context.Context, req *request, summary *RequestSummary) (*upstream.Result, *Refusal) {
-	if refusal := d.shareRefusal(req, time.Now()); refusal != nil {
-		return nil, refusal
+	if !d.needsDetour(req) { // otherwise the helper's share applies
+		if refusal := d.shareRefusal(req, time.Now()); refusal != nil {
+			return nil, refusal
+		}
 	}
 	for {
 		if ctx.Err() != nil {
@@ -40,6 +42,11 @@
 		if left := d.refusedForUnlessTrial(req); left > 0 {
 			return nil, req.refusal(CauseCrashes, left)
 		}
+		if d.needsDetour(req) {
+			if res, refusal := d.detour(ctx, req, summary); res != nil || refusal != nil {
+				return res, refusal
+			}
+		}
 		u, ticket, refusal := d.admit(ctx, req, summary)
 		if refusal != nil {
 			return nil, refusal
@@ -155,6 +162,9 @@
 		return false, nil
 	case upstream.NotSent:
 		req.unsentAttempts++
+		if d.needsDetour(req) {
+			return true, nil
+		}
 		if req.unsentAttempts >= maxUnsentAttempts || req.key >= 0 {
 			return false, req.noRetryRefusal()
 		}
--- a/internal/dispatch/not_run_test.go
+++ b/internal/dispatch/not_run_test.go
@@ -95,6 +95,17 @@
 	// bodyBytes is the size of the body, timeoutMs the caller's timeout; empty for the route's.
 	bodyBytes int
 	timeoutMs string
+	// cutOff has probes of other upstreams fail, so that a refused connection shows that the host is
+	// cut off.
+	cutOff bool
+}
+
+// probe takes the place of a connection that is opened to another upstream.
+func (s *scriptedRequest) probe(context.Context, *catalogue.Upstream) error {
+	if s.cutOff {
+		return syscall.ECONNREFUSED
+	}
+	return nil
 }
 
 func (s *scriptedRequest) Done() <-chan struct{} { return s.done }
@@ -214,7 +225,7 @@
 			Ranges: []ownership.Range{{From: 0, To: ownership.KeySpaceSize - 1, Owner: "u0", FencingToken: 1}}}}
 	})
 	s := &scriptedRequest{Context: context.Background(), d: d, scripts: scripts, done: make(chan struct{}), bodyBytes: 20 << 10}
-	client.Dial = s.dial
+	client.Dial, d.Paths.Probe = s.dial, s.probe
 	return s
 }
 
@@ -237,8 +248,9 @@
 // Guards against a status that guarantees "not run" though an attempt may have run, against its absence
 // where none can have, and against a second upstream that may run a non-idempotent or streamed request.
 func TestNotRunStatusIsProvenForEverySequence(t *testing.T) {
-	check := func(idempotent, keyed, streamed bool, scripts []attemptScript) string {
+	check := func(idempotent, keyed, streamed, cutOff bool, scripts []attemptScript) string {
 		s := newScriptedRequest(idempotent, keyed, scripts)
+		s.cutOff = cutOff
 		if streamed {
 			s.bodyBytes = maxBufferedBodyBytes + 20<<10
 		}
@@ -255,9 +267,9 @@
 		return ""
 	}
 	for _, script := range attemptScripts {
-		for kind := range 8 {
-			if msg := check(kind&1 != 0, kind&2 != 0, kind&4 != 0, []attemptScript{script}); msg != "" {
-				t.Errorf("%s, kind %03b (streamed, keyed, idempotent): %s", script.name, kind, msg)
+		for kind := range 16 {
+			if msg := check(kind&1 != 0, kind&2 != 0, kind&4 != 0, kind&8 != 0, []attemptScript{script}); msg != "" {
+				t.Errorf("%s, kind %04b (cut off, streamed, keyed, idempotent): %s", script.name, kind, msg)
 			}
 		}
 	}
@@ -265,16 +277,16 @@
 	params.MinSuccessfulTests = 1000
 	params.Workers = 3
 	p := gopter.NewProperties(params)
-	p.Property("a refusal that guarantees \"not run\" is true", prop.ForAll(func(idempotent, keyed, streamed bool, steps []int) string {
+	p.Property("a refusal that guarantees \"not run\" is true", prop.ForAll(func(idempotent, keyed, streamed, cutOff bool, steps []int) string {
 		scripts := make([]attemptScript, len(steps))
 		names := make([]string, len(steps))
 		for i, n := range steps {
 			scripts[i], names[i] = attemptScripts[n], attemptScripts[n].name
 		}
-		if msg := check(idempotent, keyed, streamed, scripts); msg != "" {
+		if msg := check(idempotent, keyed, streamed, cutOff, scripts); msg != "" {
 			return strings.Join(names, ", ") + ": " + msg
 		}
 		return ""
-	}, gen.Bool(), gen.Bool(), gen.Bool(), gen.SliceOfN(6, gen.IntRange(0, len(attemptScripts)-1))))
+	}, gen.Bool(), gen.Bool(), gen.Bool(), gen.Bool(), gen.SliceOfN(6, gen.IntRange(0, len(attemptScripts)-1))))
 	p.TestingRun(t)
 }
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -26,6 +26,7 @@
 	CauseRateLimited        Cause = "upstream has reached the rate limit that it reports"
 	CauseBackoff            Cause = "upstream asked this host to pause"
 	CauseUnreachable        Cause = "upstream could not be reached"
+	CauseCutOff             Cause = "this host reaches no upstream, and knows no other host that does"
 	CauseTimeoutUnsent      Cause = "time ran out before the request could be sent" // or after upstreams rejected it without running it
 	CauseTimeout            Cause = "time ran out at the upstream"
 	CauseBrokenSend         Cause = "upstream broke off; the outcome is unknown"
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -41,6 +41,11 @@
 	// attempts counts the attempts of which the upstream may have received a part,
 	// unsentAttempts those of which no byte left this host.
 	attempts, unsentAttempts int
+	// forwarded is set if another host passes the request on, which has made earlierAttempts.
+	forwarded       bool
+	earlierAttempts int
+	// direct is set once no helper could be used although open connections work.
+	direct bool
 	// mayHaveRun is set once an attempt ended without proof that it was not run.
 	mayHaveRun bool
 	// lastResponse is the last response of an upstream that ran the request. While
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -18,6 +18,7 @@
 func (d *Dispatcher) send(ctx context.Context, req *request, u *catalogue.Upstream, ticket *admission.Ticket) (*upstream.Result, time.Duration) {
 	start := time.Now()
 	endSend := d.startSend(req, u, start)
+	attemptCtx, endAttempt := d.startAttempt(ctx, req, u, start)
 	if !req.mayHaveRun {
 		req.outbound.ConnectBy = req.refuseBy()
 	} else {
@@ -26,11 +27,20 @@
 	// Services that are not contended at present are included: upstreams that become silent are found by
 	// the expected latency of the requests there.
 	sending := d.picker.StartSend(u, req.class, start)
-	res := d.client.Do(ctx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
+	res := d.client.Do(attemptCtx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
+	endAttempt(res)
 	endSend(res)
 	d.releaseAtUpstream(req)
 	took := time.Since(start)
 	outcome := sendOutcome(ctx, res)
+	var broken *brokenCheck
+	if isBrokenSend(ctx, res) {
+		broken = d.checkBrokenSend(ctx, u, took)
+	}
+	ownPaths := d.ownPathsFailed(ctx, u, res, broken)
+	if ownPaths {
+		outcome = balance.Inconclusive
+	}
 	now := time.Now()
 	if req.rejectedWithRoom = d.rejectedWithRoom(req, u, res, now); req.rejectedWithRoom {
 		rejectionsWithRoom.Inc()
@@ -61,8 +71,8 @@
 	if res.Outcome == upstream.Answered && !guaranteesNotRun(res.Status) {
 		req.lastResponse = res
 	}
-	if isBrokenSend(ctx, res) {
-		d.recordBrokenSend(ctx, req, u, took)
+	if broken != nil && !ownPaths {
+		d.recordBrokenSend(req, u, took, broken)
 	}
 	if res.Outcome == upstream.Answered && res.Status < http.StatusInternalServerError {
 		d.recordSuccess(req)
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -44,6 +44,13 @@
 	return requestDeadline
 }
 
+// begun reports whether the host is stopping.
+func (s *shutdown) begun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.deadline.IsZero()
+}
+
 // requestContext returns a context that ends at the deadline, when the caller disconnects,
 // or when the host's requests are ended.
 func (s *shutdown) requestContext(caller context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
--- a/internal/entryhost/actions.go
+++ b/internal/entryhost/actions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -53,13 +54,15 @@
 	case *planner.Grant:
 		go func() {
 			err := c.grant(ctx, a)
+			if !a.Indirect && (errors.Is(err, ownership.ErrNotSent) || errors.Is(err, ownership.ErrNoResponse)) {
+				c.onGrantFailed(ctx, a.Range.Owner)
+			}
 			c.post(ctx, func() { c.planner.GrantDone(a, err, c.clock()) })
 		}()
 	case *planner.Release:
+		decidedAt := c.clock()
 		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
-			token, err := c.granter.Release(callCtx, a.Addr, a.Range)
-			cancel()
+			token, err := c.release(ctx, a, decidedAt)
 			c.post(ctx, func() { c.planner.ReleaseDone(a, token, err, c.clock()) })
 		}()
 	}
@@ -72,6 +75,10 @@
 	if delay > maxGrantSendDelay {
 		return eris.Wrapf(ownership.ErrNotSent, "upstream %s: grant was decided on %v ago", a.Addr, delay)
 	}
+	if a.Indirect {
+		_, err := c.relayGrant(ctx, a.Addr, a.Range, a.TTL, a.DecidedAt, grantTimeout)
+		return err
+	}
 	grantCtx, cancel := context.WithTimeout(ctx, grantTimeout-delay)
 	defer cancel()
 	return c.granter.Grant(grantCtx, a.Addr, a.Range, a.TTL, a.ExistingConnOnly)
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -12,9 +12,11 @@
 	"github.com/papayatide/papayatide/internal/desired"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/feedback"
+	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/keyload"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/ownership"
+	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/planner"
 	"github.com/papayatide/papayatide/internal/relay"
 	"github.com/papayatide/papayatide/internal/view"
@@ -135,6 +137,13 @@
 	// onEntriesRead is called when entriesReadUntil has changed, with the new time.
 	onEntriesRead func(until time.Time)
 	entriesRead   time.Time
+	// cutOff reports whether this host has lost its paths to all upstreams. onGrantFailed is called
+	// when an upstream has not responded to a grant that this host sent itself.
+	cutOff        func() bool
+	onGrantFailed func(ctx context.Context, owner string)
+	// grantHelpers returns the hosts that can send grants for this one, by relayGrantTo.
+	grantHelpers func() []fleet.Host
+	relayGrantTo func(ctx context.Context, helper string, g peer.RelayedGrant) (handoverToken string, err error)
 	// hasLiveCandidate reports whether another host that is a candidate has
 	// called this one recently, which it does while it follows this host.
 	hasLiveCandidate func() bool
@@ -156,6 +165,7 @@
 	c.planner.Cold = c.isCold
 	c.startedAt = time.Now()
 	c.hasLiveCandidate = func() bool { return false }
+	c.cutOff, c.grantHelpers, c.onGrantFailed = func() bool { return false }, func() []fleet.Host { return nil }, func(context.Context, string) {}
 	c.onEntriesRead, c.onGap, c.onLogFailing = func(time.Time) {}, func(_, _ time.Time) {}, func(bool) {}
 	return c
 }
@@ -255,6 +265,9 @@
 		c.publishUpstreams()
 	}
 	c.planner.ObserveLog(len(c.streamLostSince) == 0)
+	if c.isPlanner.Load() {
+		c.planner.ObservePaths(c.cutOff(), len(c.grantHelpers()) > 0)
+	}
 	for _, a := range c.planner.Tick(now, c.views.Load()) {
 		c.execute(ctx, a)
 	}
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -43,6 +43,8 @@
 	metrics.WriteGaugeUint64(w, "papayatide_upstreams_limited", uint64(limited))
 	metrics.WriteGaugeUint64(w, "papayatide_upstreams_reported_leaving", uint64(leaving))
 	metrics.WriteGaugeUint64(w, "papayatide_data_centres_unreachable", uint64(h.dispatch.Reachability.Unreachable()))
+	metrics.WriteGaugeUint64(w, "papayatide_cut_off", boolToUint64(h.dispatch.Paths.CutOff()))
+	metrics.WriteGaugeUint64(w, "papayatide_helpers", uint64(len(h.helpers.get())))
 	returns := h.dispatch.ReturnCounts()
 	metrics.WriteCounterUint64(w, "papayatide_returns_promised_total", returns.Promised)
 	metrics.WriteCounterUint64(w, "papayatide_returns_without_place_total", returns.WithoutPlace)
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -72,7 +72,7 @@
 
 // peerTransport returns the HTTP transport for calls to other entry hosts.
 func (p *Platform) peerTransport() *http.Transport {
-	t := &http.Transport{MaxIdleConnsPerHost: 2}
+	t := &http.Transport{MaxIdleConnsPerHost: maxIdlePeerConns}
 	if p.Net != nil {
 		t.DialContext = p.Net.Dial
 	}
@@ -80,6 +80,9 @@
 }
 
 const (
+	// maxIdlePeerConns is how many idle connections to another host are kept. A planner that is cut
+	// off has a hundred grants a second sent by a few hosts.
+	maxIdlePeerConns = 16
 	// readinessPropagationDelay is how long a stopping host keeps accepting
 	// connections after it starts to report unready: the platform probes once a
 	// second and removes a host after two failed probes.
@@ -137,6 +140,9 @@
 	pipeline *pipeline.Server
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// forwarded counts those of them that other hosts have passed on.
+	forwarded atomic.Int64
+	helpers   helperList
 	// loggedDroppedLines is the number of dropped lines that logDroppedLines has
 	// logged already.
 	loggedDroppedLines int64
@@ -160,6 +166,7 @@
 	g.Add(func() error { h.logSyncer.run(workCtx); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.housekeep(workCtx, reload); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.checkIdleConnections(workCtx); return nil }, func(error) { cancel() })
+	g.Add(func() error { h.dispatch.Paths.Run(workCtx); return nil }, func(error) { cancel() })
 	if err := h.listen(workCtx, &g); err != nil {
 		cancel()
 		return err
@@ -203,6 +210,11 @@
 	h.dispatch.OnRequestDone, h.dispatch.OnBrokenSend = h.onRequestDone, h.onBrokenSend
 	h.dispatch.OnLostConnections = (&limitedLogger{zl: zl}).onLostConnections
 	h.dispatch.Reachability.OnChange = h.onReachabilityChange
+	h.dispatch.Paths.OnChange = h.onPathChange
+	h.dispatch.SetHelperClient(cfg.Host, plat.newHelperClient())
+	h.controller.cutOff, h.controller.grantHelpers, h.controller.relayGrantTo = h.dispatch.Paths.CutOff, h.grantHelpers, h.peers.RelayGrant
+	h.controller.onGrantFailed = func(ctx context.Context, owner string) { h.dispatch.Paths.Explains(ctx, owner, true) }
+	h.inFlightAggregator.cutOff = h.dispatch.Paths.CutOff
 	h.dispatch.Gate, h.dispatch.ExpectedWork = h.shares.gate, h.shares.gate.Work
 	h.shares.promised, h.shares.onClassWork = h.dispatch.PromisedReturns, h.picker.SetClassWork
 	h.dispatch.SetMemory(cfg.MemoryMB)
@@ -258,11 +270,12 @@
 		Speeds:         func(caller fleet.Host) []worktime.Speed { return h.speeds.forCaller(caller, time.Now()) },
 		OnDemand:       h.shares.recordDemand, Shares: h.shares.sharesFor,
 		DesiredVersion: h.desiredVersion, OnDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
+		Clock: h.controller.clock, Helpers: h.helpersFor, SendGrant: h.sendRelayedGrant,
 		Feedback: h.feedback, IssuePermits: h.issuePermits})
 	peers.Handle(ps.PathPrefix(), ps)
 	rs := refusedpb.NewRefusedServer(&refused.Server{Host: h.cfg.Host, Crashes: h.controller.crashes.tracker, Log: h.zl})
 	peers.Handle(rs.PathPrefix(), rs)
-	if err := h.addServer(workCtx, g, h.cfg.PeerListen, &http.Server{Handler: peers, ReadHeaderTimeout: readHeaderTimeout}); err != nil {
+	if err := h.addServer(workCtx, g, h.cfg.PeerListen, &http.Server{Handler: h.peerHandler(peers), ReadHeaderTimeout: readHeaderTimeout, ConnContext: dispatch.WithCaller}); err != nil {
 		return err
 	}
 	metricsMux := http.NewServeMux()
@@ -336,6 +349,7 @@
 	if err := h.callerServer.Shutdown(shutdownCtx); err != nil {
 		h.zl.Warn("stopped with requests still in flight", zap.Int("event", events.EntryHostStopping), zap.Int64("in_flight", h.inFlight.Load()), ErrorField(err))
 	}
+	h.awaitForwarded(shutdownCtx)
 	return ctx.Err()
 }
 
@@ -362,6 +376,7 @@
 			h.budget.SetLimits(hostBudgetLimits(current, hosts))
 			known := knownIn(h.views.Load().Upstreams)
 			h.client.Prune(now, known)
+			h.dispatch.PruneHelpers(now)
 			h.picker.Prune(known)
 			h.feedback.Prune(known, now)
 			h.dispatch.Prune()
--- a/internal/entryhost/inflight.go
+++ b/internal/entryhost/inflight.go
@@ -21,13 +21,15 @@
 	host, dataCentre string
 	picker           *balance.Picker
 	aggregator       *inflight.Aggregator
+	// cutOff reports whether this host has lost its paths to all upstreams. Its load shows nothing then.
+	cutOff func() bool
 
 	mu         sync.Mutex
 	ownStatsAt time.Time
 }
 
 func newInFlightAggregator(host, dataCentre string, picker *balance.Picker, upstreams func() *catalogue.Snapshot) *inFlightAggregator {
-	return &inFlightAggregator{host: host, dataCentre: dataCentre, picker: picker, aggregator: inflight.New(upstreams, time.Now())}
+	return &inFlightAggregator{host: host, dataCentre: dataCentre, picker: picker, aggregator: inflight.New(upstreams, time.Now()), cutOff: func() bool { return false }}
 }
 
 // recordStats records the load statistics of a follower, and every
@@ -39,7 +41,11 @@
 	now := time.Now()
 	a.aggregator.Record(caller.Name, stats, now)
 	if a.ownStatsDue(now) {
-		a.aggregator.Record(a.host, a.picker.FlushLoadStats(), now)
+		own := a.picker.FlushLoadStats()
+		if a.cutOff() {
+			own = nil
+		}
+		a.aggregator.Record(a.host, own, now)
 		a.picker.SetPeerLoads(a.aggregator.PeerLoads(a.host, a.picker.Subset().IDs, now), now)
 		a.picker.SetSilenceNotices(a.aggregator.SilenceNotices(now), now)
 	}
--- a/internal/entryhost/loadsampler.go
+++ b/internal/entryhost/loadsampler.go
@@ -135,7 +135,7 @@
 // self describes this host to the hosts that it calls.
 func (h *host) self() fleet.Host {
 	return fleet.Host{Name: h.cfg.Host, DataCentre: h.cfg.DataCentre, PeerAddr: h.cfg.PeerListen, Candidate: h.candidate,
-		Followers: h.fleet.Followers(time.Now())}
+		Followers: h.fleet.Followers(time.Now()), CutOff: h.dispatch.Paths.CutOff()}
 }
 
 // replicaStatus returns the status of this host's replica of the log, and
@@ -156,6 +156,7 @@
 		timeout = firstStartDiscoveryTimeout
 	}
 	syncer := &logSyncer{discoveryTimeout: timeout, zl: h.zl, peers: h.peers, replica: h.controller.replica, ownershipReader: ownershipReader, otherReaders: others, plannerAddr: h.plannerAddr, isPlanner: h.controller.isPlanner.Load,
+		clock: h.controller.clock, helpers: h.helpers.get, onHelpers: h.setHelpers, onNoPlanner: h.useOwnFollowers,
 		self: h.self, fleet: h.fleet, picker: h.picker, feedback: h.feedback, shares: h.shares,
 		takeKeyLoads: h.loadSampler.take, applyKeyLoads: func(l []peer.ServiceLoad) { h.addKeyLoads(ctx, l) },
 		onSpeeds:       func(speeds []worktime.Speed) { h.receiveSpeeds(ctx, speeds) },
--- a/internal/entryhost/logsyncer.go
+++ b/internal/entryhost/logsyncer.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
@@ -112,6 +113,12 @@
 	// receives that of the followed host.
 	desiredVersion   func() int64
 	onDesiredVersion func(host string, version int64)
+	// clock is this host's clock. helpers returns the hosts that serve its requests while it reaches
+	// no upstream, onHelpers replaces them. onNoPlanner is called while this host follows none.
+	clock       bootclock.Clock
+	helpers     func() []string
+	onHelpers   func([]string)
+	onNoPlanner func()
 	// refetchDesired has the next call fetch the operators' stream as a whole, because the
 	// followed host has a newer desired state in force at a position that this host has reached.
 	refetchDesired bool
@@ -216,6 +223,7 @@
 	loads := s.takeKeyLoads()
 	if planner == "" {
 		s.applyKeyLoads(loads)
+		s.onNoPlanner()
 		s.setFollowed("", 0, nil)
 		return false
 	}
@@ -234,7 +242,7 @@
 // host's replica is current by that.
 func (s *logSyncer) followHost(ctx context.Context, addr string, maxAge, timeout time.Duration, loads []peer.ServiceLoad) bool {
 	req := peer.FollowRequest{Self: s.self(), Positions: map[metastore.Stream]metastore.Position{}, Newest: s.replica.Newest, Loads: loads, Notices: s.feedback.Notices(time.Now()),
-		DesiredVersion: s.desiredVersion(), Wait: followWait}
+		DesiredVersion: s.desiredVersion(), Wait: followWait, Clock: s.clock(), HelpersKnown: s.helpers()}
 	isRelay := req.Self.Followers > 0
 	if isRelay {
 		req.Wait = relayFollowWait
@@ -242,6 +250,9 @@
 		req.LoadStats, req.Subset = s.picker.FlushLoadStats(), s.picker.Subset() // a relay's own are in its inFlightAggregator
 		req.Demand = s.shares.flushDemand(time.Now())
 	}
+	if req.Self.CutOff {
+		req.LoadStats = nil // requests without a response show nothing about upstreams
+	}
 	for _, stream := range relay.Streams {
 		req.Positions[stream] = s.replica.FetchFrom(stream)
 	}
@@ -279,6 +290,9 @@
 		s.relayAddr = reply.Relay
 	}
 	s.fleet.SetPlannerFleetSize(reply.HostCount)
+	if len(reply.Helpers) > 0 {
+		s.onHelpers(reply.Helpers)
+	}
 	s.feedback.Merge(addr, reply.Notices, time.Now())
 	s.picker.SetLogFailing(reply.LogReachableFor < reply.Age) // it has failed since the last read
 	s.onSpeeds(reply.Speeds)
--- a/internal/entryhost/requestlogging.go
+++ b/internal/entryhost/requestlogging.go
@@ -27,8 +27,10 @@
 
 // onRequestDone counts and logs a finished request.
 func (h *host) onRequestDone(e *dispatch.RequestSummary) {
-	h.loadSampler.add(e)
-	h.shares.countRequest(e)
+	if e.Via == "" { // otherwise the helper counts the request
+		h.loadSampler.add(e)
+		h.shares.countRequest(e)
+	}
 	totalLatency.Update(e.Took.Seconds())
 	if e.QueueTime > 0 {
 		queueLatency.Update(e.QueueTime.Seconds())
@@ -93,6 +95,12 @@
 	if e.Upstream != "" {
 		fields = append(fields, zap.String("peer", e.Upstream), zap.Duration("at_upstream", e.UpstreamTime))
 	}
+	if e.Via != "" {
+		fields = append(fields, zap.String("via", e.Via))
+	}
+	if e.ForwardedBy != "" {
+		fields = append(fields, zap.String("from", e.ForwardedBy))
+	}
 	if e.LimiterState.Limit > 0 {
 		fields = append(fields, zap.Float64("limit", e.LimiterState.Limit), zap.Int("under_way", e.LimiterState.InFlight), zap.Int("waiting", e.LimiterState.Waiting),
 			zap.Duration("latency", e.LimiterState.Latency))
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -85,8 +85,12 @@
 	// responds to this host, or one does again.
 	DataCentreUnreachable = 680
 	DataCentreReachable   = 681
-	ServiceScarce         = 670
-	ServiceScarceEnded    = 671
+	// PathsLost and PathsRestored: this host has lost its paths to all upstreams, or reaches some
+	// again.
+	PathsLost          = 682
+	PathsRestored      = 683
+	ServiceScarce      = 670
+	ServiceScarceEnded = 671
 
 	// 7xx: the planner.
 	PlannerLeaseAcquired       = 700
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,12 @@
 	Candidate bool
 	// Followers is how many hosts follow this one.
 	Followers int
+	// CutOff is set if it has lost its paths to all upstreams.
+	CutOff bool
+	// ClockOffset is the callee's clock less the host's, and at most the call's delay more. HasClock
+	// is set if the host states its clock.
+	ClockOffset time.Duration
+	HasClock    bool
 }
 
 // hostEntry is the host as of its last call.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -31,6 +31,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/keyload"
@@ -84,6 +85,9 @@
 	Demand []shares.Demand
 	// DesiredVersion is the version of the desired state in force on it; 0 if there is none.
 	DesiredVersion int64
+	// Clock is this host's clock. HelpersKnown are the helpers that it was told last.
+	Clock        bootclock.Time
+	HelpersKnown []string
 	// Wait is how long the callee may wait for new records before it replies.
 	Wait time.Duration
 }
@@ -120,6 +124,9 @@
 	// Silences holds the upstreams that respond to none of several hosts of the data centre; empty
 	// if the callee is in another data centre.
 	Silences []balance.SilenceNotice
+	// Helpers are the peer addresses of hosts that reach upstreams, for when this one does not; nil
+	// if they are the known ones.
+	Helpers []string
 	// DesiredVersion is the version of the desired state in force on the callee; 0 if there
 	// is none or the callee does not state it.
 	DesiredVersion int64
@@ -134,7 +141,7 @@
 func (c *Client) Follow(ctx context.Context, addr string, req FollowRequest) (*FollowReply, error) {
 	msg := &peerpb.FollowRequest{Host: req.Self.Name, DataCentre: req.Self.DataCentre, PeerAddr: req.Self.PeerAddr,
 		Eager: req.Self.Candidate, Followers: uint32(req.Self.Followers), WaitMs: uint32(req.Wait.Milliseconds()),
-		DesiredVersion: req.DesiredVersion, AcceptsCompressed: true}
+		DesiredVersion: req.DesiredVersion, AcceptsCompressed: true, CutOff: req.Self.CutOff, HelpersKnown: helpersHash(req.HelpersKnown), Clock: int64(req.Clock)}
 	msg.Positions = encodePositions(req.Positions)
 	for _, l := range req.Loads {
 		msg.Loads = append(msg.Loads, encodeLoad(l))
@@ -161,7 +168,7 @@
 	}
 	out := &FollowReply{Age: time.Duration(reply.AgeMs) * time.Millisecond, ReceivedAt: receivedAt, Positions: decodePositions(reply.Positions, req.Positions), LogReachableFor: time.Duration(reply.SteadyMs) * time.Millisecond,
 		HostCount: int(reply.Hosts), Relay: reply.Relay, Notices: decodeNotices(reply.Notices), Silences: decodeSilences(reply.Notices), Speeds: decodeSpeeds(reply.Speeds),
-		DesiredVersion: reply.DesiredVersion, Shares: decodeShares(reply.Shares)}
+		DesiredVersion: reply.DesiredVersion, Shares: decodeShares(reply.Shares), Helpers: reply.Helpers}
 	for _, m := range reply.Batches {
 		b, ok, err := decodeBatch(m, req)
 		if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/ownership"
@@ -53,6 +54,11 @@
 	// is none. OnDesiredVersion receives that of each caller.
 	DesiredVersion   func() int64
 	OnDesiredVersion func(host string, version int64)
+	// Clock is this host's clock. Helpers returns the helpers for the caller; nil if there are none.
+	Clock   bootclock.Clock
+	Helpers func(caller fleet.Host) []string
+	// SendGrant sends a grant or release to an upstream for the planner.
+	SendGrant func(context.Context, RelayedGrant) (handoverToken string, err error)
 	// Feedback tracks reports and crashes of upstreams.
 	Feedback *feedback.Tracker
 	// IssuePermits issues permits to callers, for requests to an upstream with a rate
@@ -105,7 +111,10 @@
 		return nil, twirp.InvalidArgumentError("loads", err.Error())
 	}
 	s.OnKeyLoads(loads)
-	caller := fleet.Host{Name: m.Host, DataCentre: m.DataCentre, PeerAddr: m.PeerAddr, Candidate: m.Eager, Followers: int(m.Followers)}
+	caller := fleet.Host{Name: m.Host, DataCentre: m.DataCentre, PeerAddr: m.PeerAddr, Candidate: m.Eager, Followers: int(m.Followers), CutOff: m.CutOff}
+	if m.Clock != 0 {
+		caller.ClockOffset, caller.HasClock = s.Clock().Sub(bootclock.Time(m.Clock)), true
+	}
 	s.Fleet.RecordCall(caller, time.Now())
 	s.OnDesiredVersion(m.Host, m.DesiredVersion)
 	s.OnLoadStats(caller, decodeLoadStats(m.Uses))
@@ -133,7 +142,7 @@
 		reply.Speeds = encodeSpeeds(s.Speeds(caller))
 	}
 	reply.Shares = encodeShares(s.Shares(caller))
-	return reply, s.setReplyStatus(reply, caller)
+	return reply, s.setReplyStatus(reply, caller, m.HelpersKnown)
 }
 
 // setPeerLoads sets the loads in the reply. Expected work is left out if no service is competing.
@@ -172,9 +181,9 @@
 	return balance.Subset{}
 }
 
-// setReplyStatus sets the replica's status, the fleet's size and the relay to follow in
-// the reply.
-func (s *Server) setReplyStatus(reply *peerpb.FollowReply, caller fleet.Host) error {
+// setReplyStatus sets the replica's status, the fleet's size, the relay to follow and the caller's
+// helpers in the reply, these only if helpersKnown is not their hash.
+func (s *Server) setReplyStatus(reply *peerpb.FollowReply, caller fleet.Host, helpersKnown uint32) error {
 	now := time.Now()
 	status, ok := s.ReplicaStatus(now)
 	if !ok {
@@ -184,6 +193,11 @@
 	reply.Positions = encodePositions(s.Replica.Positions()) // after the age, so that they cover it
 	reply.SteadyMs = uint32(status.LogReachableFor.Milliseconds())
 	reply.Hosts = uint32(s.Fleet.Size(now))
+	if s.Helpers != nil {
+		if helpers := s.Helpers(caller); helpersHash(helpers) != helpersKnown {
+			reply.Helpers = helpers
+		}
+	}
 	if status.IsPlanner {
 		reply.Relay = s.Fleet.RelayFor(caller, now)
 	}
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -127,6 +127,18 @@
 	return !now.Before(d.nextProbe)
 }
 
+// Reset takes all data centres for reachable again.
+func (t *Tracker) Reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, d := range t.dataCentres {
+		if d.unreachable {
+			t.OnChange(name, true, 0)
+		}
+		*d = dataCentre{heardAt: time.Now(), sends: d.sends, unanswered: map[string]time.Time{}}
+	}
+}
+
 // Unreachable returns the number of data centres that are unreachable, for metrics.
 func (t *Tracker) Unreachable() int {
 	t.mu.Lock()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -211,8 +211,8 @@
 	return c.poolFor(t).hasOpen(openedBy)
 }
 
-// RefusesConnections is PortClosed without keeping the connection: an upstream that closes idle
-// connections early would soon close that one too.
+// RefusesConnections reports whether t refuses connections. It keeps none open: an upstream that
+// closes idle connections early would soon close that one too.
 func (c *Client) RefusesConnections(ctx context.Context, t Target) bool {
 	nc, err := c.Dial(ctx, "tcp4", t.Addr)
 	if err != nil {
@@ -222,21 +222,21 @@
 	return false
 }
 
-// PortClosed reports whether t refuses connections, which means that its process has
-// ended. If a connection opens it is pooled for the next request.
-func (c *Client) PortClosed(ctx context.Context, t Target) bool {
+// Connect opens a connection to t and pools it for the next request. It fails if t does not accept
+// the connection, or ends it at once.
+func (c *Client) Connect(ctx context.Context, t Target) error {
 	start := time.Now()
 	cn, err := c.dial(ctx, t.Addr)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
-	if cn.checkRejected(time.Since(start)) != nil {
+	if err := cn.checkRejected(time.Since(start)); err != nil {
 		cn.abort()
-		return false
+		return err
 	}
 	cn.idleUntil = time.Now().Add(defaultIdleTimeout)
 	c.poolFor(t).put(cn)
-	return false
+	return nil
 }
 
 // roundTrip writes the request and reads the response. It reports whether the connection
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,8 +28,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		to := Target{ID: "u1", Addr: "u1:80"}
-		if c.PortClosed(ctx, to) {
-			t.Error("the port counts as closed")
+		if err := c.Connect(ctx, to); err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("connecting to an upstream that resets the connection: %v", err)
 		}
 		if res := c.Do(ctx, to, &Request{ID: "r1", Method: "POST", URI: "/", Host: "a.example"}); res.Outcome != NotSent || !res.ConnRejected {
 			t.Errorf("%v, connection rejected %v; want not sent, true", res.Outcome, res.ConnRejected)
