--- a/internal/reachability/paths.go
+++ b/internal/reachability/paths.go
@@ -16,17 +16,17 @@
 const (
 	// probeTimeout bounds a probe. Connecting takes 2 ms, and longer on a host without CPU time.
 	probeTimeout = 200 * time.Millisecond
-	// hedgeDelay is how long the first probe may take before the others begin.
-	hedgeDelay = 20 * time.Millisecond
-	// maxProbes is how many upstreams are probed before this host counts as cut off, minProbes how
-	// many it must know besides the one that failed.
-	maxProbes, minProbes = 4, 2
+	// firstProbeTimeout bounds the first one, which mostly succeeds.
+	firstProbeTimeout = 20 * time.Millisecond
+	// maxProbes is how many upstreams are probed before this host counts as cut off, localProbes of
+	// them in its data centre. minProbes is how many it must know besides the one that failed.
+	maxProbes, localProbes, minProbes = 4, 2, 2
 	// verdictTTL is how long a successful probe answers for further failures.
 	verdictTTL = 200 * time.Millisecond
-	// recheckInterval is the time between the probes of a host that is cut off; each goes to
-	// recheckProbes upstreams.
+	// recheckInterval is the time between the probes of a host that is cut off.
 	recheckInterval = 250 * time.Millisecond
-	recheckProbes   = 2
+	// recheckSuccesses is how many of its probes must succeed to end that state.
+	recheckSuccesses = 2
 	// waitingThreshold is how long requests must wait, and nothing arrive from any upstream, before
 	// that is a reason to probe. It doubles with each probe that succeeds, up to
 	// maxWaitingThreshold, until something arrives.
@@ -157,7 +157,7 @@
 		done := make(chan struct{})
 		p.probing = done
 		go func() {
-			p.judge(p.sample(except, maxProbes), now)
+			p.judge(p.sample(except), now)
 			p.mu.Lock()
 			p.probing = nil
 			p.mu.Unlock()
@@ -167,36 +167,39 @@
 	return p.probing
 }
 
+// probeResult is the result of the probe of an upstream.
+type probeResult struct {
+	upstream *catalogue.Upstream
+	err      error
+}
+
 // judge probes the upstreams, the first one alone, and decides whether this host is cut off.
 func (p *Paths) judge(targets []*catalogue.Upstream, began time.Time) {
 	if len(targets) < minProbes {
 		return
 	}
-	errs := p.probe(targets, hedgeDelay)
-	if errs == nil {
-		p.mu.Lock()
-		p.reachedAt = time.Now()
-		p.mu.Unlock()
-		return
+	results := p.probe(targets[:1], firstProbeTimeout)
+	if failures(results) > 0 {
+		results = append(results, p.probe(targets[1:], probeTimeout)...)
 	}
 	refused := 0
-	for _, err := range errs {
-		if errors.Is(err, syscall.ECONNREFUSED) {
+	for _, r := range results {
+		if errors.Is(r.err, syscall.ECONNREFUSED) {
 			refused++
 		}
 	}
 	p.mu.Lock()
 	now := time.Now()
 	silent := p.heardAt.Before(began)
-	if refused < len(errs) && !silent {
-		p.reachedAt = now // something arrived while the probes failed
+	if !p.lost(results) || refused < failures(results) && !silent {
+		p.reachedAt = now
 		p.mu.Unlock()
 		return
 	}
-	change := PathChange{CutOff: true, At: now, HeardAt: p.heardAt, Probed: len(errs), Refused: refused}
+	change := PathChange{CutOff: true, At: now, HeardAt: p.heardAt, Probed: len(results), Refused: refused}
 	p.cutOffAt = now
 	p.cutOff.Store(true)
-	abandoned := p.silentSends(refused < len(errs) || silent && now.Sub(p.heardAt) > heardWindow)
+	abandoned := p.silentSends(now.Sub(p.heardAt) > heardWindow)
 	p.mu.Unlock()
 	p.OnChange(change)
 	for _, s := range abandoned {
@@ -204,6 +207,27 @@
 	}
 }
 
+// failures returns the number of probes that failed.
+func failures(results []probeResult) int {
+	n := 0
+	for _, r := range results {
+		if r.err != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// lost reports whether the results of probes show that this host reaches no upstream, or hardly any:
+// at most one of them has succeeded, and that not in this data centre. In a partition between data
+// centres those of its own respond.
+func (p *Paths) lost(results []probeResult) bool {
+	succeeded := len(results) - failures(results)
+	return succeeded == 0 || succeeded == 1 && len(results) >= maxProbes && !slices.ContainsFunc(results, func(r probeResult) bool {
+		return r.err == nil && r.upstream.DataCentre == p.localDataCentre
+	})
+}
+
 // silentSends returns the attempts to abandon; none unless open connections are silent. The caller
 // holds mu.
 func (p *Paths) silentSends(silent bool) []*PathSend {
@@ -216,66 +240,60 @@
 	return out
 }
 
-// probe probes the upstreams: the first one, and if that has not succeeded within hedge all others
-// at once. It returns nil as soon as one succeeds, and otherwise the errors of all.
-func (p *Paths) probe(targets []*catalogue.Upstream, hedge time.Duration) []error {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout+hedge)
+// probe probes the upstreams at once.
+func (p *Paths) probe(targets []*catalogue.Upstream, timeout time.Duration) []probeResult {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	results := make(chan error, len(targets))
-	start := func(u *catalogue.Upstream) { go func() { results <- p.Probe(ctx, u) }() }
-	start(targets[0])
-	timer := time.NewTimer(hedge)
-	defer timer.Stop()
-	started := 1
-	var errs []error
-	for len(errs) < len(targets) {
-		select {
-		case err := <-results:
-			if err == nil {
-				return nil
-			}
-			errs = append(errs, err)
-		case <-timer.C:
-		}
-		for ; started < len(targets); started++ {
-			start(targets[started])
-		}
+	results := make(chan probeResult, len(targets))
+	for _, u := range targets {
+		go func() { results <- probeResult{u, p.Probe(ctx, u)} }()
 	}
-	return errs
+	var out []probeResult
+	for range targets {
+		out = append(out, <-results)
+	}
+	return out
 }
 
-// sample returns up to n upstreams other than the given one: first one of this data centre, then
-// of other data centres and services as far as there are any, at random among equals.
-func (p *Paths) sample(except string, n int) []*catalogue.Upstream {
-	var candidates []*catalogue.Upstream
+// sample returns up to maxProbes upstreams other than the given one: localProbes of this data centre,
+// the others of other data centres and services as far as there are any, at random among equals.
+func (p *Paths) sample(except string) []*catalogue.Upstream {
+	var local, remote []*catalogue.Upstream
 	for id, u := range p.Upstreams().ByID {
-		if id != except && !u.Draining() && !u.Unlisted {
-			candidates = append(candidates, u)
+		switch {
+		case id == except || u.Draining() || u.Unlisted:
+		case u.DataCentre == p.localDataCentre:
+			local = append(local, u)
+		default:
+			remote = append(remote, u)
 		}
 	}
+	out := pickDiverse(nil, local, localProbes)
+	out = pickDiverse(out, remote, maxProbes-len(out))
+	return pickDiverse(out, local, maxProbes-len(out))
+}
+
+// pickDiverse appends up to n of the candidates that are not in picked yet, and prefers those whose data
+// centre and service are not.
+func pickDiverse(picked, candidates []*catalogue.Upstream, n int) []*catalogue.Upstream {
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	var out []*catalogue.Upstream
-	for len(out) < n && len(candidates) > 0 {
-		best := 0
-		for i, u := range candidates {
-			if p.preference(u, out) > p.preference(candidates[best], out) {
-				best = i
+	for range n {
+		var best *catalogue.Upstream
+		for _, u := range candidates {
+			if !slices.Contains(picked, u) && (best == nil || novelty(u, picked) > novelty(best, picked)) {
+				best = u
 			}
 		}
-		out = append(out, candidates[best])
-		candidates = slices.Delete(candidates, best, best+1)
+		if best == nil {
+			break
+		}
+		picked = append(picked, best)
 	}
-	return out
+	return picked
 }
 
-// preference returns how much a probe of u adds to those of the others.
-func (p *Paths) preference(u *catalogue.Upstream, others []*catalogue.Upstream) int {
-	if len(others) == 0 {
-		if u.DataCentre == p.localDataCentre {
-			return 1
-		}
-		return 0
-	}
+// novelty returns how much a probe of u adds to those of the others.
+func novelty(u *catalogue.Upstream, others []*catalogue.Upstream) int {
 	points := 3
 	if slices.ContainsFunc(others, func(o *catalogue.Upstream) bool { return o.DataCentre == u.DataCentre }) {
 		points -= 2
@@ -326,10 +344,12 @@
 	}
 }
 
-// recheck probes upstreams, and ends the state of being cut off if one accepts a connection.
+// recheck probes upstreams, and ends the state of being cut off unless all but one probe fail: a
+// host that reaches a few upstreams would otherwise change its mind every second.
 func (p *Paths) recheck() {
-	targets := p.sample("", recheckProbes)
-	if len(targets) > 0 && p.probe(targets, 0) != nil {
+	targets := p.sample("")
+	results := p.probe(targets, probeTimeout)
+	if succeeded := len(results) - failures(results); len(targets) > 0 && succeeded < min(recheckSuccesses, len(targets)) {
 		return
 	}
 	p.mu.Lock()
