--- a/cmd/papayatided/entry.go
+++ b/cmd/papayatided/entry.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/papayatide/papayatide/internal/entryhost"
 	"github.com/papayatide/papayatide/internal/events"
@@ -41,7 +40,7 @@
 	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
-	logger, err := newLogger(cfg.LogLevel, sink)
+	logger, err := entryhost.NewLogger(cfg.LogLevel, sink)
 	if err != nil {
 		return err
 	}
@@ -55,17 +54,6 @@
 	return entryhost.Run(ctx, cfg, deps, reload, logger)
 }
 
-// newLogger returns a JSON logger that writes entries at level and above to out.
-func newLogger(level string, out zapcore.WriteSyncer) (*zap.Logger, error) {
-	lvl, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, err
-	}
-	encoderConfig := zap.NewProductionEncoderConfig()
-	encoderConfig.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoderConfig), out, lvl)), nil
-}
-
 // watchSettings sends the settings to out when the file has changed. It reads the file
 // every settingsPollInterval and on SIGHUP. It logs invalid settings; the previous
 // ones then stay in effect.
--- a/internal/dispatch/not_run_test.go
+++ b/internal/dispatch/not_run_test.go
@@ -98,6 +98,8 @@
 	// cutOff has probes of other upstreams fail, so that a refused connection shows that the host is
 	// cut off.
 	cutOff bool
+	// idempotent is that of the route.
+	idempotent bool
 }
 
 // probe takes the place of a connection that is opened to another upstream.
@@ -224,7 +226,7 @@
 		v.Tables = map[string]*ownership.Table{"s": {Service: "s", MaxFencingToken: 1,
 			Ranges: []ownership.Range{{From: 0, To: ownership.KeySpaceSize - 1, Owner: "u0", FencingToken: 1}}}}
 	})
-	s := &scriptedRequest{Context: context.Background(), d: d, scripts: scripts, done: make(chan struct{}), bodyBytes: 20 << 10}
+	s := &scriptedRequest{Context: context.Background(), d: d, scripts: scripts, done: make(chan struct{}), bodyBytes: 20 << 10, idempotent: idempotent}
 	client.Dial, d.Paths.Probe = s.dial, s.probe
 	return s
 }
--- a/internal/reachability/paths.go
+++ b/internal/reachability/paths.go
@@ -334,7 +334,7 @@
 			waiting[s.upstream] = true
 		}
 	}
-	suspicious := len(waiting) >= minWaitingUpstreams && now.Sub(p.heardAt) >= p.threshold
+	suspicious := len(waiting) >= minWaitingUpstreams && now.Sub(p.heardAt) >= p.threshold && now.Sub(p.reachedAt) >= p.threshold
 	if suspicious {
 		p.threshold = min(2*p.threshold, maxWaitingThreshold)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -14,6 +14,8 @@
 	// description names the kind of fault and the host, upstream or link that it
 	// affects. Some checks match parts of it.
 	description string
+	// pathCut is set if host is cut off from all upstreams.
+	pathCut bool
 	// host is the host whose process or link is affected; nil for faults of
 	// upstreams and of the log service.
 	host *Host
@@ -39,6 +41,8 @@
 	crashes []crash
 	// reports are the reports that upstreams began to send with their responses.
 	reports []report
+	// pathCuts are the cuts of hosts from all upstreams that have ended.
+	pathCuts []*pathCut
 	// evacuations are the times for which farDC was evacuated.
 	evacuations []evacuation
 	// busy holds the hosts, endpoints, proxies and others that a fault affects now.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/papayatide/papayatide/internal/standin/pathfault"
 	"github.com/papayatide/papayatide/internal/standin/ports"
 	"github.com/papayatide/papayatide/platform"
 )
@@ -25,6 +26,8 @@
 
 	binary, settingsPath, outputPath string
 	readyURL                         string
+	// pathFaultFile states the fault of the host's paths to upstreams; see package pathfault.
+	pathFaultFile string
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -63,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{Name: name, binary: binary, settingsPath: filepath.Join(dir, name+".ini"), outputPath: filepath.Join(dir, name+".log"),
+	h := &Host{Name: name, binary: binary, settingsPath: filepath.Join(dir, name+".ini"), outputPath: filepath.Join(dir, name+".log"), pathFaultFile: filepath.Join(dir, name+".paths"),
 		readyURL: "http://" + addrs[1] + platform.PathReady}
 	if h.Front, err = NewProxy(addrs[4], addrs[0]); err != nil {
 		return nil, err
@@ -101,7 +104,7 @@
 	}
 	defer func() { _ = out.Close() }() // the process has its own file descriptor
 	cmd := exec.Command(h.binary, "entry")
-	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+h.settingsPath)
+	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+h.settingsPath, pathfault.FileEnv+"="+h.pathFaultFile)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return eris.Wrap(err, "start")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,8 @@
 	// HardLoad adds competing classes, uneven upstreams and callers that pipeline, read
 	// slowly, disconnect in the middle of a pipeline and upload bodies.
 	HardLoad bool
+	// PathCuts cuts hosts off from all upstreams. Binary must then be that of package host.
+	PathCuts bool
 	// LogReturns has the log service return from older copies.
 	LogReturns bool
 	// Hosts, Keyed, Unkeyed and Callers are the numbers of entry hosts, upstreams
@@ -145,6 +147,9 @@
 	if opts.Reports {
 		in.wg.Go(func() { in.runReports(fctx, opts.Seed) })
 	}
+	if opts.PathCuts {
+		in.wg.Go(func() { in.runPathCuts(fctx, opts.Seed) })
+	}
 	if opts.LogReturns {
 		in.wg.Go(func() { in.runLogReturns(fctx, opts.Seed) })
 	}
@@ -159,6 +164,9 @@
 	if key >= 0 {
 		r.Violations = append(r.Violations, fmt.Sprintf("RECOVER: key %d is not served %v after the last fault and any slow starts after it", key, took))
 	}
+	if opts.PathCuts {
+		in.runCalmPathCuts(ctx, opts.Seed)
+	}
 	quietFrom := time.Now()
 	sleep(ctx, quietPeriod)
 	stopCallers()
@@ -193,6 +201,7 @@
 	r.Violations = append(r.Violations, in.checkColdUpstreams(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkReports(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkEvacuated(c.outcomes)...)
+	r.Violations = append(r.Violations, in.checkPathCuts(c.outcomes)...)
 	env.mu.Lock()
 	r.Violations = append(r.Violations, env.violations...)
 	env.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,8 @@
 	firstSeed    = flag.Uint64("first", 0, "first seed of -seeds; 0 chooses one at random")
 	faultTime    = flag.Duration("span", 15*time.Second, "how long each run injects faults")
 	keepDir      = flag.String("keep", "", "directory in which failed runs leave their settings and logs")
+	hostCount    = flag.Int("hosts", 4, "number of entry hosts of each run")
+	callerCount  = flag.Int("callers", 12, "number of callers of each run")
 	parallelRuns = flag.Int("beside", 4, "number of concurrent runs")
 )
 
@@ -32,21 +34,28 @@
 
 // run is one run. With -seeds, odd seeds have fatal requests, two of four seeds have
 // evacuations and slow starts, two of three have reports, three of five have returns of the
-// log from copies, and four of seven have hard load.
+// log from copies, and four of seven have hard load. From firstPathCutSeed on, two of three cut hosts
+// off from all upstreams.
 type run struct {
-	seed                                           uint64
-	fatal, evacuate, reports, logReturns, hardLoad bool
+	seed                                                     uint64
+	fatal, evacuate, reports, logReturns, hardLoad, pathCuts bool
 }
 
-// buildDaemon builds papayatided and returns its path.
-func buildDaemon(t *testing.T) string {
+// firstPathCutSeed is the first seed whose run may cut hosts off from all upstreams.
+const firstPathCutSeed = 100_000
+
+// binaries are the paths of the programs that a run needs.
+type binaries struct{ daemon, hostWithPathFaults string }
+
+// buildDaemon builds papayatided and the host on whose network paths can be cut.
+func buildDaemon(t *testing.T) binaries {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "papayatided")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/papayatide/papayatide/cmd/papayatided").CombinedOutput()
+	dir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir, "github.com/papayatide/papayatide/cmd/papayatided", "github.com/papayatide/papayatide/internal/soak/host").CombinedOutput()
 	if err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	return binary
+	return binaries{filepath.Join(dir, "papayatided"), filepath.Join(dir, "host")}
 }
 
 // TestSoak runs entry hosts as processes while links are cut, processes and upstreams stop,
@@ -64,7 +73,7 @@
 		list = nil
 		for i := range *seeds {
 			seed := start + uint64(i)
-			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0, seed%5 < 3, seed%7 < 4})
+			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0, seed%5 < 3, seed%7 < 4, seed >= firstPathCutSeed && seed%3 < 2})
 		}
 	}
 	runAll(t, binary, list)
@@ -93,22 +102,29 @@
 	}
 }
 
+// TestSoakWithPathCuts adds hosts that lose their paths to all upstreams during all the other faults.
+func TestSoakWithPathCuts(t *testing.T) {
+	if *seeds == 0 {
+		runAll(t, buildDaemon(t), []run{{seed: 5, pathCuts: true}, {seed: 6, pathCuts: true, hardLoad: true, reports: true}})
+	}
+}
+
 // runAll makes the runs, at most as many at a time as the flag -beside allows.
-func runAll(t *testing.T, binary string, list []run) {
+func runAll(t *testing.T, programs binaries, list []run) {
 	slots := make(chan struct{}, *parallelRuns)
 	for _, r := range list {
 		t.Run(fmt.Sprint("seed ", r.seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			runOnce(t, binary, r)
+			runOnce(t, programs, r)
 		})
 	}
 }
 
 // runOnce makes one run and fails the test with its violations and faults. It removes
 // the directory of a run without violations.
-func runOnce(t *testing.T, binary string, cfg run) {
+func runOnce(t *testing.T, programs binaries, cfg run) {
 	dir := t.TempDir()
 	if *keepDir != "" {
 		dir = filepath.Join(*keepDir, fmt.Sprint("seed-", cfg.seed))
@@ -120,7 +136,11 @@
 	if cfg.hardLoad {
 		unkeyed = 4 // two in the hosts' data centre, whose capacity the hosts divide
 	}
-	r, err := Run(context.Background(), Options{Binary: binary, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, HardLoad: cfg.hardLoad, FaultDuration: *faultTime, Hosts: 4, Keyed: 4, Unkeyed: unkeyed, Callers: 12})
+	binary := programs.daemon
+	if cfg.pathCuts {
+		binary = programs.hostWithPathFaults
+	}
+	r, err := Run(context.Background(), Options{Binary: binary, PathCuts: cfg.pathCuts, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, HardLoad: cfg.hardLoad, FaultDuration: *faultTime, Hosts: *hostCount, Keyed: 4, Unkeyed: unkeyed, Callers: *callerCount})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -108,8 +108,12 @@
 
 // NewClient returns a client for upstreams that use the header names in h.
 func NewClient(h protocol.Headers) *Client {
-	d := &net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
-	return &Client{headers: h, Dial: d.DialContext, pools: map[Target]*pool{}}
+	return &Client{headers: h, Dial: NewDialer().DialContext, pools: map[Target]*pool{}}
+}
+
+// NewDialer returns the dialer of TCP connections to upstreams.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
 }
 
 // poolFor returns the pool of t and creates it if necessary.
