--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -143,6 +143,7 @@
 	onGrantFailed func(ctx context.Context, owner string)
 	// grantHelpers returns the hosts that can send grants for this one, by relayGrantTo.
 	grantHelpers func() []fleet.Host
+	helperChoice helperChoice
 	relayGrantTo func(ctx context.Context, helper string, g peer.RelayedGrant) (handoverToken string, err error)
 	// hasLiveCandidate reports whether another host that is a candidate has
 	// called this one recently, which it does while it follows this host.
--- a/internal/entryhost/paths.go
+++ b/internal/entryhost/paths.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -142,15 +145,47 @@
 	if len(helpers) == 0 {
 		return "", eris.Wrapf(ownership.ErrNotSent, "upstream %s: no other host can send the grant", addr)
 	}
-	helper := helpers[rand.IntN(len(helpers))]
+	helper := c.helperChoice.pick(helpers, time.Now())
 	// ClockOffset is too large by the delay of the call that stated the clock, so that the times come
 	// out early.
 	toHelper := func(t bootclock.Time) bootclock.Time { return t.Add(-helper.ClockOffset - clockDriftAllowance) }
 	callCtx, cancel := context.WithTimeout(ctx, timeout-c.clock().Sub(decidedAt))
 	defer cancel()
 	relayedGrants.Inc()
-	return c.relayGrantTo(callCtx, helper.PeerAddr, peer.RelayedGrant{Addr: addr, Range: r, TTL: ttl,
+	token, err := c.relayGrantTo(callCtx, helper.PeerAddr, peer.RelayedGrant{Addr: addr, Range: r, TTL: ttl,
 		SendBy: toHelper(decidedAt.Add(maxGrantSendDelay)), EndBy: toHelper(decidedAt.Add(timeout))})
+	if errors.Is(err, ownership.ErrNotSent) || errors.Is(err, ownership.ErrNoResponse) {
+		c.helperChoice.failed(helper, time.Now())
+	}
+	return token, err
+}
+
+// helperChoice picks helpers at random, and those that failed recently only if there is no other.
+type helperChoice struct {
+	mu       sync.Mutex
+	failedAt map[string]time.Time
+}
+
+// helperRetryInterval is how long a helper that failed is left out.
+const helperRetryInterval = time.Second
+
+func (c *helperChoice) pick(helpers []fleet.Host, now time.Time) fleet.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	usable := slices.DeleteFunc(slices.Clone(helpers), func(h fleet.Host) bool { return now.Sub(c.failedAt[h.Name]) < helperRetryInterval })
+	if len(usable) == 0 {
+		usable = helpers
+	}
+	return usable[rand.IntN(len(usable))]
+}
+
+func (c *helperChoice) failed(helper fleet.Host, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failedAt == nil {
+		c.failedAt = map[string]time.Time{}
+	}
+	c.failedAt[helper.Name] = now
 }
 
 // release sends a release. It runs on a goroutine of its own.
--- a/internal/planner/indirect.go
+++ b/internal/planner/indirect.go
@@ -12,6 +12,13 @@
 	// directRetryInterval is how long grants to an upstream go through a helper before one is sent
 	// directly again.
 	directRetryInterval = 3 * time.Second
+	// indirectAttempts is how many calls in a row go through helpers before one is sent directly again,
+	// and how many must have failed for an upstream to count as unresponsive: a helper may have just
+	// lost its own paths.
+	indirectAttempts = 3
+	// indirectRetryDelay replaces grantRetryDelay after a grant without a response that is repeated
+	// through a helper: the timeout has used up a tenth of the grant.
+	indirectRetryDelay = 20 * time.Millisecond
 	// relayedGrantLifetime is how long after this host decided on a grant a helper may be sending it.
 	// A process that has just started counts grants of the one before it as in flight for that long.
 	relayedGrantLifetime = 300 * time.Millisecond
@@ -37,9 +44,10 @@
 	// again.
 	indirect bool
 	directAt bootclock.Time
-	// directFailed and indirectFailed are set once a grant sent in that way got no response since the
-	// server last responded.
-	directFailed, indirectFailed bool
+	// directFailed is set once a call that was sent directly got no response since the server last
+	// responded. indirectFailures counts those sent through helpers.
+	directFailed     bool
+	indirectFailures int
 }
 
 // next reports whether the next call goes through a helper.
@@ -50,18 +58,27 @@
 	return p.hasHelper && (p.cutOff || r.indirect)
 }
 
-// record records the result of a call. After one without a response the next goes the other way.
+// record records the result of a call. After one without a response the next goes through a helper,
+// and after indirectAttempts of these directly.
 func (r *route) record(indirect bool, err error, now bootclock.Time) {
 	if !errors.Is(err, ownership.ErrNotSent) && !errors.Is(err, ownership.ErrNoResponse) {
-		r.directFailed, r.indirectFailed = false, false
+		r.directFailed, r.indirectFailures = false, 0
 		return
 	}
-	if indirect {
-		r.indirect, r.indirectFailed = false, true
-	} else {
-		r.indirect, r.directFailed = true, true
-		r.directAt = now.Add(directRetryInterval)
+	if !indirect {
+		r.indirect, r.directFailed, r.directAt = true, true, now.Add(directRetryInterval)
+		return
+	}
+	r.indirectFailures++
+	r.indirect = r.indirectFailures%indirectAttempts != 0
+}
+
+// retryDelay returns the delay before a grant that failed with err is repeated.
+func (r *route) retryDelay(p paths, err error, now bootclock.Time) time.Duration {
+	if errors.Is(err, ownership.ErrNoResponse) && r.next(p, now) {
+		return indirectRetryDelay
 	}
+	return grantRetryDelay
 }
 
 // failed reports whether the server got no grant in any of the ways that there are.
@@ -70,9 +87,9 @@
 	case p.blind():
 		return false
 	case p.cutOff:
-		return r.indirectFailed
+		return r.indirectFailures >= indirectAttempts
 	case p.hasHelper:
-		return r.directFailed && r.indirectFailed
+		return r.directFailed && r.indirectFailures >= indirectAttempts
 	}
 	return true
 }
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -292,7 +292,7 @@
 		t.emitFailure(GrantRejected, g.Range.Owner, err, now)
 	}
 	if ag != nil {
-		ag.nextSendAt = now.Add(grantRetryDelay)
+		ag.nextSendAt = now.Add(srv.route.retryDelay(t.p.paths, err, now))
 	}
 	if !srv.unresponsive && !srv.forPastIncarnation(g) && srv.route.failed(t.p.paths) && now.Sub(srv.respondedAt) > time.Duration(unresponsiveAfterFraction*float64(t.p.opts.GrantTTL)) {
 		srv.unresponsive = true
