--- a/internal/dispatch/queued_test.go
+++ b/internal/dispatch/queued_test.go
@@ -28,10 +28,19 @@
 	return echo(w, c, r, number)
 }
 
+// echoAfter responds once release is closed.
+func echoAfter(release <-chan struct{}) func(io.Writer, net.Conn, *http.Request, int64) bool {
+	return func(w io.Writer, c net.Conn, r *http.Request, number int64) bool {
+		<-release
+		return echo(w, c, r, number)
+	}
+}
+
 // While a request is queued for admission at an upstream, the upstream starts to leave
 // and must get no new requests. The request must be sent to another upstream.
 func TestQueuedRequestIsNotSentToLeavingUpstream(t *testing.T) {
-	first, other := startUpstream(t, slowEcho), startUpstream(t, echo)
+	release := make(chan struct{})
+	first, other := startUpstream(t, echoAfter(release)), startUpstream(t, echo)
 	u1 := newUpstream("u1", "plain", first)
 	h := newHarness(t, u1)
 	h.limitToOneInFlight()
@@ -43,6 +52,7 @@
 	leaving := *u1
 	leaving.Leaving = true
 	h.setUpstreams(&leaving, newUpstream("u2", "plain", other))
+	close(release)
 	for range 2 {
 		resp := <-done
 		resp.want(t, http.StatusOK, "")
@@ -55,7 +65,8 @@
 // While a request is queued for admission at the owner of its key, the key moves. The
 // request must be sent to the new owner, as the old one would reject it.
 func TestQueuedRequestFollowsItsKey(t *testing.T) {
-	oldOwner, newOwner := startUpstream(t, slowEcho), startUpstream(t, echo)
+	release := make(chan struct{})
+	oldOwner, newOwner := startUpstream(t, echoAfter(release)), startUpstream(t, echo)
 	h := newHarness(t, newUpstream("u1", "keyed", oldOwner), newUpstream("u2", "keyed", newOwner))
 	h.limitToOneInFlight()
 	h.setOwner("u1", 5)
@@ -65,6 +76,7 @@
 	go func() { done <- h.get("keyed.example", "r2") }()
 	time.Sleep(testObjective / 8)
 	h.setOwner("u2", 6)
+	close(release)
 	for range 2 {
 		resp := <-done
 		resp.want(t, http.StatusOK, "")
