--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -330,7 +330,7 @@
 		return
 	}
 	body.hostBytes.Release()
-	streamedTo := req.outbound.Stream != nil && req.lastUpstream != ""
+	streamedTo := req.outbound.Stream != nil && (req.lastUpstream != "" || req.passedOn)
 	if ended, left := body.reader.finish(); !ended && (left < 0 || left > maxDiscardedBytes || streamedTo) {
 		h.Set("Connection", "close")
 	}
--- a/internal/dispatch/detour.go
+++ b/internal/dispatch/detour.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -152,7 +154,7 @@
 		outbound.ConnectBy = req.refuseBy()
 	}
 	res := d.detours.client.Do(ctx, upstream.Target{ID: addr, Addr: addr}, &outbound)
-	req.lastErr = res.Err
+	req.lastErr, req.passedOn = res.Err, true
 	if res.Outcome != upstream.NotSent {
 		detouredRequests.Inc()
 	}
@@ -172,7 +174,8 @@
 	case upstream.OutcomeUnknown:
 		req.attempts++
 		req.mayHaveRun = true
-		if ctx.Err() != nil {
+		// The connection has the context's deadline, and its error may come first.
+		if ctx.Err() != nil || errors.Is(res.Err, os.ErrDeadlineExceeded) {
 			return nil, d.contextDoneRefusal(ctx, req), true
 		}
 		d.detours.pause(addr, time.Now())
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -44,6 +44,8 @@
 	// forwarded is set if another host passes the request on, which has made earlierAttempts.
 	forwarded       bool
 	earlierAttempts int
+	// passedOn is set once an attempt was made through a helper.
+	passedOn bool
 	// direct is set once no helper could be used although open connections work.
 	direct bool
 	// mayHaveRun is set once an attempt ended without proof that it was not run.
--- a/internal/fleet/helpers.go
+++ b/internal/fleet/helpers.go
@@ -15,31 +15,32 @@
 // host. relayed are the helpers that this host was told itself; they fill the list up, as a
 // relay knows no hosts of other data centres.
 func (f *Fleet) Helpers(caller, self Host, relayed []string, now time.Time) []string {
-	var usable []Host
+	type candidate struct {
+		Host
+		score uint32
+	}
+	var usable []candidate
+	add := func(h Host) { usable = append(usable, candidate{h, rendezvous(caller.Name, h.Name)}) }
 	if !self.CutOff {
-		usable = append(usable, self)
+		add(self)
 	}
-	f.mu.Lock()
-	for _, e := range f.hosts {
-		if e.Name != caller.Name && !e.CutOff && now.Sub(e.lastCall) <= livenessTimeout {
-			usable = append(usable, e.Host)
+	for _, h := range f.LiveHosts(now) {
+		if h.Name != caller.Name {
+			add(h)
 		}
 	}
-	f.mu.Unlock()
-	slices.SortFunc(usable, func(a, b Host) int {
+	slices.SortFunc(usable, func(a, b candidate) int {
 		if la, lb := a.DataCentre == caller.DataCentre, b.DataCentre == caller.DataCentre; la != lb {
 			if la {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(rendezvous(caller.Name, a.Name), rendezvous(caller.Name, b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
 	})
 	var out []string
-	for _, h := range usable {
-		if len(out) < maxHelpers {
-			out = append(out, h.PeerAddr)
-		}
+	for _, h := range usable[:min(len(usable), maxHelpers)] {
+		out = append(out, h.PeerAddr)
 	}
 	for _, addr := range relayed {
 		if len(out) < maxHelpers && addr != caller.PeerAddr && !slices.Contains(out, addr) {
