--- a/internal/dispatch/detour.go
+++ b/internal/dispatch/detour.go
@@ -187,19 +187,17 @@
 	takenOver, cause := res.Header.Get(forwardedByHeader) != "", Cause(res.Header.Get(refusalHeader))
 	res.Header.Del(forwardedByHeader)
 	res.Header.Del(refusalHeader)
+	// A host of an earlier build takes nothing over and runs nothing.
+	unusable := !takenOver || cause == CauseCutOff || cause == CauseStopping && guaranteesNotRun(res.Status)
 	switch {
-	case !takenOver: // a host of an earlier build, which does not run it
+	case unusable && req.outbound.Stream != nil: // the stream has been read
+		return nil, req.refusal(CauseCutOff, req.retryAfterOverloaded()), true
+	case unusable:
 		d.detours.pause(addr, time.Now())
 		return nil, nil, false
 	case cause == "":
 		req.attempts++
 		return res, nil, true
-	case cause == CauseCutOff || cause == CauseStopping && guaranteesNotRun(res.Status):
-		d.detours.pause(addr, time.Now())
-		if req.outbound.Stream != nil {
-			return nil, req.refusedByHelper(cause, res), true // the stream has been read
-		}
-		return nil, nil, false
 	case !guaranteesNotRun(res.Status):
 		return nil, refusalWithStatus(cause, res.Status), true
 	}
