--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -8,13 +8,18 @@
 // at different and varying speeds and some report their load, and further callers pipeline,
 // read slowly, disconnect in the middle of a pipeline and upload bodies.
 //
+// With Options.PathCuts, hosts lose their paths to all upstreams during all other faults, and after
+// them for a while without other faults. The hosts then run on a network with such faults (package
+// host, internal/standin/pathfault).
+//
 // Callers send requests throughout. During the run and after it the package checks
 // their responses and the requests that upstreams received against the guarantees of
 // papayatide. Each breach of a guarantee is reported as a violation. Most violations
 // are marked with a word:
 //
 //	RECOVER   after the last fault, a key is not served again in time or too few
-//	          requests are served, with Options.HardLoad also of any single route
+//	          requests are served, with Options.HardLoad also of any single route; or hosts that are
+//	          cut off from all upstreams serve much less than the others
 //	OWNER     two upstreams hold a key at once
 //	TWICE     a non-idempotent request ran more than once
 //	REFUSED   a refused non-idempotent request ran
