--- a/internal/dispatch/detour_test.go
+++ b/internal/dispatch/detour_test.go
@@ -162,7 +162,6 @@
 		w.WriteHeader(rec.Code)
 		_, _ = w.Write(rec.Body.Bytes())
 	}))
-	defer helper.Close()
 	front := newScriptedRequest(s.idempotent, false, nil)
 	client := upstream.NewClient(testHeaders)
 	client.Dial = func(ctx context.Context, network, _ string) (net.Conn, error) {
@@ -178,6 +177,7 @@
 	front.d.cutOff(t)
 	front.bodyBytes = s.bodyBytes
 	status := front.serveHTTP()
+	helper.Close() // waits until it has served what it received
 	s.d.client.Prune(time.Now(), func(string) bool { return false })
 	s.serves.Wait()
 	return status
