--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -80,6 +80,8 @@
 	// nextRebalance is when load is checked next, nextNewOwnerCheck when keys that
 	// need a new owner are.
 	nextRebalance, nextNewOwnerCheck bootclock.Time
+	// nextLostRetry is when grants to lost owners may be tried again; see retryLostOwners.
+	nextLostRetry bootclock.Time
 }
 
 // activeGrant is a grant that is renewed for as long as it is wanted.
