--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -131,10 +131,10 @@
 func (d *Dispatcher) checkEnded(ctx context.Context, u *catalogue.Upstream, closed upstream.ClosedIdle, now time.Time) {
 	checkCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	refused := d.client.RefusesConnections(checkCtx, closed.Target)
+	refused := !u.Draining() && d.client.RefusesConnections(checkCtx, closed.Target)
 	switch {
 	case refused && d.Paths.Explains(ctx, u.ID, true) || d.Paths.CutOff():
-	case refused && !u.Draining():
+	case refused:
 		d.recordUpstreamCrash(u.ID, now)
 	case closed.AllOlder:
 		d.recordLostConnections(u, now)
