review: a planned stop resets connections with answers on them (LOST)

Cause: a stopping host closes a caller's connection at once after its last answer. A caller that sends ahead and reads slowly sends its next request before it has read that far; the closed socket replies with a reset, which discards the answers that were not delivered yet.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,8 +20,9 @@
 
 // cases are the scripts by name. Each returns an error if it could not run.
 var cases = map[string]func(e *env) error{
-	"extra-answers": extraAnswers,
-	"double-slash":  doubleSlash,
+	"extra-answers":  extraAnswers,
+	"double-slash":   doubleSlash,
+	"slow-pipelines": slowPipelines,
 }
 
 func main() {
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -86,6 +86,8 @@
 	answers  int
 	extras   int
 	rng      *rand.Rand
+	// answerBytes, if set, is the least length of an answer.
+	answerBytes int
 }
 
 // startUpstream starts an upstream at a free port of ip and registers it.
@@ -390,9 +392,12 @@
 	case !time.Now().Before(deadline):
 		return answer{http.StatusGatewayTimeout, echo, ""}
 	}
-	return answer{http.StatusOK, append(echo, "Response-Signature: "+u.id+"."+id), u.id + " ran " + id}
+	return answer{http.StatusOK, append(echo, "Response-Signature: "+u.id+"."+id), u.pad() + u.id + " ran " + id}
 }
 
+// pad returns what brings an answer to its length.
+func (u *upstream) pad() string { return strings.Repeat("-", u.answerBytes) }
+
 // takeSlot waits for a slot, unless the queue is full or the deadline passes.
 func (u *upstream) takeSlot(deadline time.Time) bool {
 	u.mu.Lock()
