--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -100,16 +100,6 @@
 	}
 }
 
-// running reports whether the process has not exited.
-func (h *host) running() bool {
-	select {
-	case <-h.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // kill ends the process and waits for its exit.
 func (h *host) kill() {
 	if h.cmd == nil {
--- a/review/rig/judge.go
+++ b/review/rig/judge.go
@@ -155,7 +155,7 @@
 // began records that a request runs.
 func (j *judge) began(u *upstream, r *http.Request, body []byte) {
 	id := r.Header.Get("Request-Id")
-	j.logf("%s runs %s %s %s key %s", u.id, id, r.Method, shortPath(r), r.Header.Get("Shard-Key"))
+	j.logf("%s runs %s %s %s key %s", u.id, id, r.Method, r.RequestURI, r.Header.Get("Shard-Key"))
 	j.countMu.Lock()
 	j.runs[id]++
 	n := j.runs[id]
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -280,12 +279,3 @@
 	s.expireLocked(time.Now())
 	w.WriteHeader(http.StatusOK)
 }
-
-// leader returns the host whose member holds the leader partition. A host joins under its name, and
-// under its name and a slash with a number.
-func (s *store) leader() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	name, _, _ := strings.Cut(s.holder, "/")
-	return name
-}
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -339,7 +339,7 @@
 // holdsKey reports whether the key is held now. u.mu must be locked.
 func (u *upstream) holdsKey(key int) bool { return time.Now().Before(untilOf(u.holds, key)) }
 
-// workLeft returns until when the work may last by the caller's deadline.
+// deadlineOf returns until when the work may last by the caller's time limit.
 func deadlineOf(r *http.Request) time.Time {
 	ms, err := strconv.Atoi(r.Header.Get("Request-Deadline-Ms"))
 	if err != nil {
@@ -421,6 +421,3 @@
 		return false
 	}
 }
-
-// shortPath returns the path with its query.
-func shortPath(r *http.Request) string { return strings.TrimSpace(r.RequestURI) }
