--- a/internal/entryhost/actions.go
+++ b/internal/entryhost/actions.go
@@ -44,12 +44,12 @@
 		era := c.era
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
-			host, retired, closing, err := c.retirer.Retire(callCtx, a.Addr, a.Service, a.Term, era)
+			result, err := c.retirer.Retire(callCtx, a.Addr, a.Service, a.Term, era)
 			cancel()
 			if err != nil {
 				c.zl.Debug("previous planner does not respond", zap.Int("event", events.PreviousPlannerUnreachable), zap.String("peer", a.Host), ErrorField(err))
 			}
-			c.post(ctx, func() { c.planner.RetireDone(a, host, retired, closing, c.clock()) })
+			c.post(ctx, func() { c.planner.RetireDone(a, result, c.clock()) })
 		}()
 	case *planner.Grant:
 		go func() {
--- a/internal/entryhost/actions_test.go
+++ b/internal/entryhost/actions_test.go
@@ -21,6 +21,8 @@
 	grants int
 }
 
+func (g *countingGranter) IdleTimeout() time.Duration { return 0 }
+
 func (g *countingGranter) Grant(context.Context, string, ownership.Range, time.Duration, bool) error {
 	g.grants++
 	return nil
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -42,6 +42,8 @@
 	// Release ends the grant of r. It returns once the upstream's work in
 	// flight on r has ended, with a token that lets the next owner start warm.
 	Release(ctx context.Context, addr string, r ownership.Range) (handoverToken string, err error)
+	// IdleTimeout returns the longest time for which an upstream may keep an idle connection open.
+	IdleTimeout() time.Duration
 }
 
 const (
@@ -69,9 +71,9 @@
 // Retirer asks a previous planner to stop sending grants.
 type Retirer interface {
 	// Retire asks the host at addr to send no grant of a term before the given
-	// one. It returns that host's name, whether no such grant is in flight any more, and
-	// the closing of its last term if the log has returned before the given era.
-	Retire(ctx context.Context, addr, service string, term, era int64) (host string, retired bool, closing *ownership.Table, err error)
+	// one. The result has the closing of its last term if the log has returned before the
+	// given era.
+	Retire(ctx context.Context, addr, service string, term, era int64) (ownership.Retirement, error)
 }
 
 // controller owns the host's state: desired state, upstreams, ownership and the
@@ -163,7 +165,7 @@
 		return load, samples
 	}
 	c.planner.OnEvent = c.logPlannerEvent
-	c.planner.Cold = c.isCold
+	c.planner.Cold, c.planner.IdleTimeout = c.isCold, func() time.Duration { return c.granter.IdleTimeout() }
 	c.startedAt = time.Now()
 	c.hasLiveCandidate = func() bool { return false }
 	c.cutOff, c.grantHelpers, c.onGrantFailed = func() bool { return false }, func() []fleet.Host { return nil }, func(context.Context, string) {}
--- a/internal/entryhost/plannerevents.go
+++ b/internal/entryhost/plannerevents.go
@@ -23,6 +23,8 @@
 	planner.GrantRejected:  {events.GrantRejected, "grant rejected"},
 	planner.ReleaseFailed:  {events.ReleaseFailed, "release failed"},
 	planner.MoveBlocked:    {events.MoveBlocked, "released keys wait for their next owner"},
+	planner.MoveAwaitsGrants: {events.MoveAwaitsGrants,
+		"keys of an owner that does not respond wait for grants that a previous planner may have sent"},
 }
 
 // logPlannerEvent logs a planner event.
@@ -47,6 +49,9 @@
 	if e.Age != 0 {
 		fields = append(fields, zap.Duration("age", e.Age))
 	}
+	if e.Remaining != 0 {
+		fields = append(fields, zap.Duration("remaining", e.Remaining))
+	}
 	if e.Err != nil {
 		fields = append(fields, ErrorField(e.Err))
 	}
--- a/internal/entryhost/status.go
+++ b/internal/entryhost/status.go
@@ -48,22 +48,17 @@
 
 // retire stops this host's planning of the service in terms before the given
 // one, which the caller plans in the given era of the log; see planner.Planner.Retire.
-func (h *host) retire(ctx context.Context, service string, term, era int64) (bool, *ownership.Table) {
-	type result struct {
-		retired bool
-		closing *ownership.Table
-	}
-	done := make(chan result, 1)
+func (h *host) retire(ctx context.Context, service string, term, era int64) ownership.Retirement {
+	done := make(chan ownership.Retirement, 1)
 	h.controller.post(ctx, func() {
 		h.controller.observeEra(era)
-		retired, closing := h.controller.planner.Retire(service, term, h.controller.clock())
-		done <- result{retired, closing}
+		done <- h.controller.planner.Retire(service, term, h.controller.clock())
 	})
 	select {
 	case r := <-done:
-		return r.retired, r.closing
+		return r
 	case <-ctx.Done():
-		return false, nil
+		return ownership.Retirement{}
 	}
 }
 
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -104,6 +104,7 @@
 	ReleaseFailed              = 708
 	PreviousPlannerUnreachable = 709
 	MoveBlocked                = 710
+	MoveAwaitsGrants           = 711
 
 	// 8xx: requests.
 	RequestServed  = 800
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -8,6 +8,7 @@
 	"io"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -42,6 +43,18 @@
 	Addr string `json:"a"`
 }
 
+// Retirement is a host's response to the request to send no more grants of earlier terms.
+type Retirement struct {
+	// Host is the name of the host that responded, "" if none did.
+	Host string
+	// Retired is set if the host's process sends no such grants any more and none is in flight.
+	// ProcessAge is how long that process has been running: an earlier one may have planned too.
+	Retired    bool
+	ProcessAge time.Duration
+	// Closing is the closing of the host's last term, if the log has returned since.
+	Closing *Table
+}
+
 // Table is one service's ownership at one offset of the log. It is immutable.
 type Table struct {
 	Service string `json:"service"`
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -229,20 +229,21 @@
 const maxKnownSubsets = 16
 
 // Retire requests that the host at addr (host:port), a previous planner, send no more
-// grants of a service in terms before the given one. The host itself keeps running. It
-// returns the name of that host, whether no such grant is in flight any more, and the closing of
-// its last term if the log has returned from an older copy before the given era.
-func (c *Client) Retire(ctx context.Context, addr, service string, term, era int64) (host string, retired bool, closing *ownership.Table, err error) {
+// grants of a service in terms before the given one. The host itself keeps running. The
+// result has the closing of its last term if the log has returned from an older copy before the
+// given era.
+func (c *Client) Retire(ctx context.Context, addr, service string, term, era int64) (ownership.Retirement, error) {
 	reply, err := peerpb.NewPeerProtobufClient("http://"+addr, c.http).Retire(ctx, &peerpb.RetireRequest{Service: service, Term: term, Era: era})
 	if err != nil {
-		return "", false, nil, eris.Wrapf(err, "peer %s: retire", addr)
+		return ownership.Retirement{}, eris.Wrapf(err, "peer %s: retire", addr)
 	}
+	result := ownership.Retirement{Host: reply.Host, Retired: reply.Retired, ProcessAge: time.Duration(reply.ProcessAgeMs) * time.Millisecond}
 	if len(reply.Closing) > 0 {
-		if closing, err = ownership.Decode(reply.Closing); err != nil {
-			return "", false, nil, eris.Wrapf(err, "peer %s: retire", addr)
+		if result.Closing, err = ownership.Decode(reply.Closing); err != nil {
+			return ownership.Retirement{}, eris.Wrapf(err, "peer %s: retire", addr)
 		}
 	}
-	return reply.Host, reply.Retired, closing, nil
+	return result, nil
 }
 
 func encodeLoad(l ServiceLoad) *peerpb.ServiceLoad {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -69,7 +69,7 @@
 	// RetireTermsBefore stops this host's planning of a service in terms before the given
 	// one, and reports whether no grant from those terms is in flight any more.
 	// After a return of the log before the given era it also returns the closing of its last term.
-	RetireTermsBefore func(ctx context.Context, service string, term, era int64) (retired bool, closing *ownership.Table)
+	RetireTermsBefore func(ctx context.Context, service string, term, era int64) ownership.Retirement
 	// HostStatus returns this host's status.
 	HostStatus func(context.Context) *peerpb.StatusReply
 
@@ -82,11 +82,11 @@
 
 // Retire implements peerpb.Peer.
 func (s *Server) Retire(ctx context.Context, m *peerpb.RetireRequest) (*peerpb.RetireReply, error) {
-	retired, closing := s.RetireTermsBefore(ctx, m.Service, m.Term, m.Era)
-	reply := &peerpb.RetireReply{Host: s.Name, Retired: retired}
-	if closing != nil {
+	result := s.RetireTermsBefore(ctx, m.Service, m.Term, m.Era)
+	reply := &peerpb.RetireReply{Host: s.Name, Retired: result.Retired, ProcessAgeMs: uint64(result.ProcessAge.Milliseconds())}
+	if result.Closing != nil {
 		var err error
-		if reply.Closing, err = closing.Encode(); err != nil {
+		if reply.Closing, err = result.Closing.Encode(); err != nil {
 			return nil, twirp.InternalErrorWith(err)
 		}
 	}
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -18,8 +18,8 @@
 // # Why no key has two owners
 //
 // Let maxGrantValidity be the longest time for which an upstream may keep keys
-// after a grant was sent to it: the grant TTL, plus the drift of the upstream's
-// clock and the delay until the grant arrives. A key moves from U to V only
+// after a grant was sent to it over a working path: the grant TTL, plus the drift of the
+// upstream's clock and the delay until the grant arrives. A key moves from U to V only
 // through a record in the log. The planner appends that record only once U can
 // no longer hold the key, because
 //
@@ -29,13 +29,37 @@
 //   - maxGrantValidity has passed since the last grant to U that got no response,
 //     and
 //   - U has acknowledged a token of this term for the key, or maxGrantValidity
-//     has passed since the last grant that a previous planner may have sent.
+//     has passed since the last grant of a previous planner may have arrived.
 //
 // The last condition covers planners that do not know yet that they were
 // replaced. Such a planner last renewed its lease before the first record of
 // the next planner, and sends nothing later than Options.MaxRenewalAge after that
 // renewal; history.go and retire.go compute the deadline.
 //
+// # Grants that a partition holds up
+//
+// A partition may hold a grant up and deliver it after its end. A process that runs prevents
+// this: a call that times out resets its connection, which discards what was not delivered. A
+// process that is killed or stalled does not. Its host's kernel may keep the bytes and retransmit
+// them, at growing intervals, for as long as the upstream accepts them. Neither the length of the
+// partition nor the time for which the sender retransmits bounds that, but the upstream does: it
+// closes connections that are idle, and bytes for a closed connection are rejected. The last exchange on
+// the connection was before the process ended, so that nothing arrives later than the upstreams'
+// idle timeout after that, plus the drift of the upstream's clock and the network delay
+// (Planner.maxHoldUp). Upstreams state the timeout in their responses; the longest one that
+// this host has seen is taken for all of them, since those in question do not respond.
+//
+// A planner therefore needs to know by when each process that planned before it had ended, or
+// stalled: by the start of its host's present process, which the host states when it is asked to
+// retire, and by the time after which it sends nothing if the host does not respond. Only
+// owners that have not acknowledged the new term's token wait for this, which are those that
+// the new planner does not reach.
+//
+// The wait ends early if the owner is known to have ended: upstreams never reject a release, so that
+// a rejection comes from another process, which has the owner's address now. Calls name the server
+// that they are for, so that nothing that arrives at that address later gives the owner keys. Such owners are
+// therefore sent releases even when they are gone from the view.
+//
 // # Servers that restart under the same ID
 //
 // A restarted server holds no grants and has forgotten every token. What an
@@ -59,11 +83,12 @@
 //
 // Until a previous planner is known to send no more grants, it may still grant keys
 // to owners that do not respond to this planner. Without a confirmation such keys would
-// have no owner for MaxRenewalAge plus maxGrantValidity after each change of
-// planner, 9.2 s with the default settings. The planner therefore asks previous
-// planners to retire. If the host of one responds, it confirms that within milliseconds,
-// or once its last grants are no longer in flight, whether it was still planning, had
-// stepped down or has restarted. A host that is partitioned or stalled does not respond,
+// have no owner for MaxRenewalAge plus maxHoldUp plus maxGrantValidity after each change of
+// planner, 20.7 s with the default settings and an idle timeout of 10 s that upstreams state. The
+// planner therefore asks previous planners to retire. If the host of one responds, it confirms that within milliseconds,
+// or once its last grants are no longer in flight, whether it was still planning or had
+// stepped down. If it has restarted, grants of its earlier process may still be held up, but none
+// was sent after the restart. A host that is partitioned or stalled does not respond,
 // and the deadlines of its planner apply. Asking only the last one is not enough: if
 // the lease changes hands several times within MaxRenewalAge, for example five times in
 // ten seconds, earlier ones may still send grants, and the keys would wait for them.
@@ -114,8 +139,7 @@
 //   - reaches whichever incarnation listens, as one that the planner sends over a new connection.
 //
 // A planner that stops while a helper sends its grant leaves that grant in flight for at most
-// relayedGrantLifetime. A process that has started less than that ago therefore does not confirm that its host
-// has retired, and counts its own predecessor's grants as in flight for as long.
+// relayedGrantLifetime, which maxHoldUp includes.
 //
 // An upstream is unresponsive only if it responded neither directly nor through a helper. A planner that has lost
 // its paths to all upstreams and has no helper knows nothing of them: it marks none as unresponsive and
--- a/internal/planner/era.go
+++ b/internal/planner/era.go
@@ -148,13 +148,13 @@
 }
 
 // closingRequestDone handles the result of the request for the closing of the last planner's term.
-func (t *term) closingRequestDone(host string, retired bool, table *ownership.Table, now bootclock.Time) {
+func (t *term) closingRequestDone(result ownership.Retirement, now bootclock.Time) {
 	asked := t.closingRequest.Host
 	t.closingRequest, t.nextClosingRequest = nil, now.Add(closingRetryDelay)
-	switch {
+	switch table := result.Closing; {
 	case table != nil && table.Service == t.name:
 		t.closing = table
-	case retired && host == asked: // it has restarted, or was not the planner when the log returned
+	case result.Retired && result.Host == asked: // it has restarted, or was not the planner when the log returned
 		t.closingUntil = now
 	}
 }
--- /dev/null
+++ b/internal/planner/heldup_test.go
@@ -0,0 +1,77 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/ownership"
+)
+
+const testIdleTimeout = 10 * time.Second
+
+// timeUntilMoved returns how long upstream a owns keys after a new process of the host has become the
+// planner, if a stops responding then. The planners before it were on the hosts "me" and previous. respond
+// handles the new planner's calls.
+func timeUntilMoved(t *testing.T, previous, host string, respond func(h *harness, a Action) error) time.Duration {
+	h := newHarness(t, "a", "b")
+	h.simulate(12*time.Second, succeedAll)
+	h.table = h.table.TakeOver(previous, previous+":1", 0)
+	h.streamEnd.Offset++
+	h.p = New(testOptions)
+	h.p.opts.Host = host
+	h.p.IdleTimeout = func() time.Duration { return testIdleTimeout }
+	h.p.AdvanceStreamEnd(h.streamEnd)
+	h.publishView()
+	return h.simulateUntilMoved(func(a Action) error { return respond(h, a) })
+}
+
+// Guards against two owners when a planner's process is killed behind a partition and its grants arrive
+// after the partition: the keys of owners that do not respond wait for them, whoever plans next.
+func TestUnreachableOwnersKeysWaitForGrantsOfKilledPlanner(t *testing.T) {
+	shortest := testIdleTimeout + testOptions.GrantTTL
+	retireFrom := func(age time.Duration) func(h *harness, a Action) error {
+		return func(h *harness, a Action) error {
+			if r, ok := a.(*Retire); ok {
+				sinceTakeover := h.now.Sub(h.p.startedBy(h.now))
+				h.p.RetireDone(r, ownership.Retirement{Host: r.Host, Retired: true, ProcessAge: sinceTakeover + age}, h.now)
+			}
+			return upstreamAUnresponsive(a)
+		}
+	}
+	unanswered := func(_ *harness, a Action) error { return upstreamAUnresponsive(a) }
+	for _, test := range []struct {
+		name, previous, host string
+		respond              func(h *harness, a Action) error
+		shortest, longest    time.Duration
+	}{
+		{"own host restarted", "me", "me", unanswered, shortest, shortest + 2*time.Second},
+		{"other host restarted", "other", "new", retireFrom(100 * time.Millisecond), shortest, shortest + 2*time.Second},
+		{"other host does not respond", "other", "new", unanswered, testOptions.MaxRenewalAge + shortest, testOptions.MaxRenewalAge + shortest + 2*time.Second},
+		{"other host has run for long", "other", "new", retireFrom(time.Hour), testOptions.GrantTTL, testOptions.GrantTTL * 3 / 2},
+	} {
+		took := timeUntilMoved(t, test.previous, test.host, test.respond)
+		if took < test.shortest || took > test.longest {
+			t.Errorf("%s: keys moved %v after the change of planner, want %v to %v", test.name, took, test.shortest, test.longest)
+		}
+	}
+}
+
+// Guards against keys that wait for grants to an owner that cannot accept any, as another process has
+// its address.
+func TestEndedOwnersKeysDoNotWaitForGrants(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		took := timeUntilMoved(t, "other", "new", func(h *harness, a Action) error {
+			if h.upstreams["a"] != nil && gone && h.now.Sub(h.p.startedBy(h.now)) > time.Second {
+				delete(h.upstreams, "a")
+				h.publishView()
+			}
+			if r, ok := a.(*Release); ok && r.Addr == "a" {
+				return ownership.ErrRejected
+			}
+			return upstreamAUnresponsive(a)
+		})
+		if took > testOptions.GrantTTL {
+			t.Errorf("gone from the view %v: keys moved %v after the change of planner, want at most one grant TTL", gone, took)
+		}
+	}
+}
--- a/internal/planner/history.go
+++ b/internal/planner/history.go
@@ -1,6 +1,10 @@
 package planner
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
 	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/ownership"
 )
@@ -66,10 +70,17 @@
 	return out
 }
 
-// grantsUntil returns the latest time at which a previous planner may send a
-// grant to any owner.
-func (g *previousPlanners) grantsUntil() bootclock.Time {
-	return g.latest(func(p *previousPlanner) bootclock.Time { return p.grantsUntil })
+// arrivalsUntil returns the latest time at which a grant of a previous planner may
+// arrive at any owner.
+func (g *previousPlanners) arrivalsUntil(maxHoldUp time.Duration) bootclock.Time {
+	return g.latest(func(p *previousPlanner) bootclock.Time { return p.arrivalsUntil(maxHoldUp) })
+}
+
+// lastToArrive returns the previous planner whose grants may arrive last.
+func (g *previousPlanners) lastToArrive(maxHoldUp time.Duration) *previousPlanner {
+	return slices.MaxFunc(g.planners, func(a, b *previousPlanner) int {
+		return cmp.Compare(a.arrivalsUntil(maxHoldUp), b.arrivalsUntil(maxHoldUp))
+	})
 }
 
 // dialsUntil returns the latest time at which a previous planner may open a
@@ -86,11 +97,11 @@
 	return last
 }
 
-// grantsUntilFor returns the latest time at which a previous planner may send a
-// grant to the owner.
-func (g *previousPlanners) grantsUntilFor(owner string) bootclock.Time {
-	if at, ok := g.lostOwnerDeadlines[owner]; ok {
-		return min(at, g.grantsUntil())
+// arrivalsUntilAt returns the latest time at which a grant of a previous planner may
+// arrive at the owner.
+func (g *previousPlanners) arrivalsUntilAt(owner string, maxHoldUp time.Duration) bootclock.Time {
+	if lastGrantAt, ok := g.lostOwnerDeadlines[owner]; ok {
+		return min(lastGrantAt.Add(maxHoldUp), g.arrivalsUntil(maxHoldUp))
 	}
-	return g.grantsUntil()
+	return g.arrivalsUntil(maxHoldUp)
 }
--- a/internal/planner/indirect.go
+++ b/internal/planner/indirect.go
@@ -20,7 +20,6 @@
 	// through a helper: the timeout has used up a tenth of the grant.
 	indirectRetryDelay = 20 * time.Millisecond
 	// relayedGrantLifetime is how long after this host decided on a grant a helper may be sending it.
-	// A process that has just started counts grants of the one before it as in flight for that long.
 	relayedGrantLifetime = 300 * time.Millisecond
 )
 
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -102,7 +102,7 @@
 		for _, g := range inFlight {
 			h.p.GrantDone(g, result, h.now)
 		}
-		if retired, _ := h.p.Retire(simService, h.table.Term+1, h.now); !retired {
+		if !h.p.Retire(simService, h.table.Term+1, h.now).Retired {
 			t.Errorf("result %v: a completed grant still counts as in flight", result)
 		}
 		h.simulate(2*time.Second, succeedAll)
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -239,11 +239,11 @@
 	if old.Unproven {
 		return false
 	}
-	if old.Owner == "" || old.FencingToken > t.firstFencingToken || now.Sub(t.previous.grantsUntilFor(old.Owner)) > t.p.opts.maxGrantValidity() {
+	if old.Owner == "" || old.FencingToken > t.firstFencingToken || now.Sub(t.previous.arrivalsUntilAt(old.Owner, t.p.maxHoldUp())) > t.p.opts.maxGrantValidity() {
 		return true
 	}
 	srv := t.server(old.Owner)
-	if t.upstreams[old.Owner] == nil || srv.unresponsive {
+	if t.upstreams[old.Owner] == nil || srv.unresponsive || t.hasEnded(old.Owner) {
 		return true
 	}
 	return srv.incarnation == old.Owner && srv.acknowledgedTerm(span{old.From, old.To}) && now.Sub(t.previous.dialsUntil()) > maxGrantDelay
@@ -289,16 +289,31 @@
 }
 
 // dueReleases returns the releases to send now. A release waits for the grants in
-// flight to its owner, because one that arrived after it would give the keys back.
+// flight to its owner, because one that arrived after it would give the keys back. To an owner that
+// is gone they are sent one at a time: mostly to learn that another process has its address.
 func (t *term) dueReleases(now bootclock.Time) []Action {
 	var out []Action
+	goneOwners := map[string]bool{}
 	for _, m := range t.moves {
-		u := t.upstreams[m.old.Owner]
-		if m.released || m.releaseInFlight != nil || u == nil || now.Before(m.nextRelease) || t.server(m.old.Owner).grantsInFlight > 0 || !t.mayRelease(m, now) {
+		owner := m.old.Owner
+		if m.releaseInFlight != nil && t.upstreams[owner] == nil {
+			goneOwners[owner] = true
+		}
+	}
+	for _, m := range t.moves {
+		owner := m.old.Owner
+		addr, known := t.p.addrs[owner]
+		if m.released || m.releaseInFlight != nil || !known || now.Before(m.nextRelease) || t.server(owner).grantsInFlight > 0 || !t.mayRelease(m, now) {
 			continue
 		}
+		if t.upstreams[owner] == nil {
+			if goneOwners[owner] || t.hasEnded(owner) {
+				continue
+			}
+			goneOwners[owner] = true
+		}
 		existingConnOnly := now.Sub(t.p.lease.renewedAt) > recentRenewalAge
-		m.releaseInFlight = &Release{Service: t.name, Addr: u.Addr, Range: m.old, Indirect: !existingConnOnly && t.server(m.old.Owner).route.next(t.p.paths, now)}
+		m.releaseInFlight = &Release{Service: t.name, Addr: addr, Range: m.old, Indirect: !existingConnOnly && t.server(owner).route.next(t.p.paths, now)}
 		out = append(out, m.releaseInFlight)
 	}
 	return out
@@ -315,6 +330,7 @@
 	if errors.Is(err, ownership.ErrRejected) {
 		// Upstreams never reject a release, so another process responds at the
 		// address: the old owner has ended, and its grants with it.
+		t.server(r.Range.Owner).ended = r.Range.Owner
 		m.released, m.releasedAt = true, now
 		return
 	}
--- a/internal/planner/moves_test.go
+++ b/internal/planner/moves_test.go
@@ -248,7 +248,7 @@
 		h.publishView()
 		return h.simulateUntilMoved(func(a Action) error {
 			if r, ok := a.(*Retire); ok {
-				h.p.RetireDone(r, respondingHost, true, nil, h.now)
+				h.p.RetireDone(r, ownership.Retirement{Host: respondingHost, Retired: true, ProcessAge: time.Hour}, h.now)
 			}
 			return upstreamAUnresponsive(a)
 		})
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -98,6 +98,12 @@
 	minAcquireInterval = 200 * time.Millisecond
 )
 
+// maxHoldUp returns the longest time after the end of a process for which a grant that it sent, or
+// had a helper send, may be held up on its way; see the package comment.
+func (p *Planner) maxHoldUp() time.Duration {
+	return time.Duration(float64(p.IdleTimeout())*(1+maxClockDrift)) + relayedGrantLifetime
+}
+
 // maxGrantValidity returns the longest time for which an upstream may keep keys
 // after a grant was sent to it.
 func (o *Options) maxGrantValidity() time.Duration {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,6 +28,8 @@
 	// Cold reports whether an upstream is in its slow start and its capacity
 	// therefore limited.
 	Cold func(*catalogue.Upstream) bool
+	// IdleTimeout returns the longest time for which upstreams keep idle connections open.
+	IdleTimeout func() time.Duration
 
 	lease plannerLease
 	paths paths
@@ -59,6 +61,9 @@
 	logUnreachable bool
 	// registrations holds the registration times by service.
 	registrations map[string]registrations
+	// addrs holds the addresses of the upstreams that are in the view addrsFrom or own keys, by ID.
+	addrs     map[string]string
+	addrsFrom *catalogue.Snapshot
 }
 
 // registrations records when a service's upstreams registered.
@@ -79,7 +84,9 @@
 	// Age is the time since the last lease renewal; in UpstreamLost events, the
 	// time since the upstream last accepted or fenced a grant, or was first sent one.
 	Age time.Duration
-	Err error
+	// Remaining is how long the keys still wait.
+	Remaining time.Duration
+	Err       error
 	// Suppressed is the number of events of this kind suppressed since the last one.
 	Suppressed int
 }
@@ -102,6 +109,9 @@
 	ReleaseFailed
 	// MoveBlocked: released keys wait for their next owner.
 	MoveBlocked
+	// MoveAwaitsGrants: keys of an owner that does not respond wait until no grant of a previous planner,
+	// Event.Cause, can arrive any more.
+	MoveAwaitsGrants
 )
 
 // New returns a Planner for a host that does not hold the lease yet.
@@ -111,7 +121,7 @@
 		Load: func(_ string, upstreams []*catalogue.Upstream) (ownership.Load, float64) {
 			return ownership.Load{Capacity: slotsByID(upstreams)}, 0
 		},
-		OnEvent: func(Event) {}, Cold: func(*catalogue.Upstream) bool { return false }}
+		OnEvent: func(Event) {}, Cold: func(*catalogue.Upstream) bool { return false }, IdleTimeout: func() time.Duration { return 0 }}
 }
 
 func slotsByID(ups []*catalogue.Upstream) map[string]float64 {
@@ -161,6 +171,7 @@
 // observeView updates registrations and histories, whether or not this host is the planner.
 func (p *Planner) observeView(now bootclock.Time, v *view.View) {
 	p.observeRegistrations(now, v)
+	p.observeAddrs(v)
 	for name, t := range v.Tables {
 		hist := p.histories[name]
 		if hist == nil {
@@ -171,6 +182,29 @@
 	}
 }
 
+// observeAddrs records the addresses of the upstreams in the view. Those of owners that have left it
+// are kept.
+func (p *Planner) observeAddrs(v *view.View) {
+	if v.Desired == nil || v.Upstreams == p.addrsFrom {
+		return
+	}
+	p.addrsFrom = v.Upstreams
+	addrs := map[string]string{}
+	for _, name := range v.Desired.KeyedServices() {
+		if t := v.Tables[name]; t != nil {
+			for _, r := range t.Ranges {
+				if addr, ok := p.addrs[r.Owner]; ok {
+					addrs[r.Owner] = addr
+				}
+			}
+		}
+		for _, u := range v.Upstreams.ForService(name) {
+			addrs[u.ID] = u.Addr
+		}
+	}
+	p.addrs = addrs
+}
+
 // observeRegistrations records when each keyed service's upstreams register.
 func (p *Planner) observeRegistrations(now bootclock.Time, v *view.View) {
 	if v.Desired == nil {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -26,10 +26,12 @@
 		return "grant in flight"
 	case m.releaseInFlight != nil:
 		return "release in flight"
+	case t.hasEnded(m.old.Owner):
+		return ""
 	case now.Before(m.relistUntil):
 		return "owner may return"
 	case m.old.FencingToken <= t.firstFencingToken && !t.previousGrantsExpired(m, now):
-		return "grants of a previous planner"
+		return reasonPreviousGrants
 	case srv.hadNoResponse && now.Sub(srv.noResponseAt) <= maxValidity:
 		return "grant without a response"
 	case !m.released && srv.grantSent && now.Sub(srv.maybeGrantedAt) <= maxValidity:
@@ -38,6 +40,9 @@
 	return ""
 }
 
+// reasonPreviousGrants is blockedBy's reason while a grant of a previous planner may arrive.
+const reasonPreviousGrants = "grants of a previous planner"
+
 const (
 	// blockedMoveDelay is how long a move may wait once its owner has released the keys, which
 	// have no owner meanwhile, before that is reported.
@@ -46,20 +51,30 @@
 	blockedReportInterval = time.Second
 )
 
-// reportBlocked emits an event for a move that waits although its owner has released the keys.
+// reportBlocked emits an event for a move that waits although its owner has released the keys, or that
+// waits for grants of a previous planner.
 func (t *term) reportBlocked(m *move, reason string, now bootclock.Time) {
-	if !m.released || now.Sub(m.releasedAt) < blockedMoveDelay || now.Sub(t.blockedReportedAt) < blockedReportInterval {
+	if now.Sub(t.blockedReportedAt) < blockedReportInterval {
+		return
+	}
+	switch {
+	case m.released && now.Sub(m.releasedAt) >= blockedMoveDelay:
+		t.p.OnEvent(Event{Kind: MoveBlocked, Service: t.name, Upstream: m.old.Owner, Cause: reason, Age: now.Sub(m.releasedAt)})
+	case !m.released && reason == reasonPreviousGrants:
+		last := t.previous.lastToArrive(t.p.maxHoldUp())
+		until := t.previous.arrivalsUntilAt(m.old.Owner, t.p.maxHoldUp()).Add(t.p.opts.maxGrantValidity())
+		t.p.OnEvent(Event{Kind: MoveAwaitsGrants, Service: t.name, Upstream: m.old.Owner, Cause: last.Host, Remaining: until.Sub(now)})
+	default:
 		return
 	}
 	t.blockedReportedAt = now
-	t.p.OnEvent(Event{Kind: MoveBlocked, Service: t.name, Upstream: m.old.Owner, Cause: reason, Age: now.Sub(m.releasedAt)})
 }
 
 // previousGrantsExpired reports whether no grant of a previous planner can keep
 // the move's keys at their old owner.
 func (t *term) previousGrantsExpired(m *move, now bootclock.Time) bool {
 	maxValidity := t.p.opts.maxGrantValidity()
-	if now.Sub(t.previous.grantsUntilFor(m.old.Owner)) > maxValidity {
+	if now.Sub(t.previous.arrivalsUntilAt(m.old.Owner, t.p.maxHoldUp())) > maxValidity {
 		return true
 	}
 	srv := t.server(m.old.Owner)
--- a/internal/planner/retire.go
+++ b/internal/planner/retire.go
@@ -12,15 +12,25 @@
 const retireRetryDelay = 300 * time.Millisecond
 
 // previousPlanner is a planner of an earlier term. Until it is known to have
-// stopped, it may still send grants; see the package comment.
+// stopped, it may still send grants, and a process of its host that has ended
+// may have left some in the network; see the package comment.
 type previousPlanner struct {
 	ownership.PlannerHost
 	// grantsUntil is the latest time at which it may send a grant, dialsUntil
 	// the latest at which it may open a connection for one.
 	grantsUntil, dialsUntil bootclock.Time
-	retired                 bool
-	retireInFlight          bool
-	nextRetireAt            bootclock.Time
+	// endedBy is the latest time at which a process of its host that sent grants
+	// may have ended, or stalled, without closing its connections.
+	endedBy        bootclock.Time
+	retired        bool
+	retireInFlight bool
+	nextRetireAt   bootclock.Time
+}
+
+// arrivalsUntil returns the latest time at which a grant that it sent may arrive,
+// apart from the network delay that maxGrantValidity includes.
+func (p *previousPlanner) arrivalsUntil(maxHoldUp time.Duration) bootclock.Time {
+	return max(p.grantsUntil, p.endedBy.Add(maxHoldUp))
 }
 
 // newPreviousPlanners returns the planners that may still send grants when the
@@ -36,29 +46,32 @@
 		case t.base != nil && host.Host != t.base.Planner:
 			leaseLostBy = t.baseTermSeenAt
 		}
-		prev := &previousPlanner{PlannerHost: host, grantsUntil: leaseLostBy.Add(t.p.opts.MaxRenewalAge), dialsUntil: leaseLostBy.Add(recentRenewalAge)}
+		grantsUntil := leaseLostBy.Add(t.p.opts.MaxRenewalAge)
+		prev := &previousPlanner{PlannerHost: host, grantsUntil: grantsUntil, dialsUntil: leaseLostBy.Add(recentRenewalAge), endedBy: grantsUntil}
 		if host.Host == t.p.opts.Host {
 			// This process, whose earlier terms have ended, or an earlier
 			// process of this host, which has exited.
-			prev.markStopped(max(now, t.p.startedBy(now).Add(relayedGrantLifetime)))
+			prev.markStopped(now, t.p.startedBy(now))
 		}
 		out = append(out, prev)
 	}
 	return out
 }
 
-// markStopped records that the planner sends nothing any more.
-func (p *previousPlanner) markStopped(now bootclock.Time) {
+// markStopped records that the planner sends nothing any more, and that the process of its host
+// which confirmed this had started by processStartedAt.
+func (p *previousPlanner) markStopped(now, processStartedAt bootclock.Time) {
 	p.retired = true
 	p.grantsUntil = min(p.grantsUntil, now)
 	p.dialsUntil = min(p.dialsUntil, now)
+	p.endedBy = min(p.endedBy, processStartedAt)
 }
 
 // dueRetires returns the Retire calls to make now.
 func (t *term) dueRetires(now bootclock.Time) []Action {
 	var out []Action
 	for _, prev := range t.previous.planners {
-		if prev.Host == "" || prev.retired || prev.retireInFlight || now.Before(prev.nextRetireAt) || prev.grantsUntil.Before(now) {
+		if prev.Host == "" || prev.retired || prev.retireInFlight || now.Before(prev.nextRetireAt) || prev.arrivalsUntil(t.p.maxHoldUp()).Before(now) {
 			continue
 		}
 		prev.retireInFlight = true
@@ -68,21 +81,19 @@
 }
 
 // previousPlannersForRecord returns the previous planners that the next record
-// must list: all of them while one may still send grants, and none after that.
+// must list: all of them while a grant of one may still arrive, and none after that.
 func (t *term) previousPlannersForRecord(now bootclock.Time) []ownership.PlannerHost {
-	if t.previous.grantsUntil().Before(now) {
+	if t.previous.arrivalsUntil(t.p.maxHoldUp()).Before(now) {
 		return nil
 	}
 	return t.table.PreviousPlanners
 }
 
-// RetireDone handles the result of a Retire: the name of the host that
-// responded, whether it has retired, and the closing of its last term if the log has returned
-// since. A process that was started after the term began always has retired.
-func (p *Planner) RetireDone(r *Retire, host string, retired bool, closing *ownership.Table, now bootclock.Time) {
+// RetireDone handles the result of a Retire; the zero value stands for no response.
+func (p *Planner) RetireDone(r *Retire, result ownership.Retirement, now bootclock.Time) {
 	t := p.terms[r.Service]
 	if t != nil && t.closingRequest == r {
-		t.closingRequestDone(host, retired, closing, now)
+		t.closingRequestDone(result, now)
 		return
 	}
 	if t == nil || t.number != r.Term {
@@ -94,20 +105,19 @@
 		}
 		prev.retireInFlight = false
 		prev.nextRetireAt = now.Add(retireRetryDelay)
-		if retired && host == r.Host {
-			prev.markStopped(now)
+		if result.Retired && result.Host == r.Host {
+			prev.markStopped(now, now.Add(-result.ProcessAge))
 		}
 	}
 }
 
 // Retire ends this host's planning, at the request of a newer planner, if this
-// host's term of the service comes before nextTerm. It reports whether no grant
-// of the service's past term is in flight any more. If the log has returned from an older copy,
-// it then returns the closing of that term too.
-func (p *Planner) Retire(service string, nextTerm int64, now bootclock.Time) (retired bool, closing *ownership.Table) {
+// host's term of the service comes before nextTerm.
+func (p *Planner) Retire(service string, nextTerm int64, now bootclock.Time) ownership.Retirement {
+	result := ownership.Retirement{Host: p.opts.Host, ProcessAge: now.Sub(p.startedBy(now))}
 	if t := p.terms[service]; t != nil {
 		if t.started && t.number >= nextTerm {
-			return false, nil // the caller itself was superseded
+			return result // the caller itself was superseded
 		}
 		p.OnEvent(Event{Kind: TermEnded, Service: service, Table: t.table, Age: now.Sub(p.lease.renewedAt)})
 		p.lease.held = false
@@ -115,19 +125,17 @@
 	}
 	c := p.closings[service]
 	if c != nil && !c.done() {
-		return false, nil
-	}
-	if now.Sub(p.startedBy(now)) < relayedGrantLifetime {
-		return false, nil
+		return result
 	}
 	if t := p.pastTerms[service]; t != nil && t.grantsInFlight() > 0 {
-		return false, nil
+		return result
 	}
 	if c != nil {
 		c.handedOver = true
-		closing = c.result()
+		result.Closing = c.result()
 	}
-	return true, closing
+	result.Retired = true
+	return result
 }
 
 func (t *term) grantsInFlight() int {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -42,6 +42,9 @@
 	// unresponsive is set when a grant fails, respondedAt is longer ago than
 	// unresponsiveAfterFraction of the grant TTL, and route.failed.
 	unresponsive bool
+	// ended is the newest incarnation that is known to have ended, as another process has its address.
+	// It holds no keys and accepts no grants.
+	ended string
 }
 
 // eventThrottle records when an event of one kind was last emitted, and how
@@ -100,6 +103,9 @@
 // of ranges that a server owns, or acknowledgements that still count are dropped.
 const maxAckedSpans = 256
 
+// hasEnded reports whether the owner is known to have ended.
+func (t *term) hasEnded(owner string) bool { return owner != "" && t.server(owner).ended == owner }
+
 // acknowledgedTerm reports whether the server has acknowledged this term's
 // token for every key of s, so that it rejects the grants of previous planners.
 func (srv *serverState) acknowledgedTerm(s span) bool {
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -47,6 +47,9 @@
 	overstayFactor float64
 	// relayLate makes hosts send relayed grants whenever they get to it.
 	relayLate bool
+	// idleTimeout is how long upstreams keep idle connections open, statedIdleTimeout what the
+	// Planners are told.
+	idleTimeout, statedIdleTimeout time.Duration
 	// granted is set when an upstream accepts a grant.
 	granted bool
 }
@@ -74,8 +77,10 @@
 	logOutageUntil bootclock.Time
 	// unreachableUntil is when each upstream can be reached again.
 	unreachableUntil map[string]bootclock.Time
-	// connectedTo is the incarnation of each upstream to which a connection is open.
-	connectedTo map[string]int
+	// connectedTo is the incarnation of each upstream to which a connection is open, lastExchangeAt
+	// when an upstream last executed a call of the host's process.
+	connectedTo    map[string]int
+	lastExchangeAt map[string]bootclock.Time
 	// cutOffUntil is when the host reaches upstreams again after it lost its paths to all of them.
 	// It knows of the beginning and the end pathDetectionDelay later.
 	cutOffFrom, cutOffUntil bootclock.Time
@@ -113,7 +118,7 @@
 		s.addUpstream(fmt.Sprintf("u%d", i))
 	}
 	for i := range 3 {
-		h := &simHost{name: fmt.Sprintf("h%d", i), unreachableUntil: map[string]bootclock.Time{}, connectedTo: map[string]int{}}
+		h := &simHost{name: fmt.Sprintf("h%d", i), unreachableUntil: map[string]bootclock.Time{}}
 		s.hosts = append(s.hosts, h)
 		s.restartHost(h)
 	}
@@ -128,10 +133,12 @@
 func (s *simulation) restartHost(h *simHost) {
 	h.starts++
 	h.recordsRead = 0
+	h.connectedTo, h.lastExchangeAt = map[string]int{}, map[string]bootclock.Time{}
 	h.publisher = view.NewPublisher()
 	opts := s.opts
 	opts.Host, opts.PeerAddr = h.name, h.name+":1"
 	h.planner = New(opts)
+	h.planner.IdleTimeout = func() time.Duration { return s.statedIdleTimeout }
 	h.planner.Load = func(_ string, owners []*catalogue.Upstream) (ownership.Load, float64) {
 		return ownership.Load{ByKey: s.loadByKey, Capacity: slotsByID(owners)}, 1000
 	}
@@ -308,12 +315,12 @@
 	i := slices.IndexFunc(s.hosts, func(other *simHost) bool { return other.name == r.Host })
 	peer := s.hosts[i]
 	if s.now.Before(peer.stalledUntil) || s.rng.Float64() < s.faults.responseLost {
-		s.after(callTimeout, func() { deliver(func() { planner.RetireDone(r, "", false, nil, s.now) }) })
+		s.after(callTimeout, func() { deliver(func() { planner.RetireDone(r, ownership.Retirement{}, s.now) }) })
 		return
 	}
 	peer.planner.ObserveEra(h.planner.era, s.now)
-	retired, closing := peer.planner.Retire(r.Service, r.Term, s.now)
-	deliver(func() { planner.RetireDone(r, peer.name, retired, closing, s.now) })
+	result := peer.planner.Retire(r.Service, r.Term, s.now)
+	deliver(func() { planner.RetireDone(r, result, s.now) })
 }
 
 // append appends the table to the ownership stream, subject to the simulated faults.
@@ -364,6 +371,10 @@
 // responds after work. If mayExecuteLate is set, a fault can make it execute the call 2
 // to 12 s after the arrival and never respond.
 func (s *simulation) callUpstream(h *simHost, id string, do func(arrived bootclock.Time) error, work time.Duration, mayExecuteLate bool, done func(error)) {
+	if s.holdsUp(h, id) {
+		s.holdUp(h, id, do, done)
+		return
+	}
 	if s.now.Before(h.unreachableUntil[id]) || s.now.Before(h.cutOffUntil) || !s.upstream(id).up {
 		err := ownership.ErrNotSent
 		if s.rng.IntN(3) == 0 {
@@ -375,6 +386,7 @@
 	x := s.rng.Float64()
 	s.after(s.randomDuration(time.Millisecond, 40*time.Millisecond), func() {
 		arrived := s.now
+		h.lastExchangeAt[id] = arrived
 		switch {
 		case x < s.faults.responseLost, x < responseOutageLossRate && s.now.Before(s.upstream(id).responsesLostUntil):
 			_ = do(arrived)
--- a/internal/planner/simfaults_test.go
+++ b/internal/planner/simfaults_test.go
@@ -26,6 +26,7 @@
 	logReturn          float64 // per second: the log returns from a copy of the last seconds
 	cutOff             float64 // per second: a host loses its paths to all upstreams for a while
 	killAll            float64 // per log return: all hosts restart within a second of it
+	killBehindCut      float64 // per second: upstreams are cut off from all hosts for a while, and right after it the planner's host restarts
 }
 
 // busyRegionSize is the number of adjacent keys that have all the load.
@@ -61,6 +62,9 @@
 	if f.cutOff > 0 {
 		s.injectCutOffs()
 	}
+	if f.killBehindCut > 0 {
+		s.injectKillsBehindCuts()
+	}
 	s.injectUpstreamFaults()
 	if !s.steadyLoad && s.rng.IntN(100) == 0 {
 		clear(s.loadByKey)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -385,14 +385,23 @@
 // idleTimeout returns how long a connection may stay idle after a response with the given
 // headers.
 func idleTimeout(h http.Header) time.Duration {
+	if stated, ok := KeepAliveTimeout(h); ok {
+		return time.Duration(idleTimeoutFraction * float64(stated))
+	}
+	return defaultIdleTimeout
+}
+
+// KeepAliveTimeout returns the idle timeout that a response's Keep-Alive header states, which is in
+// whole seconds. ok is false if it states none.
+func KeepAliveTimeout(h http.Header) (timeout time.Duration, ok bool) {
 	for _, v := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(v), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
 		if secs, err := strconv.Atoi(value); err == nil {
-			return time.Duration(float64(secs) * idleTimeoutFraction * float64(time.Second))
+			return time.Duration(secs) * time.Second, true
 		}
 	}
-	return defaultIdleTimeout
+	return 0, false
 }
