--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -23,6 +23,7 @@
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
+	"github.com/papayatide/papayatide/internal/lingering"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/pipeline"
@@ -136,6 +137,8 @@
 	shares             *serviceShares
 	plat               Platform
 	callerServer       *http.Server
+	// callerListener accepts the callers' connections.
+	callerListener *lingering.Listener
 	// pipeline runs callers' pipelined requests concurrently.
 	pipeline *pipeline.Server
 	stopping atomic.Bool
@@ -293,7 +296,8 @@
 		return eris.Wrapf(err, "listen %s", addr)
 	}
 	if srv == h.callerServer {
-		ln = h.pipeline.Listen(ln)
+		h.callerListener = lingering.NewListener(ln)
+		ln = h.pipeline.Listen(h.callerListener)
 	}
 	g.Add(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -350,5 +354,6 @@
 		h.zl.Warn("stopped with requests still in flight", zap.Int("event", events.EntryHostStopping), zap.Int64("in_flight", h.inFlight.Load()), ErrorField(err))
 	}
 	h.awaitForwarded(shutdownCtx)
+	h.callerListener.Wait(shutdownCtx)
 	return ctx.Err()
 }
