--- a/internal/entryhost/actions_test.go
+++ b/internal/entryhost/actions_test.go
@@ -21,7 +21,7 @@
 	grants int
 }
 
-func (g *countingGranter) IdleTimeout() time.Duration { return 0 }
+func (g *countingGranter) LongestIdleTimeout() (time.Duration, bool) { return 0, true }
 
 func (g *countingGranter) Grant(context.Context, string, ownership.Range, time.Duration, bool) error {
 	g.grants++
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -19,6 +19,7 @@
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/planner"
 	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
 
@@ -42,8 +43,9 @@
 	// Release ends the grant of r. It returns once the upstream's work in
 	// flight on r has ended, with a token that lets the next owner start warm.
 	Release(ctx context.Context, addr string, r ownership.Range) (handoverToken string, err error)
-	// IdleTimeout returns the longest time for which an upstream may keep an idle connection open.
-	IdleTimeout() time.Duration
+	// LongestIdleTimeout returns the longest time for which an upstream may keep an idle connection
+	// open. known is false before the first response of one.
+	LongestIdleTimeout() (timeout time.Duration, known bool)
 }
 
 const (
@@ -61,6 +63,8 @@
 	// Without the check, a host short of CPU time sends a grant a second late,
 	// and an owner holds keys after another one has received them.
 	maxGrantSendDelay = 100 * time.Millisecond
+	// assumedIdleTimeout is upstreams' idle timeout before any has responded to this host.
+	assumedIdleTimeout = 10 * time.Second
 	// retireTimeout bounds a retire call to a previous planner.
 	retireTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds a release call. The upstream responds once its
@@ -132,6 +136,8 @@
 	soleWriter atomic.Bool
 	// startedAt is when this host started.
 	startedAt time.Time
+	// requestIdleTimeouts are those that upstreams state in their responses to requests.
+	requestIdleTimeouts *upstream.IdleTimeouts
 	// onGap is called after a time in which this host observed no upstream, with its start and end.
 	onGap func(from, to time.Time)
 	// onLogFailing is called with whether the last read of upstreams' entries failed.
@@ -165,8 +171,8 @@
 		return load, samples
 	}
 	c.planner.OnEvent = c.logPlannerEvent
-	c.planner.Cold, c.planner.IdleTimeout = c.isCold, func() time.Duration { return c.granter.IdleTimeout() }
-	c.startedAt = time.Now()
+	c.planner.Cold, c.planner.IdleTimeout = c.isCold, c.upstreamIdleTimeout
+	c.startedAt, c.requestIdleTimeouts = time.Now(), &upstream.IdleTimeouts{}
 	c.hasLiveCandidate = func() bool { return false }
 	c.cutOff, c.grantHelpers, c.onGrantFailed = func() bool { return false }, func() []fleet.Host { return nil }, func(context.Context, string) {}
 	c.onEntriesRead, c.onGap, c.onLogFailing = func(time.Time) {}, func(_, _ time.Time) {}, func(bool) {}
@@ -179,6 +185,16 @@
 	return c.slowStart(u.Service).PerSecond > 0 && u.Cold(time.Now())
 }
 
+// upstreamIdleTimeout returns the longest time for which an upstream may keep an idle connection open.
+func (c *controller) upstreamIdleTimeout() time.Duration {
+	toRequests, known := c.requestIdleTimeouts.Longest()
+	toGrants, knownToo := c.granter.LongestIdleTimeout()
+	if !known && !knownToo {
+		return assumedIdleTimeout
+	}
+	return max(toRequests, toGrants)
+}
+
 // slowStart returns the slow start settings of a service's upstreams.
 func (c *controller) slowStart(service string) desired.SlowStart {
 	st := c.views.Load().Desired
--- a/internal/entryhost/testupstreams_test.go
+++ b/internal/entryhost/testupstreams_test.go
@@ -35,7 +35,7 @@
 	return err
 }
 
-func (g directGranter) IdleTimeout() time.Duration { return 0 }
+func (g directGranter) LongestIdleTimeout() (time.Duration, bool) { return 0, true }
 
 func (g directGranter) Release(_ context.Context, addr string, r ownership.Range) (string, error) {
 	if u := g.upstreamAt(addr); u != nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -101,7 +100,10 @@
 	headers protocol.Headers
 	// Dial opens connections, by default TCP ones. It may be replaced before the first
 	// call.
-	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// IdleTimeouts are those that responses state.
+	IdleTimeouts IdleTimeouts
+
 	mu    sync.Mutex
 	pools map[Target]*pool
 }
@@ -289,6 +291,7 @@
 	// reused: the upstream would read the next request as the rest of the body.
 	reusable := sent && !resp.Close && cn.br.Buffered() == 0
 	if reusable {
+		c.IdleTimeouts.Record(resp.Header)
 		cn.idleUntil = time.Now().Add(idleTimeout(resp.Header))
 		reusable = cn.SetDeadline(time.Time{}) == nil
 	}
@@ -381,27 +384,3 @@
 	}
 	return nil, nil, errStrayResponse
 }
-
-// idleTimeout returns how long a connection may stay idle after a response with the given
-// headers.
-func idleTimeout(h http.Header) time.Duration {
-	if stated, ok := KeepAliveTimeout(h); ok {
-		return time.Duration(idleTimeoutFraction * float64(stated))
-	}
-	return defaultIdleTimeout
-}
-
-// KeepAliveTimeout returns the idle timeout that a response's Keep-Alive header states, which is in
-// whole seconds. ok is false if it states none.
-func KeepAliveTimeout(h http.Header) (timeout time.Duration, ok bool) {
-	for _, v := range strings.Split(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(v), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if secs, err := strconv.Atoi(value); err == nil {
-			return time.Duration(secs) * time.Second, true
-		}
-	}
-	return 0, false
-}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,15 +25,8 @@
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the kernel
 	// closes the connection. Without it a network partition would block the request
 	// until its deadline.
-	tcpUserTimeout = 2 * time.Second
-	// defaultIdleTimeout is how long a connection may stay idle if the upstream sends
-	// no Keep-Alive timeout.
-	defaultIdleTimeout = 4 * time.Second
-	// idleTimeoutFraction is the fraction of the upstream's idle timeout that is used. The
-	// rest covers the network delay, so that a request does not arrive at a connection
-	// that the upstream is closing.
-	idleTimeoutFraction = 0.7
-	readBufferBytes     = 4 << 10
+	tcpUserTimeout  = 2 * time.Second
+	readBufferBytes = 4 << 10
 )
 
 // conn is a connection to an upstream. It carries one request at a time.
