--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -77,7 +77,9 @@
 //     ends with the incarnation at its other end, and an incarnation that
 //     acknowledged a newer planner's token has not forgotten it. Until all
 //     previous planners are known to be restricted in this way, such an
-//     acknowledgement does not count.
+//     acknowledgement does not count. Nor does one from before the last connection that a previous
+//     planner may have opened, until a grant that is held up on it cannot arrive any more: the
+//     connection may lead to a later incarnation.
 //
 // # Previous planners
 //
--- a/internal/planner/heldup_test.go
+++ b/internal/planner/heldup_test.go
@@ -75,3 +75,22 @@
 		}
 	}
 }
+
+// Guards against two owners when a planner that was replaced has opened a connection to a server which
+// restarted after it had acknowledged the new token, and its grant is held up.
+func TestKeysWaitForGrantsOverConnectionsOpenedAfterTheAcknowledgement(t *testing.T) {
+	takes := func(acceptsFor time.Duration) time.Duration {
+		return timeUntilMoved(t, "other", "new", func(h *harness, a Action) error {
+			if h.now.Sub(h.p.startedBy(h.now)) < acceptsFor {
+				return nil
+			}
+			return upstreamAUnresponsive(a)
+		})
+	}
+	if took := takes(recentRenewalAge / 2); took < testIdleTimeout+testOptions.GrantTTL {
+		t.Errorf("keys moved %v after the change of planner, although a connection may have been opened since the acknowledgement", took)
+	}
+	if took := takes(2 * recentRenewalAge); took > 2*recentRenewalAge+2*testOptions.GrantTTL {
+		t.Errorf("keys moved %v after the change of planner, although the acknowledgement came after all connections", took)
+	}
+}
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -241,7 +241,7 @@
 	}
 	late.server.grantsInFlight++
 	h.p.GrantDone(late, nil, h.now)
-	if next.server(late.Range.Owner).acknowledgedTerm(span{late.Range.From, late.Range.To}) {
+	if next.server(late.Range.Owner).acknowledgedTerm(span{late.Range.From, late.Range.To}, 0) {
 		t.Error("an acknowledgement of a token of the lost era counts for the new term")
 	}
 }
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -246,7 +246,7 @@
 	if t.upstreams[old.Owner] == nil || srv.unresponsive || t.hasEnded(old.Owner) {
 		return true
 	}
-	return srv.incarnation == old.Owner && srv.acknowledgedTerm(span{old.From, old.To}) && now.Sub(t.previous.dialsUntil()) > maxGrantDelay
+	return srv.incarnation == old.Owner && srv.acknowledgedTerm(span{old.From, old.To}, 0) && now.Sub(t.previous.dialsUntil()) > maxGrantDelay
 }
 
 // insertMove inserts m in the order of the keys.
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -78,10 +78,19 @@
 		return true
 	}
 	srv := t.server(m.old.Owner)
-	if srv.incarnation != m.old.Owner || !srv.acknowledgedTerm(m.span) {
+	if srv.incarnation != m.old.Owner || !srv.acknowledgedTerm(m.span, 0) {
 		return false
 	}
-	return m.released || now.Sub(t.previous.dialsUntil()) > maxValidity
+	if m.released {
+		return true
+	}
+	// A later incarnation may accept a grant over a connection that a previous planner has opened to it.
+	// There is no such connection if the owner has acknowledged the token since the last was opened.
+	lastDial := t.previous.dialsUntil()
+	if !srv.acknowledgedTerm(m.span, lastDial) {
+		lastDial = lastDial.Add(t.p.maxHoldUp())
+	}
+	return now.Sub(lastDial) > maxValidity
 }
 
 // mayRelease reports whether a release sent now would also end the grants of
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -32,7 +32,7 @@
 	// of earlier eras do not. ackedSpans are the spans for which the server has acknowledged this
 	// term's token.
 	minAckToken int64
-	ackedSpans  []span
+	ackedSpans  []ackedSpan
 	// throttles limits the events for failed calls.
 	throttles map[EventKind]eventThrottle
 	// exclusions counts how often the server was excluded since it last accepted a
@@ -77,7 +77,7 @@
 		if g.Range.FencingToken < srv.minAckToken {
 			return
 		}
-		srv.ackedSpans = append(srv.ackedSpans, span{g.Range.From, g.Range.To})
+		srv.ackedSpans = append(srv.ackedSpans, ackedSpan{span{g.Range.From, g.Range.To}, g.DecidedAt})
 		if len(srv.ackedSpans) > maxAckedSpans {
 			srv.ackedSpans = srv.ackedSpans[len(srv.ackedSpans)-maxAckedSpans:]
 		}
@@ -99,6 +99,13 @@
 	srv.respondedAt = now
 }
 
+// ackedSpan is a span for which a server has acknowledged this term's token, in response to a grant that
+// was decided on at grantedAt.
+type ackedSpan struct {
+	span
+	grantedAt bootclock.Time
+}
+
 // maxAckedSpans bounds the spans kept per server. It must be at least the number
 // of ranges that a server owns, or acknowledgements that still count are dropped.
 const maxAckedSpans = 256
@@ -107,13 +114,13 @@
 func (t *term) hasEnded(owner string) bool { return owner != "" && t.server(owner).ended == owner }
 
 // acknowledgedTerm reports whether the server has acknowledged this term's
-// token for every key of s, so that it rejects the grants of previous planners.
-func (srv *serverState) acknowledgedTerm(s span) bool {
+// token for every key of s after the given time, so that it rejects the grants of previous planners.
+func (srv *serverState) acknowledgedTerm(s span, after bootclock.Time) bool {
 	from := s.from
 	for advanced := true; advanced && from <= s.to; {
 		advanced = false
 		for _, acked := range srv.ackedSpans {
-			if acked.from <= from && from <= acked.to {
+			if !acked.grantedAt.Before(after) && acked.from <= from && from <= acked.to {
 				from, advanced = acked.to+1, true
 			}
 		}
