--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -234,7 +234,7 @@
 // mayStartMove reports whether a move of the range need not wait for grants of previous
 // planners, or its owner is lost anyway. Released before its owner has acknowledged this
 // term's token, which it does with its first grant, the range would have no owner until
-// those grants expire, up to 9.2 s later.
+// those grants cannot arrive any more and have expired.
 func (t *term) mayStartMove(old ownership.Range, now bootclock.Time) bool {
 	if old.Unproven {
 		return false
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -91,6 +91,8 @@
 	version int
 	// slowStart applies to upstreams that start or become cold during the run.
 	slowStart desired.SlowStart
+	// idleTimeout is when upstreams close idle connections, which they state; 0 for never.
+	idleTimeout time.Duration
 	// routes are those of the desired state.
 	routes []standin.Route
 	// crashOn, if set, is called when an upstream begins to run a request. It
@@ -106,8 +108,8 @@
 // newEnvironment starts the log service and the given numbers of upstreams of
 // keyedService and unkeyedService, every other one in farDC, and publishes the first
 // desired state. hardLoad draws the paces of Options.HardLoad; nil without it.
-func newEnvironment(keyed, unkeyed int, slow desired.SlowStart, hardLoad *rand.Rand) (*Environment, error) {
-	env := &Environment{log: memstore.New(), slowStart: slow, grantsByToken: map[int64][]acceptedGrant{}, routes: plainRoutes}
+func newEnvironment(keyed, unkeyed int, slow desired.SlowStart, hardLoad *rand.Rand, idleTimeout time.Duration) (*Environment, error) {
+	env := &Environment{log: memstore.New(), slowStart: slow, idleTimeout: idleTimeout, grantsByToken: map[int64][]acceptedGrant{}, routes: plainRoutes}
 	paces := make([]*pace, keyed+unkeyed)
 	if hardLoad != nil {
 		env.routes = hardLoadRoutes
@@ -201,7 +203,7 @@
 		u.Processing = rangeowner.NewProcessing(slots, ep.pace.reportsLoad, ep.pace.work)
 	}
 	u.CrashOn = func(r *http.Request) bool { return env.crashedBy(inc, r) }
-	inc.srv = &http.Server{Handler: standin.GrantHandler(id, &auditedGrantee{env, inc}, u)}
+	inc.srv = &http.Server{Handler: env.withKeepAlive(standin.GrantHandler(id, &auditedGrantee{env, inc}, u)), IdleTimeout: env.idleTimeout}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return eris.Wrap(err, "upstream")
@@ -214,6 +216,17 @@
 	return nil
 }
 
+// withKeepAlive has responses state the idle timeout of upstreams.
+func (env *Environment) withKeepAlive(next http.Handler) http.Handler {
+	if env.idleTimeout == 0 {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(env.idleTimeout.Seconds())))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // writeEntry writes the upstream's entry, its record in the upstreams' stream, to the log.
 func (env *Environment) writeEntry(inc *incarnation, leaving bool) {
 	env.log.Put(metastore.StreamUpstreams, inc.ID, standin.UpstreamRecord(&catalogue.Upstream{ID: catalogue.IncarnationID(inc.ID, inc.startNumber), Service: inc.endpoint.service,
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -25,7 +25,7 @@
 	Log   *Proxy
 
 	binary, settingsPath, outputPath string
-	readyURL                         string
+	readyURL, peerAddr               string
 	// pathFaultFile states the fault of the host's paths to upstreams; see package pathfault.
 	pathFaultFile string
 
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	h := &Host{Name: name, binary: binary, settingsPath: filepath.Join(dir, name+".ini"), outputPath: filepath.Join(dir, name+".log"), pathFaultFile: filepath.Join(dir, name+".paths"),
-		readyURL: "http://" + addrs[1] + platform.PathReady}
+		readyURL: "http://" + addrs[1] + platform.PathReady, peerAddr: addrs[2]}
 	if h.Front, err = NewProxy(addrs[4], addrs[0]); err != nil {
 		return nil, err
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -12,8 +12,8 @@
 	"github.com/papayatide/papayatide/internal/standin/ports"
 )
 
-// Proxy forwards TCP connections from clients to a server. It can delay or reset them, or
-// silently drop their data in one or both directions.
+// Proxy forwards TCP connections from clients to a server. It can delay or reset them,
+// silently drop their data in one or both directions, or hold up the data to the server.
 type Proxy struct {
 	ln net.Listener
 
@@ -23,6 +23,9 @@
 	// cut holds the directions whose data is dropped.
 	cut   map[direction]bool
 	conns map[*proxyConn]bool
+	// holding is set while data to the server is held up, clientsEnd while a client that closes
+	// its connection counts as a process that has ended: its data is delivered all the same.
+	holding, clientsEnd bool
 }
 
 type direction int
@@ -37,6 +40,9 @@
 type proxyConn struct {
 	client, server *net.TCPConn
 	broken         bool
+	// held is the data that is held up, orphaned is set if the client's process has ended since.
+	held     []byte
+	orphaned bool
 }
 
 // reset closes both sides with a TCP reset.
@@ -104,6 +110,55 @@
 	}
 }
 
+// Hold holds up data to the server until Release.
+func (p *Proxy) Hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holding = true
+}
+
+// SetClientsEnd begins or ends a time in which clients that close their connections are processes that
+// end.
+func (p *Proxy) SetClientsEnd(v bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clientsEnd = v
+}
+
+// Release delivers what was held up, except data of clients that have reset their connections.
+func (p *Proxy) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holding = false
+	for conn := range p.conns {
+		if len(conn.held) > 0 {
+			_, _ = conn.server.Write(conn.held) // on an error the server has closed the connection
+			conn.held = nil
+		}
+		if conn.orphaned {
+			_ = conn.server.CloseWrite()
+		}
+	}
+}
+
+// hold keeps data that is held up and reports whether it is.
+func (p *Proxy) hold(conn *proxyConn, data []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.holding {
+		conn.held = append(conn.held, data...)
+	}
+	return p.holding
+}
+
+// orphan reports whether the client of a connection with held-up data has ended, and not reset it.
+func (p *Proxy) orphan(conn *proxyConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.orphaned = conn.orphaned || p.clientsEnd && len(conn.held) > 0
+	return conn.orphaned
+}
+
 // Close stops listening and resets all connections.
 func (p *Proxy) Close() {
 	_ = p.ln.Close()
@@ -153,6 +208,12 @@
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buf)
+		if n > 0 && d == toServer && p.hold(conn, buf[:n]) {
+			n = 0
+		}
+		if err != nil && d == toServer && p.orphan(conn) {
+			return // the other direction ends once the server closes the connection
+		}
 		if n > 0 && p.deliver(conn, d) {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -39,6 +39,9 @@
 	PathCuts bool
 	// LogReturns has the log service return from older copies.
 	LogReturns bool
+	// KillsBehindCuts kills the planner's process while a cut holds up its grants, which arrive after
+	// the cut. Upstreams close idle connections then.
+	KillsBehindCuts bool
 	// Hosts, Keyed, Unkeyed and Callers are the numbers of entry hosts, upstreams
 	// of the service with keys, upstreams of the service without keys, and callers.
 	Hosts, Keyed, Unkeyed, Callers int
@@ -83,7 +86,11 @@
 	if opts.HardLoad {
 		paceRNG = rand.New(rand.NewPCG(opts.Seed, 9))
 	}
-	env, err := newEnvironment(opts.Keyed, opts.Unkeyed, slow, paceRNG)
+	idleTimeout := time.Duration(0)
+	if opts.KillsBehindCuts {
+		idleTimeout = upstreamIdleTimeout
+	}
+	env, err := newEnvironment(opts.Keyed, opts.Unkeyed, slow, paceRNG, idleTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -153,6 +160,9 @@
 	if opts.LogReturns {
 		in.wg.Go(func() { in.runLogReturns(fctx, opts.Seed) })
 	}
+	if opts.KillsBehindCuts {
+		in.wg.Go(func() { in.runKillsBehindCuts(fctx, opts.Seed) })
+	}
 	in.run(fctx)
 	cancel()
 	if opts.Evacuate {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,15 +35,18 @@
 // run is one run. With -seeds, odd seeds have fatal requests, two of four seeds have
 // evacuations and slow starts, two of three have reports, three of five have returns of the
 // log from copies, and four of seven have hard load. From firstPathCutSeed on, two of three cut hosts
-// off from all upstreams.
+// off from all upstreams, and from firstKillBehindCutSeed on, the third kills planners behind cuts.
 type run struct {
-	seed                                                     uint64
-	fatal, evacuate, reports, logReturns, hardLoad, pathCuts bool
+	seed                                                                      uint64
+	fatal, evacuate, reports, logReturns, hardLoad, pathCuts, killsBehindCuts bool
 }
 
 // firstPathCutSeed is the first seed whose run may cut hosts off from all upstreams.
 const firstPathCutSeed = 100_000
 
+// firstKillBehindCutSeed is the first seed whose run may kill planners behind cuts.
+const firstKillBehindCutSeed = 110_000
+
 // binaries are the paths of the programs that a run needs.
 type binaries struct{ daemon, hostWithPathFaults string }
 
@@ -73,7 +76,7 @@
 		list = nil
 		for i := range *seeds {
 			seed := start + uint64(i)
-			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0, seed%5 < 3, seed%7 < 4, seed >= firstPathCutSeed && seed%3 < 2})
+			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0, seed%5 < 3, seed%7 < 4, seed >= firstPathCutSeed && seed%3 < 2, seed >= firstKillBehindCutSeed && seed%3 == 2})
 		}
 	}
 	runAll(t, binary, list)
@@ -109,6 +112,14 @@
 	}
 }
 
+// TestSoakWithKillsBehindCuts adds planners that are killed while a cut holds up their grants, during
+// all the other faults.
+func TestSoakWithKillsBehindCuts(t *testing.T) {
+	if *seeds == 0 {
+		runAll(t, buildDaemon(t), []run{{seed: 5, killsBehindCuts: true}})
+	}
+}
+
 // runAll makes the runs, at most as many at a time as the flag -beside allows.
 func runAll(t *testing.T, programs binaries, list []run) {
 	slots := make(chan struct{}, *parallelRuns)
@@ -140,7 +151,7 @@
 	if cfg.pathCuts {
 		binary = programs.hostWithPathFaults
 	}
-	r, err := Run(context.Background(), Options{Binary: binary, PathCuts: cfg.pathCuts, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, HardLoad: cfg.hardLoad, FaultDuration: *faultTime, Hosts: *hostCount, Keyed: 4, Unkeyed: unkeyed, Callers: *callerCount})
+	r, err := Run(context.Background(), Options{Binary: binary, PathCuts: cfg.pathCuts, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, KillsBehindCuts: cfg.killsBehindCuts, HardLoad: cfg.hardLoad, FaultDuration: *faultTime, Hosts: *hostCount, Keyed: 4, Unkeyed: unkeyed, Callers: *callerCount})
 	if err != nil {
 		t.Fatal(err)
 	}
