--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -87,11 +87,11 @@
 // to owners that do not respond to this planner. Without a confirmation such keys would
 // have no owner for MaxRenewalAge plus maxHoldUp plus maxGrantValidity after each change of
 // planner, 20.7 s with the default settings and an idle timeout of 10 s that upstreams state. The
-// planner therefore asks previous planners to retire. If the host of one responds, it confirms that within milliseconds,
-// or once its last grants are no longer in flight, whether it was still planning or had
-// stepped down. If it has restarted, grants of its earlier process may still be held up, but none
-// was sent after the restart. A host that is partitioned or stalled does not respond,
-// and the deadlines of its planner apply. Asking only the last one is not enough: if
+// planner therefore asks previous planners to retire. If the host of one responds, it confirms
+// that within milliseconds, or once its last grants are no longer in flight, whether it was
+// still planning or had stepped down. If it has restarted, grants of its earlier process may
+// still be held up, but none was sent after the restart. A host that is partitioned or stalled
+// does not respond, and the deadlines of its planner apply. Asking only the last one is not enough: if
 // the lease changes hands several times within MaxRenewalAge, for example five times in
 // ten seconds, earlier ones may still send grants, and the keys would wait for them.
 //
--- a/internal/planner/retire.go
+++ b/internal/planner/retire.go
@@ -52,6 +52,9 @@
 			// This process, whose earlier terms have ended, or an earlier
 			// process of this host, which has exited.
 			prev.markStopped(now, t.p.startedBy(now))
+			if past := t.p.pastTerms[t.name]; past != nil {
+				prev.grantsUntil = max(prev.grantsUntil, past.grantsArriveBy(now))
+			}
 		}
 		out = append(out, prev)
 	}
@@ -127,7 +130,7 @@
 	if c != nil && !c.done() {
 		return result
 	}
-	if t := p.pastTerms[service]; t != nil && t.mayHaveGrantsInFlight(now) {
+	if t := p.pastTerms[service]; t != nil && now.Before(t.grantsArriveBy(now)) {
 		return result
 	}
 	if c != nil {
@@ -138,13 +141,15 @@
 	return result
 }
 
-// mayHaveGrantsInFlight reports whether a grant of the term has no result yet, or a helper that was lost
-// may have left one in the network.
-func (t *term) mayHaveGrantsInFlight(now bootclock.Time) bool {
+// grantsArriveBy returns the latest time at which a grant that this process sent in the term, or had a
+// helper send, may arrive.
+func (t *term) grantsArriveBy(now bootclock.Time) bootclock.Time {
+	last := bootclock.Time(0)
 	for _, srv := range t.servers {
-		if srv.grantsInFlight > 0 || now.Before(srv.noResponseAt) {
-			return true
+		last = max(last, srv.noResponseAt)
+		if srv.grantsInFlight > 0 { // the helper that sends it may be lost
+			last = max(last, now.Add(relayedGrantLifetime+t.p.maxHoldUp()))
 		}
 	}
-	return false
+	return last
 }
