--- a/internal/entryhost/actions.go
+++ b/internal/entryhost/actions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -14,6 +15,28 @@
 	"github.com/papayatide/papayatide/internal/relay"
 )
 
+// Granter grants key ranges to upstreams and releases them. Its errors wrap the
+// sentinel errors of package ownership.
+type Granter interface {
+	// Grant grants r for ttl to the upstream at addr. With existingConnOnly it
+	// never opens a connection.
+	Grant(ctx context.Context, addr string, r ownership.Range, ttl time.Duration, existingConnOnly bool) error
+	// Release ends the grant of r. It returns once the upstream's work in
+	// flight on r has ended, with a token that lets the next owner start warm.
+	Release(ctx context.Context, addr string, r ownership.Range) (handoverToken string, err error)
+	// LongestIdleTimeout returns the longest time for which an upstream may keep an idle connection
+	// open. known is false before the first response of one.
+	LongestIdleTimeout() (timeout time.Duration, known bool)
+}
+
+// Retirer asks a previous planner to stop sending grants.
+type Retirer interface {
+	// Retire asks the host at addr to send no grant of a term before the given
+	// one. The result has the closing of its last term if the log has returned before the
+	// given era.
+	Retire(ctx context.Context, addr, service string, term, era int64) (ownership.Retirement, error)
+}
+
 // execute starts a planner's action on a goroutine of its own, which posts the
 // result back to the planner.
 func (c *controller) execute(ctx context.Context, a planner.Action) {
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -34,20 +34,6 @@
 	EvacuatedDataCentre(key string) (dataCentre string, ok bool)
 }
 
-// Granter grants key ranges to upstreams and releases them. Its errors wrap the
-// sentinel errors of package ownership.
-type Granter interface {
-	// Grant grants r for ttl to the upstream at addr. With existingConnOnly it
-	// never opens a connection.
-	Grant(ctx context.Context, addr string, r ownership.Range, ttl time.Duration, existingConnOnly bool) error
-	// Release ends the grant of r. It returns once the upstream's work in
-	// flight on r has ended, with a token that lets the next owner start warm.
-	Release(ctx context.Context, addr string, r ownership.Range) (handoverToken string, err error)
-	// LongestIdleTimeout returns the longest time for which an upstream may keep an idle connection
-	// open. known is false before the first response of one.
-	LongestIdleTimeout() (timeout time.Duration, known bool)
-}
-
 const (
 	// plannerTickInterval and followerTickInterval are the control loop's
 	// intervals on the planner and on the other hosts.
@@ -63,8 +49,6 @@
 	// Without the check, a host short of CPU time sends a grant a second late,
 	// and an owner holds keys after another one has received them.
 	maxGrantSendDelay = 100 * time.Millisecond
-	// assumedIdleTimeout is upstreams' idle timeout before any has responded to this host.
-	assumedIdleTimeout = 10 * time.Second
 	// retireTimeout bounds a retire call to a previous planner.
 	retireTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds a release call. The upstream responds once its
@@ -72,14 +56,6 @@
 	releaseTimeout = 3 * time.Second
 )
 
-// Retirer asks a previous planner to stop sending grants.
-type Retirer interface {
-	// Retire asks the host at addr to send no grant of a term before the given
-	// one. The result has the closing of its last term if the log has returned before the
-	// given era.
-	Retire(ctx context.Context, addr, service string, term, era int64) (ownership.Retirement, error)
-}
-
 // controller owns the host's state: desired state, upstreams, ownership and the
 // planner. Its fields belong to the control goroutine (see run). Other
 // goroutines use post, the atomic fields, and the fields whose types are safe
@@ -185,16 +161,6 @@
 	return c.slowStart(u.Service).PerSecond > 0 && u.Cold(time.Now())
 }
 
-// upstreamIdleTimeout returns the longest time for which an upstream may keep an idle connection open.
-func (c *controller) upstreamIdleTimeout() time.Duration {
-	toRequests, known := c.requestIdleTimeouts.Longest()
-	toGrants, knownToo := c.granter.LongestIdleTimeout()
-	if !known && !knownToo {
-		return assumedIdleTimeout
-	}
-	return max(toRequests, toGrants)
-}
-
 // slowStart returns the slow start settings of a service's upstreams.
 func (c *controller) slowStart(service string) desired.SlowStart {
 	st := c.views.Load().Desired
