--- a/internal/soak/heldup.go
+++ b/internal/soak/heldup.go
@@ -28,7 +28,8 @@
 )
 
 // runKillsBehindCuts cuts a random keyed upstream off and kills the planner's process right after, again
-// and again until ctx ends. The keys of several would move too slowly for late grants to meet other owners. It has its own random generator, so the other faults of a seed do not depend on it.
+// and again until ctx ends. With several cut off, their keys would hardly move before the cut ends. It has
+// its own random generator, so the other faults of a seed do not depend on it.
 func (in *injector) runKillsBehindCuts(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 14))
 	keyed := slices.DeleteFunc(slices.Clone(in.env.endpoints), func(ep *endpoint) bool { return ep.service != keyedService })
