--- a/review/rig-2/lateheartbeat.go
+++ b/review/rig-2/lateheartbeat.go
@@ -29,7 +29,6 @@
 		return false, err
 	}
 	c := &drainCheck{w: w}
-	var upstreams []*upstream
 	beating, stopBeats := context.WithCancel(context.Background())
 	defer stopBeats()
 	for i := range 9 {
@@ -41,7 +40,6 @@
 		if err := w.startUpstream(u); err != nil {
 			return false, err
 		}
-		upstreams = append(upstreams, u)
 		if i > 0 {
 			go u.beatUntil(beating)
 		}
