Review: a path that begins with two slashes reaches the upstream as another host and path

Cause: the request target is forwarded as the opaque part of a URL, and net/http puts the scheme in front of one that begins with two slashes, which makes it a target in absolute form.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -52,6 +52,7 @@
 var cases = map[string]func(w *world) (broken bool, err error){
 	"release-extra-answer": releaseExtraAnswer,
 	"late-heartbeat":       lateHeartbeat,
+	"double-slash":         doubleSlash,
 }
 
 func main() {
--- a/review/rig-2/upstream.go
+++ b/review/rig-2/upstream.go
@@ -41,6 +41,7 @@
 	onGrant             func(u *upstream, from, to int, fence int64)
 	onRun               func(u *upstream, r *run)
 	onLost              func(u *upstream, r *run)
+	onRequest           func(u *upstream, req *http.Request)
 	extraBeforeResponse func(u *upstream, path string, from, to int) bool
 
 	mu       sync.Mutex
@@ -358,6 +359,9 @@
 	if u.onRun != nil {
 		u.onRun(u, r)
 	}
+	if u.onRequest != nil {
+		u.onRequest(u, req)
+	}
 	time.Sleep(u.work)
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -114,15 +114,23 @@
 // route is a route of the desired state; service is its only service.
 type route struct {
 	host, service, kind string
+	prefix              string // "/" and the host's name if it is empty
 	timeout, objective  time.Duration
 	sharded             bool
 }
 
+func (r route) pathPrefix() string {
+	if r.prefix != "" {
+		return r.prefix
+	}
+	return "/" + r.host + "/"
+}
+
 // publish writes a desired state to the store.
 func (w *world) publish(version int, routes ...route) error {
 	routeEntries, services := map[string]any{}, map[string]any{}
 	for _, r := range routes {
-		routeEntries["r-"+r.host] = map[string]any{"Host": r.host + ".example", "PathPrefix": "/" + r.host + "/", "Kind": r.kind, "Timeout": ms(r.timeout),
+		routeEntries["r-"+r.host] = map[string]any{"Host": r.host + ".example", "PathPrefix": r.pathPrefix(), "Kind": r.kind, "Timeout": ms(r.timeout),
 			"TargetLatency": ms(r.objective), "Priority": 1, "MaxAttempts": 2, "Service": r.service}
 		service := map[string]any{"HealthPath": "/health", "MaxConnections": 130, "Protocol": "h1", "Tls": false}
 		if r.sharded {
