--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -2,7 +2,7 @@
 // deploy file's command, and small stand-ins for the platform's store, upstreams and requesters
 // around them, all on loopback addresses.
 //
-// Usage: rig-2 CASE RECORD. The working directory is the root of the repository. With TROUBLE=0
+// Usage: rig-2 CASE RECORD TROUBLE. The working directory is the root of the repository. If TROUBLE is 0
 // the disruption is left out. It exits with 1 if the rule was broken, 0 if it held and 2 if the
 // case could not run.
 package main
@@ -56,8 +56,8 @@
 
 func main() {
 	signal.Ignore(syscall.SIGPIPE) // the exit code says the result, also to a pipe that is closed
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig-2 CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig-2 CASE RECORD TROUBLE")
 		os.Exit(exitNotRun)
 	}
 	file, err := os.Create(os.Args[2])
@@ -66,7 +66,7 @@
 		os.Exit(exitNotRun)
 	}
 	rec := &recorder{file: file, started: time.Now()}
-	w := &world{rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{rec: rec, trouble: os.Args[3] != "0"}
 	os.Exit(play(w, cases[os.Args[1]]))
 }
 
