--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -24,6 +24,8 @@
 	// Unlisted is set while the upstream is kept although its entry in the log
 	// has been removed.
 	Unlisted bool
+	// Sequence counts the incarnation's writes of its entry.
+	Sequence int64
 	// SlowUntil is the end of its slow start.
 	SlowUntil time.Time
 	// HandoverBy is set while operators evacuate its data centre, and after it has
--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -62,10 +62,14 @@
 	r.upstreams[u.ID] = u
 	switch {
 	case u.Leaving && (old == nil || !old.Leaving):
-		r.zl.Info("upstream is leaving", zap.Int("event", events.UpstreamLeaving), zap.String("peer", u.ID), zap.String("service", u.Service))
+		r.zl.Info("upstream is leaving", zap.Int("event", events.UpstreamLeaving), zap.String("peer", u.ID), zap.String("service", u.Service),
+			zap.Int64("sequence", u.Sequence))
+	case !u.Leaving && old != nil && old.Leaving:
+		r.zl.Info("upstream is ready again", zap.Int("event", events.UpstreamReadyAgain), zap.String("peer", u.ID), zap.String("service", u.Service),
+			zap.Int64("sequence", u.Sequence), zap.Int64("sequence_before", old.Sequence), zap.Bool("unlisted_before", old.Unlisted))
 	case old == nil:
 		r.zl.Info("upstream listed", zap.Int("event", events.UpstreamListed), zap.String("peer", u.ID), zap.String("service", u.Service),
-			zap.String("addr", u.Addr), zap.String("data_centre", u.DataCentre))
+			zap.String("addr", u.Addr), zap.String("data_centre", u.DataCentre), zap.Int64("sequence", u.Sequence))
 	}
 }
 
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -72,6 +72,7 @@
 	UpstreamSilent          = 636
 	UpstreamSilentToAll     = 637
 	UpstreamConnectionsLost = 638
+	UpstreamReadyAgain      = 639
 	OwnershipAdopted        = 640
 	OwnershipRejected       = 641
 	OwnershipChangeRejected = 642
