entryhost: an upstream's older entry does not replace its newer one

Cause: a write to the log service that gets no response may be carried out seconds later. The last record of a server counted as its entry, whatever its Sequence. All three hosts log 639 with sequence 2 after 6, 2.7 s after 631.

A later incarnation counts anew, and a record that cannot be used does not raise the number. An older entry still shows that the upstream has a readable entry, since the upstream does not write the same content again. The special case for the log's return from a copy goes: its entries are older too. The stand-in upstreams number their writes, and the log stand-in carries one out late.

--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,8 @@
 	grantTTL time.Duration
 	// grants are the grants that upstreams have accepted.
 	grants []acceptedGrant
+	// entryWrites counts the entries that upstreams have written; they are numbered by it.
+	entryWrites atomic.Int64
 	// fatalDuration is how long a fatal request runs before it crashes its upstream.
 	// fatalStarts holds when each of these requests began to run.
 	fatalDuration time.Duration
--- /dev/null
+++ b/internal/entryhost/latewrite_test.go
@@ -0,0 +1,119 @@
+package entryhost
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
+	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/standin/rangeowner"
+)
+
+// testDrainTimeout is from when on no request may reach an upstream that has reported that it is draining.
+const testDrainTimeout = 2 * time.Second
+
+// lateWrite is an upstream's entry that the log service carries out late.
+type lateWrite struct {
+	u    *rangeowner.Upstream
+	data []byte
+}
+
+// loseHeartbeat has an upstream write an entry that gets no response, and returns it.
+func (f *testFleet) loseHeartbeat(service string, u *rangeowner.Upstream) lateWrite {
+	return lateWrite{u, f.nextEntry(u, catalogue.Upstream{Service: service, DataCentre: "dc", Slots: 3})}
+}
+
+// carryOut carries the write out.
+func (f *testFleet) carryOut(w lateWrite) {
+	f.log.PutLate(metastore.StreamUpstreams, w.u.ID, w.data)
+}
+
+// arrivalsDuring sends requests to all hosts for a time and returns how many reached the upstream.
+func (f *testFleet) arrivalsDuring(route string, u *rangeowner.Upstream, d time.Duration) int {
+	from := time.Now()
+	for n := 0; time.Since(from) < d; n++ {
+		f.hosts[n%len(f.hosts)].call("GET", route, fmt.Sprint("r-", time.Now().UnixNano()), n*4099%65536)
+		f.sleep(10 * time.Millisecond)
+	}
+	return len(u.Arrivals(from, time.Now()))
+}
+
+// busiest returns the upstream that most requests of the route have reached.
+func (f *testFleet) busiest(route string, ups []*rangeowner.Upstream) *rangeowner.Upstream {
+	f.arrivalsDuring(route, ups[0], time.Second)
+	return slices.MaxFunc(ups, func(a, b *rangeowner.Upstream) int { return cmp.Compare(len(a.Runs()), len(b.Runs())) })
+}
+
+// Guards against requests at a draining upstream that a late heartbeat of its own makes ready again.
+func TestLateHeartbeatOfDrainingUpstream(t *testing.T) {
+	for _, c := range []struct{ service, route string }{{"sheets", "read.example"}, {"plain", unkeyedRoute}} {
+		t.Run(c.service, func(t *testing.T) {
+			runFleetTest(t, func(t *testing.T) {
+				f := newFleet(t, 3, 0)
+				var ups []*rangeowner.Upstream
+				for i := range 3 {
+					ups = append(ups, f.addServiceUpstream(c.service, fmt.Sprint(c.service, i)))
+				}
+				f.waitPathServed(c.route, "/x", startupTimeout)
+				leaving := f.busiest(c.route, ups)
+				late := f.loseHeartbeat(c.service, leaving)
+				time.Sleep(time.Second)
+				f.registerAs(c.service, leaving, true)
+				time.Sleep(testDrainTimeout)
+				f.carryOut(late)
+				if n := f.arrivalsDuring(c.route, leaving, 3*time.Second); n > 0 {
+					t.Errorf("%d requests reached the upstream later than %v after it reported that it was draining", n, testDrainTimeout)
+				}
+			})
+		})
+	}
+}
+
+// Guards against entries that are ordered by the log instead of by their writer, and against sequence
+// numbers that are compared beyond one incarnation.
+func TestEntriesAreOrderedByTheirUpstream(t *testing.T) {
+	const first, second = "u@1", "u@2"
+	ready := func(id string, sequence int64) func(*upstreamRegistry) {
+		return func(r *upstreamRegistry) {
+			r.register(&catalogue.Upstream{ID: id, Service: "s", Sequence: sequence})
+		}
+	}
+	draining := func(id string, sequence int64) func(*upstreamRegistry) {
+		return func(r *upstreamRegistry) {
+			r.register(&catalogue.Upstream{ID: id, Service: "s", Sequence: sequence, Leaving: true})
+		}
+	}
+	now := time.Unix(1000, 0)
+	removed := func(r *upstreamRegistry) { r.markMissing("u", now, now) }
+	unusable := func(r *upstreamRegistry) { r.markUnreadable("u", now) }
+	for _, c := range []struct {
+		name    string
+		records []func(*upstreamRegistry)
+		id      string
+		want    string
+	}{
+		{"older entry after the report", []func(*upstreamRegistry){ready(first, 1), draining(first, 6), ready(first, 2)}, first, "leaving"},
+		{"older entry after the removal", []func(*upstreamRegistry){ready(first, 1), draining(first, 6), removed, ready(first, 2)}, first, "leaving"},
+		{"next incarnation counts anew", []func(*upstreamRegistry){ready(first, 9), draining(first, 10), ready(second, 1)}, second, "ready"},
+		{"late entry of the previous incarnation", []func(*upstreamRegistry){draining(first, 10), ready(second, 1), ready(first, 8)}, first, "unknown"},
+		{"another writer's unusable entry, then its own", []func(*upstreamRegistry){ready(first, 4), unusable, ready(first, 5)}, first, "ready"},
+		{"another writer's unusable entry, then an older one of its own", []func(*upstreamRegistry){ready(first, 4), unusable, ready(first, 3)}, first, "ready"},
+		{"unusable entry after the report", []func(*upstreamRegistry){draining(first, 4), unusable, ready(first, 3)}, first, "leaving"},
+		{"unusable entry, removal, older entry", []func(*upstreamRegistry){ready(first, 4), unusable, removed, ready(first, 3)}, first, "leaving"},
+		{"older entry while its entry may have expired", []func(*upstreamRegistry){ready(first, 4), func(r *upstreamRegistry) { r.markMissing("u", now.Add(time.Second), now) },
+			ready(first, 3), func(r *upstreamRegistry) { r.expireSuspects(false, now.Add(time.Minute)) }}, first, "ready"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newUpstreamRegistry(zap.NewNop())
+			for _, apply := range c.records {
+				apply(r)
+			}
+			wantState(t, r, c.id, c.want)
+		})
+	}
+}
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -51,7 +51,7 @@
 		}
 		c.applyEvacuations(fresh.Records, fresh.Reset, fresh.NewEra)
 	case metastore.StreamUpstreams:
-		c.applyUpstreams(fresh.Records, fresh.Reset, fresh.NewEra)
+		c.applyUpstreams(fresh.Records, fresh.Reset)
 	case metastore.StreamOwnership:
 		c.planner.AdvanceStreamEnd(fresh.Next)
 		c.applyOwnership(fresh.Records)
@@ -162,10 +162,10 @@
 		zap.String("cause", t.Cause))
 }
 
-// applyUpstreams applies records of the upstreams stream, in which the newest
+// applyUpstreams applies records of the upstreams stream, in which the last
 // record of a server is its entry. After a reset, known servers without an entry
-// are missing. In a reset of a new era the entries may be older than those read before.
-func (c *controller) applyUpstreams(recs []metastore.Record, reset, newEra bool) {
+// are missing.
+func (c *controller) applyUpstreams(recs []metastore.Record, reset bool) {
 	now := time.Now()
 	listed := map[string]bool{}
 	for _, rec := range recs {
@@ -178,14 +178,11 @@
 			// Another writer has replaced the server's own entry. The upstream
 			// gets no new requests, and its keys are released first as for a
 			// leaving upstream, because it may still be running.
-			c.registry.markMissing(rec.Key, now, now)
+			c.registry.markUnreadable(rec.Key, now)
 			c.logRejectedRecord(rec.Key, err, now)
 			continue
 		}
 		listed[rec.Key] = true
-		if newEra && c.registry.isLeaving(u.ID) {
-			u.Leaving = true // it has said so since
-		}
 		c.registry.register(u)
 	}
 	if reset {
--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/catalogue"
@@ -18,6 +19,8 @@
 	unlistedRetention = 20 * time.Second
 )
 
+var supersededEntries = metrics.NewCounter(`papayatide_upstream_entries_superseded_total`)
+
 // upstreamRegistry tracks the upstreams that have an entry in the log, and those
 // whose entry has disappeared. An upstream's entry is the newest record of its
 // server in the upstreams stream.
@@ -28,6 +31,11 @@
 	// by server ID. The log has one entry per server, which a new incarnation
 	// replaces.
 	incarnations map[string]string
+	// newest holds the entry with the highest sequence number that each upstream has written. The log
+	// service may carry out an earlier write after it.
+	newest map[string]*catalogue.Upstream
+	// unreadable is set for upstreams that are unlisted because another writer replaced their entry.
+	unreadable map[string]bool
 	// unlisted holds when each upstream was unlisted. suspects holds when an
 	// upstream will be unlisted whose entry may have expired because of an
 	// outage. Both are by upstream ID.
@@ -38,12 +46,14 @@
 }
 
 func newUpstreamRegistry(zl *zap.Logger) *upstreamRegistry {
-	return &upstreamRegistry{zl: zl, upstreams: map[string]*catalogue.Upstream{}, incarnations: map[string]string{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
+	return &upstreamRegistry{zl: zl, upstreams: map[string]*catalogue.Upstream{}, incarnations: map[string]string{}, newest: map[string]*catalogue.Upstream{},
+		unreadable: map[string]bool{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
 		onReplaced: func(_, _ string) {}}
 }
 
 // register records an upstream's entry. A newer incarnation replaces the older
-// one. The entry of an older incarnation was written late and is ignored.
+// one. The entry of an older incarnation was written late and is ignored, as is
+// one that is older than the newest entry of its incarnation.
 func (r *upstreamRegistry) register(u *catalogue.Upstream) {
 	server := catalogue.ServerID(u.ID)
 	known, ok := r.incarnations[server]
@@ -55,11 +65,19 @@
 		r.onReplaced(known, u.ID)
 		r.zl.Info("upstream restarted", zap.Int("event", events.UpstreamRestarted), zap.String("peer", u.ID), zap.String("service", u.Service))
 	}
-	r.incarnations[server] = u.ID
+	if decideEntry(r.newest[u.ID], u) == keepNewerEntry {
+		r.keepNewest(u)
+		return
+	}
+	r.adopt(u)
+}
+
+// adopt makes an entry the newest of its upstream.
+func (r *upstreamRegistry) adopt(u *catalogue.Upstream) {
 	old := r.upstreams[u.ID]
-	delete(r.suspects, u.ID)
-	delete(r.unlisted, u.ID)
-	r.upstreams[u.ID] = u
+	r.incarnations[catalogue.ServerID(u.ID)] = u.ID
+	r.newest[u.ID], r.upstreams[u.ID] = u, u
+	r.markListed(u.ID)
 	switch {
 	case u.Leaving && (old == nil || !old.Leaving):
 		r.zl.Info("upstream is leaving", zap.Int("event", events.UpstreamLeaving), zap.String("peer", u.ID), zap.String("service", u.Service),
@@ -73,17 +91,30 @@
 	}
 }
 
-// isLeaving reports whether the upstream's last entry said that it is leaving.
-func (r *upstreamRegistry) isLeaving(id string) bool {
-	u := r.upstreams[id]
-	return u != nil && u.Leaving && !u.Unlisted
+// keepNewest handles an entry that is older than the newest one of its upstream. It shows only that
+// the upstream has a readable entry: the upstream does not write the same content again.
+func (r *upstreamRegistry) keepNewest(older *catalogue.Upstream) {
+	newest := r.newest[older.ID]
+	supersededEntries.Inc()
+	r.zl.Info("older entry of upstream ignored", zap.Int("event", events.UpstreamEntrySuperseded), zap.String("peer", older.ID), zap.String("service", older.Service),
+		zap.Int64("sequence", older.Sequence), zap.Int64("newest_sequence", newest.Sequence), zap.Bool("leaving", older.Leaving), zap.Bool("newest_leaving", newest.Leaving))
+	if _, isUnlisted := r.unlisted[older.ID]; !isUnlisted || r.unreadable[older.ID] {
+		r.adopt(newest)
+	}
+}
+
+// markListed records that an upstream has an entry.
+func (r *upstreamRegistry) markListed(id string) {
+	delete(r.suspects, id)
+	delete(r.unlisted, id)
+	delete(r.unreadable, id)
 }
 
 // forget removes an upstream, that is one incarnation of a server.
 func (r *upstreamRegistry) forget(id string) {
 	delete(r.upstreams, id)
-	delete(r.suspects, id)
-	delete(r.unlisted, id)
+	delete(r.newest, id)
+	r.markListed(id)
 	if server := catalogue.ServerID(id); r.incarnations[server] == id {
 		delete(r.incarnations, server)
 	}
@@ -97,6 +128,9 @@
 	id := r.incarnations[server]
 	_, isUnlisted := r.unlisted[id]
 	if r.upstreams[id] == nil || isUnlisted {
+		if !now.Before(graceUntil) {
+			delete(r.unreadable, id)
+		}
 		return
 	}
 	if !now.Before(graceUntil) {
@@ -108,6 +142,15 @@
 	}
 }
 
+// markUnreadable records that a server's entry was replaced by one that cannot be used.
+func (r *upstreamRegistry) markUnreadable(server string, now time.Time) {
+	id := r.incarnations[server]
+	if _, isUnlisted := r.unlisted[id]; r.upstreams[id] != nil && !isUnlisted {
+		r.unlist(id, now)
+		r.unreadable[id] = true
+	}
+}
+
 // markMissingExcept calls markMissing for all known servers except the listed
 // ones.
 func (r *upstreamRegistry) markMissingExcept(listed map[string]bool, graceUntil, now time.Time) {
--- a/internal/entryhost/registry_test.go
+++ b/internal/entryhost/registry_test.go
@@ -98,7 +98,7 @@
 	c.registry.register(&catalogue.Upstream{ID: "left", Service: "s"})
 	c.onStreamResult(metastore.StreamUpstreams, metastore.ErrNoResponse)
 	c.onStreamResult(metastore.StreamUpstreams, nil)
-	c.applyUpstreams(nil, true, false)
+	c.applyUpstreams(nil, true)
 	if u := views.Load().Upstreams.ByID["left"]; u.Leaving {
 		t.Fatal("an upstream whose entry is missing right after an outage is marked as leaving")
 	}
@@ -206,15 +206,15 @@
 		return metastore.Record{Key: id, Value: fmt.Appendf(nil, `{"ID":%q,"Service":"s"}`, id)}
 	}
 	unreadable := func(id string) metastore.Record { return metastore.Record{Key: id, Value: []byte("\xff")} }
-	c.applyUpstreams([]metastore.Record{entry("u1"), entry("u2")}, true, false)
-	c.applyUpstreams([]metastore.Record{unreadable("u1"), unreadable("nobody"), unreadable("")}, false, false)
+	c.applyUpstreams([]metastore.Record{entry("u1"), entry("u2")}, true)
+	c.applyUpstreams([]metastore.Record{unreadable("u1"), unreadable("nobody"), unreadable("")}, false)
 	if ups := views.Load().Upstreams.ByID; !ups["u1"].Leaving || ups["u2"].Leaving || len(ups) != 2 {
 		t.Errorf("upstreams are %+v", ups)
 	}
 	if n := logs.Len(); n != 1 {
 		t.Errorf("%d lines logged", n)
 	}
-	c.applyUpstreams([]metastore.Record{entry("u1")}, false, false)
+	c.applyUpstreams([]metastore.Record{entry("u1")}, false)
 	if views.Load().Upstreams.ByID["u1"].Leaving {
 		t.Error("the upstream is still leaving after it wrote its entry again")
 	}
--- a/internal/entryhost/testupstreams_test.go
+++ b/internal/entryhost/testupstreams_test.go
@@ -139,15 +139,19 @@
 	f.putEntry(u, catalogue.Upstream{Service: service, DataCentre: "dc", Slots: 3, Leaving: leaving})
 }
 
-// putEntry writes an upstream's entry with its ID and address filled in.
+// putEntry writes an upstream's entry with its ID, address and sequence number filled in.
 func (f *testFleet) putEntry(u *rangeowner.Upstream, entry catalogue.Upstream) {
-	entry.ID, entry.Addr = u.ID, u.Addr()
+	f.log.Put(metastore.StreamUpstreams, u.ID, f.nextEntry(u, entry))
+}
+
+// nextEntry returns the entry that an upstream writes next.
+func (f *testFleet) nextEntry(u *rangeowner.Upstream, entry catalogue.Upstream) []byte {
+	entry.ID, entry.Addr, entry.Sequence = u.ID, u.Addr(), f.entryWrites.Add(1)
 	data, err := json.Marshal(entry)
 	if err != nil {
 		f.t.Error(err)
-		return
 	}
-	f.log.Put(metastore.StreamUpstreams, u.ID, data)
+	return data
 }
 
 // killUpstream kills an upstream, which receives no grants and no requests any more.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -73,6 +73,8 @@
 	UpstreamSilentToAll     = 637
 	UpstreamConnectionsLost = 638
 	UpstreamReadyAgain      = 639
+	// UpstreamEntrySuperseded: an entry is older than the newest one of its upstream.
+	UpstreamEntrySuperseded = 643
 	OwnershipAdopted        = 640
 	OwnershipRejected       = 641
 	OwnershipChangeRejected = 642
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -72,6 +72,14 @@
 	l.put(s, key, value)
 }
 
+// PutLate carries out a write of an operator or an upstream that got no response when it was sent.
+// Unlike after Put, its writer does not know that it was carried out.
+func (l *Log) PutLate(s metastore.Stream, key string, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.put(s, key, value)
+}
+
 // put appends a record. l.mu must be locked.
 func (l *Log) put(s metastore.Stream, key string, value []byte) {
 	st := l.stream(s)
