entryhost: an upstream that was leaving or removed is ready again once it confirms it

Cause: of one incarnation's entries the one with the highest Sequence counts, but an entry changes only when more than Sequence does, so that the last number a host has read may be far below the upstream's. A late heartbeat can be newer than everything that was read.

The upstream stays out until it responds 200 with its own ID. Without a response it is asked again, after 0.25 s to 2 s: one that does not respond to the check does not serve requests either. Without room for the check for 1.5 s, or without the check, the order of its writes decides. Events 644 and 645 log each case.

--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -61,6 +61,8 @@
 	// KeyWarmUp is how long requests for a key are slow after the key has moved to
 	// another upstream without a handover.
 	KeyWarmUp time.Duration
+	// HealthPath is the path of the upstreams' health checks; empty if they have none.
+	HealthPath string
 	// MaxConns limits the connections to one upstream from all hosts together.
 	MaxConns int
 	// SlowStart limits the requests to upstreams that have just started.
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -112,6 +112,8 @@
 	soleWriter atomic.Bool
 	// startedAt is when this host started.
 	startedAt time.Time
+	// healthCheck sends a health check to the path at an upstream.
+	healthCheck func(ctx context.Context, t upstream.Target, path string) (upstream.Health, error)
 	// requestIdleTimeouts are those that upstreams state in their responses to requests.
 	requestIdleTimeouts *upstream.IdleTimeouts
 	// onGap is called after a time in which this host observed no upstream, with its start and end.
@@ -150,6 +152,9 @@
 	c.planner.Cold, c.planner.IdleTimeout = c.isCold, c.upstreamIdleTimeout
 	c.startedAt, c.requestIdleTimeouts = time.Now(), &upstream.IdleTimeouts{}
 	c.hasLiveCandidate = func() bool { return false }
+	c.healthCheck = func(context.Context, upstream.Target, string) (upstream.Health, error) {
+		return upstream.Unsupported, nil
+	}
 	c.cutOff, c.grantHelpers, c.onGrantFailed = func() bool { return false }, func() []fleet.Host { return nil }, func(context.Context, string) {}
 	c.onEntriesRead, c.onGap, c.onLogFailing = func(time.Time) {}, func(_, _ time.Time) {}, func(bool) {}
 	return c
@@ -225,7 +230,7 @@
 	if _, lost := c.streamLostSince[metastore.StreamUpstreams]; lost {
 		return followerTickInterval // suspects don't expire during an outage
 	}
-	return max(min(followerTickInterval, c.registry.untilNextExpiry(time.Now())), minTickInterval)
+	return max(min(followerTickInterval, c.registry.untilNextDeadline(time.Now())), minTickInterval)
 }
 
 // tick unlists suspects whose grace period has ended and executes the planner's
@@ -246,6 +251,9 @@
 		c.entriesRead = until
 		c.onEntriesRead(until)
 	}
+	for _, u := range c.registry.dueChecks(wallNow) {
+		go c.checkHealth(ctx, u)
+	}
 	if c.evacuations.confirmEntriesRead(c.entriesRead, wallNow) || expired || ended {
 		c.publishUpstreams()
 	}
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -17,7 +17,7 @@
 	"github.com/papayatide/papayatide/internal/standin/rangeowner"
 )
 
-var testHeaders = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect",
+var testHeaders = protocol.Headers{RequestID: "X-Id", TimeoutMs: "X-Timeout-Ms", Signature: "X-Signature", ExpectedUpstream: "X-Expect", ServerID: "X-Server-Id",
 	NotRun: "X-Not-Run", Key: "X-Key", RateLimit: "X-Limit", Leaving: "X-Leaving"}
 
 // testFleet runs entry hosts, a log service and upstreams on an in-memory network
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -224,6 +224,7 @@
 	h.dispatch.SlowStartBounds = ratelimit.Bounds{Factor: cfg.SlowStartFactor, Slack: cfg.SlowStartSlack, Window: slowStartWindow}
 	h.controller.registry.onReplaced = h.onUpstreamReplaced
 	h.controller.retirer, h.controller.requestIdleTimeouts = h.peers, &h.client.IdleTimeouts
+	h.controller.healthCheck = h.client.CheckHealth
 	h.controller.onEntriesRead, h.controller.onGap, h.controller.onLogFailing = h.picker.MarkSynced, h.picker.RecordGap, h.picker.SetLogFailing
 	h.controller.elector.fleetSize = func() int { return h.fleet.Size(time.Now()) }
 	h.controller.hasLiveCandidate = func() bool { return h.fleet.HasLiveCandidate(time.Now()) }
--- a/internal/entryhost/latewrite_test.go
+++ b/internal/entryhost/latewrite_test.go
@@ -12,6 +12,7 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/standin/rangeowner"
+	"github.com/papayatide/papayatide/internal/upstream"
 )
 
 // testDrainTimeout is from when on no request may reach an upstream that has reported that it is draining.
@@ -74,6 +75,67 @@
 	}
 }
 
+// Guards against requests at an upstream that left without a report and whose last heartbeat is carried out
+// after its entry was removed, and against upstreams that stay out after a time without an entry.
+func TestEntryOfRemovedUpstreamIsConfirmed(t *testing.T) {
+	const returnTime = 2 * time.Second
+	for _, c := range []struct {
+		name    string
+		leaving bool
+		served  bool
+	}{
+		{"leaving", true, false},
+		{"ready", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runFleetTest(t, func(t *testing.T) {
+				f := newFleet(t, 3, 0)
+				var ups []*rangeowner.Upstream
+				for i := range 3 {
+					ups = append(ups, f.addServiceUpstream("plain", fmt.Sprint("plain", i)))
+				}
+				f.waitPathServed(unkeyedRoute, "/x", startupTimeout)
+				removed := f.busiest(unkeyedRoute, ups)
+				late := f.loseHeartbeat("plain", removed)
+				if c.leaving {
+					removed.SetDraining()
+				}
+				f.log.Put(metastore.StreamUpstreams, removed.ID, nil)
+				time.Sleep(testDrainTimeout)
+				f.carryOut(late)
+				time.Sleep(returnTime)
+				if n := f.arrivalsDuring(unkeyedRoute, removed, 2*time.Second); (n > 0) != c.served {
+					t.Errorf("%d requests reached the upstream %v after its entry was back", n, returnTime)
+				}
+			})
+		})
+	}
+}
+
+func TestConfirmationOfReturningUpstream(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	for _, c := range []struct {
+		answer   upstream.Health
+		outdated bool
+		after    time.Duration
+		want     bool
+	}{
+		{upstream.Healthy, true, 0, true},
+		{upstream.Unhealthy, false, time.Minute, false},
+		{upstream.NoResponse, false, time.Minute, false},
+		{upstream.Unsupported, false, 0, true},
+		{upstream.Unsupported, true, time.Minute, false},
+		{upstream.Busy, false, maxBusyTime / 2, false},
+		{upstream.Busy, false, maxBusyTime, true},
+		{upstream.Busy, true, time.Minute, false},
+	} {
+		check := confirmation{outdated: c.outdated, since: begin}
+		if got := check.confirms(c.answer, begin.Add(c.after)); got != c.want {
+			t.Errorf("answer %v, outdated %v, after %v: %v", c.answer, c.outdated, c.after, got)
+		}
+	}
+}
+
 // Guards against entries that are ordered by the log instead of by their writer, and against sequence
 // numbers that are compared beyond one incarnation.
 func TestEntriesAreOrderedByTheirUpstream(t *testing.T) {
--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/events"
+	"github.com/papayatide/papayatide/internal/upstream"
 )
 
 const (
@@ -36,6 +37,8 @@
 	newest map[string]*catalogue.Upstream
 	// unreadable is set for upstreams that are unlisted because another writer replaced their entry.
 	unreadable map[string]bool
+	// returning holds the checks of upstreams whose entry must be confirmed, by upstream ID.
+	returning map[string]*confirmation
 	// unlisted holds when each upstream was unlisted. suspects holds when an
 	// upstream will be unlisted whose entry may have expired because of an
 	// outage. Both are by upstream ID.
@@ -47,7 +50,7 @@
 
 func newUpstreamRegistry(zl *zap.Logger) *upstreamRegistry {
 	return &upstreamRegistry{zl: zl, upstreams: map[string]*catalogue.Upstream{}, incarnations: map[string]string{}, newest: map[string]*catalogue.Upstream{},
-		unreadable: map[string]bool{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
+		unreadable: map[string]bool{}, returning: map[string]*confirmation{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
 		onReplaced: func(_, _ string) {}}
 }
 
@@ -65,11 +68,71 @@
 		r.onReplaced(known, u.ID)
 		r.zl.Info("upstream restarted", zap.Int("event", events.UpstreamRestarted), zap.String("peer", u.ID), zap.String("service", u.Service))
 	}
-	if decideEntry(r.newest[u.ID], u) == keepNewerEntry {
+	switch decideEntry(r.known(u.ID), u) {
+	case adoptEntry:
+		r.adopt(u)
+	case keepNewerEntry:
 		r.keepNewest(u)
-		return
+	case confirmEntry:
+		r.awaitConfirmation(u)
+	}
+}
+
+// known returns what is known of an upstream; nil if nothing is.
+func (r *upstreamRegistry) known(id string) *knownUpstream {
+	newest := r.newest[id]
+	if newest == nil {
+		return nil
+	}
+	_, isUnlisted := r.unlisted[id]
+	return &knownUpstream{newest: newest, removed: isUnlisted && !r.unreadable[id], unreadable: r.unreadable[id]}
+}
+
+// awaitConfirmation begins the checks of an upstream, or continues them with its newest such entry.
+func (r *upstreamRegistry) awaitConfirmation(u *catalogue.Upstream) {
+	newest := r.newest[u.ID]
+	c := r.returning[u.ID]
+	if c == nil {
+		c = &confirmation{interval: firstCheckInterval}
+		r.returning[u.ID] = c
+	}
+	c.entry = u
+	c.outdated = u.Sequence < newest.Sequence || (newest.Leaving && u.Sequence == newest.Sequence)
+	r.zl.Info("entry states that a leaving upstream is ready; asking it", zap.Int("event", events.UpstreamUnconfirmed), zap.String("peer", u.ID),
+		zap.String("service", u.Service), zap.Int64("sequence", u.Sequence), zap.Int64("newest_sequence", newest.Sequence), zap.Bool("newest_leaving", newest.Leaving))
+}
+
+// dueChecks returns the upstreams to send health checks to now. finishCheck must be called for each.
+func (r *upstreamRegistry) dueChecks(now time.Time) []*catalogue.Upstream {
+	var due []*catalogue.Upstream
+	for _, c := range r.returning {
+		if c.inFlight || now.Before(c.nextAt) {
+			continue
+		}
+		if c.since.IsZero() {
+			c.since = now
+		}
+		c.inFlight = true
+		due = append(due, c.entry)
+	}
+	return due
+}
+
+// finishCheck handles the result of a health check. It reports whether the upstream is ready again.
+func (r *upstreamRegistry) finishCheck(id string, answer upstream.Health, now time.Time) bool {
+	c := r.returning[id]
+	if c == nil {
+		return false
+	}
+	c.inFlight = false
+	if c.confirms(answer, now) {
+		delete(r.returning, id)
+		r.adopt(c.entry)
+		return true
 	}
-	r.adopt(u)
+	c.nextAt = now.Add(c.interval)
+	c.interval = min(2*c.interval, maxCheckInterval)
+	return false
 }
 
 // adopt makes an entry the newest of its upstream.
@@ -108,6 +171,7 @@
 	delete(r.suspects, id)
 	delete(r.unlisted, id)
 	delete(r.unreadable, id)
+	delete(r.returning, id)
 }
 
 // forget removes an upstream, that is one incarnation of a server.
@@ -127,6 +191,7 @@
 func (r *upstreamRegistry) markMissing(server string, graceUntil, now time.Time) {
 	id := r.incarnations[server]
 	_, isUnlisted := r.unlisted[id]
+	delete(r.returning, id)
 	if r.upstreams[id] == nil || isUnlisted {
 		if !now.Before(graceUntil) {
 			delete(r.unreadable, id)
@@ -145,6 +210,7 @@
 // markUnreadable records that a server's entry was replaced by one that cannot be used.
 func (r *upstreamRegistry) markUnreadable(server string, now time.Time) {
 	id := r.incarnations[server]
+	delete(r.returning, id)
 	if _, isUnlisted := r.unlisted[id]; r.upstreams[id] != nil && !isUnlisted {
 		r.unlist(id, now)
 		r.unreadable[id] = true
@@ -170,13 +236,18 @@
 	r.zl.Info("upstream is no longer listed", zap.Int("event", events.UpstreamUnlisted), zap.String("peer", id), zap.String("service", u.Service))
 }
 
-// untilNextExpiry returns the time until the next suspect expires, at most
-// unlistedRetention.
-func (r *upstreamRegistry) untilNextExpiry(now time.Time) time.Duration {
+// untilNextDeadline returns the time until the next suspect expires or the next health check is due,
+// at most unlistedRetention.
+func (r *upstreamRegistry) untilNextDeadline(now time.Time) time.Duration {
 	earliest := unlistedRetention
 	for _, at := range r.suspects {
 		earliest = min(earliest, at.Sub(now))
 	}
+	for _, c := range r.returning {
+		if !c.inFlight {
+			earliest = min(earliest, c.nextAt.Sub(now))
+		}
+	}
 	return earliest
 }
 
@@ -194,7 +265,7 @@
 		changed = true
 	}
 	for id, at := range r.unlisted {
-		if now.Sub(at) > unlistedRetention {
+		if now.Sub(at) > unlistedRetention && r.returning[id] == nil {
 			r.forget(id)
 			changed = true
 		}
--- a/internal/entryhost/testdecoder_test.go
+++ b/internal/entryhost/testdecoder_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/standin/rangeowner"
 )
 
 // urgentRoute and relaxedRoute are the routes of the competing service.
@@ -48,7 +49,8 @@
 		routes = append(routes, browse)
 	}
 	return desired.New(version, routes,
-		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true, SlowStart: slow}, "plain": {Name: "plain", SlowStart: slow}, "contended": {Name: "contended"}},
+		map[string]*desired.Service{"sheets": {Name: "sheets", Keyed: true, SlowStart: slow, HealthPath: rangeowner.HealthPath},
+			"plain": {Name: "plain", SlowStart: slow, HealthPath: rangeowner.HealthPath}, "contended": {Name: "contended"}},
 		desired.Limits{}), nil
 }
 
--- a/internal/entryhost/testupstreams_test.go
+++ b/internal/entryhost/testupstreams_test.go
@@ -136,6 +136,9 @@
 
 // registerAs writes the entry of an upstream of the given service.
 func (f *testFleet) registerAs(service string, u *rangeowner.Upstream, leaving bool) {
+	if leaving {
+		u.SetDraining()
+	}
 	f.putEntry(u, catalogue.Upstream{Service: service, DataCentre: "dc", Slots: 3, Leaving: leaving})
 }
 
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -75,6 +75,10 @@
 	UpstreamReadyAgain      = 639
 	// UpstreamEntrySuperseded: an entry is older than the newest one of its upstream.
 	UpstreamEntrySuperseded = 643
+	// UpstreamUnconfirmed and UpstreamHealthChecked: an entry states that a leaving upstream is ready,
+	// and what the upstream itself has responded.
+	UpstreamUnconfirmed     = 644
+	UpstreamHealthChecked   = 645
 	OwnershipAdopted        = 640
 	OwnershipRejected       = 641
 	OwnershipChangeRejected = 642
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -13,6 +13,8 @@
 	Signature string
 	// ExpectedUpstream is the ID of the upstream that the request is meant for.
 	ExpectedUpstream string
+	// ServerID is the ID of the server that responds to a health check.
+	ServerID string
 	// NotRun marks the response to a request that the upstream rejected without running
 	// it.
 	NotRun string
--- a/internal/standin/rangeowner/upstream.go
+++ b/internal/standin/rangeowner/upstream.go
@@ -47,6 +47,28 @@
 	// arrivals are the requests that were not misdirected, by time.
 	arrivals []Arrival
 	report   Report
+	draining bool
+}
+
+// HealthPath is the path of health checks.
+const HealthPath = "/health"
+
+// SetDraining has health checks fail from now on.
+func (u *Upstream) SetDraining() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.draining = true
+}
+
+// serveHealth responds to a health check.
+func (u *Upstream) serveHealth(w http.ResponseWriter) {
+	u.mu.Lock()
+	draining := u.draining || u.report.Leaving
+	u.mu.Unlock()
+	w.Header().Set(u.headers.ServerID, u.ID)
+	if draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 // Report is what the upstream states about itself in response headers.
@@ -227,6 +249,10 @@
 // whose key is not held, and every request while the report has a backoff.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(u.headers.RequestID)
+	if id == "" && r.URL.Path == HealthPath {
+		u.serveHealth(w)
+		return
+	}
 	w.Header().Set(u.headers.RequestID, id)
 	if expected := r.Header.Get(u.headers.ExpectedUpstream); expected != "" && expected != u.ID {
 		u.refuse(w, http.StatusMisdirectedRequest)
