upstream: the head of a response is bounded

Callers saw: nothing but 504 at the deadline, while the host's memory grew: bytes that are no response may come without end, and a status line, header lines or bytes without a line end were read into memory until the request's deadline. The platform ends a process over its limit, so that one such upstream can end every host.

Cause: http.ReadResponse reads heads of any size. Only bodies were bounded.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -68,7 +68,7 @@
 			var far []net.Conn
 			for range 3 {
 				near, f := dial()
-				p.put(&conn{Conn: near, br: bufio.NewReader(near), idleUntil: now.Add(time.Minute)})
+				p.put(&conn{Conn: near, in: &headReader{source: near}, br: bufio.NewReader(near), idleUntil: now.Add(time.Minute)})
 				far = append(far, f)
 			}
 			wantFound := func(step string, want int, at time.Time) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,7 +32,9 @@
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
+	// br reads from in, which bounds the head of a response.
 	br *bufio.Reader
+	in *headReader
 	// openedAt is when the connection was opened, lastUsedAt when it was put into the pool last.
 	openedAt, lastUsedAt time.Time
 	// lastRequestID is the ID of the previous request on this connection; a second
@@ -235,7 +237,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), openedAt: time.Now()}, nil
+	return newConn(nc), nil
+}
+
+// newConn returns nc as a connection that was opened now.
+func newConn(nc net.Conn) *conn {
+	in := &headReader{source: nc}
+	return &conn{Conn: nc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), openedAt: time.Now()}
 }
 
 // dialBy is dial with a further deadline, unless that is zero.
