dispatch, upstream: responses share a budget of the host's memory

Callers saw: a host that ends, with all requests that it has taken. Responses are buffered whole, up to 8 MiB each, so that bodies without end at several upstreams exceed a host's memory though each is within its bound.

Change: bodies over 16 KiB reserve memory as they arrive, from an eighth of the host's; those of one upstream at most a quarter of that or one largest response. A stated length reserves nothing, and one over the bound is rejected at once. Without room the connection is reset and the caller gets 502: the request may have run. Such an end does not count as a sign of a crash; where other upstreams' responses use the memory, it does not count against the upstream at all. The memory is given back once the caller has the response.

--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -12,6 +12,7 @@
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
 
@@ -48,9 +49,13 @@
 	limited          bool
 }
 
-// SetMemory derives the budget for buffered bodies from the host's memory. Call it before the
-// first request; without it bodies are not limited.
+// SetMemory derives the budgets for buffered bodies of requests and responses from the host's memory.
+// Call it after SetHelperClient and before the first request; without it bodies are not limited.
 func (d *Dispatcher) SetMemory(memoryMB int) {
+	d.client.Responses = bodybudget.NewResponses(memoryMB, upstream.MaxResponseBytes)
+	if d.detours.client != nil {
+		d.detours.client.Responses = d.client.Responses
+	}
 	d.bodies.host, d.bodies.upstreams = bodybudget.New(bodybudget.HostLimit(memoryMB)), bodybudget.NewUpstreams()
 }
 
@@ -61,6 +66,8 @@
 	HostBytes, HostLimit, UpstreamBytes int64
 	// Streamed counts the bodies that were streamed because the host's budget had no room.
 	Streamed int64
+	// ResponseBytes are reserved for responses.
+	ResponseBytes int64
 }
 
 // BodyStats returns the present figures.
@@ -69,7 +76,8 @@
 	if b.host == nil {
 		return BodyStats{}
 	}
-	return BodyStats{HostBytes: b.host.InUse(), HostLimit: b.host.Limit(), UpstreamBytes: b.upstreams.InUse(), Streamed: b.streamed.Load()}
+	return BodyStats{HostBytes: b.host.InUse(), HostLimit: b.host.Limit(), UpstreamBytes: b.upstreams.InUse(), Streamed: b.streamed.Load(),
+		ResponseBytes: d.client.Responses.InUse()}
 }
 
 // limitsBodies reports whether bodies are limited: operators expect large ones, and those of all
--- a/internal/dispatch/broken.go
+++ b/internal/dispatch/broken.go
@@ -35,9 +35,10 @@
 }
 
 // isBrokenSend reports whether the attempt may have been sent and no whole response was
-// read, although neither the caller nor the deadline ended it.
+// read, although neither the caller, the deadline nor this host ended it.
 func isBrokenSend(ctx context.Context, res *upstream.Result) bool {
-	return res.Outcome == upstream.OutcomeUnknown && ctx.Err() == nil && !errors.Is(res.Err, os.ErrDeadlineExceeded)
+	return res.Outcome == upstream.OutcomeUnknown && ctx.Err() == nil && !errors.Is(res.Err, os.ErrDeadlineExceeded) &&
+		!errors.Is(res.Err, upstream.ErrResponseTooLarge) && !errors.Is(res.Err, upstream.ErrNoMemory)
 }
 
 var lostConnections = metrics.NewCounter(`papayatide_upstream_connections_lost_total`)
--- a/internal/dispatch/detour.go
+++ b/internal/dispatch/detour.go
@@ -155,6 +155,7 @@
 	}
 	res := d.detours.client.Do(ctx, upstream.Target{ID: addr, Addr: addr}, &outbound)
 	req.lastErr, req.passedOn = res.Err, true
+	req.results = append(req.results, res)
 	if res.Outcome != upstream.NotSent {
 		detouredRequests.Inc()
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -181,6 +181,7 @@
 		}
 	}
 	if req != nil {
+		defer req.releaseResults()
 		summary.setRequest(req)
 		req.finishBody(w.Header())
 	}
--- a/internal/dispatch/endless_response_test.go
+++ b/internal/dispatch/endless_response_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/papayatide/papayatide/internal/catalogue"
 )
 
 // endlessHeads are responses whose head does not end: what comes first, and what is repeated.
@@ -65,3 +68,87 @@
 		})
 	}
 }
+
+// endlessBodies are responses whose body does not end.
+var endlessBodies = map[string][2]string{
+	"without length": {"HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n", strings.Repeat("b", 1024)},
+	"chunks":         {"HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("b", 1024) + "\r\n"},
+	"false length":   {"HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 999999999\r\n\r\n", strings.Repeat("b", 1024)},
+}
+
+// peakHeap calls f and returns by how many bytes the heap grew at most meanwhile.
+func peakHeap(f func()) int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	before, peak := m.HeapAlloc, m.HeapAlloc
+	stop := make(chan struct{})
+	var sampling sync.WaitGroup
+	sampling.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				runtime.ReadMemStats(&m)
+				peak = max(peak, m.HeapAlloc)
+			}
+		}
+	})
+	f()
+	close(stop)
+	sampling.Wait()
+	return int64(peak - before)
+}
+
+// Guards against response bodies that fill the host's memory although each is within its bound, and against
+// those of faulty upstreams that leave no memory for the responses of others.
+func TestEndlessResponseBodiesShareMemory(t *testing.T) {
+	const (
+		concurrent, faulty = 100, 12
+		large              = 256 << 10
+	)
+	for name, body := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			up := startUpstream(t, endless(body[0], body[1]))
+			sound := startUpstream(t, func(w io.Writer, _ net.Conn, r *http.Request, _ int64) bool {
+				return writeResponse(w, r, 200, strings.Repeat("s", large))
+			})
+			ups := []*catalogue.Upstream{newUpstream("sound", "keyed", sound)}
+			for i := range faulty {
+				u := newUpstream(fmt.Sprint("u", i), "plain", up)
+				u.Slots = 10
+				ups = append(ups, u)
+			}
+			h := newHarness(t, ups...)
+			h.d.SetMemory(hostMemory >> 20)
+			h.setOwner("sound", 1)
+			peak := peakHeap(func() {
+				var wg sync.WaitGroup
+				for range concurrent {
+					wg.Go(func() {
+						began := time.Now()
+						got := h.post("charge.example", "r")
+						if got.status != http.StatusBadGateway && got.status != http.StatusServiceUnavailable {
+							t.Errorf("got %d, want 502, or 503 for a request that was not sent", got.status)
+						}
+						if took := time.Since(began); took >= testTimeout/2 {
+							t.Errorf("%d after %v", got.status, took)
+						}
+					})
+				}
+				wg.Wait()
+			})
+			t.Logf("the heap grew by %d MiB", peak>>20)
+			if peak > hostMemory {
+				t.Errorf("the heap grew by %d MiB; the host has %d MiB", peak>>20, hostMemory>>20)
+			}
+			if got := h.get("keyed.example", "r"); got.status != http.StatusOK || len(got.body) != large {
+				t.Errorf("got %d with %d bytes from the sound upstream", got.status, len(got.body))
+			}
+			if left := h.d.BodyStats().ResponseBytes; left != 0 {
+				t.Errorf("%d bytes are still reserved", left)
+			}
+		})
+	}
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -53,6 +53,8 @@
 	// lastResponse is the last response of an upstream that ran the request. While
 	// the request is retried it is a 5xx response.
 	lastResponse *upstream.Result
+	// results are those of its attempts, whose memory is released once the caller has the response.
+	results []*upstream.Result
 	// attempted lists the IDs of the upstreams attempted so far.
 	attempted        []string
 	lastUpstream     string
@@ -70,6 +72,13 @@
 	cachedFingerprint crashes.Fingerprint
 }
 
+// releaseResults gives back the memory of the responses.
+func (req *request) releaseResults() {
+	for _, res := range req.results {
+		res.Release()
+	}
+}
+
 // fingerprint identifies the request's content. It is computed on first use, as
 // nearly all requests finish without it.
 func (req *request) fingerprint() crashes.Fingerprint {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -28,6 +28,7 @@
 	// the expected latency of the requests there.
 	sending := d.picker.StartSend(u, req.class, start)
 	res := d.client.Do(attemptCtx, upstream.Target{ID: u.ID, Addr: u.Addr}, req.outbound)
+	req.results = append(req.results, res)
 	endAttempt(res)
 	endSend(res)
 	d.releaseAtUpstream(req)
@@ -93,7 +94,7 @@
 // sendOutcome classifies the result of an attempt for the picker.
 func sendOutcome(ctx context.Context, res *upstream.Result) balance.Outcome {
 	switch {
-	case ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled), errors.Is(res.Err, upstream.ErrNoMemory):
 		return balance.Inconclusive
 	case res.Outcome == upstream.Answered && res.Status < http.StatusInternalServerError:
 		return balance.Served
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -52,6 +52,7 @@
 	bodies := h.dispatch.BodyStats()
 	metrics.WriteGaugeUint64(w, "papayatide_body_bytes", uint64(bodies.HostBytes))
 	metrics.WriteGaugeUint64(w, "papayatide_body_bytes_limit", uint64(bodies.HostLimit))
+	metrics.WriteGaugeUint64(w, "papayatide_response_bytes", uint64(bodies.ResponseBytes))
 	metrics.WriteGaugeUint64(w, "papayatide_body_bytes_at_upstreams", uint64(bodies.UpstreamBytes))
 	metrics.WriteCounterUint64(w, "papayatide_bodies_streamed_for_room_total", uint64(bodies.Streamed))
 	for service, left := range h.budget.Remaining(now) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/papayatide/papayatide/internal/bodybudget"
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/protocol"
@@ -88,8 +89,14 @@
 	Report feedback.Report
 	// Err is the reason why there is no response.
 	Err error
+	// memory is reserved for Body.
+	memory *bodybudget.ResponseReservation
 }
 
+// Release gives back the memory that is reserved for the body, which must not be used any more.
+// Further calls have no effect.
+func (r *Result) Release() { r.memory.Release() }
+
 // Misdirected reports whether the response is 421 Misdirected Request: the server is
 // not the expected upstream or does not own the request's key.
 func (r *Result) Misdirected() bool { return r.Status == http.StatusMisdirectedRequest }
@@ -101,6 +108,8 @@
 	// Dial opens connections, by default TCP ones. It may be replaced before the first
 	// call.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Responses bounds the memory for responses; nil for no bound. Set it before the first call.
+	Responses *bodybudget.Responses
 	// IdleTimeouts are those that responses state.
 	IdleTimeouts IdleTimeouts
 
@@ -269,7 +278,8 @@
 		// A stream cannot be read again, so that a failure to write it never counts as NotSent.
 		go func() { writeDone <- writeRequest(cn, httpReq) }()
 	}
-	resp, body, err := c.readResponse(cn, httpReq, req.ID)
+	memory := c.Responses.Reserve(t.ID)
+	resp, body, err := c.readResponse(cn, httpReq, req.ID, MaxResponseBytes, memory)
 	sent := false
 	select {
 	case writeErr := <-writeDone:
@@ -280,7 +290,7 @@
 	if err != nil {
 		return &Result{Outcome: OutcomeUnknown, Err: eris.Wrapf(err, "upstream %s: read response", t.ID)}, false
 	}
-	res := &Result{Outcome: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
+	res := &Result{Outcome: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body, memory: memory}
 	if resp.Header.Get(c.headers.NotRun) != "" || res.Misdirected() {
 		res.Outcome = NotRun
 	}
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -28,6 +28,9 @@
 	Unsupported
 )
 
+// maxHealthBytes bounds the body of the response to a health check.
+const maxHealthBytes = 64 << 10
+
 func (h Health) String() string {
 	return [...]string{"no response", "healthy", "unhealthy", "busy", "unsupported"}[h]
 }
@@ -76,7 +79,7 @@
 	if err := writeRequest(cn, req); err != nil {
 		return healthOfFailure(err), false, err
 	}
-	resp, _, err := c.readResponse(cn, req, "")
+	resp, _, err := c.readResponse(cn, req, "", maxHealthBytes, nil)
 	if err != nil {
 		return healthOfFailure(err), false, err
 	}
