--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/papayatide/papayatide/internal/bounded"
 	"github.com/papayatide/papayatide/internal/catalogue"
 )
 
@@ -28,9 +29,6 @@
 	Unsupported
 )
 
-// maxHealthBytes bounds the body of the response to a health check.
-const maxHealthBytes = 64 << 10
-
 func (h Health) String() string {
 	return [...]string{"no response", "healthy", "unhealthy", "busy", "unsupported"}[h]
 }
@@ -79,7 +77,7 @@
 	if err := writeRequest(cn, req); err != nil {
 		return healthOfFailure(err), false, err
 	}
-	resp, _, err := c.readResponse(cn, req, "", maxHealthBytes, nil)
+	resp, _, err := c.readResponse(cn, req, "", bounded.MaxControlBytes, nil)
 	if err != nil {
 		return healthOfFailure(err), false, err
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/papayatide/papayatide/internal/bodybudget"
+	"github.com/papayatide/papayatide/internal/bounded"
 )
 
 const (
@@ -16,8 +17,6 @@
 	MaxResponseBytes = 8 << 20
 	// uncountedBytes is the size of a body up to which it is not counted against the budget.
 	uncountedBytes = 16 << 10
-	// maxHeadBytes bounds the status line and headers of a response.
-	maxHeadBytes = 64 << 10
 	// maxStrayResponses bounds how many responses to earlier requests an attempt skips
 	// before it fails.
 	maxStrayResponses = 2
@@ -33,15 +32,15 @@
 	errStrayResponse = errors.New("answer belongs to another request")
 )
 
-// headReader reads from source. While it is limited it fails after maxHeadBytes.
+// headReader reads from source. While it is limited it fails after bounded.MaxHeadBytes.
 type headReader struct {
 	source  io.Reader
 	limited bool
 	left    int
 }
 
-// limit makes further reads fail once maxHeadBytes have been read; unlimit ends that.
-func (r *headReader) limit() { r.limited, r.left = true, maxHeadBytes }
+// limit makes further reads fail once bounded.MaxHeadBytes have been read; unlimit ends that.
+func (r *headReader) limit() { r.limited, r.left = true, bounded.MaxHeadBytes }
 
 func (r *headReader) unlimit() { r.limited = false }
 
@@ -51,7 +50,7 @@
 		return r.source.Read(p)
 	}
 	if r.left == 0 {
-		return 0, eris.Wrapf(ErrResponseTooLarge, "head over %d bytes", maxHeadBytes)
+		return 0, eris.Wrapf(ErrResponseTooLarge, "head over %d bytes", bounded.MaxHeadBytes)
 	}
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
