target: a response over the bound is no response, and those to grants and probes are bounded

Callers saw (own interface): the first 4 MiB of a longer response, as if that were all of it.

Cause: the body was cut at MaxResponseBytes without an error. Responses to grants and probes were read until the deadline, heads up to 10 MiB.

Change: the client uses package bounded as the platform's does. The request ends with ErrNoResponse at once.

Result: TestEndlessResponseIsNoResponse failed before (a response of 4 MiB for the request; grants and probes without error after 3.0 s), and passes.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -17,10 +17,11 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/papayatide/papayatide/internal/bounded"
 	"github.com/papayatide/papayatide/internal/manifest"
 )
 
-// MaxResponseBytes is the most that is read of a target's response body.
+// MaxResponseBytes bounds a target's response body.
 const MaxResponseBytes = 4 << 20
 
 // ErrNotSent means that the request was not sent. The target can't have run it, so
@@ -74,7 +75,7 @@
 // to enable the second.
 func NewClient() *Client {
 	return &Client{pools: map[string]*http.Client{},
-		unpooled: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+		unpooled: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes}}}
 }
 
 // pool returns the HTTP client with the connection pool of u.
@@ -88,7 +89,8 @@
 			MaxIdleConnsPerHost: u.Connections,
 			// Closes blackholed connections once they are idle; later requests
 			// then open new ones.
-			IdleConnTimeout: 30 * time.Second,
+			IdleConnTimeout:        30 * time.Second,
+			MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		}}
 		c.pools[u.Addr] = httpClient
 	}
@@ -182,7 +184,7 @@
 		return nil, eris.Wrapf(errors.Join(ErrNoResponse, err), "forward to %s", u.Name)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes))
+	body, err := io.ReadAll(bounded.Reader(resp.Body, MaxResponseBytes))
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNoResponse, err), "forward to %s: read answer", u.Name)
 	}
@@ -205,7 +207,9 @@
 		return len(body), eris.Wrapf(err, "grant to %s", u.Name)
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
+	if err := bounded.Discard(resp.Body); err != nil {
+		return len(body), eris.Wrapf(err, "grant to %s: read answer", u.Name)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return len(body), eris.Errorf("grant to %s: status %d", u.Name, resp.StatusCode)
 	}
@@ -223,7 +227,9 @@
 		return eris.Wrapf(err, "probe %s", u.Name)
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
+	if err := bounded.Discard(resp.Body); err != nil {
+		return eris.Wrapf(err, "probe %s: read answer", u.Name)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("probe %s: status %d", u.Name, resp.StatusCode)
 	}
