relay: followers get an upstream's entries in order, and new ones the newest

A host that was cut off while an upstream reported that it was draining got only the late heartbeat after it, which has a higher sequence number than the entry that the host had; one that started took it as it was.

Change: small records of the upstreams stream stay among the recent ones when a later one replaces them. A record that is older than the newest entry is replaced by that in what new followers get.

Result: TestFollowersGetTheNewestWrites failed in both cases and TestFollowerGetsUpstreamRecordsInOrder before; they pass. A host that starts and reads the log service before it finds the planner still gets the last record only.

--- a/internal/entryhost/entryorder.go
+++ b/internal/entryhost/entryorder.go
@@ -56,6 +56,8 @@
 // confirmation is the check of an upstream that is ready according to its entry.
 type confirmation struct {
 	entry *catalogue.Upstream
+	// value is that of the entry's record.
+	value []byte
 	// outdated is set if the upstream has reported that it is leaving in an entry that is as new, or has
 	// written a newer one.
 	outdated bool
--- a/internal/entryhost/latewrite_test.go
+++ b/internal/entryhost/latewrite_test.go
@@ -11,8 +11,12 @@
 
 	"github.com/papayatide/papayatide/internal/catalogue"
 	"github.com/papayatide/papayatide/internal/metastore"
+	"github.com/papayatide/papayatide/internal/planner"
+	"github.com/papayatide/papayatide/internal/relay"
+	"github.com/papayatide/papayatide/internal/standin/memstore"
 	"github.com/papayatide/papayatide/internal/standin/rangeowner"
 	"github.com/papayatide/papayatide/internal/upstream"
+	"github.com/papayatide/papayatide/internal/view"
 )
 
 // testDrainTimeout is from when on no request may reach an upstream that has reported that it is draining.
@@ -142,12 +146,12 @@
 	const first, second = "u@1", "u@2"
 	ready := func(id string, sequence int64) func(*upstreamRegistry) {
 		return func(r *upstreamRegistry) {
-			r.register(&catalogue.Upstream{ID: id, Service: "s", Sequence: sequence})
+			r.register(&catalogue.Upstream{ID: id, Service: "s", Sequence: sequence}, nil)
 		}
 	}
 	draining := func(id string, sequence int64) func(*upstreamRegistry) {
 		return func(r *upstreamRegistry) {
-			r.register(&catalogue.Upstream{ID: id, Service: "s", Sequence: sequence, Leaving: true})
+			r.register(&catalogue.Upstream{ID: id, Service: "s", Sequence: sequence, Leaving: true}, nil)
 		}
 	}
 	now := time.Unix(1000, 0)
@@ -179,3 +183,34 @@
 		})
 	}
 }
+
+// Guards against a host that starts, or was cut off, and gets from the planner what the log service has carried out
+// late: an upstream's older entry.
+func TestFollowersGetTheNewestWrites(t *testing.T) {
+	c := newController(zap.NewNop(), memstore.New(), decoder{}, nil, view.NewPublisher(), planner.Options{Host: "h"}, testEvacuationTimeout)
+	entry := func(offset, sequence int64, leaving bool) metastore.Record {
+		return metastore.Record{Key: "u1", Offset: offset, Value: fmt.Appendf(nil, `{"ID":"u1","Service":"s","Sequence":%d,"Leaving":%v}`, sequence, leaving)}
+	}
+	at := func(offset int64) metastore.Position { return metastore.Position{Offset: offset} }
+	c.apply(relay.Batch{Stream: metastore.StreamUpstreams, Reset: true, Records: []metastore.Record{entry(0, 1, false)}, Next: at(1)})
+	for i, r := range []metastore.Record{entry(1, 6, true), entry(2, 2, false)} {
+		c.apply(relay.Batch{Stream: metastore.StreamUpstreams, Records: []metastore.Record{r}, Next: at(int64(i) + 2)})
+	}
+	for name, from := range map[string]int64{"started": -1, "was cut off": 1} {
+		t.Run(name, func(t *testing.T) {
+			views := view.NewPublisher()
+			f := newController(zap.NewNop(), memstore.New(), decoder{}, nil, views, planner.Options{Host: "f"}, testEvacuationTimeout)
+			if from > 0 {
+				f.apply(relay.Batch{Stream: metastore.StreamUpstreams, Reset: true, Records: []metastore.Record{entry(0, 1, false)}, Next: at(1)})
+			}
+			positions := map[metastore.Stream]metastore.Position{metastore.StreamUpstreams: at(from)}
+			for _, b := range c.replica.Fetch(t.Context(), positions, time.Second) {
+				f.apply(b)
+			}
+			v := views.Load()
+			if u := v.Upstreams.ByID["u1"]; u == nil || !u.Leaving {
+				t.Errorf("the upstream is %+v, want it leaving", u)
+			}
+		})
+	}
+}
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -183,7 +183,9 @@
 			continue
 		}
 		listed[rec.Key] = true
-		c.registry.register(u)
+		if newest := c.registry.register(u, rec.Value); newest != nil {
+			c.replica.SetNewest(metastore.StreamUpstreams, rec.Key, newest)
+		}
 	}
 	if reset {
 		c.registry.markMissingExcept(listed, c.missingGraceUntil(now), now)
--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -35,6 +35,8 @@
 	// newest holds the entry with the highest sequence number that each upstream has written. The log
 	// service may carry out an earlier write after it.
 	newest map[string]*catalogue.Upstream
+	// values holds the values of these entries' records.
+	values map[string][]byte
 	// unreadable is set for upstreams that are unlisted because another writer replaced their entry.
 	unreadable map[string]bool
 	// returning holds the checks of upstreams whose entry must be confirmed, by upstream ID.
@@ -49,19 +51,20 @@
 }
 
 func newUpstreamRegistry(zl *zap.Logger) *upstreamRegistry {
-	return &upstreamRegistry{zl: zl, upstreams: map[string]*catalogue.Upstream{}, incarnations: map[string]string{}, newest: map[string]*catalogue.Upstream{},
+	return &upstreamRegistry{zl: zl, upstreams: map[string]*catalogue.Upstream{}, incarnations: map[string]string{}, newest: map[string]*catalogue.Upstream{}, values: map[string][]byte{},
 		unreadable: map[string]bool{}, returning: map[string]*confirmation{}, unlisted: map[string]time.Time{}, suspects: map[string]time.Time{},
 		onReplaced: func(_, _ string) {}}
 }
 
-// register records an upstream's entry. A newer incarnation replaces the older
-// one. The entry of an older incarnation was written late and is ignored, as is
-// one that is older than the newest entry of its incarnation.
-func (r *upstreamRegistry) register(u *catalogue.Upstream) {
+// register records an upstream's entry, with the record's value. A newer incarnation replaces the
+// older one. The entry of an older incarnation was written late and is ignored, as is
+// one that is older than the newest entry of its incarnation. register then returns the
+// value of that one, otherwise nil.
+func (r *upstreamRegistry) register(u *catalogue.Upstream, value []byte) (newer []byte) {
 	server := catalogue.ServerID(u.ID)
 	known, ok := r.incarnations[server]
 	if ok && catalogue.IsLaterIncarnation(known, u.ID) {
-		return
+		return r.values[known]
 	}
 	if ok && known != u.ID {
 		r.forget(known)
@@ -70,12 +73,17 @@
 	}
 	switch decideEntry(r.known(u.ID), u) {
 	case adoptEntry:
+		r.values[u.ID] = value
 		r.adopt(u)
 	case keepNewerEntry:
 		r.keepNewest(u)
+		return r.values[u.ID]
 	case confirmEntry:
-		r.awaitConfirmation(u)
+		if c := r.awaitConfirmation(u, value); c.outdated {
+			return r.values[u.ID]
+		}
 	}
+	return nil
 }
 
 // known returns what is known of an upstream; nil if nothing is.
@@ -89,17 +97,18 @@
 }
 
 // awaitConfirmation begins the checks of an upstream, or continues them with its newest such entry.
-func (r *upstreamRegistry) awaitConfirmation(u *catalogue.Upstream) {
+func (r *upstreamRegistry) awaitConfirmation(u *catalogue.Upstream, value []byte) *confirmation {
 	newest := r.newest[u.ID]
 	c := r.returning[u.ID]
 	if c == nil {
 		c = &confirmation{interval: firstCheckInterval}
 		r.returning[u.ID] = c
 	}
-	c.entry = u
+	c.entry, c.value = u, value
 	c.outdated = u.Sequence < newest.Sequence || (newest.Leaving && u.Sequence == newest.Sequence)
 	r.zl.Info("entry states that a leaving upstream is ready; asking it", zap.Int("event", events.UpstreamUnconfirmed), zap.String("peer", u.ID),
 		zap.String("service", u.Service), zap.Int64("sequence", u.Sequence), zap.Int64("newest_sequence", newest.Sequence), zap.Bool("newest_leaving", newest.Leaving))
+	return c
 }
 
 // dueChecks returns the upstreams to send health checks to now. finishCheck must be called for each.
@@ -126,7 +135,7 @@
 	}
 	c.inFlight = false
 	if c.confirms(answer, now) {
-		delete(r.returning, id)
+		r.values[id] = c.value
 		r.adopt(c.entry)
 		return true
 	}
@@ -178,6 +187,7 @@
 func (r *upstreamRegistry) forget(id string) {
 	delete(r.upstreams, id)
 	delete(r.newest, id)
+	delete(r.values, id)
 	r.markListed(id)
 	if server := catalogue.ServerID(id); r.incarnations[server] == id {
 		delete(r.incarnations, server)
--- a/internal/entryhost/registry_test.go
+++ b/internal/entryhost/registry_test.go
@@ -19,7 +19,7 @@
 
 // registerUpstream registers an upstream of a service as ready.
 func registerUpstream(r *upstreamRegistry, id string) {
-	r.register(&catalogue.Upstream{ID: id, Service: "s"})
+	r.register(&catalogue.Upstream{ID: id, Service: "s"}, nil)
 }
 
 // state returns the state of an upstream: unknown, leaving or ready.
@@ -95,7 +95,7 @@
 	log := memstore.New()
 	views := view.NewPublisher()
 	c := newController(zap.NewNop(), log, decoder{}, nil, views, planner.Options{Host: "h"}, testEvacuationTimeout)
-	c.registry.register(&catalogue.Upstream{ID: "left", Service: "s"})
+	c.registry.register(&catalogue.Upstream{ID: "left", Service: "s"}, nil)
 	c.onStreamResult(metastore.StreamUpstreams, metastore.ErrNoResponse)
 	c.onStreamResult(metastore.StreamUpstreams, nil)
 	c.applyUpstreams(nil, true)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -148,7 +148,7 @@
 		return nil
 	}
 	added := recordsFrom(b.Records, st.next.Offset)
-	st.add(added)
+	st.add(added, b.Stream == metastore.StreamUpstreams)
 	st.next = b.Next
 	if b.Stream == metastore.StreamOwnership {
 		st.recent = nil // only the newest tables are sent
@@ -172,8 +172,9 @@
 	}
 }
 
-// add appends records that continue the stream.
-func (st *stream) add(recs []metastore.Record) {
+// add appends records that continue the stream. Only the newest record of a key stays among the recent
+// ones, and with ordered small older ones: followers need them to tell a late write from a new one.
+func (st *stream) add(recs []metastore.Record, ordered bool) {
 	replaced := map[string]bool{}
 	for _, r := range recs {
 		replaced[r.Key] = true
@@ -186,25 +187,26 @@
 			st.newest[r.Key] = r
 		}
 	}
-	// Only the newest record of a key counts. Without this, the last versions of a desired state
-	// of a megabyte would take half a gigabyte.
-	st.recent = slices.DeleteFunc(st.recent, func(r metastore.Record) bool { return replaced[r.Key] })
-	st.recent = append(st.recent, newestOfEachKey(recs)...)
+	// Without this, the last versions of a desired state of a megabyte would take half a gigabyte.
+	isDropped := func(r metastore.Record) bool { return !ordered || len(r.Value) >= minBaseBytes }
+	st.recent = slices.DeleteFunc(st.recent, func(r metastore.Record) bool { return replaced[r.Key] && isDropped(r) })
+	st.recent = append(st.recent, newestOfEachKey(recs, isDropped)...)
 	if n := len(st.recent) - maxRecentRecords; n > 0 {
 		st.recentFrom = st.recent[n-1].Offset + 1
 		st.recent = append([]metastore.Record(nil), st.recent[n:]...)
 	}
 }
 
-// newestOfEachKey returns the records that no later one of the same key replaces.
-func newestOfEachKey(recs []metastore.Record) []metastore.Record {
+// newestOfEachKey returns the records that no later one of the same key replaces, and those that are
+// not dropped although one does.
+func newestOfEachKey(recs []metastore.Record, isDropped func(metastore.Record) bool) []metastore.Record {
 	last := map[string]int{}
 	for i, r := range recs {
 		last[r.Key] = i
 	}
 	var out []metastore.Record
 	for i, r := range recs {
-		if last[r.Key] == i {
+		if last[r.Key] == i || !isDropped(r) {
 			out = append(out, r)
 		}
 	}
@@ -218,7 +220,7 @@
 }
 
 // SetNewest replaces the newest record of a key, which the log has in an older version or not at
-// all, for followers that read the stream as a whole.
+// all, for followers that have not read the one that it replaces.
 func (r *Replica) SetNewest(s metastore.Stream, key string, value []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -248,3 +248,16 @@
 		t.Errorf("the follower has %s up to %+v, want %s", got, follower.Next(upstreams), want)
 	}
 }
+
+// Guards against a follower that gets only a late write of an upstream's entry, and not the newer one that the
+// log has before it.
+func TestFollowerGetsUpstreamRecordsInOrder(t *testing.T) {
+	replica := NewReplica()
+	replica.Apply(Batch{Stream: upstreams, Reset: true, Records: []metastore.Record{newRecord(0, "u1", "ready 1")}, Next: at(1)})
+	replica.Apply(Batch{Stream: upstreams, Records: []metastore.Record{newRecord(1, "u1", "draining 6")}, Next: at(2)})
+	replica.Apply(Batch{Stream: upstreams, Records: []metastore.Record{newRecord(2, "u1", "ready 2")}, Next: at(3)})
+	got := replica.Fetch(context.Background(), map[metastore.Stream]metastore.Position{upstreams: at(1)}, time.Nanosecond)
+	if len(got) != 1 || len(got[0].Records) != 2 || string(got[0].Records[0].Value) != "draining 6" || string(got[0].Records[1].Value) != "ready 2" {
+		t.Errorf("fetched %+v", got)
+	}
+}
