entryhost: a desired state that is carried out late does not reach followers

A write of an operator that is carried out after a newer one left the older version for hosts that start or were cut off, until the next publication.

Change: the planner keeps the state in force in its replica after each read, not only after a reset, and for followers that lack recent records too.

Result: both cases of TestFollowersGetTheNewestWrites had version 5 instead of 6 before; they pass.

--- a/internal/entryhost/latewrite_test.go
+++ b/internal/entryhost/latewrite_test.go
@@ -185,25 +185,33 @@
 }
 
 // Guards against a host that starts, or was cut off, and gets from the planner what the log service has carried out
-// late: an upstream's older entry.
+// late: an upstream's older entry, or an older desired state.
 func TestFollowersGetTheNewestWrites(t *testing.T) {
 	c := newController(zap.NewNop(), memstore.New(), decoder{}, nil, view.NewPublisher(), planner.Options{Host: "h"}, testEvacuationTimeout)
 	entry := func(offset, sequence int64, leaving bool) metastore.Record {
 		return metastore.Record{Key: "u1", Offset: offset, Value: fmt.Appendf(nil, `{"ID":"u1","Service":"s","Sequence":%d,"Leaving":%v}`, sequence, leaving)}
 	}
+	state := func(offset int64, version string) metastore.Record {
+		return metastore.Record{Key: "state", Offset: offset, Value: []byte(version)}
+	}
 	at := func(offset int64) metastore.Position { return metastore.Position{Offset: offset} }
 	c.apply(relay.Batch{Stream: metastore.StreamUpstreams, Reset: true, Records: []metastore.Record{entry(0, 1, false)}, Next: at(1)})
+	c.apply(relay.Batch{Stream: metastore.StreamOperators, Reset: true, Records: []metastore.Record{state(0, "4")}, Next: at(1)})
 	for i, r := range []metastore.Record{entry(1, 6, true), entry(2, 2, false)} {
 		c.apply(relay.Batch{Stream: metastore.StreamUpstreams, Records: []metastore.Record{r}, Next: at(int64(i) + 2)})
 	}
+	for i, r := range []metastore.Record{state(1, "6"), state(2, "5")} {
+		c.apply(relay.Batch{Stream: metastore.StreamOperators, Records: []metastore.Record{r}, Next: at(int64(i) + 2)})
+	}
 	for name, from := range map[string]int64{"started": -1, "was cut off": 1} {
 		t.Run(name, func(t *testing.T) {
 			views := view.NewPublisher()
 			f := newController(zap.NewNop(), memstore.New(), decoder{}, nil, views, planner.Options{Host: "f"}, testEvacuationTimeout)
 			if from > 0 {
 				f.apply(relay.Batch{Stream: metastore.StreamUpstreams, Reset: true, Records: []metastore.Record{entry(0, 1, false)}, Next: at(1)})
+				f.apply(relay.Batch{Stream: metastore.StreamOperators, Reset: true, Records: []metastore.Record{state(0, "4")}, Next: at(1)})
 			}
-			positions := map[metastore.Stream]metastore.Position{metastore.StreamUpstreams: at(from)}
+			positions := map[metastore.Stream]metastore.Position{metastore.StreamUpstreams: at(from), metastore.StreamOperators: at(from)}
 			for _, b := range c.replica.Fetch(t.Context(), positions, time.Second) {
 				f.apply(b)
 			}
@@ -211,6 +219,9 @@
 			if u := v.Upstreams.ByID["u1"]; u == nil || !u.Leaving {
 				t.Errorf("the upstream is %+v, want it leaving", u)
 			}
+			if v.Desired == nil || v.Desired.Version != 6 {
+				t.Errorf("the desired state is %+v, want version 6", v.Desired)
+			}
 		})
 	}
 }
--- a/internal/entryhost/records.go
+++ b/internal/entryhost/records.go
@@ -46,9 +46,7 @@
 	switch b.Stream {
 	case metastore.StreamOperators:
 		c.applyDesired(fresh.Records)
-		if fresh.Reset {
-			c.keepNewerDesired()
-		}
+		c.keepNewerDesired()
 		c.applyEvacuations(fresh.Records, fresh.Reset, fresh.NewEra)
 	case metastore.StreamUpstreams:
 		c.applyUpstreams(fresh.Records, fresh.Reset)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -231,6 +231,14 @@
 	}
 	rec.Value = value
 	st.newest[key] = rec
+	if s == metastore.StreamUpstreams {
+		return // the recent records show their order
+	}
+	for i := range st.recent {
+		if st.recent[i].Key == key {
+			st.recent[i].Value = value
+		}
+	}
 }
 
 // Newest returns the newest record of a key; false if there is none.
