crashes: a crash record that is carried out after its deletion is ignored

A repetition that the log service carries out after another host has seen the request succeed, and deleted the records, made that request suspect again, or refused it on all hosts until a trial request.

Change: hosts keep when they read the deletion of each crash for a minute, and ignore records of that crash that are not later.

Result: TestLateCrashRecordsAreIgnored failed before (after the deletion and after a reset), and passes.

--- a/internal/crashes/tracker.go
+++ b/internal/crashes/tracker.go
@@ -17,6 +17,8 @@
 	// the servers may run a version by then that survives it; if not, it crashes at most
 	// RefusalThreshold servers a day, apart from trial requests (see TakeTrial).
 	Retention = 24 * time.Hour
+	// lateWriteTime is for how long after a deletion the log service may carry out an earlier write.
+	lateWriteTime = time.Minute
 	// maxFingerprints bounds the fingerprints that are tracked. Beyond it the one with
 	// the fewest crashes is evicted.
 	maxFingerprints = 4096
@@ -59,6 +61,8 @@
 	// pending holds this host's changes that are not written yet.
 	pending  map[crashKey]Change
 	pendingC chan struct{}
+	// deletions holds when each crash was deleted last, by this host or another, for lateWriteTime.
+	deletions map[crashKey]time.Time
 	// recent holds crashes and broken sends, to recognise correlated failures.
 	recent recentFailures
 	// trialsAllowed reports whether this host sends trial requests; trials holds their
@@ -73,7 +77,7 @@
 	if onRefused == nil {
 		onRefused = func(Fingerprint) {}
 	}
-	return &Tracker{onRefused: onRefused, crashes: map[Fingerprint]map[string]time.Time{}, pending: map[crashKey]Change{}, pendingC: make(chan struct{}, 1),
+	return &Tracker{onRefused: onRefused, crashes: map[Fingerprint]map[string]time.Time{}, pending: map[crashKey]Change{}, deletions: map[crashKey]time.Time{}, pendingC: make(chan struct{}, 1),
 		trials: map[Fingerprint]trialSchedule{}}
 }
 
@@ -116,6 +120,7 @@
 	times := t.crashes[fp]
 	for server, at := range times {
 		t.enqueue(Change{Crash: Crash{fp, server, at}, Deleted: true})
+		t.deletions[crashKey{fp, server}] = time.Now()
 	}
 	delete(t.crashes, fp)
 	delete(t.trials, fp)
@@ -193,14 +198,23 @@
 	return out
 }
 
+// isDeleted reports whether the crash was deleted after it was observed. Its record may have been
+// written by a call without a response, which the log service has carried out after the deletion.
+func (t *Tracker) isDeleted(crash Crash) bool {
+	k := crashKey{crash.Fingerprint, crash.Server}
+	at, ok := t.deletions[k]
+	return t.pending[k].Deleted || (ok && !crash.At.After(at))
+}
+
 // Apply applies a change that was read, written by this host or another. It ignores a
-// crash whose deletion by this host is not written yet.
+// crash that was deleted after it was observed.
 func (t *Tracker) Apply(c Change) {
 	t.mu.Lock()
 	count, isNew := 0, false
 	if c.Deleted {
 		t.remove(c.Fingerprint, c.Server)
-	} else if !t.pending[crashKey{c.Fingerprint, c.Server}].Deleted {
+		t.deletions[crashKey{c.Fingerprint, c.Server}] = time.Now()
+	} else if !t.isDeleted(c.Crash) {
 		count, isNew = t.add(c.Crash)
 	}
 	t.mu.Unlock()
@@ -214,7 +228,9 @@
 	defer t.mu.Unlock()
 	clear(t.crashes)
 	for _, crash := range crashes {
-		t.add(crash)
+		if !t.isDeleted(crash) {
+			t.add(crash)
+		}
 	}
 	for k, c := range t.pending {
 		if c.Deleted {
@@ -234,7 +250,7 @@
 	for _, crash := range crashes {
 		k := crashKey{crash.Fingerprint, crash.Server}
 		given[k] = true
-		if !t.pending[k].Deleted {
+		if !t.isDeleted(crash) {
 			t.add(crash)
 		}
 	}
@@ -255,6 +271,7 @@
 func (t *Tracker) Expire(now time.Time, publish bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.deletions, func(_ crashKey, at time.Time) bool { return now.Sub(at) > lateWriteTime })
 	for fp, times := range t.crashes {
 		for server, at := range times {
 			if now.Sub(at) < Retention {
--- a/internal/crashes/tracker_test.go
+++ b/internal/crashes/tracker_test.go
@@ -253,3 +253,33 @@
 		}
 	}
 }
+
+// Guards against a harmless request that is refused again, on live hosts, by crash records that the log service
+// carries out after their deletion. A later crash of the same server must count.
+func TestLateCrashRecordsAreIgnored(t *testing.T) {
+	tracker, now := NewTracker(nil), time.Now()
+	fp := testFingerprint(1)
+	var late []Crash
+	for i := range RefusalThreshold {
+		c := Crash{fp, fmt.Sprint("s", i), now.Add(-2 * time.Second)}
+		late = append(late, c)
+		tracker.Apply(Change{Crash: c})
+	}
+	for _, c := range late {
+		tracker.Apply(Change{Crash: Crash{Fingerprint: fp, Server: c.Server}, Deleted: true})
+	}
+	for _, c := range late {
+		tracker.Apply(Change{Crash: c})
+	}
+	if tracker.IsSuspect(fp) {
+		t.Error("late records count after the deletion")
+	}
+	tracker.Replace(late)
+	if tracker.IsSuspect(fp) {
+		t.Error("late records count after a reset")
+	}
+	tracker.Apply(Change{Crash: Crash{fp, "s0", time.Now().Add(time.Second)}})
+	if !tracker.IsSuspect(fp) {
+		t.Error("a crash after the deletion is ignored")
+	}
+}
