soak: heartbeats that are carried out late, also those of upstreams that leave

Change: the soak's upstreams number their entries, state from their first report on that they drain, and write nothing once they have left without a report.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -37,7 +37,8 @@
 //	          cold after a restart and after a long evacuation of their data centre
 //	LIMIT     an upstream received more requests than the rate limit that it reports
 //	DRAIN     a request reached an upstream through a host that had received its report
-//	          of leaving more than rangeowner.DrainGrace before the request began
+//	          of leaving more than rangeowner.DrainGrace before the request began, or had
+//	          acknowledged its leaving, by its entry, more than drainTimeout before
 //	BUDGET    a fatal request crashed too many upstreams, or a host sent too many
 //	          requests to an upstream during its backoff
 package soak
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -70,6 +70,10 @@
 	startNumber int64
 	up          bool
 	srv         *http.Server
+	// sequence counts its entries. draining is set once one states that it drains, withdrawn once it has left
+	// without a report and writes no more.
+	sequence            int64
+	draining, withdrawn bool
 	// coldFrom is when the upstream last became cold; zero if it never did.
 	coldFrom time.Time
 }
@@ -227,10 +231,21 @@
 	})
 }
 
-// writeEntry writes the upstream's entry, its record in the upstreams' stream, to the log.
+// writeEntry writes the upstream's entry, its record in the upstreams' stream, to the log. From the first
+// that states that it is leaving on, all do. env.mu must be locked.
 func (env *Environment) writeEntry(inc *incarnation, leaving bool) {
-	env.log.Put(metastore.StreamUpstreams, inc.ID, standin.UpstreamRecord(&catalogue.Upstream{ID: catalogue.IncarnationID(inc.ID, inc.startNumber), Service: inc.endpoint.service,
-		Addr: inc.endpoint.proxy.Addr(), DataCentre: inc.endpoint.dataCentre, Slots: slots, Leaving: leaving, SlowUntil: inc.coldFrom.Add(env.slowStart.Duration)}))
+	if leaving {
+		inc.draining = true
+		inc.SetDraining()
+	}
+	env.log.Put(metastore.StreamUpstreams, inc.ID, env.nextEntry(inc))
+}
+
+// nextEntry returns the entry that the upstream writes next. env.mu must be locked.
+func (env *Environment) nextEntry(inc *incarnation) []byte {
+	inc.sequence++
+	return standin.UpstreamRecord(&catalogue.Upstream{ID: catalogue.IncarnationID(inc.ID, inc.startNumber), Service: inc.endpoint.service, Sequence: inc.sequence,
+		Addr: inc.endpoint.proxy.Addr(), DataCentre: inc.endpoint.dataCentre, Slots: slots, Leaving: inc.draining, SlowUntil: inc.coldFrom.Add(env.slowStart.Duration)})
 }
 
 // kill closes the endpoint's current incarnation at once and returns it. The entry
@@ -264,7 +279,7 @@
 	time.AfterFunc(restoreAfter, func() {
 		env.mu.Lock()
 		defer env.mu.Unlock()
-		if inc.up && ep.current == inc {
+		if inc.up && !inc.withdrawn && ep.current == inc {
 			env.writeEntry(inc, false)
 		}
 	})
@@ -281,7 +296,7 @@
 		time.AfterFunc(after, func() {
 			env.mu.Lock()
 			defer env.mu.Unlock()
-			if inc.up {
+			if inc.up && !inc.withdrawn {
 				env.writeEntry(inc, false)
 			}
 		})
--- a/internal/soak/evacuate.go
+++ b/internal/soak/evacuate.go
@@ -76,7 +76,7 @@
 		time.AfterFunc(heartbeatInterval, func() {
 			env.mu.Lock()
 			defer env.mu.Unlock()
-			if inc.up && ep.current == inc {
+			if inc.up && !inc.withdrawn && ep.current == inc {
 				env.writeEntry(inc, false)
 			}
 		})
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -45,6 +45,8 @@
 	pathCuts []*pathCut
 	// evacuations are the times for which farDC was evacuated.
 	evacuations []evacuation
+	// departures are the upstreams that have left after a heartbeat that was carried out late.
+	departures []departure
 	// busy holds the hosts, endpoints, proxies and others that a fault affects now.
 	// Of two faults on the same one, the first to end would undo the other.
 	busy map[any]bool
@@ -212,7 +214,11 @@
 func (in *injector) drainUpstream(context.Context) {
 	ep := in.randomEndpoint()
 	in.runFault("drain upstream "+ep.proxy.Addr(), nil, ep, 4*time.Second,
-		func() { in.env.writeEntry(ep.current, true) },
+		func() {
+			in.env.mu.Lock()
+			defer in.env.mu.Unlock()
+			in.env.writeEntry(ep.current, true)
+		},
 		func() {
 			in.env.expireEntry(in.env.kill(ep))
 			in.startUpstream(ep)
--- a/internal/soak/reports.go
+++ b/internal/soak/reports.go
@@ -70,6 +70,8 @@
 		func() {
 			inc := in.startReport(ep, rangeowner.Report{Leaving: true})
 			if markEntry {
+				in.env.mu.Lock()
+				defer in.env.mu.Unlock()
 				in.env.writeEntry(inc, true)
 			}
 		},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -42,6 +42,8 @@
 	// KillsBehindCuts kills the planner's process while a cut holds up its grants, which arrive after
 	// the cut. Upstreams close idle connections then.
 	KillsBehindCuts bool
+	// LateWrites has heartbeats of upstreams carried out late, also after they have left.
+	LateWrites bool
 	// Hosts, Keyed, Unkeyed and Callers are the numbers of entry hosts, upstreams
 	// of the service with keys, upstreams of the service without keys, and callers.
 	Hosts, Keyed, Unkeyed, Callers int
@@ -163,6 +165,9 @@
 	if opts.KillsBehindCuts {
 		in.wg.Go(func() { in.runKillsBehindCuts(fctx, opts.Seed) })
 	}
+	if opts.LateWrites {
+		in.wg.Go(func() { in.runLateWrites(fctx, opts.Seed) })
+	}
 	in.run(fctx)
 	cancel()
 	if opts.Evacuate {
@@ -210,6 +215,7 @@
 	r.Violations = append(r.Violations, in.checkFatalRequests(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkColdUpstreams(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkReports(c.outcomes)...)
+	r.Violations = append(r.Violations, in.checkDepartures(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkEvacuated(c.outcomes)...)
 	r.Violations = append(r.Violations, in.checkPathCuts(c.outcomes)...)
 	env.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,10 +35,11 @@
 // run is one run. With -seeds, odd seeds have fatal requests, two of four seeds have
 // evacuations and slow starts, two of three have reports, three of five have returns of the
 // log from copies, and four of seven have hard load. From firstPathCutSeed on, two of three cut hosts
-// off from all upstreams, and from firstKillBehindCutSeed on, the third kills planners behind cuts.
+// off from all upstreams, and from firstKillBehindCutSeed on, the third kills planners behind cuts. From
+// firstLateWriteSeed on, one of two has late writes.
 type run struct {
-	seed                                                                      uint64
-	fatal, evacuate, reports, logReturns, hardLoad, pathCuts, killsBehindCuts bool
+	seed                                                                                  uint64
+	fatal, evacuate, reports, logReturns, hardLoad, pathCuts, killsBehindCuts, lateWrites bool
 }
 
 // firstPathCutSeed is the first seed whose run may cut hosts off from all upstreams.
@@ -47,6 +48,9 @@
 // firstKillBehindCutSeed is the first seed whose run may kill planners behind cuts.
 const firstKillBehindCutSeed = 110_000
 
+// firstLateWriteSeed is the first seed whose run may carry writes out late.
+const firstLateWriteSeed = 120_000
+
 // binaries are the paths of the programs that a run needs.
 type binaries struct{ daemon, hostWithPathFaults string }
 
@@ -76,7 +80,8 @@
 		list = nil
 		for i := range *seeds {
 			seed := start + uint64(i)
-			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0, seed%5 < 3, seed%7 < 4, seed >= firstPathCutSeed && seed%3 < 2, seed >= firstKillBehindCutSeed && seed%3 == 2})
+			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0, seed%5 < 3, seed%7 < 4, seed >= firstPathCutSeed && seed%3 < 2, seed >= firstKillBehindCutSeed && seed%3 == 2,
+				seed >= firstLateWriteSeed && seed/2%2 == 0})
 		}
 	}
 	runAll(t, binary, list)
@@ -120,6 +125,14 @@
 	}
 }
 
+// TestSoakWithLateWrites adds heartbeats of upstreams, also of leaving ones, that the log service carries
+// out late, during all the other faults.
+func TestSoakWithLateWrites(t *testing.T) {
+	if *seeds == 0 {
+		runAll(t, buildDaemon(t), []run{{seed: 5, lateWrites: true}})
+	}
+}
+
 // runAll makes the runs, at most as many at a time as the flag -beside allows.
 func runAll(t *testing.T, programs binaries, list []run) {
 	slots := make(chan struct{}, *parallelRuns)
@@ -151,7 +164,7 @@
 	if cfg.pathCuts {
 		binary = programs.hostWithPathFaults
 	}
-	r, err := Run(context.Background(), Options{Binary: binary, PathCuts: cfg.pathCuts, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, KillsBehindCuts: cfg.killsBehindCuts, HardLoad: cfg.hardLoad, FaultDuration: *faultTime, Hosts: *hostCount, Keyed: 4, Unkeyed: unkeyed, Callers: *callerCount})
+	r, err := Run(context.Background(), Options{Binary: binary, PathCuts: cfg.pathCuts, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, KillsBehindCuts: cfg.killsBehindCuts, LateWrites: cfg.lateWrites, HardLoad: cfg.hardLoad, FaultDuration: *faultTime, Hosts: *hostCount, Keyed: 4, Unkeyed: unkeyed, Callers: *callerCount})
 	if err != nil {
 		t.Fatal(err)
 	}
