--- a/internal/standin/rangeowner/upstream.go
+++ b/internal/standin/rangeowner/upstream.go
@@ -48,6 +48,7 @@
 	arrivals []Arrival
 	report   Report
 	draining bool
+	endless  *EndlessResponse
 }
 
 // HealthPath is the path of health checks.
@@ -265,6 +266,9 @@
 			return
 		}
 	}
+	if u.serveEndless(w) {
+		return
+	}
 	u.mu.Lock()
 	report := u.report
 	if report.Backoff == 0 {
