--- a/internal/dispatch/endless_response_test.go
+++ b/internal/dispatch/endless_response_test.go
@@ -37,6 +37,25 @@
 	}
 }
 
+// postEndless sends requests at once to upstreams whose responses do not end. Each must end early.
+func (h *harness) postEndless(t *testing.T, concurrent int) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for range concurrent {
+		wg.Go(func() {
+			began := time.Now()
+			got := h.post("charge.example", "r")
+			if got.status != http.StatusBadGateway && got.status != http.StatusServiceUnavailable {
+				t.Errorf("got %d, want 502, or 503 for a request that was not sent", got.status)
+			}
+			if took := time.Since(began); took >= testTimeout/2 {
+				t.Errorf("%d after %v", got.status, took)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // Guards against a response head without end that fills the host's memory until the request's deadline.
 func TestEndlessResponseHeadEndsRequest(t *testing.T) {
 	const concurrent = 30
@@ -47,20 +66,7 @@
 			h.post("charge.example", "warm-up")
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			var wg sync.WaitGroup
-			for range concurrent {
-				wg.Go(func() {
-					began := time.Now()
-					got := h.post("charge.example", "r")
-					if got.status != http.StatusBadGateway && got.status != http.StatusServiceUnavailable {
-						t.Errorf("got %d, want 502, or 503 for a request that was not sent", got.status)
-					}
-					if took := time.Since(began); took >= testTimeout/2 {
-						t.Errorf("%d after %v", got.status, took)
-					}
-				})
-			}
-			wg.Wait()
+			h.postEndless(t, concurrent)
 			runtime.ReadMemStats(&after)
 			if allocated := after.TotalAlloc - before.TotalAlloc; allocated > hostMemory {
 				t.Errorf("%d MiB allocated for %d requests; the host has %d MiB", allocated>>20, concurrent, hostMemory>>20)
@@ -123,22 +129,7 @@
 			h := newHarness(t, ups...)
 			h.d.SetMemory(hostMemory >> 20)
 			h.setOwner("sound", 1)
-			peak := peakHeap(func() {
-				var wg sync.WaitGroup
-				for range concurrent {
-					wg.Go(func() {
-						began := time.Now()
-						got := h.post("charge.example", "r")
-						if got.status != http.StatusBadGateway && got.status != http.StatusServiceUnavailable {
-							t.Errorf("got %d, want 502, or 503 for a request that was not sent", got.status)
-						}
-						if took := time.Since(began); took >= testTimeout/2 {
-							t.Errorf("%d after %v", got.status, took)
-						}
-					})
-				}
-				wg.Wait()
-			})
+			peak := peakHeap(func() { h.postEndless(t, concurrent) })
 			t.Logf("the heap grew by %d MiB", peak>>20)
 			if peak > hostMemory {
 				t.Errorf("the heap grew by %d MiB; the host has %d MiB", peak>>20, hostMemory>>20)
--- a/internal/entryhost/entryorder.go
+++ b/internal/entryhost/entryorder.go
@@ -23,8 +23,8 @@
 type knownUpstream struct {
 	// newest is its entry with the highest sequence number.
 	newest *catalogue.Upstream
-	// removed is set while it has no entry, unreadable while another writer has replaced its entry.
-	removed, unreadable bool
+	// removed is set while it has no entry; one that another writer has replaced counts as an entry.
+	removed bool
 }
 
 // decideEntry returns what to do with an entry of an incarnation; known is nil if this is its first. The
--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -93,7 +93,7 @@
 		return nil
 	}
 	_, isUnlisted := r.unlisted[id]
-	return &knownUpstream{newest: newest, removed: isUnlisted && !r.unreadable[id], unreadable: r.unreadable[id]}
+	return &knownUpstream{newest: newest, removed: isUnlisted && !r.unreadable[id]}
 }
 
 // awaitConfirmation begins the checks of an upstream, or continues them with its newest such entry.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -240,15 +240,10 @@
 // Connect opens a connection to t and pools it for the next request. It fails if t does not accept
 // the connection, or ends it at once.
 func (c *Client) Connect(ctx context.Context, t Target) error {
-	start := time.Now()
-	cn, err := c.dial(ctx, t.Addr)
+	cn, err := c.dialAccepted(ctx, t.Addr)
 	if err != nil {
 		return err
 	}
-	if err := cn.checkRejected(time.Since(start)); err != nil {
-		cn.abort()
-		return err
-	}
 	cn.idleUntil = time.Now().Add(defaultIdleTimeout)
 	c.poolFor(t).put(cn)
 	return nil
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -36,15 +36,10 @@
 // CheckHealth sends a health check to t: a GET request to path. ctx must have a deadline. The check
 // opens a connection, which is pooled if the upstream is healthy.
 func (c *Client) CheckHealth(ctx context.Context, t Target, path string) (Health, error) {
-	start := time.Now()
-	cn, err := c.dial(ctx, t.Addr)
+	cn, err := c.dialAccepted(ctx, t.Addr)
 	if err != nil {
 		return healthOfFailure(err), eris.Wrapf(err, "upstream %s: connect", t.ID)
 	}
-	if err := cn.checkRejected(time.Since(start)); err != nil {
-		cn.abort()
-		return healthOfFailure(err), eris.Wrapf(err, "upstream %s: check new connection", t.ID)
-	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	health, reusable, err := c.healthRoundTrip(ctx, cn, t, path)
 	if !stop() || !reusable {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -246,6 +246,20 @@
 	return &conn{Conn: nc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), openedAt: time.Now()}
 }
 
+// dialAccepted is dial for a connection that the upstream does not reject at once.
+func (c *Client) dialAccepted(ctx context.Context, addr string) (*conn, error) {
+	start := time.Now()
+	cn, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	if err := cn.checkRejected(time.Since(start)); err != nil {
+		cn.abort()
+		return nil, err
+	}
+	return cn, nil
+}
+
 // dialBy is dial with a further deadline, unless that is zero.
 func (c *Client) dialBy(ctx context.Context, by time.Time, addr string) (*conn, error) {
 	if by.IsZero() {
