upstream: a path that begins with two slashes is forwarded as it is

Callers saw: a request for //stock/pages/0 of one host ran for host stock and path /pages/0, or failed with 502.

Cause: the target was passed to net/http as an opaque URL, to which it adds the scheme if it begins with two slashes.

Change: such a target is sent as a path and a query; one that would not be sent unchanged is refused with 400.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -143,6 +143,9 @@
 		}
 		req.key = key
 	}
+	if !upstream.CanForward(r.RequestURI) {
+		return nil, refusalWithStatus(CauseBadRequest, http.StatusBadRequest)
+	}
 	req.outbound = &upstream.Request{ID: r.Header.Get(d.headers.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: endToEndHeaders(r.Header)}
 	refusal := d.readBody(req, r)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -312,7 +313,8 @@
 	}
 	h.Set(c.headers.TimeoutMs, strconv.FormatInt(max(timeout.Milliseconds(), 1), 10))
 	h.Set(c.headers.ExpectedUpstream, catalogue.ServerID(t.ID))
-	httpReq := &http.Request{Method: req.Method, URL: &url.URL{Scheme: "http", Host: req.Host, Opaque: req.URI},
+	target, _ := requestTarget(req.URI)
+	httpReq := &http.Request{Method: req.Method, URL: target,
 		Host: req.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	switch {
 	case req.Stream != nil:
@@ -323,6 +325,25 @@
 	return httpReq
 }
 
+// CanForward reports whether a request target can be sent as it is.
+func CanForward(uri string) bool {
+	_, ok := requestTarget(uri)
+	return ok
+}
+
+// requestTarget returns a URL that is sent as uri, the request target as a caller sent it. It reports
+// whether that is so.
+func requestTarget(uri string) (*url.URL, bool) {
+	if !strings.HasPrefix(uri, "//") {
+		return &url.URL{Scheme: "http", Opaque: uri}, true
+	}
+	// net/http would send an opaque part with two slashes as an absolute URL, whose host counts.
+	path, query, hasQuery := strings.Cut(uri, "?")
+	unescaped, err := url.PathUnescape(path)
+	u := &url.URL{Path: unescaped, RawPath: path, RawQuery: query, ForceQuery: hasQuery}
+	return u, err == nil && u.RequestURI() == uri
+}
+
 // countingWriter counts the bytes that w has accepted. If the kernel has accepted none of a
 // request, none can have reached the upstream.
 type countingWriter struct {
