soak: the entry of an upstream that writes no more expires after a late heartbeat

Cause: an entry that was carried out after its upstream had ended stayed for good, which the platform's does not: it is removed after three heartbeats of silence.

Change: such an entry is removed after three heartbeats.

--- a/internal/soak/latewrites.go
+++ b/internal/soak/latewrites.go
@@ -19,6 +19,8 @@
 	maxLateWriteGap = 2 * time.Second
 	// minLateness and maxLateness bound the time after which the log service carries one out.
 	minLateness, maxLateness = time.Second, 6 * time.Second
+	// entryExpiry is after how long without heartbeats the log service deletes an entry.
+	entryExpiry = 3 * heartbeatInterval
 	// drainTime is how long an upstream that leaves goes on serving after its report, or after the removal of
 	// its entry; no request may reach it later than drainTimeout after that.
 	drainTime, drainTimeout = 6 * time.Second, 2 * time.Second
@@ -84,7 +86,19 @@
 	defer env.mu.Unlock()
 	inc := ep.current
 	data := env.nextEntry(inc)
-	time.AfterFunc(late, func() { env.log.PutLate(metastore.StreamUpstreams, inc.ID, data) })
+	time.AfterFunc(late, func() {
+		env.log.PutLate(metastore.StreamUpstreams, inc.ID, data)
+		time.AfterFunc(entryExpiry, func() { env.expireSilentEntry(inc) })
+	})
+}
+
+// expireSilentEntry deletes the incarnation's entry if it writes no more and no later one has its ID.
+func (env *Environment) expireSilentEntry(inc *incarnation) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	if now := inc.endpoint.current; (now == inc || now.ID != inc.ID) && (!inc.up || inc.withdrawn) {
+		env.log.Put(metastore.StreamUpstreams, inc.ID, nil)
+	}
 }
 
 // acknowledgement is a line of a host's log which states that an upstream is leaving or has no entry.
