entryhost: an entry that was removed during an outage and replaced by another writer is confirmed too

Saw: soak, requests at an upstream 3.5 to 5.4 s after two hosts had logged that it had no entry. It left without a report while another writer had replaced its entry, and its late heartbeat was newer than all that was read.

Cause: the hosts had been paused, so that its missing entry might have expired in an outage. It then counted as replaced by another writer, not as removed, and its next entry was adopted unasked.

Change: a removal during an outage ends the mark of an unreadable entry, and an unreadable entry after it sets none.

--- a/internal/entryhost/latewrite_test.go
+++ b/internal/entryhost/latewrite_test.go
@@ -156,6 +156,7 @@
 	}
 	now := time.Unix(1000, 0)
 	removed := func(r *upstreamRegistry) { r.markMissing("u", now, now) }
+	removedInOutage := func(r *upstreamRegistry) { r.markMissing("u", now.Add(time.Second), now) }
 	unusable := func(r *upstreamRegistry) { r.markUnreadable("u", now) }
 	for _, c := range []struct {
 		name    string
@@ -171,8 +172,10 @@
 		{"another writer's unusable entry, then an older one of its own", []func(*upstreamRegistry){ready(first, 4), unusable, ready(first, 3)}, first, "ready"},
 		{"unusable entry after the report", []func(*upstreamRegistry){draining(first, 4), unusable, ready(first, 3)}, first, "leaving"},
 		{"unusable entry, removal, older entry", []func(*upstreamRegistry){ready(first, 4), unusable, removed, ready(first, 3)}, first, "leaving"},
-		{"older entry while its entry may have expired", []func(*upstreamRegistry){ready(first, 4), func(r *upstreamRegistry) { r.markMissing("u", now.Add(time.Second), now) },
-			ready(first, 3), func(r *upstreamRegistry) { r.expireSuspects(false, now.Add(time.Minute)) }}, first, "ready"},
+		{"unusable entry, removal during an outage, newer entry", []func(*upstreamRegistry){ready(first, 4), unusable, removedInOutage, ready(first, 5)}, first, "leaving"},
+		{"removal during an outage, unusable entry, newer entry", []func(*upstreamRegistry){ready(first, 4), removedInOutage, unusable, ready(first, 5)}, first, "leaving"},
+		{"older entry while its entry may have expired", []func(*upstreamRegistry){ready(first, 4), removedInOutage, ready(first, 3),
+			func(r *upstreamRegistry) { r.expireSuspects(false, now.Add(time.Minute)) }}, first, "ready"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newUpstreamRegistry(zap.NewNop())
--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -202,10 +202,8 @@
 	id := r.incarnations[server]
 	_, isUnlisted := r.unlisted[id]
 	delete(r.returning, id)
+	delete(r.unreadable, id)
 	if r.upstreams[id] == nil || isUnlisted {
-		if !now.Before(graceUntil) {
-			delete(r.unreadable, id)
-		}
 		return
 	}
 	if !now.Before(graceUntil) {
@@ -221,8 +219,13 @@
 func (r *upstreamRegistry) markUnreadable(server string, now time.Time) {
 	id := r.incarnations[server]
 	delete(r.returning, id)
-	if _, isUnlisted := r.unlisted[id]; r.upstreams[id] != nil && !isUnlisted {
-		r.unlist(id, now)
+	if _, isUnlisted := r.unlisted[id]; r.upstreams[id] == nil || isUnlisted {
+		return
+	}
+	_, wasMissing := r.suspects[id]
+	delete(r.suspects, id)
+	r.unlist(id, now)
+	if !wasMissing {
 		r.unreadable[id] = true
 	}
 }
