--- a/internal/soak/latewrites.go
+++ b/internal/soak/latewrites.go
@@ -21,7 +21,7 @@
 	minLateness, maxLateness = time.Second, 6 * time.Second
 	// entryExpiry is after how long without heartbeats the log service deletes an entry.
 	entryExpiry = 3 * heartbeatInterval
-	// drainTime is how long an upstream that leaves goes on serving after its report, or after the removal of
+	// drainTime is how long an upstream that leaves keeps serving after its report, or after the removal of
 	// its entry; no request may reach it later than drainTimeout after that.
 	drainTime, drainTimeout = 6 * time.Second, 2 * time.Second
 )
