--- a/internal/entryhost/registry.go
+++ b/internal/entryhost/registry.go
@@ -23,8 +23,8 @@
 var supersededEntries = metrics.NewCounter(`papayatide_upstream_entries_superseded_total`)
 
 // upstreamRegistry tracks the upstreams that have an entry in the log, and those
-// whose entry has disappeared. An upstream's entry is the newest record of its
-// server in the upstreams stream.
+// whose entry has disappeared. Of the records of a server in the upstreams
+// stream the one that counts is chosen by decideEntry.
 type upstreamRegistry struct {
 	zl        *zap.Logger
 	upstreams map[string]*catalogue.Upstream
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -73,21 +73,21 @@
 	UpstreamSilentToAll     = 637
 	UpstreamConnectionsLost = 638
 	UpstreamReadyAgain      = 639
+	OwnershipAdopted        = 640
+	OwnershipRejected       = 641
+	OwnershipChangeRejected = 642
 	// UpstreamEntrySuperseded: an entry is older than the newest one of its upstream.
 	UpstreamEntrySuperseded = 643
 	// UpstreamUnconfirmed and UpstreamHealthChecked: an entry states that a leaving upstream is ready,
 	// and what the upstream itself has responded.
-	UpstreamUnconfirmed     = 644
-	UpstreamHealthChecked   = 645
-	OwnershipAdopted        = 640
-	OwnershipRejected       = 641
-	OwnershipChangeRejected = 642
-	FingerprintRefused      = 650
-	CrashRecordRejected     = 651
-	CrashRecordsRead        = 652
-	CrashWriteFailed        = 653
-	FingerprintCleared      = 654
-	LogLinesDropped         = 660
+	UpstreamUnconfirmed   = 644
+	UpstreamHealthChecked = 645
+	FingerprintRefused    = 650
+	CrashRecordRejected   = 651
+	CrashRecordsRead      = 652
+	CrashWriteFailed      = 653
+	FingerprintCleared    = 654
+	LogLinesDropped       = 660
 	// DataCentreUnreachable and DataCentreReachable: none of the upstreams of a data centre
 	// responds to this host, or one does again.
 	DataCentreUnreachable = 680
