--- /dev/null
+++ b/internal/soak/crowd_test.go
@@ -0,0 +1,381 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/manifest"
+	"github.com/papayatide/papayatide/internal/standin/loopback"
+	"github.com/papayatide/papayatide/rpc/adminpb"
+	"github.com/papayatide/papayatide/rpc/peerpb"
+)
+
+const (
+	// crowdMemoryMB and crowdFDs are the limits of the process that a crowd calls.
+	crowdMemoryMB, crowdFDs = 64, 256
+	// crowdFDShare is the part of the descriptors that clients may use; the rest is for upstreams, other
+	// hosts and the log service.
+	crowdFDShare = 0.75
+	// crowdSize is the number of a crowd's clients, each with one connection. connectionCrowd is more than
+	// the process has descriptors.
+	crowdSize, connectionCrowd = 200, 400
+	crowdDuration              = 4 * time.Second
+	// crowdAnswerTimeout is when a process that has not answered an ordinary request counts as hung.
+	crowdAnswerTimeout = 30 * time.Second
+	// crowdBodyBytes is a body that is buffered whole, crowdUploadBytes one that is streamed; both are legal.
+	crowdBodyBytes, crowdUploadBytes = 256 << 10, 4 << 20
+	// ownBodyBytes is the largest body of a request on the own interface.
+	ownBodyBytes = 1 << 20
+	crowdPause   = 50 * time.Millisecond
+)
+
+// crowdClient sends what one client of a crowd sends over one connection. It returns early if a write fails.
+type crowdClient func(w io.Writer) error
+
+// partOf sends head, then n bytes of a body in pieces. The client then stays connected.
+func partOf(head string, n, piece int) crowdClient {
+	return func(w io.Writer) error {
+		if _, err := io.WriteString(w, head); err != nil {
+			return err
+		}
+		for left := n; left > 0; left -= piece {
+			if _, err := io.WriteString(w, strings.Repeat("b", min(left, piece))); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// chunksOf is partOf for a body in chunks, of which the last never comes.
+func chunksOf(head string, n, chunk int) crowdClient {
+	return func(w io.Writer) error {
+		if _, err := io.WriteString(w, head); err != nil {
+			return err
+		}
+		data := fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("c", chunk))
+		for left := n; left > 0; left -= chunk {
+			if _, err := io.WriteString(w, data); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// repeated sends first, then text for as long as the connection is open, up to limit bytes; 0 for no limit.
+func repeated(first, text string, limit int) crowdClient {
+	return func(w io.Writer) error {
+		_, err := io.WriteString(w, first)
+		block := strings.Repeat(text, max(1, 4096/len(text)))
+		for n := len(block); err == nil && (limit == 0 || n <= limit); n += len(block) {
+			_, err = io.WriteString(w, block)
+		}
+		return err
+	}
+}
+
+// bodyCrowds are those that send all of a body of n bytes but its end.
+func bodyCrowds(head string, n int) map[string]crowdClient {
+	withLength := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, n)
+	return map[string]crowdClient{
+		"bodies that stop":           partOf(withLength, n-1, n),
+		"bodies in pieces that stop": partOf(withLength, n-1, 1000),
+		"chunked bodies that stop":   chunksOf(head+"Transfer-Encoding: chunked\r\n\r\n", n-1000, 1000),
+	}
+}
+
+func silent(io.Writer) error { return nil }
+
+// headCrowds are those that never complete a request's head, on any listener.
+func headCrowds(first string) map[string]crowdClient {
+	line := "X-More: " + strings.Repeat("m", 1015) + "\r\n"
+	return map[string]crowdClient{
+		"heads over the limit":      repeated(first, line, 0),
+		"heads that stop":           repeated(first, line, 60<<10),
+		"long heads that stop":      repeated(first, line, 960<<10),
+		"lines without end":         repeated("", "m", 0),
+		"empty lines without end":   repeated("", "\r\n", 0),
+		"line feeds without end":    repeated("", "\n", 0),
+		"empty lines after request": repeated(first+"Content-Length: 1\r\n\r\nx", "\r\n", 0),
+	}
+}
+
+// call opens connections to addr, one after another, until ctx ends, and sends over each what send does. A
+// connection stays open until the process closes it.
+func (send crowdClient) call(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		if c, err := net.DialTimeout("tcp4", addr, time.Second); err == nil {
+			stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+			go func() {
+				if send(c) != nil {
+					_ = c.Close()
+				}
+			}()
+			_, _ = io.Copy(io.Discard, c)
+			stop()
+			_ = c.Close()
+		}
+		time.Sleep(crowdPause)
+	}
+}
+
+// crowdRun is a process, the listener that a crowd calls, and how an ordinary request is sent meanwhile.
+type crowdRun struct {
+	process *Host
+	addr    string
+	// ordinary sends a request within the limits over a new connection and returns the status.
+	ordinary func() (int, error)
+}
+
+// run has size clients call the process and fails if it ends, exceeds its memory or its descriptors, or
+// does not answer an ordinary request, during the crowd or after it.
+func (r crowdRun) run(t *testing.T, send crowdClient, size int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for range size {
+		wg.Go(func() { send.call(ctx, r.addr) })
+	}
+	fds := 0
+	for end := time.Now().Add(crowdDuration); time.Now().Before(end); time.Sleep(crowdPause) {
+		fds = max(fds, r.process.openFDs())
+	}
+	r.awaitAnswer(t, "during the crowd")
+	cancel()
+	wg.Wait()
+	r.awaitAnswer(t, "after the crowd")
+	peak, err := r.process.peakMemoryMB()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("up to %d MB and %d descriptors", peak, fds)
+	if peak > crowdMemoryMB {
+		t.Errorf("the process used up to %d MB of %d", peak, crowdMemoryMB)
+	}
+	if fds > crowdFDs*crowdFDShare {
+		t.Errorf("the process had up to %d of %d descriptors open, want at most %v", fds, crowdFDs, crowdFDs*crowdFDShare)
+	}
+	if failures := r.process.Failures(); len(failures) > 0 {
+		t.Errorf("the process ended: %q", failures)
+	}
+}
+
+// awaitAnswer fails unless an ordinary request is answered.
+func (r crowdRun) awaitAnswer(t *testing.T, when string) {
+	t.Helper()
+	var status int
+	var err error
+	for end := time.Now().Add(crowdAnswerTimeout); time.Now().Before(end); time.Sleep(crowdPause) {
+		if status, err = r.ordinary(); err == nil && status == http.StatusOK {
+			return
+		}
+	}
+	t.Errorf("no ordinary request was served %s: %d, %v; the process: %v", when, status, err, r.process.Failures())
+}
+
+// ordinaryRequest sends a GET request for the host vhost to url, with key in the header of keys, over a new connection.
+func ordinaryRequest(url, vhost string) (int, error) {
+	hc := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	if req.Host = vhost; vhost == "" {
+		req.Host = req.URL.Host
+	}
+	res, err := hc.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, err
+}
+
+// openFDs returns the number of the process's open descriptors.
+func (h *Host) openFDs() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd == nil {
+		return 0
+	}
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.cmd.Process.Pid)) // none if it has just ended
+	return len(entries)
+}
+
+// limitedBinary returns a program that runs binary with crowdFDs descriptors.
+func limitedBinary(t *testing.T, binary string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "limited")
+	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", crowdFDs, binary)
+	if err := os.WriteFile(path, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// startCrowdHost starts an entry host with the limits of a crowd's process and returns it once it serves.
+func startCrowdHost(t *testing.T, binary string) *Host {
+	t.Helper()
+	env, err := newEnvironment(2, 2, desired.SlowStart{}, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(env.shutDown)
+	h, err := newHost("host-0", limitedBinary(t, binary), t.TempDir(), env.logAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(h.settingsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited := strings.Replace(string(text), "[host]\n", fmt.Sprintf("[host]\nmemory_mb = %d\n", crowdMemoryMB), 1)
+	if err := os.WriteFile(h.settingsPath, []byte(limited), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.shutDown)
+	if _, key := awaitServed([]*Host{h}, startTimeout); key >= 0 {
+		t.Fatalf("key %d is not served; %s", key, hostDiagnostics([]*Host{h}))
+	}
+	return h
+}
+
+// setting returns the value of a key in the host's settings.
+func (h *Host) setting(t *testing.T, key string) string {
+	t.Helper()
+	text, err := os.ReadFile(h.settingsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "\n"+key+" = ")
+	value, _, _ := strings.Cut(rest, "\n")
+	return value
+}
+
+// Guards against an entry host that ends, hangs or exceeds its memory or its descriptors because of what
+// clients of any of its listeners send.
+func TestCrowdOnEntryHost(t *testing.T) {
+	binary := buildDaemon(t).daemon
+	run := func(listener, name string, send crowdClient, size int) {
+		t.Run(listener+"/"+name, func(t *testing.T) {
+			h := startCrowdHost(t, binary)
+			url := "http://" + h.setting(t, "listen") + normalPath
+			crowdRun{process: h, addr: h.setting(t, listener), ordinary: func() (int, error) { return ordinaryRequest(url, unkeyedVHost) }}.run(t, send, size)
+		})
+	}
+	get := "GET /x HTTP/1.1\r\nHost: " + unkeyedVHost + "\r\n"
+	for name, send := range headCrowds(get) {
+		run("listen", name, send, crowdSize)
+	}
+	post := strings.Replace(get, "GET", "POST", 1)
+	for name, send := range bodyCrowds(post, crowdBodyBytes) {
+		run("listen", name, send, crowdSize)
+	}
+	run("listen", "uploads that stop", partOf(fmt.Sprintf("%sContent-Length: %d\r\n\r\n", post, crowdUploadBytes), crowdUploadBytes-1, crowdUploadBytes), crowdSize)
+	run("listen", "uploads", partOf(fmt.Sprintf("%sContent-Length: %d\r\n\r\n", post, crowdUploadBytes), crowdUploadBytes, crowdUploadBytes), crowdSize)
+	run("listen", "pipelined requests", repeated("", get+"\r\n", 0), crowdSize)
+	run("listen", "connections", silent, connectionCrowd)
+	run("listen", "idle connections", partOf(get+"\r\n", 0, 1), connectionCrowd)
+	for _, listener := range []string{"ready_listen", "peer_listen", "metrics_listen"} {
+		crowds := headCrowds("GET /metrics HTTP/1.1\r\nHost: h\r\n")
+		for _, name := range []string{"long heads that stop", "lines without end"} {
+			run(listener, name, crowds[name], crowdSize)
+		}
+		run(listener, "connections", silent, connectionCrowd)
+	}
+	call := "POST " + peerpb.PeerPathPrefix + "Follow HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\n"
+	for name, send := range bodyCrowds(call, crowdUploadBytes) {
+		run("peer_listen", name, send, crowdSize)
+	}
+}
+
+// Guards against a host with a published manifest that ends, hangs or exceeds its memory or its descriptors
+// because of what clients of either of its listeners send.
+func TestCrowdOnOwnInterface(t *testing.T) {
+	binary := buildDaemon(t).daemon
+	run := func(listener, name string, send crowdClient, size int) {
+		t.Run(listener+"/"+name, func(t *testing.T) {
+			h := startCrowdDaemon(t, binary)
+			url := "http://" + h.setting(t, "listen") + ownPath
+			crowdRun{process: h, addr: h.setting(t, listener), ordinary: func() (int, error) { return ordinaryRequest(url, "") }}.run(t, send, size)
+		})
+	}
+	get := "GET " + ownPath + " HTTP/1.1\r\nHost: h\r\n"
+	for name, send := range headCrowds(get) {
+		run("listen", name, send, crowdSize)
+	}
+	for name, send := range bodyCrowds(strings.Replace(get, "GET", "POST", 1)+"Idempotency-Key: k\r\n", ownBodyBytes) {
+		run("listen", name, send, crowdSize)
+	}
+	run("listen", "connections", silent, connectionCrowd)
+	run("listen", "idle connections", partOf(get+"\r\n", 0, 1), connectionCrowd)
+	crowds := headCrowds("GET /metrics HTTP/1.1\r\nHost: h\r\n")
+	for _, name := range []string{"long heads that stop", "lines without end"} {
+		run("admin_listen", name, crowds[name], crowdSize)
+	}
+	call := "POST " + adminpb.AdminPathPrefix + "Status HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\n"
+	for name, send := range bodyCrowds(call, crowdUploadBytes) {
+		run("admin_listen", name, send, crowdSize)
+	}
+	run("admin_listen", "connections", silent, connectionCrowd)
+}
+
+// ownPath is the path of a request on the own interface.
+const ownPath = "/routeboard/ready-probe"
+
+// startCrowdDaemon starts a host with a published manifest, with the limits of a crowd's process, and
+// returns it once it serves.
+func startCrowdDaemon(t *testing.T, binary string) *Host {
+	t.Helper()
+	f, err := loopback.Start(loopback.Spec{DataCentres: []string{"dc"}, Slots: 3, Settings: loopback.DefaultSettings(),
+		Services: []manifest.ServiceSpec{{Name: "routeboard", Upstreams: 2, FencingChecked: true}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	if err := f.Publish(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	addrs, err := freeAddrs(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	h := &Host{Name: "host-0", settingsPath: filepath.Join(dir, "host-0.ini"), outputPath: filepath.Join(dir, "host-0.log")}
+	h.binary = limitedBinary(t, binary+" -config "+h.settingsPath)
+	text := fmt.Sprintf("[host]\nname = host-0\ndata_centre = dc\nlisten = %s\nadmin_listen = %s\n[log]\naddr = %s\npoll_interval = 20ms\n", addrs[0], addrs[1], f.LogURL)
+	if err := os.WriteFile(h.settingsPath, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		h.Kill()
+		h.AwaitExit(exitTimeout)
+	})
+	for end := time.Now().Add(startTimeout); ; time.Sleep(crowdPause) {
+		if status, err := ordinaryRequest("http://"+addrs[0]+ownPath, ""); err == nil && status == http.StatusOK {
+			return h
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the host does not serve: %s", h.lastOutputLine())
+		}
+	}
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -29,9 +29,11 @@
 # The race detector's runtime aborts at times when goroutines of internal/entryhost, whose
 # tests run several hosts on a fake clock, run on several processors. That package is
 # therefore race-tested on one, and run without the detector on all of them.
-go test -race -timeout 30m -count=1 ${known_red:+-skip "$known_red"} $(go list ./... | grep -v /internal/entryhost$)
+# TestCrowd... measure the memory of processes. They run by themselves, one at a time.
+go test -race -timeout 30m -count=1 -skip "^TestCrowd${known_red:+|$known_red}" $(go list ./... | grep -v /internal/entryhost$)
 go test -race -timeout 30m -count=1 -cpu 1 ${known_red:+-skip "$known_red"} ./internal/entryhost
 go test -timeout 30m -count=1 ${known_red:+-skip "$known_red"} ./internal/entryhost
+go test -timeout 30m -count=1 -run '^TestCrowd' ${known_red:+-skip "$known_red"} ./internal/soak
 for target in internal/ownership:FuzzDecode internal/explain:FuzzRead platform:FuzzDecodeBatch platform:FuzzDesired platform:FuzzUpstream platform:FuzzEra internal/settings:FuzzParseEntry internal/dispatch:FuzzRequest internal/feedback:FuzzDecode internal/valuecodec:FuzzDecode internal/pipeline:FuzzSplit; do
   runs=$fuzz_runs
   [ "${target#*:}" = FuzzRequest ] && runs=$fuzz_request_runs
