ingress: listeners accept a bounded number of connections

Callers saw no answer: clients that open connections and send nothing, or keep idle ones, took all descriptors of a host. Dials to upstreams, other hosts and the log service fail then, and connections wait in the kernel's queue.

Cause: nothing bounded connections, and idle ones stay for 75 s. Each listener of an entry host now accepts a number that follows from the host's memory and descriptors ([host] fds, by default the process's limit). A further connection takes the place of the one that has waited longest for its client: idle, a request incomplete, or a response unread. A connection whose request is being served is never closed. Both are resets before the request was read, so that nothing was promised. A client that does not read a response for 10 s loses its connection.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -5,13 +5,10 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/balance"
@@ -23,7 +20,9 @@
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
+	"github.com/papayatide/papayatide/internal/ingress"
 	"github.com/papayatide/papayatide/internal/lingering"
+	"github.com/papayatide/papayatide/internal/memlimit"
 	"github.com/papayatide/papayatide/internal/metastore"
 	"github.com/papayatide/papayatide/internal/peer"
 	"github.com/papayatide/papayatide/internal/pipeline"
@@ -31,13 +30,9 @@
 	"github.com/papayatide/papayatide/internal/progress"
 	"github.com/papayatide/papayatide/internal/protocol"
 	"github.com/papayatide/papayatide/internal/ratelimit"
-	"github.com/papayatide/papayatide/internal/refused"
 	"github.com/papayatide/papayatide/internal/settings"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
-	"github.com/papayatide/papayatide/internal/worktime"
-	"github.com/papayatide/papayatide/rpc/peerpb"
-	"github.com/papayatide/papayatide/rpc/refusedpb"
 )
 
 // Platform holds the platform adapters that an entry host depends on.
@@ -93,19 +88,7 @@
 	// responses.
 	shutdownMargin      = 400 * time.Millisecond
 	responseWriteMargin = 300 * time.Millisecond
-	// callerIdleTimeout is how long callers' idle connections stay open. It
-	// exceeds every keep-alive time announced to callers.
-	callerIdleTimeout = 75 * time.Second
-	// readHeaderTimeout bounds the time in which a client must send its headers.
-	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 64 << 10
-	housekeepInterval = time.Second
-	// gcPercent is below Go's default of 100: memory use is billed, and the extra
-	// collections cost little CPU time.
-	gcPercent = 50
-	// memoryLimitFraction is the part of the host's memory allowance that is set as
-	// Go's soft memory limit, above which the collector runs more often.
-	memoryLimitFraction = 0.8
+	housekeepInterval   = time.Second
 	// minAssumedHosts is the smallest fleet size that the fixed part of the retry
 	// budget (Slack) is divided by, also while the fleet size is still unknown.
 	minAssumedHosts = 16
@@ -137,6 +120,8 @@
 	shares             *serviceShares
 	plat               Platform
 	callerServer       *http.Server
+	// limits bound what clients of the listeners make this host hold.
+	limits ingress.Limits
 	// callerListener accepts the callers' connections.
 	callerListener *lingering.Listener
 	// pipeline runs callers' pipelined requests concurrently.
@@ -156,8 +141,7 @@
 // callers to it, and returns once the requests in flight have their responses. Each
 // value from reload replaces the settings that can change at run time.
 func Run(ctx context.Context, cfg *settings.EntryHost, plat Platform, reload <-chan *settings.EntryHost, zl *zap.Logger) error {
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryLimitFraction * (1 << 20)))
+	memlimit.Apply(cfg.MemoryMB)
 	h := newHost(cfg, plat, zl)
 	var g run.Group
 	// workCtx outlives ctx: the host keeps working until the graceful shutdown is done.
@@ -191,6 +175,7 @@
 		budget: budget.New(hostBudgetLimits(cfg, 1), time.Now()), loadSampler: newLoadSampler(), allocator: ratelimit.NewAllocator(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		candidate: cfg.CPUCores >= candidateMinCPU && cfg.LinkMbps >= candidateMinLinkMbps,
 		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: plat.peerTransport()}})}
+	h.limits = ingress.NewLimits(cfg.MemoryMB, ingress.Descriptors(cfg.Descriptors))
 	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
 	h.picker.OnSilent = (&limitedLogger{zl: zl}).onSilent
 	h.picker.OnSilenceNotice = (&limitedLogger{zl: zl}).onSilenceNotice
@@ -254,62 +239,6 @@
 	return budget.Limits{Ratio: cfg.RetryBudgetRatio, Slack: cfg.RetryBudgetSlack / float64(max(hosts, minAssumedHosts)), Window: cfg.RetryBudgetWindow}
 }
 
-// listen opens the host's listeners and adds their HTTP servers to g.
-func (h *host) listen(workCtx context.Context, g *run.Group) error {
-	h.pipeline = &pipeline.Server{Handler: http.HandlerFunc(h.serve), Idempotent: h.hasIdempotentRoute, Stopping: h.stopping.Load}
-	h.callerServer = &http.Server{Handler: h.pipeline, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: callerContext}
-	if err := h.addServer(workCtx, g, h.cfg.Listen, h.callerServer); err != nil {
-		return err
-	}
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+h.plat.ReadyPath, h.serveReady)
-	if err := h.addServer(workCtx, g, h.cfg.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: readHeaderTimeout}); err != nil {
-		return err
-	}
-	peers := http.NewServeMux()
-	ps := peerpb.NewPeerServer(&peer.Server{Replica: h.controller.replica, ReplicaStatus: h.replicaStatus, Fleet: h.fleet, Name: h.cfg.Host, HostStatus: h.status, RetireTermsBefore: h.retire,
-		OnKeyLoads: func(l []peer.ServiceLoad) { h.receiveKeyLoads(workCtx, l) }, OnLoadStats: h.inFlightAggregator.recordStats, PeerLoads: h.inFlightAggregator.peerLoads,
-		SilenceNotices: h.inFlightAggregator.silenceNotices,
-		Speeds:         func(caller fleet.Host) []worktime.Speed { return h.speeds.forCaller(caller, time.Now()) },
-		OnDemand:       h.shares.recordDemand, Shares: h.shares.sharesFor,
-		DesiredVersion: h.desiredVersion, OnDesiredVersion: func(host string, version int64) { h.versions.observe(host, version, time.Now()) },
-		Clock: h.controller.clock, Helpers: h.helpersFor, SendGrant: h.sendRelayedGrant,
-		Feedback: h.feedback, IssuePermits: h.issuePermits})
-	peers.Handle(ps.PathPrefix(), ps)
-	rs := refusedpb.NewRefusedServer(&refused.Server{Host: h.cfg.Host, Crashes: h.controller.crashes.tracker, Log: h.zl})
-	peers.Handle(rs.PathPrefix(), rs)
-	if err := h.addServer(workCtx, g, h.cfg.PeerListen, &http.Server{Handler: h.peerHandler(peers), ReadHeaderTimeout: readHeaderTimeout, ConnContext: dispatch.WithCaller}); err != nil {
-		return err
-	}
-	metricsMux := http.NewServeMux()
-	metricsMux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		h.writeGauges(w, time.Now()) // first, because collectors may cut a long page
-		metrics.WritePrometheus(w, true)
-	})
-	return h.addServer(workCtx, g, h.cfg.MetricsListen, &http.Server{Handler: metricsMux, ReadHeaderTimeout: readHeaderTimeout})
-}
-
-// addServer listens on addr (host:port) and adds srv to g.
-func (h *host) addServer(workCtx context.Context, g *run.Group, addr string, srv *http.Server) error {
-	ln, err := h.plat.listenOn(addr)
-	if err != nil {
-		return eris.Wrapf(err, "listen %s", addr)
-	}
-	if srv == h.callerServer {
-		h.callerListener = lingering.NewListener(ln)
-		ln = h.pipeline.Listen(h.callerListener)
-	}
-	g.Add(func() error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return eris.Wrapf(err, "serve %s", addr)
-		}
-		<-workCtx.Done() // Serve returns as soon as Shutdown begins, before the responses are written
-		return nil
-	}, func(error) { _ = srv.Close() })
-	return nil
-}
-
 // serve handles a caller's request. While the host is stopping, it also has the
 // caller close the connection.
 func (h *host) serve(w http.ResponseWriter, r *http.Request) {
--- a/internal/entryhost/pipelining.go
+++ b/internal/entryhost/pipelining.go
@@ -6,13 +6,19 @@
 	"net/http"
 
 	"github.com/papayatide/papayatide/internal/dispatch"
+	"github.com/papayatide/papayatide/internal/ingress"
 	"github.com/papayatide/papayatide/internal/pipeline"
 )
 
 // callerContext stores a caller's connection in the context of its requests: for package
 // pipeline, and for the dispatcher the wrapped one, whose socket it inspects.
 func callerContext(ctx context.Context, c net.Conn) context.Context {
-	return dispatch.WithCaller(pipeline.ConnContext(ctx, c), pipeline.NetConn(c))
+	return dispatch.WithCaller(pipeline.ConnContext(ctx, c), ingress.NetConn(pipeline.NetConn(c)))
+}
+
+// peerContext stores another host's connection in the context of its requests.
+func peerContext(ctx context.Context, c net.Conn) context.Context {
+	return dispatch.WithCaller(ctx, ingress.NetConn(c))
 }
 
 // hasIdempotentRoute reports whether the request's route is idempotent.
--- a/internal/lingering/listener.go
+++ b/internal/lingering/listener.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// maxConns bounds the lingering connections of a listener. Further ones are closed at once.
-	maxConns = 512
+	// DefaultMaxConns bounds the lingering connections of a listener.
+	DefaultMaxConns = 512
 	// maxDuration bounds how long a connection lingers.
 	maxDuration = 10 * time.Second
 	// maxIdle is how long a connection lingers after everything was delivered to the peer's kernel and
@@ -43,14 +43,18 @@
 // Listener accepts connections that linger when they are closed.
 type Listener struct {
 	net.Listener
-	mu sync.Mutex
+	maxConns int
+	mu       sync.Mutex
 	// count is the number of lingering connections, changed is closed when it becomes 0.
 	count   int
 	changed chan struct{}
 }
 
-// NewListener returns a listener that accepts the connections of ln.
-func NewListener(ln net.Listener) *Listener { return &Listener{Listener: ln} }
+// NewListener returns a listener that accepts the connections of ln. Up to maxConns linger at a time;
+// further ones are closed at once.
+func NewListener(ln net.Listener, maxConns int) *Listener {
+	return &Listener{Listener: ln, maxConns: maxConns}
+}
 
 // Accept implements net.Listener. Connections that cannot be closed in one direction are
 // returned as they are.
@@ -88,7 +92,7 @@
 func (l *Listener) begin() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.count >= maxConns {
+	if l.count >= l.maxConns {
 		refused.Inc()
 		return false
 	}
@@ -182,6 +186,18 @@
 	return nil
 }
 
+// Abort resets the connection, which does not linger. Nothing that the peer has not received yet arrives.
+func (c *Conn) Abort() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed, c.readsDone = true, make(chan struct{})
+	_ = c.SetLinger(0) // on failure, Close still closes the connection
+	return c.TCPConn.Close()
+}
+
 func (c *Conn) linger() {
 	defer c.l.end()
 	defer func() { _ = c.TCPConn.Close() }()
--- a/internal/lingering/listener_test.go
+++ b/internal/lingering/listener_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := NewListener(ln)
+	l := NewListener(ln, DefaultMaxConns)
 	t.Cleanup(func() { _ = l.Close() })
 	return l
 }
@@ -154,7 +154,7 @@
 // Guards against memory that callers fill with closed connections.
 func TestNumberOfLingeringConnectionsIsBounded(t *testing.T) {
 	l := listen(t)
-	for range maxConns {
+	for range DefaultMaxConns {
 		if !l.begin() {
 			t.Fatal("refused below the bound")
 		}
@@ -167,7 +167,7 @@
 	if _, err := peer.Write([]byte("a request")); err == nil {
 		t.Error("one more connection lingers")
 	}
-	if l.count != maxConns {
+	if l.count != DefaultMaxConns {
 		t.Errorf("%d connections are counted", l.count)
 	}
 }
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -86,6 +86,9 @@
 	return c
 }
 
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Drain waits until the responses to all run-ahead requests are written, or ctx ends.
 // It must precede http.Server.Shutdown, after which the server closes a connection
 // without regard to the requests behind the one being served.
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -21,6 +21,7 @@
 	MetricsListen string // metrics_listen: host:port of the metrics endpoint
 	LogLevel      string // log_level: debug, info, warn or error
 	MemoryMB      int    // memory_mb: memory limit of this host in MB
+	Descriptors   int    // fds: descriptors that this host may have open; 0 for the limit of its process
 	FirstStart    bool   // first_start: whether the whole fleet is starting for the first time
 	// cpu_share: CPU cores available to this host; link_mbps: bandwidth of its
 	// network link in Mbit/s.
@@ -52,7 +53,7 @@
 // required).
 var entryHostSchema = map[string]map[string]string{
 	"host": {"name": "", "data_centre": "", "listen": "", "ready_listen": "", "peer_listen": "", "metrics_listen": "",
-		"log_level": "info", "memory_mb": "284", "cpu_share": "1", "link_mbps": "1000",
+		"log_level": "info", "memory_mb": "284", "fds": "0", "cpu_share": "1", "link_mbps": "1000",
 		"first_start": "false"},
 	"log": {"addr": "", "seat_min": "1s"},
 	"bounds": {"hold_max": "10s", "grace": "6s", "repeat_ratio": "0.2", "repeat_slack": "0", "repeat_window": "10s",
@@ -93,6 +94,7 @@
 		MetricsListen:     r.hostPort("host", "metrics_listen"),
 		LogLevel:          r.str("host", "log_level"),
 		MemoryMB:          r.positiveInt("host", "memory_mb"),
+		Descriptors:       r.nonNegativeInt("host", "fds"),
 		FirstStart:        r.boolean("host", "first_start"),
 		CPUCores:          r.nonNegativeFloat("host", "cpu_share"),
 		LinkMbps:          r.nonNegativeFloat("host", "link_mbps"),
@@ -135,6 +137,19 @@
 	return b
 }
 
+// nonNegativeInt reads an integer of 0 or more.
+func (r *reader) nonNegativeInt(section, key string) int {
+	v := r.str(section, key)
+	if r.err != nil {
+		return 0
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 {
+		r.err = eris.Errorf("[%s] %s = %q: want an integer of 0 or more", section, key, v)
+	}
+	return n
+}
+
 // nonNegativeFloat reads a number of 0 or more.
 func (r *reader) nonNegativeFloat(section, key string) float64 {
 	v := r.str(section, key)
