ingress: incomplete heads of requests share a budget of the host's memory

Cause: net/http reads a head before any handler runs, and short lines take a multiple of their length once parsed. Each connection now has 16 KiB for its head as parsed, and what exceeds it comes from a sixteenth of the host's memory that all connections share. A connection without room is closed before its request was read. Heads of probes have at most 8 KiB, those of other hosts 80 KiB.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayatide/papayatide/internal/balance"
+	"github.com/papayatide/papayatide/internal/bodybudget"
 	"github.com/papayatide/papayatide/internal/bootclock"
 	"github.com/papayatide/papayatide/internal/budget"
 	"github.com/papayatide/papayatide/internal/catalogue"
@@ -120,8 +121,9 @@
 	shares             *serviceShares
 	plat               Platform
 	callerServer       *http.Server
-	// limits bound what clients of the listeners make this host hold.
+	// limits bound what clients of the listeners make this host hold, heads the heads of their requests.
 	limits ingress.Limits
+	heads  *bodybudget.Budget
 	// callerListener accepts the callers' connections.
 	callerListener *lingering.Listener
 	// pipeline runs callers' pipelined requests concurrently.
@@ -176,6 +178,7 @@
 		candidate: cfg.CPUCores >= candidateMinCPU && cfg.LinkMbps >= candidateMinLinkMbps,
 		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: plat.peerTransport()}})}
 	h.limits = ingress.NewLimits(cfg.MemoryMB, ingress.Descriptors(cfg.Descriptors))
+	h.heads = bodybudget.New(h.limits.HeadBytes)
 	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
 	h.picker.OnSilent = (&limitedLogger{zl: zl}).onSilent
 	h.picker.OnSilenceNotice = (&limitedLogger{zl: zl}).onSilenceNotice
--- a/internal/entryhost/listeners.go
+++ b/internal/entryhost/listeners.go
@@ -27,7 +27,11 @@
 	idleTimeout = 75 * time.Second
 	// readHeaderTimeout bounds the time in which a client must send its headers.
 	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 64 << 10
+	// Heads of requests have up to these bytes: those of callers, those that other hosts pass on, which have
+	// headers of their own besides, and those of probes.
+	maxHeaderBytes      = 64 << 10
+	maxPeerHeaderBytes  = maxHeaderBytes + 16<<10
+	maxProbeHeaderBytes = 8 << 10
 )
 
 // listen opens the host's listeners and adds their HTTP servers to g.
@@ -55,7 +59,7 @@
 	peers.Handle(ps.PathPrefix(), ps)
 	rs := refusedpb.NewRefusedServer(&refused.Server{Host: h.cfg.Host, Crashes: h.controller.crashes.tracker, Log: h.zl})
 	peers.Handle(rs.PathPrefix(), rs)
-	peerServer := &http.Server{Handler: h.peerHandler(peers), ReadHeaderTimeout: readHeaderTimeout, ConnContext: peerContext}
+	peerServer := &http.Server{Handler: h.peerHandler(peers), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnContext: peerContext}
 	if err := h.addServer(workCtx, g, h.cfg.PeerListen, h.limits.Peers, peerServer); err != nil {
 		return err
 	}
@@ -69,7 +73,7 @@
 
 // probeServer returns a server for small requests without a body.
 func probeServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
 }
 
 // addServer listens on addr (host:port) for up to maxConns connections and adds srv to g.
@@ -80,9 +84,9 @@
 	}
 	if srv == h.callerServer {
 		h.callerListener = lingering.NewListener(ln, min(h.limits.Lingering, lingering.DefaultMaxConns))
-		ln = h.pipeline.Listen(ingress.NewListener(h.callerListener, maxConns))
+		ln = h.pipeline.Listen(ingress.NewListener(h.callerListener, maxConns, h.heads))
 	} else {
-		ln = ingress.NewListener(ln, maxConns)
+		ln = ingress.NewListener(ln, maxConns, h.heads)
 	}
 	ingress.Track(srv)
 	g.Add(func() error {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,12 +1,15 @@
 package ingress
 
 import (
+	"bytes"
 	"container/list"
 	"errors"
 	"net"
 	"os"
 	"sync"
 	"time"
+
+	"github.com/papayatide/papayatide/internal/bodybudget"
 )
 
 const (
@@ -15,6 +18,17 @@
 	writePieceBytes   = 64 << 10
 )
 
+const (
+	// A head takes costPerByte for each byte, which is kept by the reader and as strings, and costPerLine for
+	// each line, which becomes an entry of a map.
+	costPerByte, costPerLine = 3, 160
+	// freeHeadCost is the cost of a head that is not taken from the budget.
+	freeHeadCost = 16 << 10
+)
+
+// ErrNoRoomForHead means that the process has no memory for a request's head.
+var ErrNoRoomForHead = errors.New("no room for the head of the request")
+
 // Conn is a client's connection.
 type Conn struct {
 	net.Conn
@@ -28,6 +42,10 @@
 	mu sync.Mutex
 	// serving is set while a handler runs, bodyDone once it has read the request's body.
 	serving, bodyDone bool
+	// headCost is what the head that is being read has cost so far; heads holds what exceeds freeHeadCost.
+	headCost int64
+	heads    *bodybudget.Reservation
+	closed   bool
 }
 
 // NetConn returns the connection that c wraps.
@@ -41,6 +59,28 @@
 	return c
 }
 
+// Read implements net.Conn. It fails with ErrNoRoomForHead after bytes of a head for which there is no room.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.chargeHead(p[:n]) {
+		longHeads.Inc()
+		return 0, ErrNoRoomForHead
+	}
+	return n, err
+}
+
+// chargeHead takes what the bytes of a head cost from the budget. It reports whether there is room.
+func (c *Conn) chargeHead(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.serving || c.closed {
+		return true
+	}
+	before := max(c.headCost, freeHeadCost)
+	c.headCost += int64(len(p))*costPerByte + int64(bytes.Count(p, []byte{'\n'}))*costPerLine
+	return c.headCost <= before || c.heads.Grow(c.headCost-before)
+}
+
 // Write implements net.Conn. It fails if the client does not read.
 func (c *Conn) Write(p []byte) (written int, err error) {
 	c.l.wait(c)
@@ -90,14 +130,27 @@
 	}
 }
 
-// endRequest records that the handler has ended.
+// endRequest records that the handler has ended; idle that the rest of the request was read, too.
 func (c *Conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
+	c.releaseHead()
 	c.l.wait(c)
 }
 
+func (c *Conn) idle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseHead()
+}
+
+// releaseHead gives back the room of the head. c.mu is held.
+func (c *Conn) releaseHead() {
+	c.headCost = 0
+	c.heads.Release()
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.forget()
@@ -106,6 +159,10 @@
 
 // forget gives back what the connection holds of the limits.
 func (c *Conn) forget() {
+	c.mu.Lock()
+	c.closed = true
+	c.releaseHead()
+	c.mu.Unlock()
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
 	c.l.remove(c)
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -15,8 +15,9 @@
 	// bytesPerConn is the memory that bounds the number of connections: a goroutine, its buffers and what
 	// net/http keeps.
 	bytesPerConn = 64 << 10
-	// connMemoryShare is the part of the memory that a listener's connections may use.
-	connMemoryShare = 2
+	// connMemoryShare is the part of the memory that a listener's connections may use, headMemoryShare that
+	// for heads beyond the fixed part of each connection.
+	connMemoryShare, headMemoryShare = 2, 16
 )
 
 // Limits are those of a process.
@@ -26,6 +27,8 @@
 	Callers, Peers, Other int
 	// Lingering is the number of closed connections of callers whose responses are still being delivered.
 	Lingering int
+	// HeadBytes is the memory that incomplete heads may take in all, beyond a fixed part of each.
+	HeadBytes int64
 }
 
 // NewLimits derives the limits of a process with the given memory and number of descriptors.
@@ -34,7 +37,8 @@
 	memory := int64(memoryMB) << 20
 	byMemory := int(memory / connMemoryShare / bytesPerConn)
 	other := max(sockets/otherShare, minOther)
-	return Limits{Callers: max(min(sockets/callerShare, byMemory), 1), Peers: max(min(sockets/peerShare, byMemory), 1), Other: other, Lingering: other}
+	return Limits{Callers: max(min(sockets/callerShare, byMemory), 1), Peers: max(min(sockets/peerShare, byMemory), 1), Other: other, Lingering: other,
+		HeadBytes: memory / headMemoryShare}
 }
 
 // assumedDescriptors is the number of descriptors if the process's limit is not known.
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/papayatide/papayatide/internal/bodybudget"
 )
 
 const (
@@ -18,25 +20,27 @@
 var (
 	evictedTotal  = metrics.NewCounter(`papayatide_client_connections_evicted_total`)
 	rejectedTotal = metrics.NewCounter(`papayatide_client_connections_rejected_total`)
+	longHeads     = metrics.NewCounter(`papayatide_client_heads_without_room_total`)
 	stalledWrites = metrics.NewCounter(`papayatide_client_writes_stalled_total`)
 )
 
 // Counts are the connections that this process has closed because of its limits.
 type Counts struct {
-	// Evicted made room for others, Rejected found no room, StalledWrites had clients that did not
-	// read.
-	Evicted, Rejected, StalledWrites uint64
+	// Evicted made room for others, Rejected found no room, LongHeads had heads without room, StalledWrites
+	// had clients that did not read.
+	Evicted, Rejected, LongHeads, StalledWrites uint64
 }
 
 // CountsSoFar returns the counts since the start of the process.
 func CountsSoFar() Counts {
-	return Counts{evictedTotal.Get(), rejectedTotal.Get(), stalledWrites.Get()}
+	return Counts{evictedTotal.Get(), rejectedTotal.Get(), longHeads.Get(), stalledWrites.Get()}
 }
 
 // Listener accepts a bounded number of connections.
 type Listener struct {
 	net.Listener
 	maxConns int
+	heads    *bodybudget.Budget
 
 	mu    sync.Mutex
 	count int
@@ -44,9 +48,10 @@
 	waiting *list.List
 }
 
-// NewListener returns a listener that accepts up to maxConns connections of ln.
-func NewListener(ln net.Listener, maxConns int) *Listener {
-	return &Listener{Listener: ln, maxConns: maxConns, waiting: list.New()}
+// NewListener returns a listener that accepts up to maxConns connections of ln. heads is the budget for
+// heads, which listeners may share.
+func NewListener(ln net.Listener, maxConns int, heads *bodybudget.Budget) *Listener {
+	return &Listener{Listener: ln, maxConns: maxConns, heads: heads, waiting: list.New()}
 }
 
 // Accept implements net.Listener.
@@ -56,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: nc, l: l}
+		c := &Conn{Conn: nc, l: l, heads: l.heads.Reserve()}
 		victim, ok := l.admit(c)
 		if victim != nil {
 			evictedTotal.Inc()
--- a/internal/ingress/listener_test.go
+++ b/internal/ingress/listener_test.go
@@ -4,7 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
+
+	"github.com/papayatide/papayatide/internal/bodybudget"
 )
 
 // queue is a listener of connections in memory.
@@ -87,4 +90,39 @@
 	}
 }
 
-func newTestListener(q queue, maxConns int) *Listener { return NewListener(q, maxConns) }
+// Guards against incomplete heads that fill the memory: beyond what each connection has for itself they share
+// a budget, which is given back when the request or the connection ends.
+func TestIncompleteHeadsShareMemory(t *testing.T) {
+	q := queue{conns: make(chan net.Conn, 1)}
+	l := newTestListener(q, 100)
+	head := []byte(strings.Repeat("a:\r\n", 300))
+	var open []*Conn
+	for {
+		c, _ := accept(t, l, q)
+		if !c.chargeHead(head) {
+			break
+		}
+		if open = append(open, c); len(open) > 10 {
+			t.Fatal("no bound")
+		}
+	}
+	if len(open) == 0 {
+		t.Fatal("a single head has no room")
+	}
+	c, _ := accept(t, l, q)
+	if !c.chargeHead(head[:200]) {
+		t.Error("no room for a short head")
+	}
+	for i, c := range open {
+		if i%2 == 0 {
+			c.beginRequest(false)
+			c.endRequest()
+		}
+		_ = c.Close()
+	}
+	if n := l.heads.InUse(); n != 0 {
+		t.Errorf("%d bytes in use", n)
+	}
+}
+
+func newTestListener(q queue, maxConns int) *Listener { return NewListener(q, maxConns, bodybudget.New(100<<10)) }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -23,6 +23,11 @@
 		}
 		return ctx
 	}
+	srv.ConnState = func(c net.Conn, state http.ConnState) {
+		if ic := unwrap(c); ic != nil && state == http.StateIdle {
+			ic.idle()
+		}
+	}
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(next, w, r) })
 }
 
