dispatch: bodies of requests count against the host's memory on every deployment

Cause: the budget for bodies counted only where the desired state has a route for uploads, and only there did a body have to arrive by its request's deadline. What operators expect says nothing of clients that nobody controls. Bodies now count at the host wherever its memory is known. At upstreams they count as before, where the largest bodies may not fit.

TestBodiesAreNotLimitedWhereTheyFit stated the opposite and is replaced by TestBodiesCountWhereNoLargeOnesAreExpected: requests are served there even if the budget is used up, and upstreams count only where a largest body is stated.

--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -42,7 +42,7 @@
 	streamed atomic.Int64
 }
 
-// bodyNeed is whether bodies are limited, and what that was derived from.
+// bodyNeed is whether bodies are limited at upstreams, and what that was derived from.
 type bodyNeed struct {
 	state            *desired.State
 	upstreams, hosts int
@@ -80,21 +80,19 @@
 		ResponseBytes: d.client.Responses.InUse()}
 }
 
-// limitsBodies reports whether bodies are limited: operators expect large ones, and those of all
-// requests that this host may have in flight can exceed its budget. It is derived anew only when
-// the desired state or the number of hosts or upstreams changes.
-func (d *Dispatcher) limitsBodies(v *view.View) bool {
-	if d.bodies.host == nil || v.Desired == nil || !v.Desired.HasLargeBodies() || v.Desired.Limits.BodyBytes <= 0 {
-		return false
-	}
+// bodyNeed derives whether the bytes of bodies are limited at upstreams: operators expect large ones, and
+// those of all requests that this host may have in flight can exceed its budget. It is derived anew only
+// when the desired state or the number of hosts or upstreams changes.
+func (d *Dispatcher) bodyNeed(v *view.View) *bodyNeed {
 	upstreams, hosts := len(v.Upstreams.ByID), int(d.hostCount.Load())
 	need := d.bodies.need.Load()
 	if need == nil || need.state != v.Desired || need.upstreams != upstreams || need.hosts != hosts {
+		inFlight, largest := d.maxInFlight(v), v.Desired.Limits.BodyBytes
 		need = &bodyNeed{state: v.Desired, upstreams: upstreams, hosts: hosts,
-			limited: bodybudget.Needed(v.Desired.Limits.BodyBytes, d.maxInFlight(v), d.bodies.host.Limit())}
+			limited: v.Desired.HasLargeBodies() && bodybudget.Needed(largest, inFlight, d.bodies.host.Limit())}
 		d.bodies.need.Store(need)
 	}
-	return need.limited
+	return need
 }
 
 // maxInFlight returns how many requests this host may have in flight: those that the limits of
@@ -115,7 +113,7 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
-	if d.limitsBodies(d.views.Load()) {
+	if d.bodies.host != nil {
 		return d.readLimitedBody(req, r)
 	}
 	if req.readUnlimitedBody(r) != nil {
@@ -158,7 +156,8 @@
 type limitedBody struct {
 	reader    *callerBody
 	hostBytes *bodybudget.Reservation
-	// largest is the desired state's largest body.
+	need      *bodyNeed
+	// largest is the desired state's largest body; 0 if bodies are not limited at upstreams.
 	largest int64
 	// upstream is where upstreamBytes are counted; empty if none are.
 	upstream      string
@@ -171,8 +170,11 @@
 
 // readLimitedBody reserves room for the body and reads it.
 func (d *Dispatcher) readLimitedBody(req *request, r *http.Request) *Refusal {
-	body := &limitedBody{reader: &callerBody{source: r.Body, conn: req.callerConn, left: r.ContentLength, deadline: req.deadline}, hostBytes: d.bodies.host.Reserve(),
-		largest: d.views.Load().Desired.Limits.BodyBytes}
+	body := &limitedBody{reader: &callerBody{source: r.Body, conn: req.callerConn, left: r.ContentLength, deadline: req.deadline}, hostBytes: d.bodies.host.Reserve()}
+	v := d.views.Load()
+	if body.need = d.bodyNeed(v); body.need.limited {
+		body.largest = v.Desired.Limits.BodyBytes
+	}
 	req.body = body
 	var err error
 	switch {
@@ -240,8 +242,8 @@
 }
 
 // streamForRoom has the body streamed because the host's budget has no room for the rest of it; head
-// is what has been read. It returns false if the fingerprint is needed before the request is sent,
-// to see whether the request crashes its upstream, which takes as many bytes of the body.
+// is what has been read. It returns false if the fingerprint is needed before the request is sent, to see whether the
+// request crashes its upstream, which takes as many bytes of the body.
 func (d *Dispatcher) streamForRoom(req *request, head []byte, length int64) bool {
 	reader := req.body.reader
 	if len(head) >= streamFingerprintBytes {
@@ -282,7 +284,7 @@
 // refusal, or nil if another upstream is to be chosen.
 func (d *Dispatcher) reserveAtUpstream(req *request, u *catalogue.Upstream) (ok bool, refusal *Refusal) {
 	body := req.body
-	if body == nil {
+	if body == nil || body.largest == 0 {
 		return true, nil
 	}
 	n := int64(len(req.outbound.Body))
@@ -332,14 +334,15 @@
 // finishBody gives back what the request holds of the budgets. If a part of the body is unread,
 // it sees to it that the rest does not delay the response: a rest of up to maxDiscardedBytes is
 // read for discardTimeout at most, otherwise the caller's connection is closed.
-func (req *request) finishBody(h http.Header) {
+func (d *Dispatcher) finishBody(req *request, h http.Header) {
 	body := req.body
 	if body == nil {
 		return
 	}
 	body.hostBytes.Release()
 	streamedTo := req.outbound.Stream != nil && (req.lastUpstream != "" || req.passedOn)
-	if ended, left := body.reader.finish(); !ended && (left < 0 || left > maxDiscardedBytes || streamedTo) {
+	ended, left := body.reader.finish()
+	if !ended && (left < 0 || left > maxDiscardedBytes || streamedTo) {
 		h.Set("Connection", "close")
 	}
 }
--- a/internal/dispatch/bodies_test.go
+++ b/internal/dispatch/bodies_test.go
@@ -178,22 +178,28 @@
 	h.wantBudgetFree(t)
 }
 
-// A deployment whose bodies fit the host's budget anyway, and one whose desired state states no
-// largest body, are served without reservations.
-func TestBodiesAreNotLimitedWhereTheyFit(t *testing.T) {
+// Guards against bodies without a bound where operators expect none: they count at the host, and at upstreams
+// only where the desired state states a largest body that may not fit.
+func TestBodiesCountWhereNoLargeOnesAreExpected(t *testing.T) {
 	f := startUpstream(t, echo)
 	h := newHarness(t, newUpstream("u1", "plain", f))
-	for _, largest := range []int64{0, 1000} {
+	for i, largest := range []int64{0, 1000} {
 		h.limitBodies(t, largest)
 		h.fillBudget(t, 0)
+		h.fillUpstream(t, "u1", max(largest, 1), 0)
 		h.post("charge.example", "r1").want(t, 200, "")
+		if n := h.d.BodyStats().Streamed; n != int64(i+1) {
+			t.Errorf("%d bodies of at most %d bytes streamed, want %d", n, largest, i+1)
+		}
 	}
 	h.limitBodies(t, 200<<10)
 	h.fillBudget(t, 0)
 	h.post("charge.example", "r2").want(t, 200, "")
-	if n := h.d.BodyStats().Streamed; n != 1 {
-		t.Errorf("%d bodies streamed, want 1: the last one's", n)
+	if n := h.d.BodyStats().Streamed; n != 3 {
+		t.Errorf("%d bodies streamed, want 3", n)
 	}
+	h.fillUpstream(t, "u1", 200<<10, 0)
+	h.post("charge.example", "r3").want(t, 503, "")
 }
 
 // The host's budget has no room, but the upstream's has. The body must reach the upstream whole,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -183,7 +183,7 @@
 	if req != nil {
 		defer req.releaseResults()
 		summary.setRequest(req)
-		req.finishBody(w.Header())
+		d.finishBody(req, w.Header())
 	}
 	v := d.views.Load()
 	summary.ViewAge = time.Since(v.UpdatedAt)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -34,7 +34,7 @@
 	// fingerprintBody is the part of the body that goes into the fingerprint: all of
 	// a buffered body, the first streamFingerprintBytes of a streamed one.
 	fingerprintBody []byte
-	// body is what the body holds of the budgets; nil if it is not limited or empty.
+	// body is what the body holds of the budgets; nil if it is empty or the host's memory is not known.
 	body     *limitedBody
 	arrived  time.Time
 	deadline time.Time
@@ -111,7 +111,7 @@
 
 // parseRequest matches the route, sets the deadline and reads the body. It returns a
 // refusal if the request cannot be served, together with the request if that is because of its body
-// and the body is limited.
+// and the body counts against the budgets.
 func (d *Dispatcher) parseRequest(r *http.Request, arrived time.Time) (*request, *Refusal) {
 	state := d.views.Load().Desired
 	if state == nil {
--- a/internal/ingress/listener_test.go
+++ b/internal/ingress/listener_test.go
@@ -125,4 +125,6 @@
 	}
 }
 
-func newTestListener(q queue, maxConns int) *Listener { return NewListener(q, maxConns, bodybudget.New(100<<10)) }
+func newTestListener(q queue, maxConns int) *Listener {
+	return NewListener(q, maxConns, bodybudget.New(100<<10))
+}
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -23,12 +23,15 @@
 const (
 	// crowdMemoryMB and crowdFDs are the limits of the process that a crowd calls.
 	crowdMemoryMB, crowdFDs = 64, 256
+	// moreFDs are those of a process whose memory bounds what a crowd can do, not its connections.
+	moreFDs = 1024
 	// crowdFDShare is the part of the descriptors that clients may use; the rest is for upstreams, other
 	// hosts and the log service.
 	crowdFDShare = 0.75
 	// crowdSize is the number of a crowd's clients, each with one connection. connectionCrowd is more than
 	// the process has descriptors.
 	crowdSize, connectionCrowd = 200, 400
+	largeCrowd                 = 600
 	crowdDuration              = 4 * time.Second
 	// crowdAnswerTimeout is when a process that has not answered an ordinary request counts as hung.
 	crowdAnswerTimeout = 30 * time.Second
@@ -134,6 +137,7 @@
 type crowdRun struct {
 	process *Host
 	addr    string
+	fds     int
 	// ordinary sends a request within the limits over a new connection and returns the status.
 	ordinary func() (int, error)
 }
@@ -164,8 +168,8 @@
 	if peak > crowdMemoryMB {
 		t.Errorf("the process used up to %d MB of %d", peak, crowdMemoryMB)
 	}
-	if fds > crowdFDs*crowdFDShare {
-		t.Errorf("the process had up to %d of %d descriptors open, want at most %v", fds, crowdFDs, crowdFDs*crowdFDShare)
+	if float64(fds) > float64(r.fds)*crowdFDShare {
+		t.Errorf("the process had up to %d of %d descriptors open, want at most %v", fds, r.fds, float64(r.fds)*crowdFDShare)
 	}
 	if failures := r.process.Failures(); len(failures) > 0 {
 		t.Errorf("the process ended: %q", failures)
@@ -215,11 +219,11 @@
 	return len(entries)
 }
 
-// limitedBinary returns a program that runs binary with crowdFDs descriptors.
-func limitedBinary(t *testing.T, binary string) string {
+// limitedBinary returns a program that runs binary with fds descriptors.
+func limitedBinary(t *testing.T, binary string, fds int) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "limited")
-	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", crowdFDs, binary)
+	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", fds, binary)
 	if err := os.WriteFile(path, []byte(script), 0o700); err != nil {
 		t.Fatal(err)
 	}
@@ -227,14 +231,14 @@
 }
 
 // startCrowdHost starts an entry host with the limits of a crowd's process and returns it once it serves.
-func startCrowdHost(t *testing.T, binary string) *Host {
+func startCrowdHost(t *testing.T, binary string, fds int) *Host {
 	t.Helper()
 	env, err := newEnvironment(2, 2, desired.SlowStart{}, nil, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(env.shutDown)
-	h, err := newHost("host-0", limitedBinary(t, binary), t.TempDir(), env.logAddr)
+	h, err := newHost("host-0", limitedBinary(t, binary, fds), t.TempDir(), env.logAddr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -274,9 +278,13 @@
 	binary := buildDaemon(t).daemon
 	run := func(listener, name string, send crowdClient, size int) {
 		t.Run(listener+"/"+name, func(t *testing.T) {
-			h := startCrowdHost(t, binary)
+			fds := crowdFDs
+			if size == largeCrowd {
+				fds = moreFDs
+			}
+			h := startCrowdHost(t, binary, fds)
 			url := "http://" + h.setting(t, "listen") + normalPath
-			crowdRun{process: h, addr: h.setting(t, listener), ordinary: func() (int, error) { return ordinaryRequest(url, unkeyedVHost) }}.run(t, send, size)
+			crowdRun{process: h, addr: h.setting(t, listener), fds: fds, ordinary: func() (int, error) { return ordinaryRequest(url, unkeyedVHost) }}.run(t, send, size)
 		})
 	}
 	get := "GET /x HTTP/1.1\r\nHost: " + unkeyedVHost + "\r\n"
@@ -292,6 +300,12 @@
 	run("listen", "pipelined requests", repeated("", get+"\r\n", 0), crowdSize)
 	run("listen", "connections", silent, connectionCrowd)
 	run("listen", "idle connections", partOf(get+"\r\n", 0, 1), connectionCrowd)
+	for name, send := range bodyCrowds(post, crowdBodyBytes) {
+		run("listen", "many "+name, send, largeCrowd)
+	}
+	run("listen", "many heads of short lines", repeated(get, "a:\r\n", 60<<10), largeCrowd)
+	run("listen", "many heads that stop", repeated(get, "X-More: "+strings.Repeat("m", 1000)+"\r\n", 60<<10), largeCrowd)
+	run("listen", "many pipelined requests", repeated("", get+"\r\n", 400*len(get)), largeCrowd)
 	for _, listener := range []string{"ready_listen", "peer_listen", "metrics_listen"} {
 		crowds := headCrowds("GET /metrics HTTP/1.1\r\nHost: h\r\n")
 		for _, name := range []string{"long heads that stop", "lines without end"} {
@@ -313,7 +327,7 @@
 		t.Run(listener+"/"+name, func(t *testing.T) {
 			h := startCrowdDaemon(t, binary)
 			url := "http://" + h.setting(t, "listen") + ownPath
-			crowdRun{process: h, addr: h.setting(t, listener), ordinary: func() (int, error) { return ordinaryRequest(url, "") }}.run(t, send, size)
+			crowdRun{process: h, addr: h.setting(t, listener), fds: crowdFDs, ordinary: func() (int, error) { return ordinaryRequest(url, "") }}.run(t, send, size)
 		})
 	}
 	get := "GET " + ownPath + " HTTP/1.1\r\nHost: h\r\n"
@@ -358,7 +372,7 @@
 	}
 	dir := t.TempDir()
 	h := &Host{Name: "host-0", settingsPath: filepath.Join(dir, "host-0.ini"), outputPath: filepath.Join(dir, "host-0.log")}
-	h.binary = limitedBinary(t, binary+" -config "+h.settingsPath)
+	h.binary = limitedBinary(t, binary+" -config "+h.settingsPath, crowdFDs)
 	text := fmt.Sprintf("[host]\nname = host-0\ndata_centre = dc\nlisten = %s\nadmin_listen = %s\n[log]\naddr = %s\npoll_interval = 20ms\n", addrs[0], addrs[1], f.LogURL)
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
