dispatch: callers that stop sending streamed bodies leave slots to others

Beside 600 clients that send chunked bodies and stop, no ordinary request was served for 30 s: 503 "upstreams have no room", 282,000 refusals.

Cause: a body for which the host has no room is streamed, and so are those over 256 KiB. It holds a slot of its upstream until its caller counts as stalled, or to the deadline, and the next one follows at once. While callers stall (four within 10 s), streamed bodies may now hold a quarter of the upstreams' slots; further ones are refused before anything is sent, 503 with Retry-After. In calm nothing is refused.

--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/papayatide/papayatide/internal/bodybudget"
 	"github.com/papayatide/papayatide/internal/catalogue"
@@ -40,13 +41,16 @@
 	need      atomic.Pointer[bodyNeed]
 	// streamed counts the bodies that were streamed because the host's budget had no room.
 	streamed atomic.Int64
+	streams  streamGate
 }
 
-// bodyNeed is whether bodies are limited at upstreams, and what that was derived from.
+// bodyNeed is whether bodies are limited at upstreams, how many may be streamed at a time while callers stall,
+// and what that was derived from.
 type bodyNeed struct {
 	state            *desired.State
 	upstreams, hosts int
 	limited          bool
+	maxStreaming     int
 }
 
 // SetMemory derives the budgets for buffered bodies of requests and responses from the host's memory.
@@ -88,13 +92,22 @@
 	need := d.bodies.need.Load()
 	if need == nil || need.state != v.Desired || need.upstreams != upstreams || need.hosts != hosts {
 		inFlight, largest := d.maxInFlight(v), v.Desired.Limits.BodyBytes
-		need = &bodyNeed{state: v.Desired, upstreams: upstreams, hosts: hosts,
+		need = &bodyNeed{state: v.Desired, upstreams: upstreams, hosts: hosts, maxStreaming: d.maxStreaming(v, hosts),
 			limited: v.Desired.HasLargeBodies() && bodybudget.Needed(largest, inFlight, d.bodies.host.Limit())}
 		d.bodies.need.Store(need)
 	}
 	return need
 }
 
+// maxStreaming returns how many bodies this host may stream at a time while callers stall.
+func (d *Dispatcher) maxStreaming(v *view.View, hosts int) int {
+	slots := 0
+	for _, u := range v.Upstreams.ByID {
+		slots += u.Slots
+	}
+	return max(slots/max(hosts, 1)/streamingShare, 1)
+}
+
 // maxInFlight returns how many requests this host may have in flight: those that the limits of
 // all upstreams admit, and a queue of equal length.
 func (d *Dispatcher) maxInFlight(v *view.View) int {
@@ -159,6 +172,8 @@
 	need      *bodyNeed
 	// largest is the desired state's largest body; 0 if bodies are not limited at upstreams.
 	largest int64
+	// streaming is set if the body counts as streamed.
+	streaming bool
 	// upstream is where upstreamBytes are counted; empty if none are.
 	upstream      string
 	upstreamBytes int64
@@ -191,6 +206,9 @@
 	if errors.Is(err, errNoBodyRoom) && r.ContentLength >= 0 && d.streamForRoom(req, nil, r.ContentLength) {
 		err = nil
 	}
+	if err == nil && req.outbound.Stream != nil && !d.beginStream(body) {
+		err = errNoBodyRoom
+	}
 	switch {
 	case err == nil:
 		body.reader.startStreaming()
@@ -241,11 +259,20 @@
 	return nil
 }
 
+// beginStream counts the body as streamed unless it does already. It returns false if too many are.
+func (d *Dispatcher) beginStream(body *limitedBody) bool {
+	body.streaming = body.streaming || d.bodies.streams.begin(body.need.maxStreaming, time.Now())
+	return body.streaming
+}
+
 // streamForRoom has the body streamed because the host's budget has no room for the rest of it; head
-// is what has been read. It returns false if the fingerprint is needed before the request is sent, to see whether the
+// is what has been read. It returns false if too many are, or if the fingerprint is needed before the request is sent, to see whether the
 // request crashes its upstream, which takes as many bytes of the body.
 func (d *Dispatcher) streamForRoom(req *request, head []byte, length int64) bool {
 	reader := req.body.reader
+	if !d.beginStream(req.body) {
+		return false
+	}
 	if len(head) >= streamFingerprintBytes {
 		req.fingerprintBody = head[:streamFingerprintBytes]
 	} else if d.crashes.HasCrashes() {
@@ -342,6 +369,10 @@
 	body.hostBytes.Release()
 	streamedTo := req.outbound.Stream != nil && (req.lastUpstream != "" || req.passedOn)
 	ended, left := body.reader.finish()
+	if body.streaming {
+		now := time.Now()
+		d.bodies.streams.end(body.reader.hasStalled() || !ended && !now.Before(req.deadline), now)
+	}
 	if !ended && (left < 0 || left > maxDiscardedBytes || streamedTo) {
 		h.Set("Connection", "close")
 	}
