ingress, entryhost: bodies of calls by other hosts are bounded

A host ran out of memory while clients sent bodies to the listener for other hosts: 1,278 to 1,325 MB of 64, with 200 clients that stop short of 4 MiB.

Cause: twirp reads the body of a call whole, without a bound on it, on the sum or on the time. A call now has up to 8 MiB that arrive within 10 s, and all together take an eighth of the host's memory. Requests that other hosts pass on count against the budget of callers' bodies, as before.

--- a/internal/entryhost/listeners.go
+++ b/internal/entryhost/listeners.go
@@ -10,6 +10,7 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"github.com/papayatide/papayatide/internal/bodybudget"
 	"github.com/papayatide/papayatide/internal/fleet"
 	"github.com/papayatide/papayatide/internal/ingress"
 	"github.com/papayatide/papayatide/internal/lingering"
@@ -32,6 +33,9 @@
 	maxHeaderBytes      = 64 << 10
 	maxPeerHeaderBytes  = maxHeaderBytes + 16<<10
 	maxProbeHeaderBytes = 8 << 10
+	// maxCallBytes bounds the body of a call by another host, callBodyTimeout the time until it has arrived.
+	maxCallBytes    = 8 << 20
+	callBodyTimeout = 10 * time.Second
 )
 
 // listen opens the host's listeners and adds their HTTP servers to g.
@@ -59,7 +63,8 @@
 	peers.Handle(ps.PathPrefix(), ps)
 	rs := refusedpb.NewRefusedServer(&refused.Server{Host: h.cfg.Host, Crashes: h.controller.crashes.tracker, Log: h.zl})
 	peers.Handle(rs.PathPrefix(), rs)
-	peerServer := &http.Server{Handler: h.peerHandler(peers), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnContext: peerContext}
+	calls := ingress.BodyLimits{Largest: maxCallBytes, Timeout: callBodyTimeout, Budget: bodybudget.New(h.limits.ControlBodyBytes)}
+	peerServer := &http.Server{Handler: h.peerHandler(calls.Handler(peers)), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnContext: peerContext}
 	if err := h.addServer(workCtx, g, h.cfg.PeerListen, h.limits.Peers, peerServer); err != nil {
 		return err
 	}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -16,8 +16,8 @@
 	// net/http keeps.
 	bytesPerConn = 64 << 10
 	// connMemoryShare is the part of the memory that a listener's connections may use, headMemoryShare that
-	// for heads beyond the fixed part of each connection.
-	connMemoryShare, headMemoryShare = 2, 16
+	// for heads beyond the fixed part of each connection, controlBodyShare that for bodies of calls.
+	connMemoryShare, headMemoryShare, controlBodyShare = 2, 16, 8
 )
 
 // Limits are those of a process.
@@ -27,6 +27,8 @@
 	Callers, Peers, Other int
 	// Lingering is the number of closed connections of callers whose responses are still being delivered.
 	Lingering int
+	// ControlBodyBytes is the memory that bodies of calls by other hosts or administrators may take in all.
+	ControlBodyBytes int64
 	// HeadBytes is the memory that incomplete heads may take in all, beyond a fixed part of each.
 	HeadBytes int64
 }
@@ -38,7 +40,7 @@
 	byMemory := int(memory / connMemoryShare / bytesPerConn)
 	other := max(sockets/otherShare, minOther)
 	return Limits{Callers: max(min(sockets/callerShare, byMemory), 1), Peers: max(min(sockets/peerShare, byMemory), 1), Other: other, Lingering: other,
-		HeadBytes: memory / headMemoryShare}
+		HeadBytes: memory / headMemoryShare, ControlBodyBytes: memory / controlBodyShare}
 }
 
 // assumedDescriptors is the number of descriptors if the process's limit is not known.
