pipeline: run-ahead requests and what they hold are bounded for all connections

A host with 1,500 callers that pipeline 400 requests each and read no response took 231 MB and served one of 33 ordinary requests in the users' figures.

Cause: a connection may run 8 requests ahead, hold 64 KiB of further ones and 1 MiB of their responses; nothing bounded the sum. All connections together now run two requests ahead for each megabyte of the host's memory, and hold a sixteenth of it. A connection for which there is no room is served one request at a time, as net/http does.

--- a/internal/entryhost/listeners.go
+++ b/internal/entryhost/listeners.go
@@ -41,6 +41,7 @@
 // listen opens the host's listeners and adds their HTTP servers to g.
 func (h *host) listen(workCtx context.Context, g *run.Group) error {
 	h.pipeline = &pipeline.Server{Handler: http.HandlerFunc(h.serve), Idempotent: h.hasIdempotentRoute, Stopping: h.stopping.Load}
+	h.pipeline.SetMemory(h.cfg.MemoryMB)
 	h.callerServer = &http.Server{Handler: h.pipeline, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: callerContext}
 	if err := h.addServer(workCtx, g, h.cfg.Listen, h.limits.Callers, h.callerServer); err != nil {
--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -79,7 +79,7 @@
 // its head and will write its response.
 func (c *Conn) runAhead() {
 	for c.front != nil && !c.closing && !c.unqualified && c.betweenRequests() && len(c.held) > c.ahead &&
-		len(c.records) < maxAhead && c.blocked == 0 && c.waitingBytes < maxWaitingBytes && !c.s.Stopping() {
+		len(c.records) < maxAhead && c.blocked == 0 && c.waitingBytes < maxWaitingBytes && c.s.hasRoomAhead() && !c.s.Stopping() {
 		if !c.frontChecked {
 			c.frontChecked, c.frontQualifies = true, c.s.qualifies(c.front)
 		}
@@ -165,6 +165,7 @@
 		waiting.Add(-1)
 	}
 	c.waitingBytes -= rec.size
+	c.s.give(rec.size)
 }
 
 // Header implements http.ResponseWriter.
@@ -201,7 +202,7 @@
 	c := rec.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waitingBytes+n > maxWaitingBytes {
+	if c.waitingBytes+n > maxWaitingBytes || !c.s.take(n) {
 		c.blocked++
 		c.mu.Unlock()
 		var err error
@@ -212,14 +213,14 @@
 		}
 		c.mu.Lock()
 		c.blocked--
-		if err != nil {
-			return err
-		}
+		return err // the response is being written: its bytes do not wait
 	}
-	if !rec.settled {
-		rec.size += n
-		c.waitingBytes += n
+	if rec.settled {
+		c.s.give(n)
+		return nil
 	}
+	rec.size += n
+	c.waitingBytes += n
 	return nil
 }
 
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -41,6 +41,8 @@
 	// bytes are the heads of the requests in records.
 	held  []byte
 	ahead int
+	// heldBytes is the part of held's memory that counts against the server's bound.
+	heldBytes int
 	// first is the memory of held if a single byte was received after a response.
 	first [1]byte
 	// unqualified is set if held[ahead:] begins with a request that must not be run ahead.
@@ -94,7 +96,7 @@
 		return 0, err
 	}
 	n += held
-	c.held = nil
+	c.releaseHeld()
 	k := c.advance(p[:n])
 	if k < n {
 		c.held = append(make([]byte, 0, max(firstHoldBytes, n-k)), p[k:n]...)
@@ -138,8 +140,8 @@
 			c.held = append(make([]byte, 0, firstHoldBytes), p[0])
 			continue
 		}
-		if len(c.held) == cap(c.held) {
-			c.held = slices.Grow(c.held, min(len(c.held), maxHeldBytes-len(c.held)))
+		if len(c.held) == cap(c.held) && !c.growHeld() {
+			return c.handOver(p), nil
 		}
 		n, err := c.readConn(c.held[len(c.held):min(cap(c.held), maxHeldBytes)])
 		c.held = c.held[:len(c.held)+n]
@@ -150,6 +152,24 @@
 	}
 }
 
+// growHeld makes room for more held bytes. It returns false if the server has none.
+func (c *Conn) growHeld() bool {
+	n := min(len(c.held), maxHeldBytes-len(c.held))
+	if !c.s.take(n) {
+		return false
+	}
+	c.heldBytes += n
+	c.held = slices.Grow(c.held, n)
+	return true
+}
+
+// releaseHeld ends the counting of held, which is handed over or dropped.
+func (c *Conn) releaseHeld() {
+	c.held = nil
+	c.s.give(c.heldBytes)
+	c.heldBytes = 0
+}
+
 // readConn reads from the wrapped connection without holding mu. An error other than a
 // timeout ends the run-ahead requests.
 func (c *Conn) readConn(p []byte) (int, error) {
@@ -169,7 +189,7 @@
 	n = copy(p, c.held[:c.advance(c.held[:n])])
 	c.held, c.ahead = c.held[n:], max(0, c.ahead-n)
 	if len(c.held) == 0 {
-		c.held = nil
+		c.releaseHeld()
 	}
 	return n
 }
@@ -231,6 +251,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drop()
+	c.s.give(c.heldBytes)
+	c.heldBytes = 0
 	return err
 }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -30,6 +30,9 @@
 	// maxWaitingBytes bounds the recorded responses of a connection that wait for those
 	// in front of them. A caller that reads slowly would otherwise fill the memory.
 	maxWaitingBytes = 1 << 20
+	// aheadPerMB and memoryShare are the run-ahead requests for each megabyte of the host's memory, and the
+	// part of it that all connections may hold.
+	aheadPerMB, memoryShare = 2, 16
 )
 
 var (
@@ -50,10 +53,34 @@
 	Idempotent func(*http.Request) bool
 	// Stopping reports whether the process is shutting down. Nothing is run ahead then.
 	Stopping func() bool
+	// MaxAhead bounds the run-ahead requests of all connections, MaxBytes what they hold: bytes of callers
+	// and recorded responses. 0 is no bound.
+	MaxAhead, MaxBytes int64
 	// undelivered counts the run-ahead requests whose response is not written yet.
 	undelivered atomic.Int64
+	// bytes are those held, as far as they count against MaxBytes.
+	bytes atomic.Int64
 }
 
+// SetMemory derives the bounds for all connections from the host's memory.
+func (s *Server) SetMemory(memoryMB int) {
+	s.MaxAhead, s.MaxBytes = int64(memoryMB)*aheadPerMB, int64(memoryMB)<<20/memoryShare
+}
+
+// take counts n bytes. It returns false if there is no room for them.
+func (s *Server) take(n int) bool {
+	if s.bytes.Add(int64(n)) > s.MaxBytes && s.MaxBytes > 0 {
+		s.bytes.Add(int64(-n))
+		return false
+	}
+	return true
+}
+
+func (s *Server) give(n int) { s.bytes.Add(int64(-n)) }
+
+// hasRoomAhead reports whether one more request may be run ahead.
+func (s *Server) hasRoomAhead() bool { return s.MaxAhead == 0 || s.undelivered.Load() < s.MaxAhead }
+
 type connKey struct{}
 
 // Listen returns a listener whose connections are read ahead.
