daemon, router: the listeners of the own interface are bounded

A host with a published manifest ran out of memory and descriptors as entry hosts did: up to 522 MB of 64 on the callers' listener, 1,723 MB on the administrators', 256 of 256 descriptors, and no ordinary request served beside idle connections.

Cause: heads of up to 1 MiB, bodies of 1 MiB read with io.ReadAll without a bound on their sum or a deadline, calls of administrators of any size, idle connections for ever. The listeners now have the bounds of an entry host's, from [host] memory_mb and fds. Bodies of requests share an eighth of the memory and must arrive by the request's deadline; without room the refusal is NO_ROOM, not run, with Retry-After. The collector is set up for the memory, as on entry hosts.

--- a/cmd/papayatided/daemon.go
+++ b/cmd/papayatided/daemon.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/papayatide/papayatide/internal/daemon"
+	"github.com/papayatide/papayatide/internal/memlimit"
 	"github.com/papayatide/papayatide/internal/settings"
 )
 
@@ -25,6 +26,7 @@
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
+	memlimit.Apply(cfg.MemoryMB)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return daemon.Run(ctx, cfg, logger)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,9 +15,11 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/papayatide/papayatide/internal/admin"
+	"github.com/papayatide/papayatide/internal/bodybudget"
 	"github.com/papayatide/papayatide/internal/control"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/hostlist"
+	"github.com/papayatide/papayatide/internal/ingress"
 	"github.com/papayatide/papayatide/internal/logservice"
 	"github.com/papayatide/papayatide/internal/refused"
 	"github.com/papayatide/papayatide/internal/router"
@@ -58,7 +60,7 @@
 		SnapshotEvery: cfg.SnapshotEvery, SnapshotInterval: cfg.SnapshotInterval, HeartbeatInterval: cfg.HeartbeatInterval, HeartbeatTimeout: cfg.HeartbeatTimeout,
 		HostsPerUpstream: cfg.HostsPerUpstream}, logClient, targets, logger)
 	callerRouter := router.New(router.Options{Host: cfg.Host, Timeout: cfg.RequestTimeout, MaxViewAge: cfg.MaxViewAge,
-		RetryAfter: cfg.RetryAfter, LatencyObjective: cfg.LatencyObjective}, loop.Table, targets, logger)
+		RetryAfter: cfg.RetryAfter, LatencyObjective: cfg.LatencyObjective, MemoryMB: cfg.MemoryMB}, loop.Table, targets, logger)
 	callerRouter.OnFenced = func(string) { loop.Wake() }
 
 	callerMux := http.NewServeMux()
@@ -83,10 +85,15 @@
 	g.Add(func() error { return loop.Run(loopCtx) }, func(error) { cancel() })
 	stopCtx, stop := context.WithCancel(ctx)
 	g.Add(func() error { <-stopCtx.Done(); return ctx.Err() }, func(error) { stop() })
-	if err := addServer(&g, cfg.Listen, callerMux, cfg.ShutdownGrace, &stopping); err != nil {
+	limits := ingress.NewLimits(cfg.MemoryMB, ingress.Descriptors(cfg.Descriptors))
+	heads := bodybudget.New(limits.HeadBytes)
+	callers := listener{addr: cfg.Listen, handler: callerMux, maxConns: limits.Callers, heads: heads, grace: cfg.ShutdownGrace, stopping: &stopping}
+	if err := callers.addTo(&g); err != nil {
 		return err
 	}
-	if err := addServer(&g, cfg.AdminListen, adminMux, time.Second, nil); err != nil {
+	calls := ingress.BodyLimits{Largest: maxCallBytes, Timeout: callBodyTimeout, Budget: bodybudget.New(limits.ControlBodyBytes)}
+	admins := listener{addr: cfg.AdminListen, handler: calls.Handler(adminMux), maxConns: limits.Other, heads: heads, grace: time.Second}
+	if err := admins.addTo(&g); err != nil {
 		return err
 	}
 	logger.Info("started", zap.Int("event", events.Started), zap.String("host", cfg.Host),
@@ -99,24 +106,47 @@
 	return err
 }
 
-// addServer listens on addr and adds an HTTP server to g. On interrupt it sets
-// stopping, if not nil, and shuts the server down gracefully within grace.
-func addServer(g *run.Group, addr string, h http.Handler, grace time.Duration, stopping *atomic.Bool) error {
-	ln, err := net.Listen("tcp", addr)
+const (
+	// readHeaderTimeout bounds the time in which a client must send a request's head of up to maxHeaderBytes,
+	// idleTimeout how long its idle connections stay open.
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 64 << 10
+	idleTimeout       = 75 * time.Second
+	// maxCallBytes bounds the body of an administrator's call, callBodyTimeout the time until it has arrived.
+	maxCallBytes    = 64 << 10
+	callBodyTimeout = 10 * time.Second
+)
+
+// listener is where the daemon serves handler.
+type listener struct {
+	addr     string
+	handler  http.Handler
+	maxConns int
+	// heads is the budget for the heads of requests.
+	heads *bodybudget.Budget
+	// grace bounds the graceful shutdown, at the beginning of which stopping is set unless it is nil.
+	grace    time.Duration
+	stopping *atomic.Bool
+}
+
+// addTo opens the listener and adds its HTTP server to g.
+func (l listener) addTo(g *run.Group) error {
+	ln, err := net.Listen("tcp", l.addr)
 	if err != nil {
-		return eris.Wrapf(err, "listen %s", addr)
+		return eris.Wrapf(err, "listen %s", l.addr)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	srv := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	ingress.Track(srv)
 	g.Add(func() error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return eris.Wrapf(err, "serve %s", addr)
+		if err := srv.Serve(ingress.NewListener(ln, l.maxConns, l.heads)); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrapf(err, "serve %s", l.addr)
 		}
 		return nil
 	}, func(error) {
-		if stopping != nil {
-			stopping.Store(true)
+		if l.stopping != nil {
+			l.stopping.Store(true)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		ctx, cancel := context.WithTimeout(context.Background(), l.grace)
 		defer cancel()
 		_ = srv.Shutdown(ctx)
 	})
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -38,6 +38,8 @@
 	MismatchedResponse Code = "CROSSED_ANSWER"
 	// NotReady means that the host has not received a manifest yet.
 	NotReady Code = "NOT_READY"
+	// NoRoom means that the host has no memory for the request or its response.
+	NoRoom Code = "NO_ROOM"
 	// CrashesTargets means that targets have crashed while they ran the same request.
 	CrashesTargets Code = "ENDS_TARGETS"
 )
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,19 +3,22 @@
 import (
 	"errors"
 	"fmt"
-	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/papayatide/papayatide/internal/bodybudget"
 	"github.com/papayatide/papayatide/internal/burn"
 	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/feedback"
+	"github.com/papayatide/papayatide/internal/ingress"
 	"github.com/papayatide/papayatide/internal/refusal"
 	"github.com/papayatide/papayatide/internal/routing"
 	"github.com/papayatide/papayatide/internal/target"
@@ -50,6 +53,8 @@
 	// LatencyObjective is the latency above which a request counts as slow in the
 	// error-budget burn report.
 	LatencyObjective time.Duration
+	// MemoryMB is the host's memory, an eighth of which request bodies may use; 0 for no bound.
+	MemoryMB int
 }
 
 // Router forwards callers' requests to the owners of their keys.
@@ -68,11 +73,17 @@
 	// reports tracks what targets report about themselves in response headers.
 	reports *feedback.Tracker
 	started time.Time
+	// bodies bounds the memory of request bodies.
+	bodies *bodybudget.Budget
 }
 
 // New returns a router that gets the current routing table by calling table.
 func New(opts Options, table func() *routing.Table, targets *target.Client, log *zap.Logger) *Router {
-	rt := &Router{started: time.Now(), opts: opts, table: table, targets: targets, log: log, OnFenced: func(string) {},
+	limit := int64(math.MaxInt64)
+	if opts.MemoryMB > 0 {
+		limit = bodybudget.HostLimit(opts.MemoryMB)
+	}
+	rt := &Router{started: time.Now(), bodies: bodybudget.New(limit), opts: opts, table: table, targets: targets, log: log, OnFenced: func(string) {},
 		reports: feedback.NewTracker(), RequestCounts: burn.NewRecorder(opts.LatencyObjective)}
 	rt.reports.OnChange = rt.onReportChange
 	rt.crashes = crashes.NewTracker(rt.logRefusedFingerprint)
@@ -91,7 +102,9 @@
 func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	service := r.PathValue("service")
-	resp, refused := rt.serve(r, service, r.PathValue("key"), start)
+	memory := rt.bodies.Reserve()
+	defer memory.Release()
+	resp, refused := rt.serve(w, r, memory, start)
 	code := "OK"
 	if refused != nil {
 		code = string(refused.Code)
@@ -124,11 +137,15 @@
 
 // serve forwards a request to the owner of its key and returns the response, or a
 // refusal.
-func (rt *Router) serve(r *http.Request, service, key string, now time.Time) (*target.Response, *refusal.Refusal) {
+func (rt *Router) serve(w http.ResponseWriter, r *http.Request, memory *bodybudget.Reservation, now time.Time) (*target.Response, *refusal.Refusal) {
+	service, key := r.PathValue("service"), r.PathValue("key")
 	req, refused := rt.parseRequest(r, service, key, now)
 	if refused != nil {
 		return nil, refused
 	}
+	if refused := rt.readBody(w, r, req, memory); refused != nil {
+		return nil, refused
+	}
 	t := rt.table()
 	if t == nil {
 		return nil, refusal.New(refusal.NotReady, StepView, "", refusal.NotRun, rt.opts.RetryAfter, "no manifest in force yet")
@@ -177,14 +194,27 @@
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	req.Deadline = now.Add(timeout)
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBodyBytes))
-	if err != nil {
-		return nil, refusal.New(refusal.BadRequest, StepParse, "", refusal.NotRun, 0, "body unreadable or over 1 MiB")
-	}
-	req.Body = body
 	return req, nil
 }
 
+// readBody reads the request's body and takes room for it from memory. After a refusal the rest of the body
+// is not read.
+func (rt *Router) readBody(w http.ResponseWriter, r *http.Request, req *target.Request, memory *bodybudget.Reservation) *refusal.Refusal {
+	body, err := ingress.ReadBodyBy(w, r, req.Deadline, MaxBodyBytes, memory)
+	if err == nil {
+		req.Body = body
+		return nil
+	}
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, ingress.ErrNoRoomForBody):
+		return refusal.New(refusal.NoRoom, StepParse, "", refusal.NotRun, rt.opts.RetryAfter, "no memory left for the request's body")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal.New(refusal.BadRequest, StepParse, "", refusal.NotRun, 0, "body did not arrive in time")
+	}
+	return refusal.New(refusal.BadRequest, StepParse, "", refusal.NotRun, 0, "body unreadable or over 1 MiB")
+}
+
 // forwardRefusal returns the refusal for a forwarding error. The outcome is "not
 // run" if the request was not sent, and unknown if it was sent without a response.
 func (rt *Router) forwardRefusal(err error, req *target.Request, route routing.Route) *refusal.Refusal {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,8 @@
 	Listen      string // listen: host:port for callers
 	AdminListen string // admin_listen: host:port for admin, metrics and health endpoints
 	LogLevel    string // log_level: debug, info, warn or error
+	MemoryMB    int    // memory_mb: memory limit of this host in MB
+	Descriptors int    // fds: descriptors that this host may have open; 0 for the limit of its process
 
 	// [log]
 	LogURL       string        // addr: base URL of the log service
@@ -58,7 +60,7 @@
 // daemonSchema lists every allowed section and key with its default ("" means
 // required).
 var daemonSchema = map[string]map[string]string{
-	"host": {"name": "", "data_centre": "", "listen": "", "admin_listen": "", "log_level": "info"},
+	"host": {"name": "", "data_centre": "", "listen": "", "admin_listen": "", "log_level": "info", "memory_mb": "284", "fds": "0"},
 	"log":  {"addr": "", "poll_interval": "100ms"},
 	"routing": {"request_timeout": "2s", "attempt_timeout": "250ms", "view_lease": "2s", "retry_after": "1s", "grant_lease": "1s",
 		"probe_interval": "200ms", "probe_failures": "3", "snapshot_every": "64", "snapshot_interval": "1m", "shutdown_grace": "10s"},
@@ -200,6 +202,8 @@
 		Listen:           r.hostPort("host", "listen"),
 		AdminListen:      r.hostPort("host", "admin_listen"),
 		LogLevel:         r.str("host", "log_level"),
+		MemoryMB:         r.positiveInt("host", "memory_mb"),
+		Descriptors:      r.nonNegativeInt("host", "fds"),
 		LogURL:           r.baseURL("log", "addr"),
 		PollInterval:     r.duration("log", "poll_interval"),
 		RequestTimeout:   r.duration("routing", "request_timeout"),
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -373,7 +373,7 @@
 	dir := t.TempDir()
 	h := &Host{Name: "host-0", settingsPath: filepath.Join(dir, "host-0.ini"), outputPath: filepath.Join(dir, "host-0.log")}
 	h.binary = limitedBinary(t, binary+" -config "+h.settingsPath, crowdFDs)
-	text := fmt.Sprintf("[host]\nname = host-0\ndata_centre = dc\nlisten = %s\nadmin_listen = %s\n[log]\naddr = %s\npoll_interval = 20ms\n", addrs[0], addrs[1], f.LogURL)
+	text := fmt.Sprintf("[host]\nname = host-0\ndata_centre = dc\nmemory_mb = %d\nlisten = %s\nadmin_listen = %s\n[log]\naddr = %s\npoll_interval = 20ms\n", crowdMemoryMB, addrs[0], addrs[1], f.LogURL)
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/loopback/fleet.go
+++ b/internal/standin/loopback/fleet.go
@@ -46,7 +46,7 @@
 // DefaultSettings returns entry host settings with intervals short enough for
 // tests.
 func DefaultSettings() settings.Daemon {
-	return settings.Daemon{LogLevel: "info", PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second, AttemptTimeout: 200 * time.Millisecond,
+	return settings.Daemon{LogLevel: "info", MemoryMB: 284, PollInterval: 20 * time.Millisecond, RequestTimeout: 2 * time.Second, AttemptTimeout: 200 * time.Millisecond,
 		MaxViewAge: time.Second, RetryAfter: time.Second, GrantTTL: 300 * time.Millisecond,
 		ProbeInterval: 50 * time.Millisecond, ProbeFailures: 2, SnapshotEvery: 64, SnapshotInterval: time.Minute, ShutdownGrace: 2 * time.Second,
 		HostListInterval: 100 * time.Millisecond, HeartbeatInterval: 200 * time.Millisecond, HeartbeatTimeout: time.Second, HostsPerUpstream: 2,
