httpclient, upstream: a reset during an upload never ends a response as if it were whole

Callers got a part of a response as the whole: an upstream answered an upload at once, 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset to one call. If the write of the upload gets it, the read that follows sees what looks like an orderly end, and that ends a body without a length. On such a connection the end is now read only if no write has failed; a write in progress is ended first, as it may have received the report. An orderly end while the upload is being written still ends a response. One that an upstream closes with the upload unread arrives as a reset and counts as incomplete: nobody can tell.

The clients of grants, releases, the log service, other hosts, targets and the host list have the same connections, as net/http's transport writes and reads at a time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,9 +16,11 @@
 
 	"github.com/papayatide/papayatide/internal/admin"
 	"github.com/papayatide/papayatide/internal/bodybudget"
+	"github.com/papayatide/papayatide/internal/bounded"
 	"github.com/papayatide/papayatide/internal/control"
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/hostlist"
+	"github.com/papayatide/papayatide/internal/httpclient"
 	"github.com/papayatide/papayatide/internal/ingress"
 	"github.com/papayatide/papayatide/internal/logservice"
 	"github.com/papayatide/papayatide/internal/refused"
@@ -47,13 +49,15 @@
 // connections and waits up to ShutdownGrace for requests in flight. Run then
 // returns nil.
 func Run(ctx context.Context, cfg *settings.Daemon, logger *zap.Logger) error {
-	logClient := logservice.New(cfg.LogURL, &http.Client{})
+	logClient := logservice.New(cfg.LogURL, httpclient.New(&http.Transport{MaxResponseHeaderBytes: bounded.MaxHeadBytes}))
 	targets := target.NewClient()
 	targets.AttemptTimeout = cfg.AttemptTimeout
 	// The platform's host list has the machines of targets.
 	var hostList *hostlist.Client
 	if cfg.HostListURL != settings.HostListOff {
-		hostList = hostlist.New(cfg.HostListURL, &http.Client{Timeout: 5 * time.Second})
+		client := httpclient.New(&http.Transport{MaxResponseHeaderBytes: bounded.MaxHeadBytes})
+		client.Timeout = hostListTimeout
+		hostList = hostlist.New(cfg.HostListURL, client)
 	}
 	loop := control.New(control.Options{HostList: hostList, HostListInterval: cfg.HostListInterval, Host: cfg.Host, DataCentre: cfg.DataCentre, PollInterval: cfg.PollInterval,
 		ProbeInterval: cfg.ProbeInterval, ProbeFailures: cfg.ProbeFailures, GrantTTL: cfg.GrantTTL,
@@ -112,6 +116,7 @@
 	readHeaderTimeout = 5 * time.Second
 	maxHeaderBytes    = 64 << 10
 	idleTimeout       = 75 * time.Second
+	hostListTimeout   = 5 * time.Second
 	// maxCallBytes bounds the body of an administrator's call, callBodyTimeout the time until it has arrived.
 	maxCallBytes    = 64 << 10
 	callBodyTimeout = 10 * time.Second
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -21,6 +21,7 @@
 	"github.com/papayatide/papayatide/internal/events"
 	"github.com/papayatide/papayatide/internal/feedback"
 	"github.com/papayatide/papayatide/internal/fleet"
+	"github.com/papayatide/papayatide/internal/httpclient"
 	"github.com/papayatide/papayatide/internal/ingress"
 	"github.com/papayatide/papayatide/internal/lingering"
 	"github.com/papayatide/papayatide/internal/memlimit"
@@ -177,7 +178,7 @@
 	h := &host{cfg: cfg, zl: zl, views: view.NewPublisher(), client: upstream.NewClient(plat.Headers), picker: balance.NewPicker(cfg.Host),
 		budget: budget.New(hostBudgetLimits(cfg, 1), time.Now()), loadSampler: newLoadSampler(), allocator: ratelimit.NewAllocator(), plat: plat, fleet: fleet.New(cfg.DataCentre),
 		candidate: cfg.CPUCores >= candidateMinCPU && cfg.LinkMbps >= candidateMinLinkMbps,
-		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: plat.peerTransport()}})}
+		peers:     peer.NewClient(&http.Client{Transport: progress.Transport{Base: httpclient.New(plat.peerTransport()).Transport}})}
 	h.limits = ingress.NewLimits(cfg.MemoryMB, ingress.Descriptors(cfg.Descriptors))
 	h.heads = bodybudget.New(h.limits.HeadBytes)
 	h.versions = &versionMonitor{zl: zl, inForce: h.desiredVersion}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/papayatide/papayatide/internal/bounded"
+	"github.com/papayatide/papayatide/internal/httpclient"
 	"github.com/papayatide/papayatide/internal/manifest"
 )
 
@@ -75,7 +76,7 @@
 // to enable the second.
 func NewClient() *Client {
 	return &Client{pools: map[string]*http.Client{},
-		unpooled: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes}}}
+		unpooled: httpclient.New(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes})}
 }
 
 // pool returns the HTTP client with the connection pool of u.
@@ -84,14 +85,14 @@
 	defer c.mu.Unlock()
 	httpClient := c.pools[u.Addr]
 	if httpClient == nil {
-		httpClient = &http.Client{Transport: &http.Transport{
+		httpClient = httpclient.New(&http.Transport{
 			MaxConnsPerHost:     u.Connections,
 			MaxIdleConnsPerHost: u.Connections,
 			// Closes blackholed connections once they are idle; later requests
 			// then open new ones.
 			IdleConnTimeout:        30 * time.Second,
 			MaxResponseHeaderBytes: bounded.MaxHeadBytes,
-		}}
+		})
 		c.pools[u.Addr] = httpClient
 	}
 	return httpClient
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -264,7 +264,7 @@
 	}
 	writeDone := make(chan error, 1)
 	if req.Stream == nil {
-		w := countingWriter{w: cn}
+		w := countingWriter{w: cn.ends}
 		err := writeRequest(&w, httpReq)
 		if err != nil && w.written == 0 {
 			return &Result{Outcome: NotSent, ConnRejected: isReset(err), Err: eris.Wrapf(err, "upstream %s: write request", t.ID)}, false
@@ -272,7 +272,7 @@
 		writeDone <- err
 	} else {
 		// A stream cannot be read again, so that a failure to write it never counts as NotSent.
-		go func() { writeDone <- writeRequest(cn, httpReq) }()
+		go func() { writeDone <- writeRequest(cn.ends, httpReq) }()
 	}
 	memory := c.Responses.Reserve(t.ID)
 	resp, body, err := c.readResponse(cn, httpReq, req.ID, MaxResponseBytes, memory)
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -69,7 +69,7 @@
 	h.Set(c.headers.TimeoutMs, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: t.Addr, Path: path}, Host: t.Addr, Header: h,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-	if err := writeRequest(cn, req); err != nil {
+	if err := writeRequest(cn.ends, req); err != nil {
 		return healthOfFailure(err), false, err
 	}
 	resp, _, err := c.readResponse(cn, req, "", bounded.MaxControlBytes, nil)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/papayatide/papayatide/internal/httpclient"
 	"github.com/papayatide/papayatide/internal/peek"
 )
 
@@ -32,6 +33,8 @@
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
+	// ends is Conn for reads and writes of requests and responses.
+	ends *httpclient.Conn
 	// br reads from in, which bounds the head of a response.
 	br *bufio.Reader
 	in *headReader
@@ -242,8 +245,9 @@
 
 // newConn returns nc as a connection that was opened now.
 func newConn(nc net.Conn) *conn {
-	in := &headReader{source: nc}
-	return &conn{Conn: nc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), openedAt: time.Now()}
+	ends := httpclient.NewConn(nc)
+	in := &headReader{source: ends}
+	return &conn{Conn: nc, ends: ends, in: in, br: bufio.NewReaderSize(in, readBufferBytes), openedAt: time.Now()}
 }
 
 // dialAccepted is dial for a connection that the upstream does not reject at once.
