httpclient, upstream: responses with invalid heads are no responses

Callers got responses whose status was 000, and responses with a blank in the name of a field: that line was passed on, and with "Content-Length :" or "Transfer-Encoding :" the body was not the upstream's.

Cause: http.ReadResponse accepts three characters that are a number as the status, any version, and blanks in names. Each client now checks the head: a status below 100, 101 (nobody asks for another protocol), another major version than 1, invalid characters in names or values, and the IDs of several requests end the attempt as one without a response: 502, as the request may have run, or a further attempt of an idempotent one. Informational responses are checked too. A status over 599 and another minor version are passed on, as RFC 9110 and 9112 have it.

--- a/internal/upstream/broken_response_test.go
+++ b/internal/upstream/broken_response_test.go
@@ -65,3 +65,51 @@
 		}
 	}
 }
+
+// Guards against bytes that are no response in the protocol and reach the caller as one, with a body that is
+// not the upstream's.
+func TestInvalidResponseHeadsAreNoResponses(t *testing.T) {
+	const rest = "X-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+	for name, text := range map[string]string{
+		"status 000":                   "HTTP/1.1 000 Trouble\r\n" + rest,
+		"status 099":                   "HTTP/1.1 099 Trouble\r\n" + rest,
+		"status +20":                   "HTTP/1.1 +20 Trouble\r\n" + rest,
+		"switching protocols":          "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"informational 000":            "HTTP/1.1 100 Continue\r\na b: c\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"version 2.0":                  "HTTP/2.0 200 OK\r\n" + rest,
+		"blank in a name":              "HTTP/1.1 200 OK\r\nX Trouble: 1\r\n" + rest,
+		"blank before the colon":       "HTTP/1.1 200 OK\r\nX-Trouble : 1\r\n" + rest,
+		"length with a blank":          "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length : 2\r\n\r\nok",
+		"encoding with a blank":        "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nX-Id: r1\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"tab in a name":                "HTTP/1.1 200 OK\r\nX\tTrouble: 1\r\n" + rest,
+		"control byte in a name":       "HTTP/1.1 200 OK\r\nX\x01Trouble: 1\r\n" + rest,
+		"delete in a name":             "HTTP/1.1 200 OK\r\nX\x7fTrouble: 1\r\n" + rest,
+		"byte over 127 in a name":      "HTTP/1.1 200 OK\r\nX\xe9Trouble: 1\r\n" + rest,
+		"empty name":                   "HTTP/1.1 200 OK\r\n: 1\r\n" + rest,
+		"carriage return in a value":   "HTTP/1.1 200 OK\r\nX-Trouble: 1\r2\r\n" + rest,
+		"NUL in a value":               "HTTP/1.1 200 OK\r\nX-Trouble: 1\x002\r\n" + rest,
+		"control byte in a value":      "HTTP/1.1 200 OK\r\nX-Trouble: 1\x012\r\n" + rest,
+		"ids of two requests":          "HTTP/1.1 200 OK\r\nX-Id: r2\r\n" + rest,
+		"the request's and another id": "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Id: r2\r\nContent-Length: 2\r\n\r\nok",
+		"two lengths":                  "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + rest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			if res := send(t, rawserver.Response{Bytes: text, ResetAfter: -1}, nil, false); res.Outcome != OutcomeUnknown || res.Status != 0 {
+				t.Errorf("%v, status %d, %q, header %v", res.Outcome, res.Status, res.Body, res.Header)
+			}
+		})
+	}
+	for name, text := range map[string]string{
+		"status 600":           "HTTP/1.1 600 Own\r\n" + rest,
+		"minor version":        "HTTP/1.7 200 OK\r\n" + rest,
+		"every byte of a name": "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n" + rest,
+		"tab in a value":       "HTTP/1.1 200 OK\r\nX-Trouble: 1\t\xe9\r\n" + rest,
+		"after informational":  "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			if res := send(t, rawserver.Response{Bytes: text, Keep: true}, nil, false); res.Outcome != Answered || string(res.Body) != "ok" {
+				t.Errorf("%v, %q, %v", res.Outcome, res.Body, res.Err)
+			}
+		})
+	}
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayatide/papayatide/internal/bodybudget"
 	"github.com/papayatide/papayatide/internal/bounded"
+	"github.com/papayatide/papayatide/internal/httpclient"
 )
 
 const (
@@ -30,6 +31,7 @@
 	ErrNoMemory = errors.New("no memory for the response")
 
 	errStrayResponse = errors.New("answer belongs to another request")
+	errSeveralIDs    = errors.New("response has the IDs of several requests")
 )
 
 // headReader reads from source. While it is limited it fails after bounded.MaxHeadBytes.
@@ -61,7 +63,11 @@
 func (c *conn) readHead(httpReq *http.Request) (*http.Response, error) {
 	c.in.limit()
 	defer c.in.unlimit()
-	return http.ReadResponse(c.br, httpReq)
+	resp, err := http.ReadResponse(c.br, httpReq)
+	if err != nil {
+		return nil, err
+	}
+	return resp, httpclient.CheckHead(resp)
 }
 
 // readResponse reads responses until one has the request's ID. An upstream may send a
@@ -77,6 +83,9 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		if len(resp.Header.Values(c.headers.RequestID)) > 1 {
+			return nil, nil, errSeveralIDs
+		}
 		body, err := readBody(resp, maxBody, memory)
 		if err != nil {
 			memory.Release()
