ingress: a log line states how many connections of clients the limits have closed

Event 661, at most one line a second: connections that made room for others, found none, had a head without room, or whose clients did not read. Without it an operator saw resets only.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,6 +87,7 @@
 	var g run.Group
 	loopCtx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return loop.Run(loopCtx) }, func(error) { cancel() })
+	g.Add(func() error { ingress.Report(loopCtx, logger); return nil }, func(error) { cancel() })
 	stopCtx, stop := context.WithCancel(ctx)
 	g.Add(func() error { <-stopCtx.Done(); return ctx.Err() }, func(error) { stop() })
 	limits := ingress.NewLimits(cfg.MemoryMB, ingress.Descriptors(cfg.Descriptors))
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -157,6 +157,7 @@
 	g.Add(func() error { h.logSyncer.run(workCtx); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.housekeep(workCtx, reload); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.checkIdleConnections(workCtx); return nil }, func(error) { cancel() })
+	g.Add(func() error { ingress.Report(workCtx, zl); return nil }, func(error) { cancel() })
 	g.Add(func() error { h.dispatch.Paths.Run(workCtx); return nil }, func(error) { cancel() })
 	if err := h.listen(workCtx, &g); err != nil {
 		cancel()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -88,6 +88,7 @@
 	CrashWriteFailed      = 653
 	FingerprintCleared    = 654
 	LogLinesDropped       = 660
+	ClientsLimited        = 661
 	// DataCentreUnreachable and DataCentreReachable: none of the upstreams of a data centre
 	// responds to this host, or one does again.
 	DataCentreUnreachable = 680
