router, target: responses of targets share a budget of the host's memory

The own interface bounded each response (4 MiB), not their sum: callers that read slowly hold one each. Found by reading, in the postmortem of responses without end.

All responses of a host now share an eighth of its memory until they are written. One without room has an unknown outcome, as the target has run the request. bodybudget.Read reads a body within a budget, for requests and responses alike.

TestResponsesShareMemory fails without the budget (no error for the third response).

--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -1,6 +1,6 @@
 // Package bodybudget accounts for the bytes of request bodies that a host buffers, and for those
-// of the requests that it has in flight at each upstream. It decides only whether there is room;
-// it reads no body.
+// of the requests that it has in flight at each upstream. It decides whether there is room; Read
+// reads a body within it.
 package bodybudget
 
 import "sync"
--- a/internal/ingress/bodies.go
+++ b/internal/ingress/bodies.go
@@ -10,60 +10,14 @@
 	"github.com/papayatide/papayatide/internal/bodybudget"
 )
 
-var (
-	// ErrBodyTooLarge means that a request's body exceeds the largest one, ErrNoRoomForBody that the process
-	// has no memory for it.
-	ErrBodyTooLarge  = errors.New("body is too large")
-	ErrNoRoomForBody = errors.New("no room for the body of the request")
-)
-
-// firstBodyBytes is what a body of unknown length reserves first. Each further step doubles it.
-const firstBodyBytes = 16 << 10
-
-// ReadBody reads a body of length bytes, -1 if that is not known, and of at most largest. It takes room for it
-// from reservation, which the caller releases. The error may wrap ErrBodyTooLarge or ErrNoRoomForBody.
-func ReadBody(r io.Reader, length, largest int64, reservation *bodybudget.Reservation) ([]byte, error) {
-	if length > largest {
-		return nil, ErrBodyTooLarge
-	}
-	if length >= 0 {
-		if !reservation.Grow(length) {
-			return nil, ErrNoRoomForBody
-		}
-		data := make([]byte, length)
-		_, err := io.ReadFull(r, data)
-		return data, err
-	}
-	var data []byte
-	for {
-		size := int64(max(2*len(data), firstBodyBytes))
-		if !reservation.Grow(size) { // the old buffer is still held while its content is copied
-			return nil, ErrNoRoomForBody
-		}
-		grown := make([]byte, size)
-		held := copy(grown, data)
-		n, err := io.ReadFull(r, grown[held:])
-		data = grown[:held+n]
-		reservation.Shrink(size)
-		switch {
-		case int64(len(data)) > largest:
-			return nil, ErrBodyTooLarge
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-			return data, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-// ReadBodyBy is ReadBody for the body of r, which must have arrived by the deadline.
-func ReadBodyBy(w http.ResponseWriter, r *http.Request, deadline time.Time, largest int64, reservation *bodybudget.Reservation) ([]byte, error) {
+// ReadBody reads the body of r, as bodybudget.Read does. It must have arrived by the deadline.
+func ReadBody(w http.ResponseWriter, r *http.Request, deadline time.Time, largest int64, reservation *bodybudget.Reservation) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
 	conn := http.NewResponseController(w)
 	_ = conn.SetReadDeadline(deadline) // not supported by recorders of tests only
-	data, err := ReadBody(r.Body, r.ContentLength, largest, reservation)
+	data, err := bodybudget.Read(r.Body, r.ContentLength, largest, reservation)
 	_ = conn.SetReadDeadline(time.Time{}) // net/http reads on while the request is in flight
 	return data, err
 }
@@ -86,7 +40,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength > l.Largest {
 			w.Header().Set("Connection", "close")
-			http.Error(w, ErrBodyTooLarge.Error(), http.StatusRequestEntityTooLarge)
+			http.Error(w, bodybudget.ErrTooLarge.Error(), http.StatusRequestEntityTooLarge)
 			return
 		}
 		if r.Body != nil && r.Body != http.NoBody {
@@ -117,10 +71,10 @@
 		_ = b.conn.SetReadDeadline(time.Time{}) // net/http reads on while the request is in flight
 	}
 	if b.left -= int64(n); b.left < 0 {
-		return 0, ErrBodyTooLarge
+		return 0, bodybudget.ErrTooLarge
 	}
 	if !b.grow(int64(n) * readerCost) {
-		return 0, ErrNoRoomForBody
+		return 0, bodybudget.ErrNoRoom
 	}
 	return n, err
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,7 +53,8 @@
 	// LatencyObjective is the latency above which a request counts as slow in the
 	// error-budget burn report.
 	LatencyObjective time.Duration
-	// MemoryMB is the host's memory, an eighth of which request bodies may use; 0 for no bound.
+	// MemoryMB is the host's memory, an eighth of which bodies of requests may use, and another bodies of
+	// responses; 0 for no bound.
 	MemoryMB int
 }
 
@@ -73,8 +74,8 @@
 	// reports tracks what targets report about themselves in response headers.
 	reports *feedback.Tracker
 	started time.Time
-	// bodies bounds the memory of request bodies.
-	bodies *bodybudget.Budget
+	// bodies and responses bound the memory of the bodies of requests and of responses.
+	bodies, responses *bodybudget.Budget
 }
 
 // New returns a router that gets the current routing table by calling table.
@@ -83,7 +84,7 @@
 	if opts.MemoryMB > 0 {
 		limit = bodybudget.HostLimit(opts.MemoryMB)
 	}
-	rt := &Router{started: time.Now(), bodies: bodybudget.New(limit), opts: opts, table: table, targets: targets, log: log, OnFenced: func(string) {},
+	rt := &Router{started: time.Now(), bodies: bodybudget.New(limit), responses: bodybudget.New(limit), opts: opts, table: table, targets: targets, log: log, OnFenced: func(string) {},
 		reports: feedback.NewTracker(), RequestCounts: burn.NewRecorder(opts.LatencyObjective)}
 	rt.reports.OnChange = rt.onReportChange
 	rt.crashes = crashes.NewTracker(rt.logRefusedFingerprint)
@@ -102,8 +103,8 @@
 func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	service := r.PathValue("service")
-	memory := rt.bodies.Reserve()
-	defer memory.Release()
+	memory := memory{request: rt.bodies.Reserve(), response: rt.responses.Reserve()}
+	defer memory.release()
 	resp, refused := rt.serve(w, r, memory, start)
 	code := "OK"
 	if refused != nil {
@@ -123,6 +124,14 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`papayatide_request_duration_seconds{service=%q}`, service)).UpdateDuration(start)
 }
 
+// memory is what a request holds of the budgets.
+type memory struct{ request, response *bodybudget.Reservation }
+
+func (m memory) release() {
+	m.request.Release()
+	m.response.Release()
+}
+
 func writeResponse(w http.ResponseWriter, resp *target.Response) {
 	if ct := resp.Header.Get("Content-Type"); ct != "" {
 		w.Header().Set("Content-Type", ct)
@@ -137,15 +146,16 @@
 
 // serve forwards a request to the owner of its key and returns the response, or a
 // refusal.
-func (rt *Router) serve(w http.ResponseWriter, r *http.Request, memory *bodybudget.Reservation, now time.Time) (*target.Response, *refusal.Refusal) {
+func (rt *Router) serve(w http.ResponseWriter, r *http.Request, memory memory, now time.Time) (*target.Response, *refusal.Refusal) {
 	service, key := r.PathValue("service"), r.PathValue("key")
 	req, refused := rt.parseRequest(r, service, key, now)
 	if refused != nil {
 		return nil, refused
 	}
-	if refused := rt.readBody(w, r, req, memory); refused != nil {
+	if refused := rt.readBody(w, r, req, memory.request); refused != nil {
 		return nil, refused
 	}
+	req.ResponseMemory = memory.response
 	t := rt.table()
 	if t == nil {
 		return nil, refusal.New(refusal.NotReady, StepView, "", refusal.NotRun, rt.opts.RetryAfter, "no manifest in force yet")
@@ -200,14 +210,14 @@
 // readBody reads the request's body and takes room for it from memory. After a refusal the rest of the body
 // is not read.
 func (rt *Router) readBody(w http.ResponseWriter, r *http.Request, req *target.Request, memory *bodybudget.Reservation) *refusal.Refusal {
-	body, err := ingress.ReadBodyBy(w, r, req.Deadline, MaxBodyBytes, memory)
+	body, err := ingress.ReadBody(w, r, req.Deadline, MaxBodyBytes, memory)
 	if err == nil {
 		req.Body = body
 		return nil
 	}
 	w.Header().Set("Connection", "close")
 	switch {
-	case errors.Is(err, ingress.ErrNoRoomForBody):
+	case errors.Is(err, bodybudget.ErrNoRoom):
 		return refusal.New(refusal.NoRoom, StepParse, "", refusal.NotRun, rt.opts.RetryAfter, "no memory left for the request's body")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refusal.New(refusal.BadRequest, StepParse, "", refusal.NotRun, 0, "body did not arrive in time")
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -17,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/papayatide/papayatide/internal/bodybudget"
 	"github.com/papayatide/papayatide/internal/bounded"
 	"github.com/papayatide/papayatide/internal/httpclient"
 	"github.com/papayatide/papayatide/internal/manifest"
@@ -50,6 +52,8 @@
 	IdempotencyKey string
 	RequestID      string
 	Deadline       time.Time
+	// ResponseMemory takes the room for the response's body; the caller releases it. It may be nil.
+	ResponseMemory *bodybudget.Reservation
 }
 
 // Response is a target's complete response.
@@ -185,13 +189,27 @@
 		return nil, eris.Wrapf(errors.Join(ErrNoResponse, err), "forward to %s", u.Name)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(bounded.Reader(resp.Body, MaxResponseBytes))
+	memory := req.ResponseMemory
+	if memory == nil {
+		memory = bodybudget.New(math.MaxInt64).Reserve()
+	}
+	body, err := bodybudget.Read(resp.Body, bodyLength(resp), MaxResponseBytes, memory)
 	if err != nil {
+		memory.Release()
 		return nil, eris.Wrapf(errors.Join(ErrNoResponse, err), "forward to %s: read answer", u.Name)
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// bodyLength returns the length of a response's body, -1 if it is not known. That of a response to HEAD
+// states the length of another one's.
+func bodyLength(resp *http.Response) int64 {
+	if resp.Body == http.NoBody {
+		return 0
+	}
+	return resp.ContentLength
+}
+
 // SendGrant posts a grant to upstream u. It returns the size of the request body in
 // bytes, also if the upstream did not accept the grant.
 func (c *Client) SendGrant(ctx context.Context, u *manifest.Upstream, g *Grant) (int, error) {
