--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -40,100 +39,8 @@
 	crowdBodyBytes, crowdUploadBytes = 256 << 10, 4 << 20
 	// ownBodyBytes is the largest body of a request on the own interface.
 	ownBodyBytes = 1 << 20
-	crowdPause   = 50 * time.Millisecond
 )
 
-// crowdClient sends what one client of a crowd sends over one connection. It returns early if a write fails.
-type crowdClient func(w io.Writer) error
-
-// partOf sends head, then n bytes of a body in pieces. The client then stays connected.
-func partOf(head string, n, piece int) crowdClient {
-	return func(w io.Writer) error {
-		if _, err := io.WriteString(w, head); err != nil {
-			return err
-		}
-		for left := n; left > 0; left -= piece {
-			if _, err := io.WriteString(w, strings.Repeat("b", min(left, piece))); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-}
-
-// chunksOf is partOf for a body in chunks, of which the last never comes.
-func chunksOf(head string, n, chunk int) crowdClient {
-	return func(w io.Writer) error {
-		if _, err := io.WriteString(w, head); err != nil {
-			return err
-		}
-		data := fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("c", chunk))
-		for left := n; left > 0; left -= chunk {
-			if _, err := io.WriteString(w, data); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-}
-
-// repeated sends first, then text for as long as the connection is open, up to limit bytes; 0 for no limit.
-func repeated(first, text string, limit int) crowdClient {
-	return func(w io.Writer) error {
-		_, err := io.WriteString(w, first)
-		block := strings.Repeat(text, max(1, 4096/len(text)))
-		for n := len(block); err == nil && (limit == 0 || n <= limit); n += len(block) {
-			_, err = io.WriteString(w, block)
-		}
-		return err
-	}
-}
-
-// bodyCrowds are those that send all of a body of n bytes but its end.
-func bodyCrowds(head string, n int) map[string]crowdClient {
-	withLength := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, n)
-	return map[string]crowdClient{
-		"bodies that stop":           partOf(withLength, n-1, n),
-		"bodies in pieces that stop": partOf(withLength, n-1, 1000),
-		"chunked bodies that stop":   chunksOf(head+"Transfer-Encoding: chunked\r\n\r\n", n-1000, 1000),
-	}
-}
-
-func silent(io.Writer) error { return nil }
-
-// headCrowds are those that never complete a request's head, on any listener.
-func headCrowds(first string) map[string]crowdClient {
-	line := "X-More: " + strings.Repeat("m", 1015) + "\r\n"
-	return map[string]crowdClient{
-		"heads over the limit":      repeated(first, line, 0),
-		"heads that stop":           repeated(first, line, 60<<10),
-		"long heads that stop":      repeated(first, line, 960<<10),
-		"lines without end":         repeated("", "m", 0),
-		"empty lines without end":   repeated("", "\r\n", 0),
-		"line feeds without end":    repeated("", "\n", 0),
-		"empty lines after request": repeated(first+"Content-Length: 1\r\n\r\nx", "\r\n", 0),
-	}
-}
-
-// call opens connections to addr, one after another, until ctx ends, and sends over each what send does. A
-// connection stays open until the process closes it.
-func (send crowdClient) call(ctx context.Context, addr string) {
-	for ctx.Err() == nil {
-		if c, err := net.DialTimeout("tcp4", addr, time.Second); err == nil {
-			stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-			go func() {
-				if send(c) != nil {
-					_ = c.Close()
-				}
-			}()
-			_, _ = io.Copy(io.Discard, c)
-			stop()
-			_ = c.Close()
-		}
-		time.Sleep(crowdPause)
-	}
-}
-
 // crowdRun is a process, the listener that a crowd calls, and how an ordinary request is sent meanwhile.
 type crowdRun struct {
 	process *Host
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -44,6 +44,9 @@
 	KillsBehindCuts bool
 	// LateWrites has heartbeats of upstreams carried out late, also after they have left.
 	LateWrites bool
+	// Crowds has clients that do not behave call the hosts, and upstreams send responses that are none or that
+	// are cut.
+	Crowds bool
 	// Hosts, Keyed, Unkeyed and Callers are the numbers of entry hosts, upstreams
 	// of the service with keys, upstreams of the service without keys, and callers.
 	Hosts, Keyed, Unkeyed, Callers int
@@ -168,6 +171,9 @@
 	if opts.LateWrites {
 		in.wg.Go(func() { in.runLateWrites(fctx, opts.Seed) })
 	}
+	if opts.Crowds {
+		in.wg.Go(func() { in.runCrowds(fctx, opts.Seed) })
+	}
 	in.run(fctx)
 	cancel()
 	if opts.Evacuate {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,10 +36,10 @@
 // evacuations and slow starts, two of three have reports, three of five have returns of the
 // log from copies, and four of seven have hard load. From firstPathCutSeed on, two of three cut hosts
 // off from all upstreams, and from firstKillBehindCutSeed on, the third kills planners behind cuts. From
-// firstLateWriteSeed on, one of two has late writes.
+// firstLateWriteSeed on, one of two has late writes, and from firstCrowdSeed on, two of three have crowds.
 type run struct {
-	seed                                                                                  uint64
-	fatal, evacuate, reports, logReturns, hardLoad, pathCuts, killsBehindCuts, lateWrites bool
+	seed                                                                                          uint64
+	fatal, evacuate, reports, logReturns, hardLoad, pathCuts, killsBehindCuts, lateWrites, crowds bool
 }
 
 // firstPathCutSeed is the first seed whose run may cut hosts off from all upstreams.
@@ -51,6 +51,9 @@
 // firstLateWriteSeed is the first seed whose run may carry writes out late.
 const firstLateWriteSeed = 120_000
 
+// firstCrowdSeed is the first seed whose run may have crowds.
+const firstCrowdSeed = 130_000
+
 // binaries are the paths of the programs that a run needs.
 type binaries struct{ daemon, hostWithPathFaults string }
 
@@ -81,7 +84,7 @@
 		for i := range *seeds {
 			seed := start + uint64(i)
 			list = append(list, run{seed, seed%2 == 1, seed%4 >= 2, seed%3 > 0, seed%5 < 3, seed%7 < 4, seed >= firstPathCutSeed && seed%3 < 2, seed >= firstKillBehindCutSeed && seed%3 == 2,
-				seed >= firstLateWriteSeed && seed/2%2 == 0})
+				seed >= firstLateWriteSeed && seed/2%2 == 0, seed >= firstCrowdSeed && seed%3 < 2})
 		}
 	}
 	runAll(t, binary, list)
@@ -133,6 +136,14 @@
 	}
 }
 
+// TestSoakWithCrowds adds clients that do not behave, and upstreams whose responses are none or are cut,
+// during all the other faults.
+func TestSoakWithCrowds(t *testing.T) {
+	if *seeds == 0 {
+		runAll(t, buildDaemon(t), []run{{seed: 4, crowds: true}})
+	}
+}
+
 // runAll makes the runs, at most as many at a time as the flag -beside allows.
 func runAll(t *testing.T, programs binaries, list []run) {
 	slots := make(chan struct{}, *parallelRuns)
@@ -164,7 +175,7 @@
 	if cfg.pathCuts {
 		binary = programs.hostWithPathFaults
 	}
-	r, err := Run(context.Background(), Options{Binary: binary, PathCuts: cfg.pathCuts, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, KillsBehindCuts: cfg.killsBehindCuts, LateWrites: cfg.lateWrites, HardLoad: cfg.hardLoad, FaultDuration: *faultTime, Hosts: *hostCount, Keyed: 4, Unkeyed: unkeyed, Callers: *callerCount})
+	r, err := Run(context.Background(), Options{Binary: binary, PathCuts: cfg.pathCuts, Dir: dir, Seed: cfg.seed, FatalRequests: cfg.fatal, Evacuate: cfg.evacuate, Reports: cfg.reports, LogReturns: cfg.logReturns, KillsBehindCuts: cfg.killsBehindCuts, LateWrites: cfg.lateWrites, Crowds: cfg.crowds, HardLoad: cfg.hardLoad, FaultDuration: *faultTime, Hosts: *hostCount, Keyed: 4, Unkeyed: unkeyed, Callers: *callerCount})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/rangeowner/upstream.go
+++ b/internal/standin/rangeowner/upstream.go
@@ -49,6 +49,7 @@
 	report   Report
 	draining bool
 	endless  *EndlessResponse
+	broken   *BrokenResponse
 }
 
 // HealthPath is the path of health checks.
@@ -293,6 +294,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if u.serveBroken(w, id) {
+		return
+	}
 	w.Header().Set(u.headers.Signature, "signed by "+u.ID)
 	_, _ = w.Write([]byte(u.ID + detail + " ran " + id))
 }
