--- a/internal/dispatch/streamgate_test.go
+++ b/internal/dispatch/streamgate_test.go
@@ -19,8 +19,10 @@
 	for i := range 10 * limit {
 		g.end(i < minStalls, now)
 	}
-	if !g.begin(limit, now) || !g.begin(limit, now) {
-		t.Fatal("refused below the limit")
+	for range limit {
+		if !g.begin(limit, now) {
+			t.Fatal("refused below the limit")
+		}
 	}
 	if g.begin(limit, now.Add(stallWindow/2)) {
 		t.Error("not bounded while callers stall")
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // Guards against limits that leave no descriptors for upstreams, other hosts and the log service, or allow
-// more connections than the memory bears.
+// more connections than fit into the memory.
 func TestLimitsLeaveRoom(t *testing.T) {
 	for _, memoryMB := range []int{16, 64, 144, 184, 284, 536} {
 		for _, descriptors := range []int{64, 256, 1024, 3075, 4100, 10250, 1 << 20} {
--- a/internal/pipeline/memory_test.go
+++ b/internal/pipeline/memory_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Guards against connections that together run ahead, or hold, more than the host bears: beyond the bounds
+// Guards against connections that together run ahead, or hold, more than the host has room for: beyond the bounds
 // requests are served one at a time, and what was held is given back.
 func TestConnectionsShareBounds(t *testing.T) {
 	const maxAhead, maxBytes, conns = 3, 16 << 10, 4
--- a/internal/standin/rangeowner/broken.go
+++ b/internal/standin/rangeowner/broken.go
@@ -20,6 +20,15 @@
 	u.broken = r
 }
 
+// hijack takes the connection over from net/http.
+func hijack(w http.ResponseWriter) net.Conn {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return conn
+}
+
 // serveBroken sends the broken response, if one is set.
 func (u *Upstream) serveBroken(w http.ResponseWriter, id string) bool {
 	u.mu.Lock()
@@ -28,10 +37,7 @@
 	if r == nil {
 		return false
 	}
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	conn := hijack(w)
 	defer func() { _ = conn.Close() }()
 	_, _ = conn.Write([]byte(strings.Replace(r.Text, "ID", id, 1)))
 	if tc, ok := conn.(*net.TCPConn); ok && r.Reset {
--- a/internal/standin/rangeowner/endless.go
+++ b/internal/standin/rangeowner/endless.go
@@ -27,13 +27,10 @@
 	if r == nil {
 		return false
 	}
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	conn := hijack(w)
 	defer func() { _ = conn.Close() }()
 	block := []byte(strings.Repeat(r.Repeated, 1+endlessBlockBytes/len(r.Repeated)))
-	_, err = conn.Write([]byte(r.First))
+	_, err := conn.Write([]byte(r.First))
 	for err == nil {
 		_, err = conn.Write(block)
 	}
