dispatch: tests of bodies close callers' connections as a host does

Cause: the test's server closes a connection whose body it has not read at once, and the caller's write of the body gets the reset. A host's connections linger (package lingering), so that the response arrives; the test's did not.

--- a/internal/dispatch/bodies_test.go
+++ b/internal/dispatch/bodies_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/papayatide/papayatide/internal/crashes"
 	"github.com/papayatide/papayatide/internal/desired"
+	"github.com/papayatide/papayatide/internal/lingering"
 	"github.com/papayatide/papayatide/internal/upstream"
 	"github.com/papayatide/papayatide/internal/view"
 )
@@ -30,6 +31,7 @@
 	})
 	h.front.Close()
 	h.front = httptest.NewUnstartedServer(h.d)
+	h.front.Listener = lingering.NewListener(h.front.Listener, lingering.DefaultMaxConns) // as on a host
 	h.front.Config.ConnContext = WithCaller
 	h.front.Start()
 	t.Cleanup(h.front.Close)
