bodybudget: a body that is cut within its chunks is not whole

On the own interface a response of a target that was cut within its chunks reached the caller as a whole one, and a request whose caller had gone in the middle of its chunks was sent on. io.ReadAll, which it replaced, had told them apart.

Bodies are now filled with a loop that returns errors as they are: io.EOF is the end. TestCutBodyIsNotWhole and the case "cut within its chunks" of TestInvalidResponsesAreNone failed before; they pass, as do the packages bodybudget, target, router and ingress under the race detector. A comment in dispatch is wrapped.

--- a/internal/bodybudget/read.go
+++ b/internal/bodybudget/read.go
@@ -35,17 +35,29 @@
 			return nil, ErrNoRoom
 		}
 		grown := make([]byte, size)
-		held := copy(grown, data)
-		n, err := io.ReadFull(r, grown[held:])
-		data = grown[:held+n]
+		n, err := fill(r, grown, copy(grown, data))
+		data = grown[:n]
 		reservation.Shrink(size)
 		switch {
 		case int64(len(data)) > largest:
 			return nil, ErrTooLarge
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		case err == io.EOF:
 			return data, nil
 		case err != nil:
 			return nil, err
 		}
 	}
 }
+
+// fill reads into buf from position n on until it is full, and returns the new position. Unlike io.ReadFull it
+// returns errors as they are: io.ErrUnexpectedEOF means that a body is cut, io.EOF that it is whole.
+func fill(r io.Reader, buf []byte, n int) (int, error) {
+	for n < len(buf) {
+		m, err := r.Read(buf[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
--- a/internal/bodybudget/read_test.go
+++ b/internal/bodybudget/read_test.go
@@ -44,3 +44,24 @@
 		})
 	}
 }
+
+// cutReader ends as a body that is cut within its chunks does.
+type cutReader struct{ io.Reader }
+
+func (r cutReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Guards against a body of unknown length that is cut and taken for a whole one.
+func TestCutBodyIsNotWhole(t *testing.T) {
+	for _, size := range []int{0, 10, firstBodyBytes, firstBodyBytes + 1} {
+		data, err := Read(cutReader{strings.NewReader(strings.Repeat("x", size))}, -1, 1<<20, New(1<<20).Reserve())
+		if !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%d bytes before the cut: read %d, %v", size, len(data), err)
+		}
+	}
+}
--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -266,8 +266,8 @@
 }
 
 // streamForRoom has the body streamed because the host's budget has no room for the rest of it; head
-// is what has been read. It returns false if too many are, or if the fingerprint is needed before the request is sent, to see whether the
-// request crashes its upstream, which takes as many bytes of the body.
+// is what has been read. It returns false if too many are, or if the fingerprint is needed before the
+// request is sent, to see whether the request crashes its upstream, which takes as many bytes of the body.
 func (d *Dispatcher) streamForRoom(req *request, head []byte, length int64) bool {
 	reader := req.body.reader
 	if !d.beginStream(req.body) {
--- a/internal/target/invalid_response_test.go
+++ b/internal/target/invalid_response_test.go
@@ -20,6 +20,7 @@
 		"blank in a name":          {Bytes: ok + "X Trouble: 1\r\nContent-Length: 2\r\n\r\nok", Keep: true},
 		"length with a blank":      {Bytes: ok + "Content-Length : 2\r\n\r\nok", ResetAfter: -1},
 		"encoding with a blank":    {Bytes: ok + "Transfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n", Keep: true},
+		"cut within its chunks":    {Bytes: ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", ResetAfter: -1},
 		"reset during the request": {Bytes: ok + "\r\n" + string(bytes.Repeat([]byte("b"), 2000))},
 	} {
 		t.Run(name, func(t *testing.T) {
